--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the project."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of the whole path with real processes."""
--- /dev/null
+++ b/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiment that drives the decisions with demand traces."""
--- /dev/null
+++ b/src/galenareel/_common/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that every program of the system uses."""
--- /dev/null
+++ b/src/galenareel/_consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: storage, agreement and membership."""
--- /dev/null
+++ b/src/galenareel/_control/__init__.py
@@ -0,0 +1,1 @@
+"""The control program."""
--- /dev/null
+++ b/src/galenareel/_decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions over tables, without input or output."""
--- /dev/null
+++ b/src/galenareel/_document/__init__.py
@@ -0,0 +1,1 @@
+"""The environment document: models and reading."""
--- /dev/null
+++ b/src/galenareel/_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry program: callers, announcements and routing."""
--- /dev/null
+++ b/src/galenareel/_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of operators."""
--- /dev/null
+++ b/src/galenareel/_state/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated state: tables, commands and view deltas."""
--- /dev/null
+++ b/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the folders mirror the packages."""
