--- /dev/null
+++ b/src/galenareel/_control/leader.py
@@ -0,0 +1,103 @@
+"""The leader's loop: reports and state in, commands out."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import gevent
+from gevent.event import Event
+from gevent.greenlet import Greenlet
+
+from galenareel._common.clock import Clock
+from galenareel._consensus.interface import Replicator
+from galenareel._control import planning
+from galenareel._control.proposer import Proposer
+from galenareel._control.sessions import LEASE_S
+from galenareel._control.sessions import Sessions
+from galenareel._state.commands import AnyCommand
+from galenareel._state.commands import ExpireClaims
+from galenareel._state.state import State
+
+TICK_S = 0.5
+
+# Entries find a new leader within a lease and a reconnection; a zone without
+# a session is judged only after that.
+SETTLE_S = LEASE_S + 2.0
+
+# Consequences of one report that are committed without waiting for the next
+# tick: register, then home, then the finished drain.
+MAX_ROUNDS = 4
+
+EXPIRE_INTERVAL_S = 10.0
+
+
+class LeaderLoop:
+    """Runs on every member and acts only while it leads."""
+
+    def __init__(
+        self,
+        *,
+        state: State,
+        sessions: Sessions,
+        proposer: Proposer,
+        replicator: Replicator,
+        clock: Clock,
+    ) -> None:
+        self._state = state
+        self._sessions = sessions
+        self._proposer = proposer
+        self._replicator = replicator
+        self._clock = clock
+        self._wake = Event()
+        self._loop: Greenlet | None = None
+        self._led_since: float | None = None
+        self._next_tick = 0.0
+        self._next_expiry = 0.0
+
+    def start(self) -> None:
+        self._loop = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        if self._loop is not None:
+            self._loop.kill()
+
+    def wake(self) -> None:
+        """A report brought something that should not wait for the tick."""
+        self._wake.set()
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait(timeout=TICK_S)
+            self._wake.clear()
+            self.step(self._clock.monotonic())
+
+    def step(self, now: float) -> None:
+        """One pass of the loop."""
+        if not self._replicator.is_leader():
+            if self._led_since is not None:
+                self._led_since = None
+                self._sessions.clear()
+            return
+        if self._led_since is None:
+            self._led_since = now
+        self._sessions.drop_old(now)
+        for _ in range(MAX_ROUNDS):
+            if not self._proposer.run(list(self._plan(now)), now):
+                break
+
+    def _plan(self, now: float) -> Iterator[AnyCommand]:
+        state = self._state
+        sessions = list(self._sessions)
+        settled = self._led_since is not None and (
+            now - self._led_since >= SETTLE_S
+        )
+        yield from planning.plan_zones(state, sessions, now, settled=settled)
+        yield from planning.plan_entries(state, sessions, now)
+        yield from planning.plan_announcements(state, sessions, now)
+        yield from planning.plan_homes(state, sessions, now)
+        yield from planning.plan_drained(state, sessions, now)
+        yield from planning.plan_silence(state, sessions, now)
+        if now >= self._next_expiry:
+            self._next_expiry = now + EXPIRE_INTERVAL_S
+            if state.claims:
+                yield ExpireClaims(now=0.0)
--- /dev/null
+++ b/src/galenareel/_control/operations.py
@@ -0,0 +1,280 @@
+"""Operators' requests, relayed by entries; docs/protocol.md has the fields."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from hashlib import sha256
+from typing import Any
+
+import msgspec
+
+from galenareel._common.clock import Clock
+from galenareel._common.events import Timeline
+from galenareel._common.findings import FindingsError
+from galenareel._common.messages import Done
+from galenareel._common.messages import OperatorAnswer
+from galenareel._common.messages import OperatorCall
+from galenareel._common.rows import DocumentRow
+from galenareel._common.sentinels import NotLeader
+from galenareel._common.sentinels import Refused
+from galenareel._common.sentinels import Unreachable
+from galenareel._consensus.interface import Replicator
+from galenareel._control.journal import Journal
+from galenareel._control.proposer import Proposer
+from galenareel._control.sessions import Sessions
+from galenareel._control.status import make_status
+from galenareel._control.trial import evaluate
+from galenareel._document.model import Environment
+from galenareel._state.commands import PromoteDocument
+from galenareel._state.commands import RetryWave
+from galenareel._state.commands import SubmitDocument
+from galenareel._state.state import State
+
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+CONFLICT = 409
+UNPROCESSABLE = 422
+UNAVAILABLE = 503
+TIMEOUT = 504
+
+RETRY_S = 0.5
+
+# Refusals that name something which does not exist; others are conflicts.
+UNKNOWN = ('unknown_version', 'unknown_wave')
+
+
+class Submit(msgspec.Struct, forbid_unknown_fields=True):
+    text: str
+
+
+class Promote(msgspec.Struct, forbid_unknown_fields=True):
+    version: int
+    digest: str
+
+
+class Explain(msgspec.Struct, forbid_unknown_fields=True):
+    subject: str
+
+
+class Document(msgspec.Struct, forbid_unknown_fields=True):
+    version: int | None = None
+
+
+class Events(msgspec.Struct, forbid_unknown_fields=True):
+    since: int = 0
+
+
+class Members(msgspec.Struct, forbid_unknown_fields=True):
+    add: str | None = None
+    remove: str | None = None
+
+
+class Retry(msgspec.Struct, forbid_unknown_fields=True):
+    wave: str
+
+
+class Empty(msgspec.Struct, forbid_unknown_fields=True):
+    pass
+
+
+def answer(status: int, body: object) -> OperatorAnswer:
+    return OperatorAnswer(status=status, body=msgspec.json.encode(body))
+
+
+def problem(
+    status: int,
+    reason: str,
+    detail: str = '',
+    *,
+    retry_after_s: float | None = None,
+) -> OperatorAnswer:
+    body = {
+        'reason': reason,
+        'detail': detail,
+        'retry_after_s': retry_after_s,
+    }
+    return answer(status, body)
+
+
+class Operations:
+    """Operators' operations at the leader."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        state: State,
+        sessions: Sessions,
+        proposer: Proposer,
+        replicator: Replicator,
+        journal: Journal,
+        timeline: Timeline,
+        clock: Clock,
+        read_document: Callable[[str], Environment],
+    ) -> None:
+        self._name = name
+        self._state = state
+        self._sessions = sessions
+        self._proposer = proposer
+        self._replicator = replicator
+        self._journal = journal
+        self._timeline = timeline
+        self._clock = clock
+        self._read_document = read_document
+        self._operations: dict[str, tuple[Any, Callable[[Any], Any]]] = {
+            'submit': (Submit, self._submit),
+            'promote': (Promote, self._promote),
+            'status': (Empty, self._status),
+            'explain': (Explain, self._explain),
+            'document': (Document, self._document),
+            'events': (Events, self._events),
+            'members': (Members, self._members),
+            'retry-wave': (Retry, self._retry_wave),
+        }
+
+    def call(self, msg: OperatorCall) -> OperatorAnswer:
+        """Run one operation."""
+        found = self._operations.get(msg.operation)
+        if found is None:
+            known = ', '.join(self._operations)
+            return problem(
+                NOT_FOUND, 'unknown_operation', f'operations are {known}'
+            )
+        body_type, run = found
+        try:
+            body = msgspec.json.decode(msg.body or b'{}', type=body_type)
+        except msgspec.MsgspecError as exc:
+            return problem(BAD_REQUEST, 'bad_body', str(exc))
+        result: OperatorAnswer = run(body)
+        return result
+
+    def _refusal(
+        self, result: NotLeader | Refused | Unreachable
+    ) -> OperatorAnswer:
+        if isinstance(result, NotLeader):
+            return problem(
+                UNAVAILABLE,
+                'not_leader',
+                'nothing was changed; send it again',
+                retry_after_s=RETRY_S,
+            )
+        if isinstance(result, Unreachable):
+            return problem(
+                TIMEOUT,
+                'unknown',
+                'it may have been committed; send the same again to learn it',
+                retry_after_s=RETRY_S,
+            )
+        status = NOT_FOUND if result.reason in UNKNOWN else CONFLICT
+        return problem(status, result.reason, result.detail)
+
+    def _submit(self, body: Submit) -> OperatorAnswer:
+        try:
+            environment = self._read_document(body.text)
+        except FindingsError as exc:
+            return answer(
+                UNPROCESSABLE,
+                {'reason': 'findings', 'findings': exc.findings},
+            )
+        result = self._proposer.propose_recorded(
+            SubmitDocument(
+                now=0.0,
+                version=environment.version,
+                replaces=environment.replaces,
+                digest=sha256(body.text.encode()).hexdigest(),
+                text=body.text,
+                environment=environment,
+                trial=tuple(evaluate(self._state, environment)),
+            )
+        )
+        if not isinstance(result, Done):
+            return self._refusal(result)
+        return self._stored(environment.version, result.index)
+
+    def _promote(self, body: Promote) -> OperatorAnswer:
+        result = self._proposer.propose_recorded(
+            PromoteDocument(now=0.0, version=body.version, digest=body.digest)
+        )
+        if not isinstance(result, Done):
+            return self._refusal(result)
+        return self._stored(body.version, result.index)
+
+    def _stored(self, version: int, index: int) -> OperatorAnswer:
+        row = self._state.documents[version].row
+        return answer(OK, {'index': index, **_describe(row)})
+
+    def _status(self, _body: Empty) -> OperatorAnswer:
+        status = make_status(
+            self._state, self._sessions, now=self._clock.monotonic()
+        )
+        return answer(OK, {'leader': self._name, **status})
+
+    def _explain(self, body: Explain) -> OperatorAnswer:
+        rows = {
+            'instance': self._state.instances.get(body.subject),
+            'wave': self._state.waves.get(body.subject),
+            'entry': self._state.entries.get(body.subject),
+        }
+        present = {kind: row for kind, row in rows.items() if row}
+        decisions = self._journal.about(body.subject)
+        return answer(
+            OK,
+            {
+                'subject': body.subject,
+                'present': present,
+                'decisions': decisions,
+            },
+        )
+
+    def _document(self, body: Document) -> OperatorAnswer:
+        if body.version is not None:
+            stored = self._state.documents.get(body.version)
+            row = stored.row if stored else None
+        else:
+            row = self._state.in_force
+        if row is None:
+            return problem(
+                NOT_FOUND, 'unknown_version', 'no such document is kept'
+            )
+        return answer(OK, {**_describe(row), 'text': row.text})
+
+    def _events(self, body: Events) -> OperatorAnswer:
+        events = self._timeline.since(body.since)
+        return answer(OK, {'process': self._name, 'events': events})
+
+    def _members(self, body: Members) -> OperatorAnswer:
+        if body.add is not None and body.remove is not None:
+            return problem(
+                BAD_REQUEST,
+                'bad_body',
+                'members change one at a time; give add or remove',
+            )
+        if body.add is None and body.remove is None:
+            return answer(OK, {'leader': self._replicator.leader()})
+        result = self._replicator.change_members(
+            add=body.add, remove=body.remove
+        )
+        if isinstance(result, NotLeader | Refused | Unreachable):
+            return self._refusal(result)
+        return answer(OK, {'leader': self._replicator.leader()})
+
+    def _retry_wave(self, body: Retry) -> OperatorAnswer:
+        result = self._proposer.propose_recorded(
+            RetryWave(now=0.0, wave=body.wave)
+        )
+        if not isinstance(result, Done):
+            return self._refusal(result)
+        return answer(OK, {'wave': self._state.waves[body.wave]})
+
+
+def _describe(row: DocumentRow) -> dict[str, Any]:
+    return {
+        'version': row.version,
+        'replaces': row.replaces,
+        'digest': row.digest,
+        'stage': row.stage,
+        'submitted_at': row.submitted_at,
+        'promoted_at': row.promoted_at,
+        'trial': row.trial,
+    }
--- /dev/null
+++ b/src/galenareel/_control/planning.py
@@ -0,0 +1,249 @@
+"""Commands that follow from the state and the entries' reports.
+
+Each function compares what is with what should be and returns the commands
+for the difference. Nothing is remembered between calls, so that a new leader
+goes on where the former one was interrupted.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from hashlib import blake2b
+
+from galenareel._common.messages import Announcement
+from galenareel._common.messages import Drained
+from galenareel._common.rows import EntryState
+from galenareel._common.rows import InstanceRow
+from galenareel._common.rows import Phase
+from galenareel._control.sessions import Session
+from galenareel._state.commands import AnyCommand
+from galenareel._state.commands import AssignHome
+from galenareel._state.commands import FinishMove
+from galenareel._state.commands import MarkLeft
+from galenareel._state.commands import MarkLost
+from galenareel._state.commands import RegisterInstance
+from galenareel._state.commands import SetEntryState
+from galenareel._state.commands import SetZoneCut
+from galenareel._state.commands import StartReboot
+from galenareel._state.instances import ABSENT
+from galenareel._state.maintenance import DRAINING
+from galenareel._state.maintenance import REBOOTING
+from galenareel._state.state import State
+
+LOST_AFTER_S = 10.0
+
+# A home that reports a lost instance silent for less than this has heard it.
+HEARD_S = 2.0
+
+
+def rendezvous(entries: list[str], instance: str) -> str:
+    """The entry with the highest hash; others keep theirs as one leaves."""
+
+    def weight(entry: str) -> bytes:
+        text = f'{entry}|{instance}'.encode()
+        return blake2b(text, digest_size=8).digest()
+
+    return max(entries, key=weight)
+
+
+def plan_entries(
+    state: State, sessions: list[Session], now: float
+) -> Iterator[AnyCommand]:
+    """Record entries that are stopping, silent or gone."""
+    by_entry = {one.entry: one for one in sessions}
+    for row in state.entries.values():
+        session = by_entry.get(row.entry)
+        if session is not None and session.incarnation != row.incarnation:
+            session = None
+        new = row.state
+        if session is not None and session.is_fresh(now):
+            if session.report is not None and session.report.stopping:
+                new = EntryState.STOPPING
+        elif row.state is EntryState.STOPPING:
+            new = EntryState.GONE
+        elif row.state is EntryState.LIVE:
+            if _is_silent_to_peers(row.entry, row.zone, sessions, now):
+                new = EntryState.SILENT
+        if new is not row.state:
+            yield SetEntryState(
+                entry=row.entry, incarnation=row.incarnation, state=new
+            )
+
+
+def _is_silent_to_peers(
+    entry: str, zone: str, sessions: list[Session], now: float
+) -> bool:
+    """Whether every connected peer of its zone reports it silent."""
+    reports = [
+        one.report
+        for one in sessions
+        if one.zone == zone and one.entry != entry and one.is_fresh(now)
+    ]
+    return bool(reports) and all(
+        report is not None and entry in report.silent_peers
+        for report in reports
+    )
+
+
+def plan_zones(
+    state: State, sessions: list[Session], now: float, *, settled: bool
+) -> Iterator[AnyCommand]:
+    """Record zones that lost their last session or have one again.
+
+    :param settled: whether entries have had time to find a new leader; before
+        that a missing session says nothing about its zone.
+    """
+    fresh = {one.zone for one in sessions if one.is_fresh(now)}
+    zones = {row.zone for row in state.instances.values()}
+    zones |= {row.zone for row in state.entries.values()}
+    for zone in sorted(zones):
+        cut = zone in state.cut_zones
+        if cut and zone in fresh:
+            yield SetZoneCut(zone=zone, cut=False)
+        elif not cut and zone not in fresh and settled:
+            yield SetZoneCut(zone=zone, cut=True)
+
+
+def plan_announcements(
+    state: State, sessions: list[Session], now: float
+) -> Iterator[AnyCommand]:
+    """Record announced instances that the state doesn't show as announced."""
+    for session in sessions:
+        if not session.is_fresh(now):
+            continue
+        for name, msg in list(session.pending.items()):
+            row = state.instances.get(name)
+            if msg.zone != session.zone or _is_shown(state, row, msg):
+                del session.pending[name]
+            elif msg.leaving:
+                if row is None or row.incarnation != msg.incarnation:
+                    del session.pending[name]
+                    continue
+                yield MarkLeft(
+                    now=0.0, instance=name, incarnation=msg.incarnation
+                )
+            else:
+                yield RegisterInstance(
+                    instance=name,
+                    address=msg.address,
+                    zone=msg.zone,
+                    rack=msg.rack,
+                    service=msg.service,
+                    incarnation=msg.incarnation,
+                    slots=msg.slots,
+                    connections=msg.connections,
+                )
+
+
+def _is_shown(
+    state: State, row: InstanceRow | None, msg: Announcement
+) -> bool:
+    if row is None or row.incarnation != msg.incarnation:
+        return False
+    if row.phase is Phase.LEFT:
+        return True
+    same = (
+        row.address == msg.address
+        and row.rack == msg.rack
+        and row.slots == msg.slots
+        and row.connections == msg.connections
+        and state.service_of(row.instance) == msg.service
+    )
+    return same and not msg.leaving and row.phase is not Phase.LOST
+
+
+def plan_homes(
+    state: State, sessions: list[Session], now: float
+) -> Iterator[AnyCommand]:
+    """Give homes to instances whose home released them or is gone."""
+    candidates: dict[str, list[str]] = {}
+    for session in sessions:
+        entry = state.entries.get(session.entry)
+        if entry is None or entry.state is not EntryState.LIVE:
+            continue
+        if session.is_fresh(now) and session.zone not in state.cut_zones:
+            candidates.setdefault(session.zone, []).append(session.entry)
+    for row in state.instances.values():
+        home = state.entries.get(row.home)
+        released = home is None or home.state is not EntryState.LIVE
+        if released and row.phase not in ABSENT and row.zone in candidates:
+            yield AssignHome(
+                instance=row.instance,
+                home_epoch=row.home_epoch,
+                home=rendezvous(candidates[row.zone], row.instance),
+            )
+
+
+def home_session(
+    row: InstanceRow, sessions: dict[str, Session], now: float
+) -> Session | None:
+    """Session of an instance's home, if it is fresh."""
+    session = sessions.get(row.home)
+    if session is None or not session.is_fresh(now):
+        return None
+    return session
+
+
+def plan_drained(
+    state: State, sessions: list[Session], now: float
+) -> Iterator[AnyCommand]:
+    """Go on with the drains that the present home reports as finished."""
+    by_entry = {one.entry: one for one in sessions}
+    for row in state.instances.values():
+        session = home_session(row, by_entry, now)
+        if session is None:
+            continue
+        drained = session.drained.get(row.instance)
+        if drained is None or not _is_current(row, drained):
+            continue
+        if row.phase is Phase.DRAINING:
+            yield FinishMove(
+                instance=row.instance,
+                epoch=row.epoch,
+                home_epoch=row.home_epoch,
+            )
+        elif row.maintenance_step == DRAINING:
+            yield StartReboot(
+                now=0.0,
+                instance=row.instance,
+                epoch=row.epoch,
+                home_epoch=row.home_epoch,
+            )
+
+
+def _is_current(row: InstanceRow, drained: Drained) -> bool:
+    return (drained.epoch, drained.home_epoch) == (row.epoch, row.home_epoch)
+
+
+def plan_silence(
+    state: State, sessions: list[Session], now: float
+) -> Iterator[AnyCommand]:
+    """Record instances that their homes no longer hear, or hear again."""
+    by_entry = {one.entry: one for one in sessions}
+    for row in state.instances.values():
+        session = home_session(row, by_entry, now)
+        load = session.loads.get(row.instance) if session else None
+        if load is None or row.maintenance_step == REBOOTING:
+            continue
+        if row.phase not in ABSENT and load.silent_s >= LOST_AFTER_S:
+            yield MarkLost(
+                now=0.0,
+                instance=row.instance,
+                epoch=row.epoch,
+                reason=f'silent for {load.silent_s:.0f} s',
+            )
+        elif row.phase is Phase.LOST and load.silent_s < HEARD_S:
+            yield _register_again(state, row)
+
+
+def _register_again(state: State, row: InstanceRow) -> RegisterInstance:
+    return RegisterInstance(
+        instance=row.instance,
+        address=row.address,
+        zone=row.zone,
+        rack=row.rack,
+        service=state.service_of(row.instance),
+        incarnation=row.incarnation,
+        slots=row.slots,
+        connections=row.connections,
+    )
--- /dev/null
+++ b/src/galenareel/_control/program.py
@@ -0,0 +1,109 @@
+"""The control process, assembled from its parts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from galenareel._common.clock import Clock
+from galenareel._common.events import HybridClock
+from galenareel._common.events import Timeline
+from galenareel._common.frames import FrameServer
+from galenareel._common.messages import PeerMessage
+from galenareel._consensus.interface import Replicator
+from galenareel._control.journal import Journal
+from galenareel._control.leader import LeaderLoop
+from galenareel._control.operations import Operations
+from galenareel._control.proposer import Proposer
+from galenareel._control.server import Server
+from galenareel._control.sessions import Sessions
+from galenareel._document.model import Environment
+from galenareel._state.state import State
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Member:
+    """Who this member is.
+
+    :param listen: ``host:port`` of its frame server.
+    """
+
+    name: str
+    listen: str
+    secret: str
+
+
+class Control:
+    """One control member.
+
+    :param replicator: holds ``state`` as its state machine.
+    :param receive: takes the messages of other members.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        *,
+        state: State,
+        replicator: Replicator,
+        receive: Callable[[PeerMessage], None],
+        read_document: Callable[[str], Environment],
+        clock: Clock,
+        hybrid: HybridClock,
+    ) -> None:
+        self.state = state
+        self.timeline = Timeline(member.name, hybrid)
+        self.sessions = Sessions(state)
+        self.journal = Journal(self.timeline)
+        self.proposer = Proposer(replicator, self.journal, clock)
+        self.loop = LeaderLoop(
+            state=state,
+            sessions=self.sessions,
+            proposer=self.proposer,
+            replicator=replicator,
+            clock=clock,
+        )
+        operations = Operations(
+            name=member.name,
+            state=state,
+            sessions=self.sessions,
+            proposer=self.proposer,
+            replicator=replicator,
+            journal=self.journal,
+            timeline=self.timeline,
+            clock=clock,
+            read_document=read_document,
+        )
+        server = Server(
+            name=member.name,
+            secret=member.secret,
+            state=state,
+            sessions=self.sessions,
+            proposer=self.proposer,
+            replicator=replicator,
+            loop=self.loop,
+            operations=operations,
+            timeline=self.timeline,
+            clock=clock,
+            receive=receive,
+        )
+        self._replicator = replicator
+        self._frames = FrameServer(
+            member.listen, clock=hybrid, handler=server.handle
+        )
+
+    def start(self) -> None:
+        """Take part in the log, then serve."""
+        self.state.set_listener(self._on_view)
+        self._frames.start()
+        self._replicator.start()
+        self.loop.start()
+
+    def close(self) -> None:
+        self.loop.close()
+        self.sessions.clear()
+        self._frames.close()
+        self._replicator.close()
+
+    def _on_view(self, _index: int) -> None:
+        self.sessions.wake()
--- /dev/null
+++ b/src/galenareel/_control/server.py
@@ -0,0 +1,226 @@
+"""Requests of entries and of other members."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import hmac
+
+from logbook import Logger
+import msgspec
+
+from galenareel._common.clock import Clock
+from galenareel._common.events import Timeline
+from galenareel._common.frames import Link
+from galenareel._common.messages import AnyMessage
+from galenareel._common.messages import Claim
+from galenareel._common.messages import ClaimReply
+from galenareel._common.messages import Done
+from galenareel._common.messages import EntryReport
+from galenareel._common.messages import EventsRead
+from galenareel._common.messages import Hello
+from galenareel._common.messages import OpenSession
+from galenareel._common.messages import OperatorCall
+from galenareel._common.messages import PeerMessage
+from galenareel._common.messages import Problem
+from galenareel._common.messages import ReadEvents
+from galenareel._common.messages import Renewed
+from galenareel._common.messages import SessionOpened
+from galenareel._common.messages import SettleClaim
+from galenareel._common.messages import Welcome
+from galenareel._common.rows import EntryState
+from galenareel._common.sentinels import NotLeader
+from galenareel._common.sentinels import Refused
+from galenareel._common.sentinels import Unreachable
+from galenareel._consensus.interface import Replicator
+from galenareel._control.leader import LeaderLoop
+from galenareel._control.operations import Operations
+from galenareel._control.proposer import Proposer
+from galenareel._control.sessions import LEASE_S
+from galenareel._control.sessions import Sessions
+from galenareel._state.commands import ClaimKey
+from galenareel._state.commands import RegisterEntry
+from galenareel._state.commands import SettleKey
+from galenareel._state.state import State
+
+BARRIER_TIMEOUT_S = 1.0
+RETRY_S = 0.5
+
+log = Logger('galenareel.control')
+
+
+class Server:
+    """Handler of the frame server."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        secret: str,
+        state: State,
+        sessions: Sessions,
+        proposer: Proposer,
+        replicator: Replicator,
+        loop: LeaderLoop,
+        operations: Operations,
+        timeline: Timeline,
+        clock: Clock,
+        receive: Callable[[PeerMessage], None],
+    ) -> None:
+        self._name = name
+        self._secret = secret.encode()
+        self._state = state
+        self._sessions = sessions
+        self._proposer = proposer
+        self._replicator = replicator
+        self._loop = loop
+        self._operations = operations
+        self._timeline = timeline
+        self._clock = clock
+        self._receive = receive
+
+    def handle(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
+        """Answer one message; nothing is answered before the hello."""
+        if isinstance(msg, Hello):
+            return self._hello(link, msg)
+        if not link.peer:
+            link.close()
+            return None
+        try:
+            return self._answer(link, msg)
+        except Exception:
+            # The other requests of this process must go on.
+            log.exception('request {} failed', type(msg).__name__)
+            return Problem(reason='internal', detail='see the log of control')
+
+    def _hello(self, link: Link, msg: Hello) -> AnyMessage | None:
+        if not hmac.compare_digest(msg.secret.encode(), self._secret):
+            log.warning('{} gave a wrong cluster secret', msg.process)
+            link.close()
+            return None
+        link.peer = msg.process
+        return Welcome(process=self._name)
+
+    def _answer(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
+        if isinstance(msg, PeerMessage):
+            self._receive(msg)
+            return None
+        if isinstance(msg, ReadEvents):
+            events = msgspec.json.encode(self._timeline.since(msg.since))
+            return EventsRead(process=self._name, events=events)
+        if not self._replicator.is_leader():
+            return self._not_leader()
+        if isinstance(msg, EntryReport):
+            return self._report(msg)
+        if isinstance(msg, OpenSession):
+            return self._open_session(link, msg)
+        if isinstance(msg, Claim):
+            return self._claim(msg)
+        if isinstance(msg, SettleClaim):
+            return self._settle(msg)
+        if isinstance(msg, OperatorCall):
+            return self._operations.call(msg)
+        return Problem(
+            reason='unexpected', detail=f'control takes no {type(msg)}'
+        )
+
+    def _not_leader(self) -> Problem:
+        return Problem(
+            reason='not_leader',
+            leader=self._replicator.leader() or '',
+            retry_after_s=RETRY_S,
+        )
+
+    def _absent(self, result: NotLeader | Refused | Unreachable) -> Problem:
+        if isinstance(result, NotLeader):
+            return self._not_leader()
+        return Problem(
+            reason=result.reason,
+            detail=result.detail,
+            retry_after_s=result.retry_after_s,
+        )
+
+    def _open_session(self, link: Link, msg: OpenSession) -> AnyMessage:
+        started = self._clock.monotonic()
+        barrier = self._replicator.read_barrier(timeout_s=BARRIER_TIMEOUT_S)
+        if isinstance(barrier, NotLeader | Unreachable):
+            return self._absent(barrier)
+        refused = self._register(msg)
+        if refused is not None:
+            return refused
+        if self._state.view_index < msg.index:
+            return Problem(
+                reason='behind',
+                detail='this member has not applied the whole log yet',
+                retry_after_s=RETRY_S,
+            )
+        # The lease counts from the request, as the entry counts it.
+        session = self._sessions.open(msg, link, started)
+        self._loop.wake()
+        return SessionOpened(
+            index=session.sent,
+            lease_s=LEASE_S,
+            instances=tuple(self._state.instances.values()),
+            entries=tuple(self._state.entries.values()),
+            document=self._state.in_force,
+        )
+
+    def _register(self, msg: OpenSession) -> Problem | None:
+        row = self._state.entries.get(msg.entry)
+        if (
+            row is not None
+            and row.state is EntryState.LIVE
+            and row.incarnation == msg.incarnation
+            and row.frames == msg.frames
+        ):
+            return None
+        result = self._proposer.propose_recorded(
+            RegisterEntry(
+                entry=msg.entry,
+                zone=msg.zone,
+                frames=msg.frames,
+                incarnation=msg.incarnation,
+            )
+        )
+        if isinstance(result, NotLeader | Refused | Unreachable):
+            return self._absent(result)
+        return None
+
+    def _report(self, msg: EntryReport) -> AnyMessage:
+        session = self._sessions.find(msg.entry, msg.incarnation)
+        if session is None:
+            return Problem(
+                reason='no_session', detail='open a session with the leader'
+            )
+        session.renew(msg, self._clock.monotonic())
+        if msg.announcements or msg.drained or msg.stopping:
+            self._loop.wake()
+        return Renewed(index=self._state.view_index, lease_s=LEASE_S)
+
+    def _claim(self, msg: Claim) -> AnyMessage:
+        result = self._proposer.propose(
+            ClaimKey(
+                now=0.0,
+                key=msg.key,
+                caller=msg.caller,
+                digest=msg.digest,
+                holder=msg.holder,
+            )
+        )
+        if isinstance(result, ClaimReply):
+            return result
+        return self._absent(result)
+
+    def _settle(self, msg: SettleClaim) -> AnyMessage:
+        result = self._proposer.propose(
+            SettleKey(
+                now=0.0,
+                key=msg.key,
+                caller=msg.caller,
+                holder=msg.holder,
+                state=msg.state,
+                answer=msg.answer,
+            )
+        )
+        if isinstance(result, Done):
+            return result
+        return self._absent(result)
--- /dev/null
+++ b/src/galenareel/_control/trial.py
@@ -0,0 +1,75 @@
+"""What a document would change, as sentences."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from galenareel._document.model import Environment
+from galenareel._document.model import Pool
+from galenareel._state.budgets import available
+from galenareel._state.budgets import margin
+from galenareel._state.state import State
+
+
+def evaluate(state: State, new: Environment) -> Iterator[str]:
+    """Compare a document with the state; changes nothing."""
+    old = state.environment
+    old_pools = {one.name: one for one in old.pools} if old else {}
+    new_pools = {one.name: one for one in new.pools}
+    for name in sorted(new_pools.keys() - old_pools.keys()):
+        yield f'Pool {name} is new.'
+    for name in sorted(old_pools.keys() - new_pools.keys()):
+        count = len(state.tables.pools.get(name, ()))
+        yield (
+            f'Pool {name} goes; its {count} instances move to '
+            f'{fallback_pool(new) or "no pool"}.'
+        )
+    for name in sorted(new_pools.keys() & old_pools.keys()):
+        yield from _changed_pool(old_pools[name], new_pools[name])
+    yield from _budgets(state, new)
+    yield from _waves(old, new, state)
+
+
+def fallback_pool(environment: Environment) -> str:
+    """Where instances of a removed pool go: the spare pool, or the first."""
+    spare = [one.name for one in environment.pools if one.spare]
+    names = spare or [one.name for one in environment.pools]
+    return names[0] if names else ''
+
+
+def _changed_pool(old: Pool, new: Pool) -> Iterator[str]:
+    if old.min_available != new.min_available:
+        yield (
+            f'Pool {new.name} keeps {new.min_available} available instances '
+            f'instead of {old.min_available}.'
+        )
+    if old.survive_rack != new.survive_rack:
+        word = 'also' if new.survive_rack else 'no longer'
+        yield f'Pool {new.name} is {word} kept for the loss of a rack.'
+    if old.spare != new.spare:
+        word = 'becomes' if new.spare else 'is no longer'
+        yield f'Pool {new.name} {word} a spare pool.'
+
+
+def _budgets(state: State, new: Environment) -> Iterator[str]:
+    for pool in new.pools:
+        rows = available(state.tables, pool.name)
+        short = -margin(pool, rows)
+        if short > 0:
+            rack = ' with its largest rack lost' if pool.survive_rack else ''
+            yield (
+                f'Pool {pool.name} has {len(rows)} available instances today '
+                f'and can not keep {pool.min_available}{rack}; {short} more '
+                f'are needed.'
+            )
+
+
+def _waves(
+    old: Environment | None, new: Environment, state: State
+) -> Iterator[str]:
+    known = {one.name for one in old.waves} if old else set()
+    for wave in new.waves:
+        if wave.name in known or wave.name in state.waves:
+            continue
+        count = sum(len(state.tables.pools.get(one, ())) for one in wave.pools)
+        yield f'Wave {wave.name} would maintain {count} instances.'
--- /dev/null
+++ b/src/galenareel/_state/instances.py
@@ -0,0 +1,281 @@
+"""Commands about backend servers: announcements, loss, homes, ejection."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from galenareel._common.messages import Done
+from galenareel._common.rows import EntryState
+from galenareel._common.rows import InstanceRow
+from galenareel._common.rows import Phase
+from galenareel._common.sentinels import Refused
+from galenareel._state.budgets import refuse_removal
+from galenareel._state.commands import AssignHome
+from galenareel._state.commands import EjectInstance
+from galenareel._state.commands import ForgetInstance
+from galenareel._state.commands import MarkLeft
+from galenareel._state.commands import MarkLost
+from galenareel._state.commands import RegisterInstance
+from galenareel._state.commands import ReturnInstance
+from galenareel._state.tables import Handlers
+from galenareel._state.tables import Tables
+
+ABSENT = (Phase.LOST, Phase.LEFT)
+
+
+def find(tables: Tables, instance: str, epoch: int) -> InstanceRow | Refused:
+    """The row at exactly this epoch."""
+    row = tables.instances.get(instance)
+    if row is None:
+        return Refused(
+            reason='unknown_instance', detail=f'no instance {instance}'
+        )
+    if row.epoch != epoch:
+        return Refused(
+            reason='stale_epoch',
+            detail=f'{instance} is at epoch {row.epoch}, not {epoch}',
+        )
+    return row
+
+
+def find_reachable(
+    tables: Tables, instance: str, epoch: int
+) -> InstanceRow | Refused:
+    """As :func:`find`, in a zone that is not cut off."""
+    row = find(tables, instance, epoch)
+    if isinstance(row, InstanceRow) and row.zone in tables.cut_zones:
+        return Refused(
+            reason='zone_cut_off',
+            detail=f'zone {row.zone} has no session with control',
+        )
+    return row
+
+
+def wrong_phase(row: InstanceRow, wanted: str) -> Refused:
+    return Refused(
+        reason='wrong_phase',
+        detail=f'{row.instance} is {row.phase}, not {wanted}',
+    )
+
+
+def first_pool(tables: Tables, instance: str, service: str) -> str:
+    """Pool in which an instance starts; empty without a document."""
+    environment = tables.environment()
+    if environment is None:
+        return ''
+    for pool in environment.pools:
+        if instance in pool.instances:
+            return pool.name
+    for one in environment.services:
+        if one.name == service:
+            return one.pool
+    return ''
+
+
+def register(tables: Tables, command: RegisterInstance) -> Done | Refused:
+    taken = _address_holder(tables, command)
+    if taken is not None:
+        return Refused(
+            reason='address_in_use',
+            detail=f'{command.address} belongs to {taken}',
+        )
+    row = tables.instances.get(command.instance)
+    if row is None:
+        new = _new_row(tables, command)
+    elif row.phase is Phase.LEFT and row.incarnation == command.incarnation:
+        # Announcements can overtake each other; a process that said that it
+        # is leaving doesn't come back under the same incarnation.
+        return Refused(
+            reason='left', detail=f'{row.instance} said that it is leaving'
+        )
+    else:
+        new = _renewed_row(row, command)
+    tables.services[command.instance] = command.service
+    if new != row:
+        tables.put_instance(new)
+    return Done(index=tables.index)
+
+
+def _address_holder(tables: Tables, command: RegisterInstance) -> str | None:
+    for row in tables.instances.values():
+        if (
+            row.address == command.address
+            and row.instance != command.instance
+            and row.phase not in ABSENT
+        ):
+            return row.instance
+    return None
+
+
+def _new_row(tables: Tables, command: RegisterInstance) -> InstanceRow:
+    return InstanceRow(
+        instance=command.instance,
+        address=command.address,
+        zone=command.zone,
+        rack=command.rack,
+        pool=first_pool(tables, command.instance, command.service),
+        epoch=tables.epoch_floor + 1,
+        home_epoch=tables.epoch_floor,
+        incarnation=command.incarnation,
+        slots=command.slots,
+        connections=command.connections,
+        reason='announced itself',
+    )
+
+
+def _renewed_row(row: InstanceRow, command: RegisterInstance) -> InstanceRow:
+    """Row after a repeated, changed or new announcement.
+
+    A drain or a reboot goes on under the new process. An ejected instance
+    stays ejected, since a restart doesn't cure the hardware.
+    """
+    new = replace(
+        row,
+        address=command.address,
+        rack=command.rack,
+        incarnation=command.incarnation,
+        slots=command.slots,
+        connections=command.connections,
+    )
+    if row.phase in ABSENT:
+        return replace(
+            new,
+            epoch=row.epoch + 1,
+            phase=Phase.SERVING,
+            reason='announced itself again',
+        )
+    moved = row.address != command.address
+    if moved or row.incarnation != command.incarnation:
+        return replace(new, epoch=row.epoch + 1)
+    return new
+
+
+def mark_lost(tables: Tables, command: MarkLost) -> Done | Refused:
+    row = find_reachable(tables, command.instance, command.epoch)
+    if not isinstance(row, InstanceRow):
+        return row
+    if row.phase in ABSENT:
+        return wrong_phase(row, 'present')
+    return _take_away(tables, row, Phase.LOST, command.reason)
+
+
+def mark_left(tables: Tables, command: MarkLeft) -> Done | Refused:
+    row = tables.instances.get(command.instance)
+    if row is None or row.incarnation != command.incarnation:
+        return Refused(
+            reason='unknown_instance',
+            detail=f'no {command.instance} of this incarnation',
+        )
+    if row.phase is Phase.LEFT:
+        return Done(index=tables.index)
+    return _take_away(tables, row, Phase.LEFT, 'said that it is leaving')
+
+
+def _take_away(
+    tables: Tables, row: InstanceRow, phase: Phase, reason: str
+) -> Done:
+    """Take an instance out of use by no plan; no budget can prevent it."""
+    if row.phase is Phase.MAINTENANCE:
+        tables.add_to_wave(row.wave, failed=row.instance)
+        tables.reboots.pop(row.instance, None)
+    tables.put_instance(
+        replace(
+            row,
+            epoch=row.epoch + 1,
+            phase=phase,
+            target_pool='',
+            maintenance_step='',
+            reason=reason,
+        )
+    )
+    return Done(index=tables.index)
+
+
+def forget(tables: Tables, command: ForgetInstance) -> Done | Refused:
+    row = find(tables, command.instance, command.epoch)
+    if not isinstance(row, InstanceRow):
+        return row
+    if row.phase not in ABSENT:
+        return wrong_phase(row, 'lost or left')
+    tables.remove_instance(row)
+    return Done(index=tables.index)
+
+
+def assign_home(tables: Tables, command: AssignHome) -> Done | Refused:
+    row = tables.instances.get(command.instance)
+    if row is None or row.home_epoch != command.home_epoch:
+        return Refused(
+            reason='stale_epoch',
+            detail=f'{command.instance} is not at this home epoch',
+        )
+    if row.zone in tables.cut_zones:
+        return Refused(
+            reason='zone_cut_off',
+            detail=f'zone {row.zone} has no session with control',
+        )
+    entry = tables.entries.get(command.home)
+    if (
+        entry is None
+        or entry.state is not EntryState.LIVE
+        or entry.zone != row.zone
+    ):
+        return Refused(
+            reason='not_eligible',
+            detail=f'{command.home} is no live entry of zone {row.zone}',
+        )
+    old = tables.entries.get(row.home)
+    if old is not None and old.state is EntryState.LIVE:
+        # Two homes at once would count the same slots twice.
+        return Refused(
+            reason='home_not_released',
+            detail=f'{row.instance} still has its home {row.home}',
+        )
+    tables.put_instance(
+        replace(row, home=command.home, home_epoch=row.home_epoch + 1)
+    )
+    return Done(index=tables.index)
+
+
+def eject(tables: Tables, command: EjectInstance) -> Done | Refused:
+    row = find_reachable(tables, command.instance, command.epoch)
+    if not isinstance(row, InstanceRow):
+        return row
+    if row.phase is Phase.EJECTED:
+        return Done(index=tables.index)
+    if row.phase is not Phase.SERVING:
+        return wrong_phase(row, 'serving')
+    refused = refuse_removal(tables, row)
+    if refused is not None:
+        return refused
+    tables.put_instance(
+        replace(row, phase=Phase.EJECTED, reason=command.reason)
+    )
+    return Done(index=tables.index)
+
+
+def return_instance(tables: Tables, command: ReturnInstance) -> Done | Refused:
+    row = find(tables, command.instance, command.epoch)
+    if not isinstance(row, InstanceRow):
+        return row
+    if row.phase is not Phase.EJECTED:
+        return wrong_phase(row, 'ejected')
+    tables.put_instance(
+        replace(
+            row,
+            epoch=row.epoch + 1,
+            phase=Phase.SERVING,
+            reason=command.reason,
+        )
+    )
+    return Done(index=tables.index)
+
+
+HANDLERS: Handlers = {
+    RegisterInstance: register,
+    MarkLost: mark_lost,
+    MarkLeft: mark_left,
+    ForgetInstance: forget,
+    AssignHome: assign_home,
+    EjectInstance: eject,
+    ReturnInstance: return_instance,
+}
--- /dev/null
+++ b/src/galenareel/_state/maintenance.py
@@ -0,0 +1,233 @@
+"""Maintenance of single instances, and the waves that they belong to."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from galenareel._common.messages import Done
+from galenareel._common.rows import InstanceRow
+from galenareel._common.rows import Phase
+from galenareel._common.rows import WaveRow
+from galenareel._common.rows import WaveState
+from galenareel._common.sentinels import Refused
+from galenareel._state.budgets import refuse_removal
+from galenareel._state.commands import AbortMaintenance
+from galenareel._state.commands import BeginMaintenance
+from galenareel._state.commands import BeginWave
+from galenareel._state.commands import FinishMaintenance
+from galenareel._state.commands import RetryWave
+from galenareel._state.commands import SetWaveState
+from galenareel._state.commands import StartReboot
+from galenareel._state.instances import find_reachable
+from galenareel._state.instances import wrong_phase
+from galenareel._state.moves import stale_home
+from galenareel._state.tables import Handlers
+from galenareel._state.tables import Reboot
+from galenareel._state.tables import Tables
+
+DRAINING = 'draining'
+REBOOTING = 'rebooting'
+ENDED = (WaveState.STOPPED, WaveState.DONE)
+
+
+def begin_maintenance(
+    tables: Tables, command: BeginMaintenance
+) -> Done | Refused:
+    row = find_reachable(tables, command.instance, command.epoch)
+    if not isinstance(row, InstanceRow):
+        return row
+    if row.phase is Phase.MAINTENANCE and row.wave == command.wave:
+        return Done(index=tables.index)
+    if row.phase is not Phase.SERVING:
+        return wrong_phase(row, 'serving')
+    refused = _refuse_wave(tables, command) or refuse_removal(tables, row)
+    if refused is not None:
+        return refused
+    tables.reboots[row.instance] = Reboot(
+        wave=command.wave,
+        token=f'{command.wave}:{row.instance}:{row.epoch}',
+        incarnation=row.incarnation,
+        since=tables.advance_time(command.now),
+    )
+    tables.put_instance(
+        replace(
+            row,
+            phase=Phase.MAINTENANCE,
+            maintenance_step=DRAINING,
+            wave=command.wave,
+            reason=command.reason,
+        )
+    )
+    return Done(index=tables.index)
+
+
+def _refuse_wave(tables: Tables, command: BeginMaintenance) -> Refused | None:
+    wave = tables.waves.get(command.wave)
+    if wave is None or wave.state is not WaveState.RUNNING:
+        return Refused(
+            reason='wave_not_running',
+            detail=f'wave {command.wave} does not run',
+        )
+    if command.instance in wave.done or command.instance in wave.failed:
+        return Refused(
+            reason='already_maintained',
+            detail=f'{command.instance} had its turn in {command.wave}',
+        )
+    return None
+
+
+def _find_step(
+    tables: Tables, instance: str, epoch: int, step: str
+) -> InstanceRow | Refused:
+    row = find_reachable(tables, instance, epoch)
+    if not isinstance(row, InstanceRow):
+        return row
+    if row.phase is not Phase.MAINTENANCE or row.maintenance_step != step:
+        return wrong_phase(row, f'in maintenance and {step}')
+    return row
+
+
+def start_reboot(tables: Tables, command: StartReboot) -> Done | Refused:
+    row = _find_step(tables, command.instance, command.epoch, DRAINING)
+    if not isinstance(row, InstanceRow):
+        return row
+    if row.home_epoch != command.home_epoch:
+        return stale_home(row)
+    tables.reboots[row.instance] = replace(
+        tables.reboots[row.instance],
+        incarnation=row.incarnation,
+        since=tables.advance_time(command.now),
+    )
+    tables.put_instance(replace(row, maintenance_step=REBOOTING))
+    return Done(index=tables.index)
+
+
+def finish_maintenance(
+    tables: Tables, command: FinishMaintenance
+) -> Done | Refused:
+    row = _find_step(tables, command.instance, command.epoch, REBOOTING)
+    if not isinstance(row, InstanceRow):
+        return row
+    if row.incarnation == tables.reboots[row.instance].incarnation:
+        return Refused(
+            reason='not_rebooted',
+            detail=f'{row.instance} has not announced a new incarnation',
+        )
+    now = tables.advance_time(command.now)
+    tables.add_to_wave(row.wave, done=row.instance)
+    _serve_again(
+        tables,
+        replace(row, maintained_at=now),
+        f'maintained in wave {row.wave}',
+    )
+    return Done(index=tables.index)
+
+
+def abort_maintenance(
+    tables: Tables, command: AbortMaintenance
+) -> Done | Refused:
+    """Only before the reboot: the platform can't take one back."""
+    row = _find_step(tables, command.instance, command.epoch, DRAINING)
+    if not isinstance(row, InstanceRow):
+        return row
+    tables.advance_time(command.now)
+    tables.add_to_wave(row.wave, failed=row.instance)
+    _serve_again(tables, row, command.reason)
+    return Done(index=tables.index)
+
+
+def _serve_again(tables: Tables, row: InstanceRow, reason: str) -> None:
+    tables.reboots.pop(row.instance, None)
+    tables.put_instance(
+        replace(
+            row,
+            epoch=row.epoch + 1,
+            phase=Phase.SERVING,
+            maintenance_step='',
+            reason=reason,
+        )
+    )
+
+
+def begin_wave(tables: Tables, command: BeginWave) -> Done | Refused:
+    """A wave name runs once; a repeat finds it already begun."""
+    if command.wave in tables.waves:
+        return Done(index=tables.index)
+    row = WaveRow(
+        wave=command.wave,
+        pools=command.pools,
+        state=WaveState.RUNNING,
+        batch=command.batch,
+        started_at=tables.advance_time(command.now),
+        reason=command.reason,
+    )
+    tables.put_wave(row)
+    return Done(index=tables.index)
+
+
+def set_wave_state(tables: Tables, command: SetWaveState) -> Done | Refused:
+    row = tables.waves.get(command.wave)
+    if row is None:
+        return _unknown_wave(command.wave)
+    if (row.state, row.batch) == (command.state, command.batch):
+        return Done(index=tables.index)
+    if (row.state, row.batch) != (command.previous, command.previous_batch):
+        return Refused(
+            reason='stale_wave',
+            detail=f'wave {row.wave} is {row.state} with batch {row.batch}',
+        )
+    if row.state in ENDED:
+        return Refused(
+            reason='wave_ended', detail=f'wave {row.wave} is {row.state}'
+        )
+    now = tables.advance_time(command.now)
+    tables.put_wave(
+        replace(
+            row,
+            state=command.state,
+            batch=command.batch,
+            reason=command.reason,
+            ended_at=now if command.state in ENDED else 0.0,
+        )
+    )
+    return Done(index=tables.index)
+
+
+def retry_wave(tables: Tables, command: RetryWave) -> Done | Refused:
+    row = tables.waves.get(command.wave)
+    if row is None:
+        return _unknown_wave(command.wave)
+    if row.state is WaveState.RUNNING:
+        return Done(index=tables.index)
+    if row.state is not WaveState.STOPPED:
+        return Refused(
+            reason='wave_not_stopped',
+            detail=f'wave {row.wave} is {row.state}',
+        )
+    tables.advance_time(command.now)
+    tables.put_wave(
+        replace(
+            row,
+            state=WaveState.RUNNING,
+            batch=1,
+            failed=(),
+            ended_at=0.0,
+            reason='retried by an operator',
+        )
+    )
+    return Done(index=tables.index)
+
+
+def _unknown_wave(wave: str) -> Refused:
+    return Refused(reason='unknown_wave', detail=f'no wave {wave}')
+
+
+HANDLERS: Handlers = {
+    BeginMaintenance: begin_maintenance,
+    StartReboot: start_reboot,
+    FinishMaintenance: finish_maintenance,
+    AbortMaintenance: abort_maintenance,
+    BeginWave: begin_wave,
+    SetWaveState: set_wave_state,
+    RetryWave: retry_wave,
+}
--- /dev/null
+++ b/src/galenareel/_state/snapshots.py
@@ -0,0 +1,76 @@
+"""Encoding of the whole state."""
+
+from __future__ import annotations
+
+import msgspec
+
+from galenareel._common.rows import ClaimRow
+from galenareel._common.rows import EntryRow
+from galenareel._common.rows import InstanceRow
+from galenareel._common.rows import WaveRow
+from galenareel._state.claims import stored_size
+from galenareel._state.tables import Reboot
+from galenareel._state.tables import StoredDocument
+from galenareel._state.tables import Tables
+
+
+class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """What a snapshot holds; new fields have a default."""
+
+    time: float
+    view_index: int
+    epoch_floor: int
+    in_force: int
+    instances: list[InstanceRow]
+    services: dict[str, str]
+    reboots: dict[str, Reboot]
+    entries: list[EntryRow]
+    documents: list[StoredDocument]
+    waves: list[WaveRow]
+    claims: list[ClaimRow]
+    cut_zones: list[str]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Snapshot)
+
+
+def dump(tables: Tables, *, view_index: int) -> bytes:
+    """Equal states give equal bytes, whatever order their rows came in."""
+    snapshot = Snapshot(
+        time=tables.time,
+        view_index=view_index,
+        epoch_floor=tables.epoch_floor,
+        in_force=tables.in_force,
+        instances=[row for _, row in sorted(tables.instances.items())],
+        services=dict(sorted(tables.services.items())),
+        reboots=dict(sorted(tables.reboots.items())),
+        entries=[row for _, row in sorted(tables.entries.items())],
+        documents=[one for _, one in sorted(tables.documents.items())],
+        waves=[row for _, row in sorted(tables.waves.items())],
+        claims=[row for _, row in sorted(tables.claims.items())],
+        cut_zones=sorted(tables.cut_zones),
+    )
+    return _encoder.encode(snapshot)
+
+
+def load(index: int, data: bytes) -> tuple[Tables, int]:
+    """Tables and the index of their view."""
+    snapshot = _decoder.decode(data)
+    tables = Tables(
+        index=index,
+        time=snapshot.time,
+        services=snapshot.services,
+        reboots=snapshot.reboots,
+        entries={row.entry: row for row in snapshot.entries},
+        documents={one.row.version: one for one in snapshot.documents},
+        in_force=snapshot.in_force,
+        waves={row.wave: row for row in snapshot.waves},
+        claims={(row.caller, row.key): row for row in snapshot.claims},
+        answer_bytes=sum(stored_size(row.answer) for row in snapshot.claims),
+        cut_zones=set(snapshot.cut_zones),
+        epoch_floor=snapshot.epoch_floor,
+    )
+    for row in snapshot.instances:
+        tables.put_instance(row)
+    return tables, snapshot.view_index
--- /dev/null
+++ b/src/galenareel/_state/tables.py
@@ -0,0 +1,148 @@
+"""The replicated tables, and which rows of the view a command changed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import Any
+
+from galenareel._common.messages import ClaimReply
+from galenareel._common.messages import Done
+from galenareel._common.rows import ClaimRow
+from galenareel._common.rows import DocumentRow
+from galenareel._common.rows import EntryRow
+from galenareel._common.rows import InstanceRow
+from galenareel._common.rows import WaveRow
+from galenareel._common.sentinels import Refused
+from galenareel._document.model import Environment
+from galenareel._state.commands import Command
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoredDocument:
+    """A submitted version with its meaning.
+
+    :param environment: ``None`` once the version is superseded.
+    :param submitted_index: where the log holds it; the answer to a repeat.
+    """
+
+    row: DocumentRow
+    environment: Environment | None
+    submitted_index: int
+    promoted_index: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reboot:
+    """A maintenance in progress.
+
+    :param token: makes the platform reboot once, whoever asks.
+    :param incarnation: of the process before the reboot.
+    :param since: wall time at which the present step began.
+    """
+
+    wave: str
+    token: str
+    incarnation: str
+    since: float
+
+
+@dataclass(slots=True)
+class Changed:
+    """Keys of the view that one command changed."""
+
+    instances: set[str] = field(default_factory=set)
+    entries: set[str] = field(default_factory=set)
+    removed: set[str] = field(default_factory=set)
+    document: bool = False
+
+    def __bool__(self) -> bool:
+        return bool(
+            self.instances or self.entries or self.removed or self.document
+        )
+
+
+@dataclass(slots=True)
+class Tables:
+    """All rows; written only by the functions that apply commands.
+
+    :param index: log index of the last applied command.
+    :param time: latest time that a command carried.
+    :param services: the service that each instance announced.
+    :param cut_zones: zones without a fresh session.
+    :param epoch_floor: highest epoch of a removed row, so that epochs grow
+        even for an instance that was forgotten and comes back.
+    """
+
+    index: int = 0
+    time: float = 0.0
+    instances: dict[str, InstanceRow] = field(default_factory=dict)
+    services: dict[str, str] = field(default_factory=dict)
+    reboots: dict[str, Reboot] = field(default_factory=dict)
+    entries: dict[str, EntryRow] = field(default_factory=dict)
+    documents: dict[int, StoredDocument] = field(default_factory=dict)
+    in_force: int = 0
+    waves: dict[str, WaveRow] = field(default_factory=dict)
+    claims: dict[tuple[str, str], ClaimRow] = field(default_factory=dict)
+    answer_bytes: int = 0
+    cut_zones: set[str] = field(default_factory=set)
+    epoch_floor: int = 0
+    pools: dict[str, set[str]] = field(default_factory=dict)
+    changed: Changed = field(default_factory=Changed)
+
+    def advance_time(self, now: float) -> float:
+        """Time of this command; leaders' clocks differ, it never falls."""
+        self.time = max(self.time, now)
+        return self.time
+
+    def put_instance(self, row: InstanceRow) -> None:
+        old = self.instances.get(row.instance)
+        if old is not None and old.pool != row.pool:
+            self.pools[old.pool].discard(row.instance)
+        self.pools.setdefault(row.pool, set()).add(row.instance)
+        self.instances[row.instance] = row
+        self.changed.removed.discard(row.instance)
+        self.changed.instances.add(row.instance)
+
+    def remove_instance(self, row: InstanceRow) -> None:
+        floor = max(self.epoch_floor, row.epoch, row.home_epoch)
+        self.epoch_floor = floor
+        self.pools[row.pool].discard(row.instance)
+        del self.instances[row.instance]
+        self.services.pop(row.instance, None)
+        self.reboots.pop(row.instance, None)
+        self.changed.instances.discard(row.instance)
+        self.changed.removed.add(row.instance)
+
+    def put_entry(self, row: EntryRow) -> None:
+        self.entries[row.entry] = row
+        self.changed.entries.add(row.entry)
+
+    def put_wave(self, row: WaveRow) -> None:
+        self.waves[row.wave] = row
+
+    def add_to_wave(
+        self, wave: str, *, done: str = '', failed: str = ''
+    ) -> None:
+        """Record the outcome of one instance in its wave."""
+        row = self.waves.get(wave)
+        if row is None:
+            return
+        if done and done not in row.done:
+            row = replace(row, done=(*row.done, done))
+        if failed and failed not in row.failed:
+            row = replace(row, failed=(*row.failed, failed))
+        self.put_wave(row)
+
+    def environment(self) -> Environment | None:
+        """The document in force."""
+        stored = self.documents.get(self.in_force)
+        return stored.environment if stored else None
+
+
+Result = Done | ClaimReply | Refused
+
+# The function that applies each type of command.
+Handlers = dict[type[Command], Callable[[Tables, Any], Result]]
--- /dev/null
+++ b/testing/control/harness.py
@@ -0,0 +1,118 @@
+"""A control member in this process, with entries that speak frames to it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import socket
+from typing import Any
+
+from galenareel._common.clock import SystemClock
+from galenareel._common.events import HybridClock
+from galenareel._common.frames import connect
+from galenareel._common.frames import Link
+from galenareel._common.messages import AnyMessage
+from galenareel._common.messages import EntryReport
+from galenareel._common.messages import Hello
+from galenareel._common.messages import OpenSession
+from galenareel._common.messages import SessionOpened
+from galenareel._common.messages import ViewDelta
+from galenareel._common.messages import Welcome
+from galenareel._common.rows import DocumentRow
+from galenareel._common.rows import EntryRow
+from galenareel._common.rows import InstanceRow
+
+SECRET = 'cluster secret of the tests'
+
+
+def free_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{sock.getsockname()[1]}'
+
+
+@dataclass(slots=True)
+class EntryView:
+    """What an entry holds after a session and its deltas."""
+
+    index: int
+    instances: dict[str, InstanceRow]
+    entries: dict[str, EntryRow]
+    document: DocumentRow | None
+
+
+class FakeEntry:
+    """The control side of an entry instance."""
+
+    def __init__(
+        self, name: str, zone: str, *, incarnation: str = '1'
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.incarnation = incarnation
+        self.view: EntryView | None = None
+        self.gaps = 0
+        self._link: Link | None = None
+
+    def hello(self, address: str, *, secret: str = SECRET) -> Any:
+        clock = HybridClock(SystemClock())
+        link = connect(address, clock=clock, handler=self._on_message)
+        assert isinstance(link, Link), link
+        self._link = link
+        return link.request(
+            Hello(process=self.name, secret=secret), timeout_s=2
+        )
+
+    def open(self, address: str) -> Any:
+        """Open a session and take the view."""
+        reply = self.hello(address)
+        assert isinstance(reply, Welcome), reply
+        opened = self.request(
+            OpenSession(
+                entry=self.name,
+                zone=self.zone,
+                frames='127.0.0.1:1',
+                incarnation=self.incarnation,
+                index=self.view.index if self.view else 0,
+            )
+        )
+        if isinstance(opened, SessionOpened):
+            self.view = EntryView(
+                index=opened.index,
+                instances={one.instance: one for one in opened.instances},
+                entries={one.entry: one for one in opened.entries},
+                document=opened.document,
+            )
+        return opened
+
+    def request(self, msg: AnyMessage) -> Any:
+        assert self._link is not None
+        return self._link.request(msg, timeout_s=5)
+
+    def report(self, **fields: Any) -> Any:
+        return self.request(
+            EntryReport(
+                entry=self.name,
+                incarnation=self.incarnation,
+                index=self.view.index if self.view else 0,
+                **fields,
+            )
+        )
+
+    def close(self) -> None:
+        if self._link is not None:
+            self._link.close()
+
+    def _on_message(self, _link: Link, msg: AnyMessage) -> None:
+        view = self.view
+        if not isinstance(msg, ViewDelta) or view is None:
+            return
+        if msg.previous != view.index:
+            self.gaps += 1
+            return
+        view.index = msg.index
+        view.instances.update({one.instance: one for one in msg.instances})
+        view.entries.update({one.entry: one for one in msg.entries})
+        for name in msg.removed_instances:
+            view.instances.pop(name, None)
+        if msg.document is not None:
+            view.document = msg.document
--- /dev/null
+++ b/testing/control/test_process.py
@@ -0,0 +1,125 @@
+"""The control program as a process of its own."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import os
+from pathlib import Path
+import subprocess
+import sys
+import time
+
+import gevent
+import pytest
+
+from galenareel._common.messages import Announcement
+from galenareel._common.messages import Problem
+from galenareel._common.messages import SessionOpened
+from galenareel._common.sentinels import Unreachable
+from testing.control.harness import FakeEntry
+from testing.control.harness import free_address
+from testing.control.harness import SECRET
+
+
+def wait_until(condition: Callable[[], bool], limit_s: float = 10.0) -> None:
+    deadline = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < deadline, 'the condition never held'
+        gevent.sleep(0.02)
+
+
+@pytest.fixture
+def process(tmp_path: Path) -> Iterator[tuple[str, subprocess.Popen[bytes]]]:
+    address = free_address()
+    secret = tmp_path / 'secret'
+    secret.write_text(SECRET)
+    command = [
+        sys.executable,
+        '-m',
+        'galenareel._control.main',
+        '--name=c1',
+        '--zone=a',
+        f'--listen={address}',
+        f'--members=c1={address}',
+        f'--data-dir={tmp_path / "data"}',
+        f'--cluster-secret-file={secret}',
+    ]
+    environ = {**os.environ, 'PYTHONPATH': os.pathsep.join(sys.path)}
+    running = subprocess.Popen(command, env=environ)
+    deadline = time.monotonic() + 10
+    probe = FakeEntry('probe', 'a')
+    while time.monotonic() < deadline:
+        try:
+            probe.hello(address)
+            break
+        except AssertionError:
+            gevent.sleep(0.05)
+    probe.close()
+    yield address, running
+    running.terminate()
+    assert running.wait(timeout=10) == 0
+
+
+def open_session(entry: FakeEntry, address: str) -> None:
+    """Open a session as soon as the member leads."""
+    wait_until(lambda: isinstance(entry.open(address), SessionOpened))
+
+
+def resident_mb(pid: int) -> float:
+    for line in Path(f'/proc/{pid}/status').read_text().splitlines():
+        if line.startswith('VmRSS'):
+            return int(line.split()[1]) / 1024
+    raise AssertionError('no resident size')
+
+
+def test_session_view_and_memory(
+    process: tuple[str, subprocess.Popen[bytes]],
+) -> None:
+    """Guards against a control process that outgrows its 32 MB."""
+    address, running = process
+    entry = FakeEntry('e1', 'a')
+    open_session(entry, address)
+    announcement = Announcement(
+        instance='a/lots-1',
+        address='127.0.0.1:9001',
+        zone='a',
+        rack='r1',
+        service='lots',
+        incarnation='one',
+    )
+    entry.report(announcements=(announcement,))
+    assert entry.view is not None
+    view = entry.view
+    wait_until(
+        lambda: (
+            'a/lots-1' in view.instances
+            and view.instances['a/lots-1'].home == 'e1'
+        )
+    )
+    assert entry.gaps == 0
+    size = resident_mb(running.pid)
+    print(f'resident: {size:.1f} MB')
+    assert size < 32
+
+
+def test_wrong_secret_closes_the_link(
+    process: tuple[str, subprocess.Popen[bytes]],
+) -> None:
+    """Guards against processes of another system that join this one."""
+    entry = FakeEntry('e1', 'a')
+    reply = entry.hello(process[0], secret='wrong')
+    assert reply == Unreachable(reason='link_closed')
+
+
+def test_report_without_session_is_refused(
+    process: tuple[str, subprocess.Popen[bytes]],
+) -> None:
+    """Guards against an entry that trusts a lease it does not have."""
+    address, _ = process
+    entry = FakeEntry('e1', 'a')
+    open_session(entry, address)
+    entry.incarnation = 'another'
+    reply = entry.report()
+    assert isinstance(reply, Problem)
+    assert reply.reason == 'no_session'
