Add maintenance through the platform and random histories of the state

Cause: waves need reboots that survive a change of leader, and the state's invariants need a proof that can fail. Change: the platform over HTTP, reboots by tokens from the log, moves out of pools that a document removes, outcomes of waves (skipped, acknowledged).

--- a/src/galenareel/_common/rows.py
+++ b/src/galenareel/_common/rows.py
@@ -115,7 +115,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WaveRow:
-    """A maintenance wave that runs or has run."""
+    """A maintenance wave that runs or has run.
+
+    :param failed: did not come back, or failed its work afterwards.
+    :param skipped: drained for too long; may be tried again.
+    :param acknowledged: failures that an operator has looked at.
+    """
 
     wave: str
     pools: tuple[str, ...]
@@ -126,6 +131,8 @@
     started_at: float = 0.0
     ended_at: float = 0.0
     reason: str = ''
+    skipped: tuple[str, ...] = ()
+    acknowledged: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/galenareel/_control/leader.py
+++ b/src/galenareel/_control/leader.py
@@ -12,6 +12,7 @@
 from galenareel._consensus.interface import Replicator
 from galenareel._control import planning
 from galenareel._control.proposer import Proposer
+from galenareel._control.reboots import Reboots
 from galenareel._control.sessions import LEASE_S
 from galenareel._control.sessions import Sessions
 from galenareel._state.commands import AnyCommand
@@ -41,12 +42,14 @@
         sessions: Sessions,
         proposer: Proposer,
         replicator: Replicator,
+        reboots: Reboots,
         clock: Clock,
     ) -> None:
         self._state = state
         self._sessions = sessions
         self._proposer = proposer
         self._replicator = replicator
+        self._reboots = reboots
         self._clock = clock
         self._wake = Event()
         self._loop: Greenlet | None = None
@@ -77,6 +80,7 @@
             if self._led_since is not None:
                 self._led_since = None
                 self._sessions.clear()
+                self._reboots.clear()
             return
         if self._led_since is None:
             self._led_since = now
@@ -97,6 +101,9 @@
         yield from planning.plan_homes(state, sessions, now)
         yield from planning.plan_drained(state, sessions, now)
         yield from planning.plan_silence(state, sessions, now)
+        zones = self._sessions.fresh_zones(now)
+        yield from self._reboots.plan(zones, now)
+        yield from planning.plan_orphans(state, zones)
         if now >= self._next_expiry:
             self._next_expiry = now + EXPIRE_INTERVAL_S
             if state.claims:
--- a/src/galenareel/_control/main.py
+++ b/src/galenareel/_control/main.py
@@ -17,6 +17,8 @@
 from galenareel._common.clock import SystemClock
 from galenareel._common.events import HybridClock
 from galenareel._common.messages import PeerMessage
+from galenareel._control.platform import NoPlatform
+from galenareel._control.platform import Platform
 from galenareel._control.program import Control
 from galenareel._control.program import Member
 from galenareel._control.solo import SoloReplicator
@@ -45,6 +47,7 @@
         replicator=replicator,
         receive=_ignore,
         read_document=_read_document,
+        platform=_platform(options.platform_url),
         clock=clock,
         hybrid=hybrid,
     )
@@ -75,6 +78,15 @@
     return os.environ.get('GALENAREEL_CLUSTER_SECRET', '')
 
 
+def _platform(url: str) -> Platform:
+    if not url:
+        return NoPlatform()
+    # The HTTP client costs 3 MB; members without a platform do without.
+    from galenareel._control.http_platform import HttpPlatform
+
+    return HttpPlatform(url)
+
+
 def _ignore(_msg: PeerMessage) -> None:
     pass
 
--- a/src/galenareel/_control/planning.py
+++ b/src/galenareel/_control/planning.py
@@ -16,8 +16,10 @@
 from galenareel._common.rows import InstanceRow
 from galenareel._common.rows import Phase
 from galenareel._control.sessions import Session
+from galenareel._control.trial import destination
 from galenareel._state.commands import AnyCommand
 from galenareel._state.commands import AssignHome
+from galenareel._state.commands import BeginMove
 from galenareel._state.commands import FinishMove
 from galenareel._state.commands import MarkLeft
 from galenareel._state.commands import MarkLost
@@ -123,6 +125,9 @@
                     now=0.0, instance=name, incarnation=msg.incarnation
                 )
             else:
+                # What homes reported before this announcement is outdated.
+                for one in sessions:
+                    one.loads.pop(name, None)
                 yield RegisterInstance(
                     instance=name,
                     address=msg.address,
@@ -247,3 +252,26 @@
         slots=row.slots,
         connections=row.connections,
     )
+
+
+def plan_orphans(state: State, zones: frozenset[str]) -> Iterator[AnyCommand]:
+    """Move instances whose pool is not in the document in force.
+
+    Only the announced service tells where such an instance belongs; without
+    a service the document knows, it goes to the spare pool.
+    """
+    environment = state.environment
+    if environment is None:
+        return
+    names = {one.name for one in environment.pools}
+    for pool in sorted(state.tables.pools.keys() - names):
+        for name in sorted(state.tables.pools[pool]):
+            row = state.instances[name]
+            if row.phase is not Phase.SERVING or row.zone not in zones:
+                continue
+            yield BeginMove(
+                instance=name,
+                epoch=row.epoch,
+                target=destination(state, environment, name),
+                reason=f'pool {pool or "(none)"} is not in the document',
+            )
--- a/src/galenareel/_control/platform.py
+++ b/src/galenareel/_control/platform.py
@@ -30,3 +30,27 @@
     @abstractmethod
     def usage(self, instance: str) -> dict[str, float] | Unreachable:
         """Latest usage by resource; lags behind the truth."""
+
+
+class NoPlatform(Platform):
+    """Stands where no platform URL is set; nothing can be rebooted."""
+
+    _ABSENT = Unreachable(
+        reason='no_platform',
+        detail='set --platform-url to the platform that owns the workers',
+    )
+
+    def reboot(self, instance: str, *, token: str) -> bool | Unreachable:
+        return self._ABSENT
+
+    def checkpoint(self, instance: str, *, token: str) -> bool | Unreachable:
+        return self._ABSENT
+
+    def throttle(self, instance: str, *, share: float) -> bool | Unreachable:
+        return self._ABSENT
+
+    def stop_task(self, instance: str, *, task: str) -> bool | Unreachable:
+        return self._ABSENT
+
+    def usage(self, instance: str) -> dict[str, float] | Unreachable:
+        return self._ABSENT
--- a/src/galenareel/_control/program.py
+++ b/src/galenareel/_control/program.py
@@ -14,7 +14,9 @@
 from galenareel._control.journal import Journal
 from galenareel._control.leader import LeaderLoop
 from galenareel._control.operations import Operations
+from galenareel._control.platform import Platform
 from galenareel._control.proposer import Proposer
+from galenareel._control.reboots import Reboots
 from galenareel._control.server import Server
 from galenareel._control.sessions import Sessions
 from galenareel._document.model import Environment
@@ -48,6 +50,7 @@
         replicator: Replicator,
         receive: Callable[[PeerMessage], None],
         read_document: Callable[[str], Environment],
+        platform: Platform,
         clock: Clock,
         hybrid: HybridClock,
     ) -> None:
@@ -61,6 +64,7 @@
             sessions=self.sessions,
             proposer=self.proposer,
             replicator=replicator,
+            reboots=Reboots(state, platform),
             clock=clock,
         )
         operations = Operations(
--- a/src/galenareel/_control/trial.py
+++ b/src/galenareel/_control/trial.py
@@ -8,6 +8,8 @@
 from galenareel._document.model import Pool
 from galenareel._state.budgets import available
 from galenareel._state.budgets import margin
+from galenareel._state.instances import ABSENT
+from galenareel._state.instances import first_pool
 from galenareel._state.state import State
 
 
@@ -19,22 +21,34 @@
     for name in sorted(new_pools.keys() - old_pools.keys()):
         yield f'Pool {name} is new.'
     for name in sorted(old_pools.keys() - new_pools.keys()):
-        count = len(state.tables.pools.get(name, ()))
-        yield (
-            f'Pool {name} goes; its {count} instances move to '
-            f'{fallback_pool(new) or "no pool"}.'
-        )
+        yield f'Pool {name} goes.'
     for name in sorted(new_pools.keys() & old_pools.keys()):
         yield from _changed_pool(old_pools[name], new_pools[name])
+    yield from _moves(state, new)
     yield from _budgets(state, new)
     yield from _waves(old, new, state)
 
 
-def fallback_pool(environment: Environment) -> str:
-    """Where instances of a removed pool go: the spare pool, or the first."""
+def destination(state: State, environment: Environment, instance: str) -> str:
+    """Pool for an instance whose own pool the document does not have.
+
+    :returns: the pool that names it, the pool of its service, the spare pool
+        or the first pool.
+    """
+    service = state.service_of(instance)
+    named = first_pool(environment, instance, service)
     spare = [one.name for one in environment.pools if one.spare]
-    names = spare or [one.name for one in environment.pools]
-    return names[0] if names else ''
+    others = [one.name for one in environment.pools]
+    return next((name for name in [named, *spare, *others] if name), '')
+
+
+def _moves(state: State, new: Environment) -> Iterator[str]:
+    names = {one.name for one in new.pools}
+    for row in sorted(state.instances.values(), key=lambda one: one.instance):
+        if row.pool not in names and row.phase not in ABSENT:
+            target = destination(state, new, row.instance)
+            source = row.pool or 'no pool'
+            yield f'Instance {row.instance} moves from {source} to {target}.'
 
 
 def _changed_pool(old: Pool, new: Pool) -> Iterator[str]:
--- a/src/galenareel/_state/commands.py
+++ b/src/galenareel/_state/commands.py
@@ -127,6 +127,7 @@
     epoch: int
     wave: str
     reason: str
+    batch: int = 1
 
 
 class StartReboot(Command, frozen=True):
@@ -155,6 +156,16 @@
     reason: str
 
 
+class FailMaintenance(Command, frozen=True):
+    """Count an instance as failed, during its maintenance or after it."""
+
+    now: float
+    instance: str
+    epoch: int
+    wave: str
+    reason: str
+
+
 class EjectInstance(Command, frozen=True):
     """Stop giving work to an instance that fails it."""
 
@@ -177,28 +188,21 @@
     now: float
     wave: str
     pools: tuple[str, ...]
-    batch: int
     reason: str = ''
 
 
 class SetWaveState(Command, frozen=True):
-    """Change a wave's state or batch size.
-
-    :param previous: the state it replaces.
-    :param previous_batch: the batch size it replaces.
-    """
+    """Change a wave's state; ``previous`` is the one it replaces."""
 
     now: float
     wave: str
     previous: WaveState
-    previous_batch: int
     state: WaveState
-    batch: int
     reason: str
 
 
 class RetryWave(Command, frozen=True):
-    """Run a stopped wave again, with its failed instances."""
+    """Run a stopped wave again; an operator has looked at its failures."""
 
     now: float
     wave: str
@@ -270,6 +274,7 @@
     | StartReboot
     | FinishMaintenance
     | AbortMaintenance
+    | FailMaintenance
     | EjectInstance
     | ReturnInstance
     | BeginWave
--- a/src/galenareel/_state/documents.py
+++ b/src/galenareel/_state/documents.py
@@ -126,7 +126,7 @@
     """
     for instance in sorted(tables.pools.get('', ())):
         service = tables.services.get(instance, '')
-        pool = first_pool(tables, instance, service)
+        pool = first_pool(tables.environment(), instance, service)
         row = tables.instances[instance]
         if pool:
             tables.put_instance(replace(row, pool=pool, epoch=row.epoch + 1))
--- a/src/galenareel/_state/instances.py
+++ b/src/galenareel/_state/instances.py
@@ -9,6 +9,7 @@
 from galenareel._common.rows import InstanceRow
 from galenareel._common.rows import Phase
 from galenareel._common.sentinels import Refused
+from galenareel._document.model import Environment
 from galenareel._state.budgets import refuse_removal
 from galenareel._state.commands import AssignHome
 from galenareel._state.commands import EjectInstance
@@ -58,9 +59,10 @@
     )
 
 
-def first_pool(tables: Tables, instance: str, service: str) -> str:
-    """Pool in which an instance starts; empty without a document."""
-    environment = tables.environment()
+def first_pool(
+    environment: Environment | None, instance: str, service: str
+) -> str:
+    """Pool in which an instance starts; empty if the document has none."""
     if environment is None:
         return ''
     for pool in environment.pools:
@@ -108,12 +110,14 @@
 
 
 def _new_row(tables: Tables, command: RegisterInstance) -> InstanceRow:
+    environment = tables.environment()
+    pool = first_pool(environment, command.instance, command.service)
     return InstanceRow(
         instance=command.instance,
         address=command.address,
         zone=command.zone,
         rack=command.rack,
-        pool=first_pool(tables, command.instance, command.service),
+        pool=pool,
         epoch=tables.epoch_floor + 1,
         home_epoch=tables.epoch_floor,
         incarnation=command.incarnation,
@@ -156,27 +160,15 @@
         return row
     if row.phase in ABSENT:
         return wrong_phase(row, 'present')
-    return _take_away(tables, row, Phase.LOST, command.reason)
-
-
-def mark_left(tables: Tables, command: MarkLeft) -> Done | Refused:
-    row = tables.instances.get(command.instance)
-    if row is None or row.incarnation != command.incarnation:
-        return Refused(
-            reason='unknown_instance',
-            detail=f'no {command.instance} of this incarnation',
-        )
-    if row.phase is Phase.LEFT:
-        return Done(index=tables.index)
-    return _take_away(tables, row, Phase.LEFT, 'said that it is leaving')
+    return take_away(tables, row, Phase.LOST, command.reason)
 
 
-def _take_away(
+def take_away(
     tables: Tables, row: InstanceRow, phase: Phase, reason: str
 ) -> Done:
     """Take an instance out of use by no plan; no budget can prevent it."""
     if row.phase is Phase.MAINTENANCE:
-        tables.add_to_wave(row.wave, failed=row.instance)
+        tables.add_to_wave(row.wave, row.instance, 'failed')
         tables.reboots.pop(row.instance, None)
     tables.put_instance(
         replace(
@@ -191,6 +183,18 @@
     return Done(index=tables.index)
 
 
+def mark_left(tables: Tables, command: MarkLeft) -> Done | Refused:
+    row = tables.instances.get(command.instance)
+    if row is None or row.incarnation != command.incarnation:
+        return Refused(
+            reason='unknown_instance',
+            detail=f'no {command.instance} of this incarnation',
+        )
+    if row.phase is Phase.LEFT:
+        return Done(index=tables.index)
+    return take_away(tables, row, Phase.LEFT, 'said that it is leaving')
+
+
 def forget(tables: Tables, command: ForgetInstance) -> Done | Refused:
     row = find(tables, command.instance, command.epoch)
     if not isinstance(row, InstanceRow):
--- a/src/galenareel/_state/maintenance.py
+++ b/src/galenareel/_state/maintenance.py
@@ -14,11 +14,13 @@
 from galenareel._state.commands import AbortMaintenance
 from galenareel._state.commands import BeginMaintenance
 from galenareel._state.commands import BeginWave
+from galenareel._state.commands import FailMaintenance
 from galenareel._state.commands import FinishMaintenance
 from galenareel._state.commands import RetryWave
 from galenareel._state.commands import SetWaveState
 from galenareel._state.commands import StartReboot
 from galenareel._state.instances import find_reachable
+from galenareel._state.instances import take_away
 from galenareel._state.instances import wrong_phase
 from galenareel._state.moves import stale_home
 from galenareel._state.tables import Handlers
@@ -49,6 +51,10 @@
         incarnation=row.incarnation,
         since=tables.advance_time(command.now),
     )
+    tables.add_to_wave(command.wave, row.instance, '')
+    wave = tables.waves[command.wave]
+    if command.batch > wave.batch:
+        tables.put_wave(replace(wave, batch=command.batch))
     tables.put_instance(
         replace(
             row,
@@ -68,7 +74,8 @@
             reason='wave_not_running',
             detail=f'wave {command.wave} does not run',
         )
-    if command.instance in wave.done or command.instance in wave.failed:
+    open_failures = set(wave.failed) - set(wave.acknowledged)
+    if command.instance in open_failures or command.instance in wave.done:
         return Refused(
             reason='already_maintained',
             detail=f'{command.instance} had its turn in {command.wave}',
@@ -114,7 +121,7 @@
             detail=f'{row.instance} has not announced a new incarnation',
         )
     now = tables.advance_time(command.now)
-    tables.add_to_wave(row.wave, done=row.instance)
+    tables.add_to_wave(row.wave, row.instance, 'done')
     _serve_again(
         tables,
         replace(row, maintained_at=now),
@@ -131,11 +138,29 @@
     if not isinstance(row, InstanceRow):
         return row
     tables.advance_time(command.now)
-    tables.add_to_wave(row.wave, failed=row.instance)
+    tables.add_to_wave(row.wave, row.instance, 'skipped')
     _serve_again(tables, row, command.reason)
     return Done(index=tables.index)
 
 
+def fail_maintenance(
+    tables: Tables, command: FailMaintenance
+) -> Done | Refused:
+    """An instance that is still in maintenance counts as lost."""
+    row = find_reachable(tables, command.instance, command.epoch)
+    if not isinstance(row, InstanceRow):
+        return row
+    wave = tables.waves.get(command.wave)
+    if wave is None:
+        return _unknown_wave(command.wave)
+    tables.advance_time(command.now)
+    if row.phase is Phase.MAINTENANCE and row.wave == command.wave:
+        return take_away(tables, row, Phase.LOST, command.reason)
+    if row.instance not in wave.failed:
+        tables.add_to_wave(command.wave, row.instance, 'failed')
+    return Done(index=tables.index)
+
+
 def _serve_again(tables: Tables, row: InstanceRow, reason: str) -> None:
     tables.reboots.pop(row.instance, None)
     tables.put_instance(
@@ -157,7 +182,6 @@
         wave=command.wave,
         pools=command.pools,
         state=WaveState.RUNNING,
-        batch=command.batch,
         started_at=tables.advance_time(command.now),
         reason=command.reason,
     )
@@ -169,12 +193,12 @@
     row = tables.waves.get(command.wave)
     if row is None:
         return _unknown_wave(command.wave)
-    if (row.state, row.batch) == (command.state, command.batch):
+    if row.state is command.state:
         return Done(index=tables.index)
-    if (row.state, row.batch) != (command.previous, command.previous_batch):
+    if row.state is not command.previous:
         return Refused(
             reason='stale_wave',
-            detail=f'wave {row.wave} is {row.state} with batch {row.batch}',
+            detail=f'wave {row.wave} is {row.state}, not {command.previous}',
         )
     if row.state in ENDED:
         return Refused(
@@ -185,7 +209,6 @@
         replace(
             row,
             state=command.state,
-            batch=command.batch,
             reason=command.reason,
             ended_at=now if command.state in ENDED else 0.0,
         )
@@ -210,7 +233,7 @@
             row,
             state=WaveState.RUNNING,
             batch=1,
-            failed=(),
+            acknowledged=row.failed,
             ended_at=0.0,
             reason='retried by an operator',
         )
@@ -227,6 +250,7 @@
     StartReboot: start_reboot,
     FinishMaintenance: finish_maintenance,
     AbortMaintenance: abort_maintenance,
+    FailMaintenance: fail_maintenance,
     BeginWave: begin_wave,
     SetWaveState: set_wave_state,
     RetryWave: retry_wave,
--- a/src/galenareel/_state/tables.py
+++ b/src/galenareel/_state/tables.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 from dataclasses import replace
 from typing import Any
+from typing import Literal
 
 from galenareel._common.messages import ClaimReply
 from galenareel._common.messages import Done
@@ -124,17 +125,22 @@
         self.waves[row.wave] = row
 
     def add_to_wave(
-        self, wave: str, *, done: str = '', failed: str = ''
+        self,
+        wave: str,
+        instance: str,
+        outcome: Literal['', 'done', 'failed', 'skipped'],
     ) -> None:
-        """Record the outcome of one instance in its wave."""
+        """Record the outcome of an instance; empty: it has its turn now."""
         row = self.waves.get(wave)
         if row is None:
             return
-        if done and done not in row.done:
-            row = replace(row, done=(*row.done, done))
-        if failed and failed not in row.failed:
-            row = replace(row, failed=(*row.failed, failed))
-        self.put_wave(row)
+        lists: dict[str, Any] = {
+            name: tuple(one for one in getattr(row, name) if one != instance)
+            for name in ('done', 'failed', 'skipped', 'acknowledged')
+        }
+        if outcome:
+            lists[outcome] = (*lists[outcome], instance)
+        self.put_wave(replace(row, **lists))
 
     def environment(self) -> Environment | None:
         """The document in force."""
--- /dev/null
+++ b/testing/state/builders.py
@@ -0,0 +1,103 @@
+"""Commands and documents for the tests of the state."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from galenareel._common.messages import Done
+from galenareel._document.model import Environment
+from galenareel._document.model import Pool
+from galenareel._document.model import Service
+from galenareel._document.model import Wave
+from galenareel._state.commands import AnyCommand
+from galenareel._state.commands import BeginWave
+from galenareel._state.commands import PromoteDocument
+from galenareel._state.commands import RegisterEntry
+from galenareel._state.commands import RegisterInstance
+from galenareel._state.commands import SubmitDocument
+from galenareel._state.state import State
+
+POOLS = ('lots', 'office')
+
+
+def environment(
+    version: int = 1, *, replaces: int = 0, budget: int = 2, rack: bool = False
+) -> Environment:
+    pools = tuple(
+        Pool(name=name, min_available=budget, survive_rack=rack)
+        for name in POOLS
+    )
+    services = tuple(
+        Service(name=name, pool=name, path=f'/{name}') for name in POOLS
+    )
+    return Environment(
+        environment='test',
+        version=version,
+        replaces=replaces,
+        zones=('a', 'b'),
+        pools=pools,
+        services=services,
+        waves=(Wave(name='w1', pools=POOLS),),
+    )
+
+
+def submit(document: Environment, digest: str = 'd') -> SubmitDocument:
+    return SubmitDocument(
+        now=1.0,
+        version=document.version,
+        replaces=document.replaces,
+        digest=digest,
+        text=f'version: {document.version}',
+        environment=document,
+    )
+
+
+def register(
+    name: str, *, service: str = 'lots', rack: str = 'r1', **fields: Any
+) -> RegisterInstance:
+    zone, _, short = name.partition('/')
+    values: dict[str, Any] = {
+        'address': f'{short}.{zone}:80',
+        'incarnation': 'i1',
+        **fields,
+    }
+    return RegisterInstance(
+        instance=name, zone=zone, rack=rack, service=service, **values
+    )
+
+
+class Log:
+    """Applies commands at rising indexes."""
+
+    def __init__(self) -> None:
+        self.state = State()
+        self.index = 0
+
+    def run(self, command: AnyCommand) -> Any:
+        self.index += 1
+        return self.state.run(self.index, command)
+
+    def done(self, *commands: AnyCommand) -> None:
+        for command in commands:
+            result = self.run(command)
+            assert isinstance(result, Done), (command, result)
+
+
+def ready_log(**document: Any) -> Log:
+    """A log with a document in force, entries and four instances a pool."""
+    log = Log()
+    log.done(
+        submit(environment(**document)),
+        PromoteDocument(now=1.0, version=1, digest='d'),
+        BeginWave(now=1.0, wave='w1', pools=POOLS),
+    )
+    for zone in 'ab':
+        entry = RegisterEntry(
+            entry=f'e{zone}', zone=zone, frames='x:1', incarnation='1'
+        )
+        log.done(entry)
+        for pool in POOLS:
+            for number in (1, 2):
+                name = f'{zone}/{pool}-{number}'
+                log.done(register(name, service=pool, rack=f'r{number}'))
+    return log
--- /dev/null
+++ b/testing/state/test_machine.py
@@ -0,0 +1,273 @@
+"""Random histories of commands, with races and repeats.
+
+Each rule proposes a command against the present state, a stale one, or twice;
+the invariants hold after every apply.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hypothesis import HealthCheck
+from hypothesis import settings
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.strategies import integers
+from hypothesis.strategies import sampled_from
+
+from galenareel._common.messages import ClaimReply
+from galenareel._common.messages import Done
+from galenareel._common.rows import EntryState
+from galenareel._common.rows import Phase
+from galenareel._state import commands as c
+from galenareel._state.commands import AnyCommand
+from galenareel._state.commands import encode
+from galenareel._state.state import State
+from testing.state.builders import environment
+from testing.state.builders import POOLS
+from testing.state.builders import ready_log
+from testing.state.builders import register
+from testing.state.builders import submit
+from testing.state.checkers import check_budgets
+from testing.state.checkers import check_document
+from testing.state.checkers import check_one_pool
+from testing.state.checkers import ClaimChecker
+from testing.state.checkers import EpochChecker
+from testing.state.checkers import Picture
+
+NAMES = [f'{zone}/{pool}-{n}' for zone in 'ab' for pool in POOLS for n in '12']
+names = sampled_from(NAMES)
+lags = sampled_from([0, 0, 0, 1])
+numbers = integers(0, 7)
+
+
+def picture(state: State) -> Picture:
+    tables = state.tables
+    return Picture(
+        instances=dict(state.instances),
+        in_force=tables.in_force,
+        environment=state.environment,
+        cut_zones=state.cut_zones,
+        pools={pool: set(all_) for pool, all_ in tables.pools.items()},
+    )
+
+
+class Histories(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.log = ready_log(rack=True, budget=1)
+        self.replica = State()
+        self.replica.restore(self.log.index, self.log.state.snapshot())
+        self.view = self.log.state.view()
+        self.epochs = EpochChecker()
+        self.claims = ClaimChecker()
+        self.now = 100.0
+
+    def run(self, command: AnyCommand, *, repeat: bool = False) -> Any:
+        before = picture(self.log.state)
+        result = self.log.run(command)
+        assert self.replica.apply(self.log.index, encode(command)) == result
+        after = picture(self.log.state)
+        check_one_pool(after)
+        check_document(before, after)
+        check_budgets(before, after, type(command).__name__)
+        self.epochs.check(after)
+        if repeat:
+            self.run(command)
+            assert picture(self.log.state) == after
+        return result
+
+    def epoch(self, name: str, lag: int) -> int:
+        row = self.log.state.instances.get(name)
+        return row.epoch - lag if row else 1
+
+    def home_epoch(self, name: str) -> int:
+        row = self.log.state.instances.get(name)
+        return row.home_epoch if row else 0
+
+    @rule(name=names, lag=lags, pool=sampled_from(POOLS))
+    def move(self, name: str, lag: int, pool: str) -> None:
+        epoch = self.epoch(name, lag)
+        self.run(
+            c.BeginMove(instance=name, epoch=epoch, target=pool, reason='t'),
+            repeat=True,
+        )
+
+    def pick(self, number: int, phase: Phase) -> str:
+        """An instance in a phase, or any where none is."""
+        rows = self.log.state.instances.values()
+        found = sorted(one.instance for one in rows if one.phase is phase)
+        usable = found or NAMES
+        return usable[number % len(usable)]
+
+    @rule(number=numbers, lag=lags, abort=sampled_from([False, False, True]))
+    def end_move(self, number: int, lag: int, abort: bool) -> None:
+        name = self.pick(number, Phase.DRAINING)
+        epoch = self.epoch(name, lag)
+        command: AnyCommand = c.AbortMove(
+            instance=name, epoch=epoch, reason='t'
+        )
+        if not abort:
+            home_epoch = self.home_epoch(name)
+            command = c.FinishMove(
+                instance=name, epoch=epoch, home_epoch=home_epoch
+            )
+        self.run(command, repeat=True)
+
+    @rule(name=names, lag=lags)
+    def begin_maintenance(self, name: str, lag: int) -> None:
+        self.run(
+            c.BeginMaintenance(
+                now=self.now,
+                instance=name,
+                epoch=self.epoch(name, lag),
+                wave='w1',
+                reason='t',
+            ),
+            repeat=True,
+        )
+
+    @rule(number=numbers, step=sampled_from([0, 0, 0, 1, 1, 2, 3]))
+    def go_on_with_maintenance(self, number: int, step: int) -> None:
+        name = self.pick(number, Phase.MAINTENANCE)
+        same: dict[str, Any] = {
+            'now': self.now,
+            'instance': name,
+            'epoch': self.epoch(name, 0),
+        }
+        steps: list[AnyCommand] = [
+            c.StartReboot(home_epoch=self.home_epoch(name), **same),
+            c.FinishMaintenance(**same),
+            c.AbortMaintenance(reason='t', **same),
+            c.FailMaintenance(wave='w1', reason='t', **same),
+        ]
+        result = self.run(steps[step], repeat=True)
+        if step == 0 and isinstance(result, Done):
+            self.announce(name, '9')
+
+    @rule(name=names, incarnation=sampled_from('123'))
+    def announce(self, name: str, incarnation: str) -> None:
+        pool = name.partition('/')[2].partition('-')[0]
+        self.run(
+            register(name, service=pool, incarnation=incarnation),
+            repeat=True,
+        )
+
+    @rule(name=names, kind=integers(0, 4), lag=lags)
+    def disturb(self, name: str, kind: int, lag: int) -> None:
+        epoch = self.epoch(name, lag)
+        kinds: list[AnyCommand] = [
+            c.MarkLost(now=self.now, instance=name, epoch=epoch, reason='t'),
+            c.MarkLeft(now=self.now, instance=name, incarnation='2'),
+            c.ForgetInstance(instance=name, epoch=epoch),
+            c.EjectInstance(instance=name, epoch=epoch, reason='t'),
+            c.ReturnInstance(instance=name, epoch=epoch, reason='t'),
+        ]
+        self.run(kinds[kind], repeat=True)
+
+    @rule(zone=sampled_from('ab'), cut=sampled_from([False, False, True]))
+    def cut(self, zone: str, cut: bool) -> None:
+        self.run(c.SetZoneCut(zone=zone, cut=cut), repeat=True)
+
+    @rule(name=names, state=sampled_from(EntryState))
+    def rehome(self, name: str, state: EntryState) -> None:
+        entry = f'e{name[0]}'
+        self.run(c.SetEntryState(entry=entry, incarnation='1', state=state))
+        self.run(
+            c.AssignHome(
+                instance=name, home_epoch=self.home_epoch(name), home=entry
+            )
+        )
+        self.run(
+            c.RegisterEntry(
+                entry=entry, zone=name[0], frames='x:1', incarnation='1'
+            )
+        )
+
+    @rule(step=integers(1, 2), lag=lags, digest=sampled_from('dde'))
+    def submit(self, step: int, lag: int, digest: str) -> None:
+        in_force = self.log.state.tables.in_force
+        document = environment(
+            in_force + step, replaces=in_force - lag, budget=1
+        )
+        self.run(submit(document, digest), repeat=True)
+
+    @rule(number=numbers, wrong=sampled_from([False, False, True]))
+    def promote(self, number: int, wrong: bool) -> None:
+        """Any version that was ever submitted, the newest first."""
+        documents = self.log.state.documents
+        versions = sorted(documents, reverse=True)
+        version = versions[number % len(versions)]
+        digest = 'x' if wrong else documents[version].row.digest
+        self.run(
+            c.PromoteDocument(now=1.0, version=version, digest=digest),
+            repeat=True,
+        )
+
+    @rule(
+        key=sampled_from('kl'),
+        holder=sampled_from('xy'),
+        wait=sampled_from([0.0, 0.0, 400.0]),
+    )
+    def claim(self, key: str, holder: str, wait: float) -> None:
+        self.now += wait
+        result = self.run(
+            c.ClaimKey(
+                now=self.now, key=key, caller='c', digest='d', holder=holder
+            )
+        )
+        assert isinstance(result, ClaimReply)
+        if result.state == 'granted':
+            self.claims.granted(('c', key), self.now)
+
+    @rule(
+        key=sampled_from('kl'),
+        holder=sampled_from('xy'),
+        state=sampled_from(['answered', 'unknown', 'released']),
+    )
+    def settle(self, key: str, holder: str, state: str) -> None:
+        result = self.run(
+            c.SettleKey(
+                now=self.now, key=key, caller='c', holder=holder, state=state
+            )
+        )
+        if isinstance(result, Done):
+            released = state == 'released'
+            self.claims.settled(('c', key), self.now, released=released)
+
+    @rule()
+    def expire(self) -> None:
+        self.run(c.ExpireClaims(now=self.now))
+
+    @rule()
+    def restore(self) -> None:
+        """A replica that continues from a snapshot must stay equal."""
+        self.replica.restore(self.log.index, self.log.state.snapshot())
+
+    @invariant()
+    def replicas_are_equal(self) -> None:
+        assert self.replica.snapshot() == self.log.state.snapshot()
+
+    @invariant()
+    def deltas_give_the_view(self) -> None:
+        delta = self.log.state.changes_since(self.view.index)
+        assert delta is not None
+        instances = dict(self.view.instances)
+        instances.update({one.instance: one for one in delta.instances})
+        for name in delta.removed_instances:
+            instances.pop(name, None)
+        now = self.log.state.view()
+        assert instances == now.instances
+        if delta.document is not None:
+            assert delta.document == now.document
+
+
+Histories.TestCase.settings = settings(
+    max_examples=120,
+    stateful_step_count=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+TestHistories = Histories.TestCase
