Add settings, log lines and metrics

The programs need one way to read flags and variables that reports every finding at once and starts nothing on a line it misread.

Secrets are wrapped. The OpenTelemetry SDK is imported only when metrics are on.

--- /dev/null
+++ b/src/galenareel/_common/metrics.py
@@ -0,0 +1,74 @@
+"""Counters and histograms by the OpenTelemetry API.
+
+Off by default: the API's own no-op instruments cost one empty call. The SDK
+is imported only when metrics are on, for it adds to the resident memory.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+import sys
+from typing import Any
+from typing import TextIO
+
+from opentelemetry.metrics import Counter
+from opentelemetry.metrics import Histogram
+from opentelemetry.metrics import Meter
+from opentelemetry.metrics import NoOpMeterProvider
+
+OFF = 'off'
+CONSOLE = 'console'
+FILE = 'file:'
+EXPORT_INTERVAL_S = 10.0
+
+
+class Metrics:
+    """The instruments of one process.
+
+    :param process: name of the process, on every exported line.
+    :param target: ``off``, ``console`` or ``file:PATH``.
+    """
+
+    def __init__(
+        self,
+        process: str,
+        target: str = OFF,
+        *,
+        interval_s: float = EXPORT_INTERVAL_S,
+    ) -> None:
+        self._process = process
+        self._target = target
+        self._interval_s = interval_s
+        self._provider: Any = NoOpMeterProvider()
+        self._out: TextIO | None = None
+        if target != OFF:
+            self._provider = self._open()
+        self._meter: Meter = self._provider.get_meter('galenareel')
+
+    def counter(
+        self, name: str, *, unit: str = '1', text: str = ''
+    ) -> Counter:
+        return self._meter.create_counter(name, unit=unit, description=text)
+
+    def histogram(
+        self, name: str, *, unit: str = 's', text: str = ''
+    ) -> Histogram:
+        return self._meter.create_histogram(name, unit=unit, description=text)
+
+    def close(self) -> None:
+        """Export what is left and close the file."""
+        if self._target == OFF:
+            return
+        self._provider.shutdown()
+        if self._out is not None and self._out is not sys.stdout:
+            self._out.close()
+
+    def _open(self) -> Any:
+        """:raises OSError: if the file can't be written."""
+        from galenareel._common.metrics_export import open_provider
+
+        if self._target == CONSOLE:
+            self._out = sys.stdout
+        else:
+            self._out = Path(self._target.removeprefix(FILE)).open('a')
+        return open_provider(self._process, self._out, self._interval_s)
--- /dev/null
+++ b/src/galenareel/_common/settings.py
@@ -0,0 +1,377 @@
+"""Settings of the programs, from flags and environment variables.
+
+A settings model is a frozen data class. Each field is declared by
+:func:`setting`, which gives its help and its check. A flag precedes the
+variable of the same name, which precedes the default.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+from dataclasses import dataclass
+import os
+from pathlib import Path
+import sys
+from typing import Any
+from typing import NoReturn
+from typing import TypeVar
+
+from galenareel._common.command_line import parse_command_line
+from galenareel._common.command_line import Syntax
+from galenareel._common.command_line import wants_help
+from galenareel._common.findings import Findings
+from galenareel._common.findings import FindingsError
+from galenareel._common.readers import Member
+from galenareel._common.readers import one_of
+from galenareel._common.readers import read_address
+from galenareel._common.readers import read_addresses
+from galenareel._common.readers import read_flag
+from galenareel._common.readers import read_members
+from galenareel._common.readers import read_metrics
+from galenareel._common.readers import read_name
+from galenareel._common.readers import read_secret
+from galenareel._common.readers import read_url
+from galenareel._common.readers import Reader
+from galenareel._common.readers import seconds
+from galenareel._common.readers import Secret
+from galenareel._common.readers import whole
+
+PREFIX = 'GALENAREEL_'
+USAGE_STATUS = 2
+HELP_COLUMN = 34
+
+T = TypeVar('T')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Setting:
+    """How one field of a model is read.
+
+    :param reader: turns the raw string into the value; raises
+        :class:`ValueError` with a sentence about what is expected.
+    :param shape: word for the value in the help.
+    """
+
+    help: str
+    reader: Reader
+    shape: str
+    secret: bool = False
+
+
+def setting(
+    text: str,
+    *,
+    reader: Reader,
+    shape: str,
+    default: Any = dataclasses.MISSING,
+) -> Any:
+    """Declare a field of a settings model; required without a default."""
+    meta = {'setting': Setting(help=text, reader=reader, shape=shape)}
+    if default is dataclasses.MISSING:
+        return dataclasses.field(metadata=meta)
+    return dataclasses.field(metadata=meta, default=default)
+
+
+def secret_setting(text: str) -> Any:
+    """Declare a secret; its flag names a file, so no process list shows it."""
+    one = Setting(help=text, reader=read_secret, shape='PATH', secret=True)
+    return dataclasses.field(metadata={'setting': one})
+
+
+# --- models -----------------------------------------------------------------
+
+
+def _address(text: str) -> Any:
+    return setting(text, reader=read_address, shape='HOST:PORT')
+
+
+def _log_level() -> Any:
+    return setting(
+        'lowest level of the log lines on stderr',
+        reader=one_of('debug', 'info', 'warning', 'error'),
+        shape='LEVEL',
+        default='info',
+    )
+
+
+def _metrics() -> Any:
+    return setting(
+        'where metrics go: off, console or file:PATH',
+        reader=read_metrics,
+        shape='TARGET',
+        default='off',
+    )
+
+
+def _count(text: str, default: int, *, high: int = 2**31 - 1) -> Any:
+    reader = whole(low=1, high=high)
+    return setting(text, reader=reader, shape='N', default=default)
+
+
+def _seconds(text: str, default: float, *, high: float = 3600.0) -> Any:
+    reader = seconds(low=0.01, high=high)
+    return setting(text, reader=reader, shape='S', default=default)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ControlSettings:
+    """Settings of ``galenareel-control``."""
+
+    name: str = setting(
+        'name of this member; one of --members unless --join is set',
+        reader=read_name,
+        shape='NAME',
+    )
+    zone: str = setting(
+        'availability zone of this instance', reader=read_name, shape='ZONE'
+    )
+    listen: str = _address('address of the frames')
+    members: tuple[Member, ...] = setting(
+        'the control members that start the system',
+        reader=read_members,
+        shape='NAME=HOST:PORT,...',
+    )
+    data_dir: Path = setting(
+        'folder of the durable state; made if it is missing',
+        reader=Path,
+        shape='PATH',
+    )
+    cluster_secret: Secret = secret_setting(
+        'secret shared by the processes of the system'
+    )
+    platform_url: str = setting(
+        'the platform that reboots instances; waves need it',
+        reader=read_url,
+        shape='URL',
+        default='',
+    )
+    join: bool = setting(
+        'start as a new member of a system that runs already',
+        reader=read_flag,
+        shape='BOOL',
+        default=False,
+    )
+    log_level: str = _log_level()
+    metrics: str = _metrics()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntrySettings:
+    """Settings of ``galenareel-entry``."""
+
+    name: str = setting(
+        'name of this entry instance', reader=read_name, shape='NAME'
+    )
+    zone: str = setting(
+        'availability zone of this instance', reader=read_name, shape='ZONE'
+    )
+    callers: str = _address('address of the HTTP for callers')
+    announcements: str = _address('address of the HTTP for backend servers')
+    operators: str = _address('address of the HTTP for operators')
+    frames: str = _address('address of the frames')
+    control: tuple[str, ...] = setting(
+        'frame addresses of the control members',
+        reader=read_addresses,
+        shape='HOST:PORT,...',
+    )
+    cluster_secret: Secret = secret_setting(
+        'secret shared by the processes of the system'
+    )
+    announce_secret: Secret = secret_setting(
+        'secret that backend servers announce themselves with'
+    )
+    operator_secret: Secret = secret_setting('secret that operators call with')
+    max_header_bytes: int = _count('size of the headers of a request', 16384)
+    max_body_bytes: int = _count('size of the body of a request', 1 << 20)
+    max_answer_bytes: int = _count('size of the body of an answer', 8 << 20)
+    header_timeout_s: float = _seconds('time for the headers to arrive', 5.0)
+    body_timeout_s: float = _seconds('time for the body to arrive', 20.0)
+    max_connections: int = _count('caller connections in all', 2000)
+    max_connections_per_address: int = _count(
+        'caller connections from one address; a load balancer may be one',
+        1000,
+    )
+    max_queue: int = _count('requests that wait in the queues', 1000)
+    max_queue_bytes: int = _count('size of the requests that wait', 16 << 20)
+    stop_grace_s: float = _seconds(
+        'time between not ready and the end of new work at a planned stop',
+        3.0,
+    )
+    stop_limit_s: float = _seconds(
+        'longest wait for requests in flight at a planned stop', 60.0
+    )
+    log_level: str = _log_level()
+    metrics: str = _metrics()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OperatorSettings:
+    """Settings of ``galenareel``."""
+
+    entry: tuple[str, ...] = setting(
+        'operator addresses of entry instances, tried in this order',
+        reader=read_addresses,
+        shape='HOST:PORT,...',
+    )
+    secret: Secret = secret_setting('the operator secret')
+    timeout_s: float = _seconds('time for an operation, with retries', 15.0)
+
+
+# --- reading ----------------------------------------------------------------
+
+
+def flag_name(model_field: dataclasses.Field[Any]) -> str:
+    """Name of the flag, with underscores; a secret's names its file."""
+    secret = model_field.metadata['setting'].secret
+    return model_field.name + ('_file' if secret else '')
+
+
+def flag_names(model: Any) -> tuple[str, ...]:
+    return tuple(flag_name(one) for one in dataclasses.fields(model))
+
+
+def spelled(flag: str) -> str:
+    return '--' + flag.replace('_', '-')
+
+
+def fill(
+    model: type[T],
+    flags: Mapping[str, str],
+    environ: Mapping[str, str],
+    findings: Findings,
+) -> T | None:
+    """Fill a model; ``None`` with what is wrong added to ``findings``."""
+    before = len(findings.items)
+    values: dict[str, Any] = {}
+    for one in dataclasses.fields(model):  # type: ignore[arg-type]
+        found = _find(one, flags, environ, findings)
+        if found is not None:
+            values[one.name] = found
+    if len(findings.items) > before:
+        return None
+    return model(**values)
+
+
+def _find(
+    one: dataclasses.Field[Any],
+    flags: Mapping[str, str],
+    environ: Mapping[str, str],
+    findings: Findings,
+) -> Any:
+    """The value of one field; ``None`` for its default or a finding."""
+    declared: Setting = one.metadata['setting']
+    flag = flag_name(one)
+    variable = PREFIX + flag.upper()
+    if flag in flags:
+        place, raw = spelled(flag), flags[flag]
+    elif variable in environ:
+        place, raw = variable, environ[variable]
+    elif declared.secret and PREFIX + one.name.upper() in environ:
+        place = PREFIX + one.name.upper()
+        return _read(declared, place, environ[place], findings)
+    else:
+        if one.default is dataclasses.MISSING:
+            findings.add(
+                place=spelled(flag),
+                problem='not set',
+                remedy=f'set the flag or {variable}',
+            )
+        return None
+    if place.startswith('--') and raw == 'True' and declared.shape != 'BOOL':
+        findings.add(
+            place=place, problem='no value', remedy=f'give {declared.shape}'
+        )
+        return None
+    if declared.secret:
+        return _read_secret_file(declared, place, raw, findings)
+    return _read(declared, place, raw, findings)
+
+
+def _read(declared: Setting, place: str, raw: str, findings: Findings) -> Any:
+    try:
+        return declared.reader(raw)
+    except ValueError as exc:
+        shown = 'the secret' if declared.secret else repr(raw)
+        findings.add(
+            place=place,
+            problem=f'{shown} is not valid',
+            remedy=f'it {exc}',
+        )
+        return None
+
+
+def _read_secret_file(
+    declared: Setting, place: str, path: str, findings: Findings
+) -> Any:
+    try:
+        raw = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        reason = getattr(exc, 'strerror', None) or 'not text'
+        findings.add(
+            place=place,
+            problem=f"can't read {path!r}: {reason}",
+            remedy='name a text file that holds only the secret',
+        )
+        return None
+    return _read(declared, place, raw, findings)
+
+
+def describe(model: Any) -> str:
+    """The flags of a model, for ``--help``."""
+    lines = []
+    for one in dataclasses.fields(model):
+        declared: Setting = one.metadata['setting']
+        head = f'  {spelled(flag_name(one))} {declared.shape}'
+        tail = _default_text(one.default)
+        lines.append(f'{head:<{HELP_COLUMN}} {declared.help} ({tail})')
+    return '\n'.join(lines)
+
+
+def _default_text(default: Any) -> str:
+    if default is dataclasses.MISSING:
+        return 'required'
+    return f'default: {default}' if default != '' else 'default: none'
+
+
+HELP_ENDING = f"""\
+Each flag can also be set by a variable: {PREFIX} and the name of the flag in
+capitals, e.g. {PREFIX}LOG_LEVEL; the flag wins. A secret can be given by
+the variable without _FILE instead of a file, e.g. {PREFIX}CLUSTER_SECRET.
+"""
+
+
+def refuse(program: str, error: FindingsError) -> NoReturn:
+    """Print all findings and end with the status of a usage error."""
+    for one in error.findings:
+        print(f'{program}: {one}', file=sys.stderr)
+    sys.exit(USAGE_STATUS)
+
+
+def read_settings(
+    program: str,
+    model: type[T],
+    *,
+    summary: str = '',
+    argv: Sequence[str] | None = None,
+    environ: Mapping[str, str] | None = None,
+) -> T:
+    """Settings of a program without commands.
+
+    Prints the help or all findings and ends the process where there is
+    nothing to run.
+    """
+    argv = sys.argv[1:] if argv is None else argv
+    environ = os.environ if environ is None else environ
+    if wants_help(argv):
+        print(f'usage: {program} [flags]\n\n{summary}\n\nflags:')
+        print(f'{describe(model)}\n\n{HELP_ENDING}', end='')
+        sys.exit(0)
+    findings = Findings()
+    syntax = Syntax(flags=flag_names(model))
+    line = parse_command_line(program, syntax, argv, findings)
+    filled = fill(model, line.values, environ, findings)
+    if filled is None or findings.items:
+        refuse(program, FindingsError(tuple(findings.items)))
+    return filled
--- /dev/null
+++ b/testing/common/test_settings.py
@@ -0,0 +1,144 @@
+"""Settings: every finding at once, nothing run on bad input, no secrets."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+import subprocess
+import sys
+
+import pytest
+
+from galenareel._common.readers import Secret
+from galenareel._common.settings import ControlSettings
+from galenareel._common.settings import EntrySettings
+from galenareel._common.settings import flag_names
+from galenareel._common.settings import OperatorSettings
+from galenareel._common.settings import read_settings
+
+ARGV = [
+    *('--name', 'c1', '--zone', 'a', '--listen', '127.0.0.1:7000'),
+    *('--members', 'c1=127.0.0.1:7000,c2=127.0.0.1:7001'),
+    *('--data-dir', '/tmp/c1'),
+]
+ENVIRON = {'GALENAREEL_CLUSTER_SECRET': 'much too secret'}
+
+
+def read_control(
+    *argv: str, environ: dict[str, str] = ENVIRON
+) -> ControlSettings:
+    return read_settings(
+        'galenareel-control', ControlSettings, argv=argv, environ=environ
+    )
+
+
+def test_flag_precedes_variable_precedes_default(tmp_path: Path) -> None:
+    secret = tmp_path / 'secret'
+    secret.write_text('from a file\n')
+    environ = {
+        **ENVIRON,
+        'GALENAREEL_ZONE': 'b',
+        'GALENAREEL_LOG_LEVEL': 'debug',
+    }
+    argv = [*ARGV, '--join', '--cluster-secret-file', str(secret)]
+    cfg = read_control(*argv, environ=environ)
+    assert (cfg.zone, cfg.log_level, cfg.metrics) == ('a', 'debug', 'off')
+    assert cfg.join
+    assert [one.name for one in cfg.members] == ['c1', 'c2']
+    assert cfg.cluster_secret.reveal() == 'from a file'
+
+
+def test_secret_does_not_show() -> None:
+    """Guards against secrets in logs and traces."""
+    cfg = read_control(*ARGV)
+    assert 'too secret' not in f'{cfg!r} {cfg.cluster_secret}'
+    assert 'too secret' not in f'{Secret("too secret")!s:>20}'
+
+
+def test_all_findings_are_reported_together(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against operators who fix one setting per attempt."""
+    environ = {
+        'GALENAREEL_CLUSTER_SECRET': 'short',
+        'GALENAREEL_LISTEN': 'nowhere',
+    }
+    argv = ['--name', 'c 1', '--join=perhaps', '--zone', '--bogus', '3']
+    with pytest.raises(SystemExit) as ended:
+        read_control(*argv, environ=environ)
+    assert ended.value.code == 2
+    err = capsys.readouterr().err
+    for place in (
+        '--name',
+        '--zone',
+        'GALENAREEL_LISTEN',
+        '--members',
+        '--data-dir',
+        'GALENAREEL_CLUSTER_SECRET:',
+        '--join',
+        '--bogus',
+    ):
+        assert place in err
+    assert 'short' not in err
+
+
+@pytest.mark.parametrize(
+    'extra',
+    [
+        ['--bogus', '1'],
+        ['left-over'],
+        ['__class__'],
+        ['--', '--interactive'],
+        ['-'],
+        ['--metrics', 'file:'],
+        ['--cluster-secret-file', '/does/not/exist'],
+        ['--listen', '127.0.0.1:99999'],
+        ['--members', 'a=x:1,a=x:2'],
+    ],
+)
+def test_bad_argument_is_a_usage_error(
+    extra: list[str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a program that starts on a line it misread."""
+    with pytest.raises(SystemExit) as ended:
+        read_control(*ARGV, *extra)
+    assert ended.value.code == 2
+    captured = capsys.readouterr()
+    assert captured.out == ''
+    assert captured.err.startswith('galenareel-control: ')
+    assert 'Traceback' not in captured.err
+
+
+@pytest.mark.parametrize(
+    'model', [ControlSettings, EntrySettings, OperatorSettings]
+)
+def test_help_is_complete(
+    model: type, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with pytest.raises(SystemExit) as ended:
+        read_settings('it', model, argv=['--name', '--help'], environ={})
+    assert ended.value.code == 0
+    out = capsys.readouterr().out
+    for name in flag_names(model):
+        assert '--' + name.replace('_', '-') in out
+
+
+@pytest.mark.parametrize('value', ['0', '-1', 'many', '1e3', '99999999999'])
+def test_limit_out_of_range_is_refused(value: str) -> None:
+    """Guards against limits that switch themselves off."""
+    with pytest.raises(SystemExit):
+        read_settings(
+            'it', EntrySettings, argv=['--max-queue', value], environ={}
+        )
+
+
+def test_sdk_is_not_loaded_when_metrics_are_off() -> None:
+    """Guards against the SDK in the memory of every process."""
+    code = (
+        'import sys; from galenareel._common.metrics import Metrics; '
+        'Metrics("p").counter("n").add(1); '
+        'sys.exit(any("opentelemetry.sdk" in name for name in sys.modules))'
+    )
+    environ = {**os.environ, 'PYTHONPATH': os.pathsep.join(sys.path)}
+    ended = subprocess.run([sys.executable, '-c', code], env=environ)
+    assert ended.returncode == 0
