--- a/src/galenareel/_document/model.py
+++ b/src/galenareel/_document/model.py
@@ -9,6 +9,68 @@
 from dataclasses import dataclass
 from dataclasses import field
 from enum import StrEnum
+from typing import Annotated
+
+from msgspec import Meta
+
+MAX_COUNT = 100_000
+MAX_SECONDS = 7 * 86400.0
+
+Name = Annotated[
+    str,
+    Meta(
+        pattern=r'^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$',
+        max_length=63,
+        description='a name of letters, digits, inner dots and dashes',
+    ),
+]
+InstanceName = Annotated[
+    str,
+    Meta(
+        pattern=r'^[A-Za-z0-9._-]+/[A-Za-z0-9._-]+$',
+        max_length=127,
+        description='an instance as zone/name',
+    ),
+]
+Path = Annotated[
+    str,
+    Meta(
+        pattern=r'^/[A-Za-z0-9._~][A-Za-z0-9._~/-]*$',
+        max_length=255,
+        description='a path prefix that begins with a slash, e.g. /lots',
+    ),
+]
+Count = Annotated[
+    int,
+    Meta(
+        ge=0,
+        le=MAX_COUNT,
+        description=f'a whole number from 0 to {MAX_COUNT}',
+    ),
+]
+Positive = Annotated[
+    int,
+    Meta(
+        ge=1,
+        le=MAX_COUNT,
+        description=f'a whole number from 1 to {MAX_COUNT}',
+    ),
+]
+Version = Annotated[
+    int,
+    Meta(ge=0, le=2**53, description='a whole number, 0 or more'),
+]
+Seconds = Annotated[
+    float,
+    Meta(
+        gt=0,
+        le=MAX_SECONDS,
+        description=f'seconds, more than 0 and at most {MAX_SECONDS:g}',
+    ),
+]
+Weight = Annotated[
+    float, Meta(ge=0, le=1e6, description='a number from 0 to 1000000')
+]
 
 
 class Urgency(StrEnum):
@@ -20,8 +82,8 @@
 class Weights:
     """What the operator pays for, relative to each other; both >= 0."""
 
-    buffer_cost: float = 1.0
-    moves: float = 1.0
+    buffer_cost: Weight = 1.0
+    moves: Weight = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,11 +99,11 @@
         others start in the pool of the service they announce.
     """
 
-    name: str
-    min_available: int
+    name: Name
+    min_available: Count
     spare: bool = False
     survive_rack: bool = False
-    instances: tuple[str, ...] = ()
+    instances: tuple[InstanceName, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -52,21 +114,21 @@
     :param deadline_s: used where the caller names none.
     """
 
-    name: str
-    pool: str
-    path: str
+    name: Name
+    pool: Name
+    path: Path
     urgency: Urgency = Urgency.URGENT
     idempotent: bool = False
-    deadline_s: float = 10.0
+    deadline_s: Seconds = 10.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Team:
     """A group of callers with a quota of concurrent slots."""
 
-    name: str
-    slots: int
-    callers: tuple[str, ...] = ()
+    name: Name
+    slots: Positive
+    callers: tuple[Name, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -79,22 +141,22 @@
         the instance is skipped and reported.
     """
 
-    name: str
-    pools: tuple[str, ...]
-    first_batch: int = 1
-    max_batch: int = 4
-    stop_after: int = 2
-    drain_timeout_s: float = 60.0
+    name: Name
+    pools: tuple[Name, ...]
+    first_batch: Positive = 1
+    max_batch: Positive = 4
+    stop_after: Positive = 2
+    drain_timeout_s: Seconds = 60.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Environment:
     """One environment document."""
 
-    environment: str
-    version: int
-    replaces: int
-    zones: tuple[str, ...]
+    environment: Name
+    version: Version
+    replaces: Version
+    zones: tuple[Name, ...]
     pools: tuple[Pool, ...]
     services: tuple[Service, ...]
     weights: Weights = field(default_factory=Weights)
