Add the command line of operators

Operators need to submit, promote and read back what the system did, with answers that may be lost on the way.

Each command runs over operator HTTP after the whole command line was read. Events of all entries are merged causally and printed once.

--- /dev/null
+++ b/src/galenareel/_operator/commands.py
@@ -0,0 +1,151 @@
+"""The commands of ``galenareel`` and the flags of each."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from galenareel._common.readers import read_flag
+from galenareel._common.readers import read_name
+from galenareel._common.settings import describe
+from galenareel._common.settings import HELP_ENDING
+from galenareel._common.settings import OperatorSettings
+from galenareel._common.settings import setting
+
+
+def _switch(text: str) -> Any:
+    return setting(text, reader=read_flag, shape='BOOL', default=False)
+
+
+def _word(text: str, shape: str) -> Any:
+    return setting(text, reader=str, shape=shape, default='')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LocalSettings:
+    """A command that talks to no process."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShowSettings(OperatorSettings):
+    """A command that shows an answer."""
+
+    json: bool = _switch('print the answer as JSON')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PromoteSettings(ShowSettings):
+    """``promote``."""
+
+    digest: str = _word(
+        'digest of the text, as submit printed it; asked for if absent',
+        'DIGEST',
+    )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MemberSettings(ShowSettings):
+    """``members``."""
+
+    add: str = _word('add this control member', 'NAME=HOST:PORT')
+    remove: str = setting(
+        'remove this control member',
+        reader=read_name,
+        shape='NAME',
+        default='',
+    )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TimelineSettings(ShowSettings):
+    """``timeline``."""
+
+    instance: str = _word('only events about this instance', 'ZONE/NAME')
+    pool: str = _word('only events about this pool', 'POOL')
+    document: str = _word('only events about this version', 'VERSION')
+    request: str = _word('only events about this request', 'ID')
+    follow: bool = _switch('keep printing new events')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Command:
+    """One command: its arguments, its settings and its help."""
+
+    model: type[Any]
+    help: str
+    arguments: tuple[str, ...] = ()
+
+
+COMMANDS: Mapping[str, Command] = {
+    'validate': Command(
+        model=LocalSettings,
+        arguments=('file',),
+        help='check a document without sending it anywhere',
+    ),
+    'submit': Command(
+        model=ShowSettings,
+        arguments=('file',),
+        help='submit a document as a trial; changes nothing that is served',
+    ),
+    'promote': Command(
+        model=PromoteSettings,
+        arguments=('version',),
+        help='put a submitted version in force',
+    ),
+    'status': Command(
+        model=ShowSettings,
+        help='pools, instances, entries, documents and waves as they are now',
+    ),
+    'explain': Command(
+        model=ShowSettings,
+        arguments=('subject',),
+        help='why an instance, pool, wave or document is in its state',
+    ),
+    'timeline': Command(
+        model=TimelineSettings,
+        help='events of all processes in causal order',
+    ),
+    'members': Command(
+        model=MemberSettings,
+        help='show, add or remove the control members',
+    ),
+    'retry-wave': Command(
+        model=ShowSettings,
+        arguments=('wave',),
+        help='resume a wave that stopped after failures',
+    ),
+    'measure': Command(
+        model=ShowSettings,
+        help='buffer cost, roll-out time and moves, as they are now',
+    ),
+}
+
+
+def usage() -> str:
+    """The help of the program, with every command."""
+    lines = ['usage: galenareel COMMAND [arguments] [flags]', '']
+    lines += ['Operates galenareel over the operator HTTP of its entries.', '']
+    lines.append('commands:')
+    for name, one in COMMANDS.items():
+        lines.append(f'  {_spelled(name, one):<22} {one.help}')
+    lines += ['', 'flags of each command that calls an entry:']
+    lines.append(describe(OperatorSettings))
+    lines += ['', 'Exit status: 0 done, 1 refused or failed, 2 wrong usage.']
+    lines += ['galenareel COMMAND --help shows all flags of a command.', '']
+    return '\n'.join(lines) + HELP_ENDING
+
+
+def usage_of(name: str) -> str:
+    """The help of one command."""
+    one = COMMANDS[name]
+    lines = [f'usage: galenareel {_spelled(name, one)} [flags]', '']
+    lines += [one.help[0].upper() + one.help[1:] + '.', '']
+    flags = describe(one.model)
+    if flags:
+        lines += ['flags:', flags, '']
+    return '\n'.join(lines) + HELP_ENDING
+
+
+def _spelled(name: str, one: Command) -> str:
+    return ' '.join([name, *(word.upper() for word in one.arguments)])
--- /dev/null
+++ b/src/galenareel/_operator/main.py
@@ -0,0 +1,92 @@
+"""The program ``galenareel``: the command line of operators.
+
+Exit status: 0 done, 1 refused or failed, 2 wrong usage.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import os
+import sys
+
+from galenareel._common.command_line import CommandLine
+from galenareel._common.command_line import parse_command_line
+from galenareel._common.command_line import Syntax
+from galenareel._common.command_line import wants_help
+from galenareel._common.findings import Findings
+from galenareel._common.findings import FindingsError
+from galenareel._common.settings import fill
+from galenareel._common.settings import flag_names
+from galenareel._common.settings import refuse
+from galenareel._operator.commands import COMMANDS
+from galenareel._operator.commands import usage
+from galenareel._operator.commands import usage_of
+from galenareel._operator.run import FAILED
+from galenareel._operator.run import run
+
+PROGRAM = 'galenareel'
+USAGE = 2
+INTERRUPTED = 130
+
+
+def main(
+    argv: Sequence[str] | None = None,
+    environ: Mapping[str, str] | None = None,
+) -> None:
+    """Run one command and end the process with its status."""
+    argv = sys.argv[1:] if argv is None else argv
+    environ = os.environ if environ is None else environ
+    if wants_help(argv):
+        known = argv[0] in COMMANDS
+        print(usage_of(argv[0]) if known else usage(), end='')
+        sys.exit(0)
+    if not argv:
+        print(usage(), end='', file=sys.stderr)
+        sys.exit(USAGE)
+    sys.exit(_run(argv, environ))
+
+
+def _run(argv: Sequence[str], environ: Mapping[str, str]) -> int:
+    findings = Findings()
+    line = _parse(argv, findings)
+    if not line.command:
+        refuse(PROGRAM, FindingsError(tuple(findings.items)))
+    model = COMMANDS[line.command].model
+    cfg = fill(model, line.values, environ, findings)
+    if findings.items:
+        refuse(PROGRAM, FindingsError(tuple(findings.items)))
+    try:
+        status = run(line.command, line.values, cfg)
+        sys.stdout.flush()
+        return status
+    except KeyboardInterrupt:
+        return INTERRUPTED
+    except BrokenPipeError:
+        # The reader of the output ended; keep the interpreter from
+        # flushing into the closed pipe again.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return FAILED
+    except Exception as exc:
+        problem = f'{type(exc).__name__}: {exc}'
+        print(f'{PROGRAM}: unexpected failure: {problem}', file=sys.stderr)
+        return FAILED
+
+
+def _parse(argv: Sequence[str], findings: Findings) -> CommandLine:
+    if argv[0] not in COMMANDS:
+        findings.add(
+            place=argv[0],
+            problem='no such command',
+            remedy=f'use one of {", ".join(COMMANDS)}',
+        )
+        return CommandLine()
+    syntax = {
+        name: Syntax(positional=one.arguments, flags=flag_names(one.model))
+        for name, one in COMMANDS.items()
+    }
+    return parse_command_line(PROGRAM, syntax, argv, findings)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/testing/operator/test_main.py
@@ -0,0 +1,251 @@
+"""The command line of operators against a stand-in of the operator HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import json
+from pathlib import Path
+import socket
+from typing import Any
+
+from gevent.pywsgi import WSGIServer
+import pytest
+
+from galenareel._operator.main import main
+
+EXAMPLE = Path(__file__).parents[2] / 'examples' / 'abay.yaml'
+SECRET = 'operator secret'
+Answer = tuple[str, Any]
+
+
+class Entry:
+    """Answers operations from a list and keeps what it was asked."""
+
+    def __init__(self) -> None:
+        self.asked: list[tuple[str, Any]] = []
+        self.answers: dict[str, list[Answer]] = {}
+        self.server = WSGIServer(('127.0.0.1', 0), self._app, log=None)
+        self.server.start()
+        self.address = f'127.0.0.1:{self.server.server_port}'
+
+    def _app(self, environ: dict[str, Any], start: Callable[..., Any]) -> Any:
+        operation = environ['PATH_INFO'].rsplit('/', 1)[1]
+        body = json.loads(environ['wsgi.input'].read())
+        if environ.get('HTTP_AUTHORIZATION') != f'Bearer {SECRET}':
+            status, answer = '401 No', {'reason': 'secret', 'detail': 'wrong'}
+        else:
+            self.asked.append((operation, body))
+            answers = self.answers.get(operation, [('200 OK', {})])
+            status, answer = answers.pop(0) if answers[1:] else answers[0]
+        data = json.dumps(answer).encode()
+        length = len(data) + (7 if status == '200 Cut' else 0)
+        headers = [('Content-Length', str(length)), ('Connection', 'close')]
+        start(status, headers)
+        return [data]
+
+
+@pytest.fixture
+def entry() -> Iterator[Entry]:
+    entry = Entry()
+    yield entry
+    entry.server.stop(timeout=0)
+
+
+@pytest.fixture
+def call(
+    entry: Entry, capsys: pytest.CaptureFixture[str]
+) -> Callable[..., tuple[int, str, str]]:
+    def call(
+        *argv: str, at: str = entry.address, secret: str = SECRET
+    ) -> tuple[int, str, str]:
+        environ = {
+            'GALENAREEL_ENTRY': at,
+            'GALENAREEL_SECRET': secret,
+            'GALENAREEL_TIMEOUT_S': '3',
+        }
+        with pytest.raises(SystemExit) as ended:
+            main(argv, environ)
+        out, err = capsys.readouterr()
+        assert 'Traceback' not in err
+        code = ended.value.code
+        assert isinstance(code, int)
+        return code, out, err
+
+    return call
+
+
+def free_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{sock.getsockname()[1]}'
+
+
+def test_validate_needs_no_entry(call: Callable[..., Any]) -> None:
+    code, out, _ = call('validate', str(EXAMPLE))
+    assert code == 0
+    assert 'environment abay version 1 is valid: 5 pools' in out
+
+
+def test_invalid_document_is_not_sent(
+    entry: Entry, call: Callable[..., Any], tmp_path: Path
+) -> None:
+    """Guards against a mistake that only the server finds."""
+    path = tmp_path / 'bad.yaml'
+    path.write_text(EXAMPLE.read_text().replace('version: 1', 'version: 0'))
+    code, _, err = call('submit', str(path))
+    assert code == 1 and 'version 0 is not above replaces 0' in err
+    assert entry.asked == []
+
+
+def test_lost_answer_is_retried(
+    entry: Entry, call: Callable[..., Any]
+) -> None:
+    """Guards against an operator who can't know what a submit did."""
+    entry.answers['submit'] = [
+        ('200 Cut', {'version': 1}),
+        ('503 Later', {'reason': 'no_leader'}),
+        ('200 OK', {'version': 1, 'digest': 'd'}),
+    ]
+    at = f'{free_address()},{entry.address}'
+    code, out, _ = call('submit', str(EXAMPLE), at=at)
+    assert code == 0 and 'digest' in out
+    sent = {json.dumps(body) for _, body in entry.asked}
+    assert len(entry.asked) == 3 and len(sent) == 1
+
+
+def test_promote_finds_the_digest(
+    entry: Entry, call: Callable[..., Any]
+) -> None:
+    entry.answers['document'] = [
+        ('200 OK', {'documents': [{'version': 3, 'digest': 'd3'}]})
+    ]
+    assert call('promote', '3')[0] == 0
+    assert entry.asked[-1] == ('promote', {'version': 3, 'digest': 'd3'})
+    assert call('promote', '4')[0] == 1
+
+
+def test_refusal_names_the_reason(
+    entry: Entry, call: Callable[..., Any]
+) -> None:
+    body = {'reason': 'conflict', 'detail': 'version 2 was submitted as d2'}
+    entry.answers['submit'] = [('409 Conflict', body)]
+    code, out, err = call('submit', str(EXAMPLE))
+    assert (code, out) == (1, '')
+    assert 'conflict: version 2 was submitted as d2' in err
+    assert len(entry.asked) == 1
+
+
+def test_no_entry_answers(call: Callable[..., Any]) -> None:
+    code, _, err = call('status', at=free_address())
+    assert code == 1 and 'safe to run the command again' in err
+
+
+def test_wrong_secret_is_refused(
+    entry: Entry, call: Callable[..., Any]
+) -> None:
+    code, out, err = call('status', secret='not the secret')
+    assert (code, out) == (1, '') and 'wrong' in err
+    assert 'not the secret' not in err
+
+
+@pytest.mark.parametrize(
+    'argv',
+    [
+        (),
+        ('stauts',),
+        ('submit',),
+        ('promote', 'one'),
+        ('status', '--bogus'),
+        ('status', 'left', 'over'),
+        ('status', '--timeout-s', '-1'),
+        ('validate', '/does/not/exist'),
+        ('--bogus',),
+    ],
+)
+def test_wrong_usage_runs_nothing(
+    entry: Entry, call: Callable[..., Any], argv: tuple[str, ...]
+) -> None:
+    code, out, err = call(*argv)
+    assert (code, out) == (2, '') and err
+    assert entry.asked == []
+
+
+def test_help_names_every_command(call: Callable[..., Any]) -> None:
+    code, out, _ = call('--help')
+    assert code == 0
+    for name in 'submit promote status explain timeline measure'.split():
+        assert f'  {name}' in out
+        assert call(name, '--help')[0] == 0
+
+
+def test_unexpected_answer_is_no_trace_back(
+    entry: Entry, call: Callable[..., Any]
+) -> None:
+    entry.answers['events'] = [('200 OK', {'events': [{'time': 'x'}]})]
+    code, _, err = call('timeline')
+    assert code == 1 and 'unexpected' in err
+
+
+def event(process: str, seq: int, wall_ms: int, **subjects: str) -> Any:
+    return {
+        'time': wall_ms << 16,
+        'process': process,
+        'seq': seq,
+        'kind': 'move.finished',
+        'subjects': subjects,
+        'detail': 'by \x1b[31mplan',
+    }
+
+
+def test_timeline_merges_and_filters(
+    entry: Entry, call: Callable[..., Any]
+) -> None:
+    """Guards against effects before causes and against double lines."""
+    other = Entry()
+    late = event('c1', 9, 2000, pool='lots', instance='a/w1')
+    first = event('e1', 4, 1000, pool='lots')
+    entry.answers['events'] = [('200 OK', {'events': [late, first]})]
+    other.answers['events'] = [
+        ('200 OK', [event('e2', 1, 1500, pool='office'), first])
+    ]
+    code, out, _ = call('timeline', at=f'{entry.address},{other.address}')
+    assert code == 0
+    assert [line.split()[1] for line in out.splitlines()] == ['e1', 'e2', 'c1']
+    assert '\x1b' not in out
+    _, out, _ = call('timeline', '--pool', 'lots', '--json')
+    found = [json.loads(line)['process'] for line in out.splitlines()]
+    assert found == ['e1', 'c1']
+    other.server.stop(timeout=0)
+
+
+def test_measures_are_computed_from_status_and_events(
+    entry: Entry, call: Callable[..., Any]
+) -> None:
+    instances = [
+        {'pool': 'lots', 'phase': 'serving', 'slots': 8, 'in_use': 2},
+        {'pool': 'lots', 'phase': 'draining', 'slots': 8, 'in_use': 1},
+    ]
+    wave = {'wave': 'k', 'state': 'done', 'started_at': 5.0, 'ended_at': 9.5}
+    document = {'version': 2, 'stage': 'in_force', 'promoted_at': 1.0}
+    status = {
+        'instances': instances,
+        'waves': [wave],
+        'documents': [document],
+    }
+    entry.answers['status'] = [('200 OK', status)]
+    in_force = event('e1', 2, 2500, document='2')
+    in_force['kind'] = 'document.in_force'
+    moved = event('c1', 1, 2000, pool='lots')
+    entry.answers['events'] = [('200 OK', {'events': [moved, in_force]})]
+    code, out, _ = call('measure', '--json')
+    assert code == 0
+    assert json.loads(out) == {
+        'buffer_cost': 0.75,
+        'buffer_share': 0.75,
+        'document_version': 2,
+        'document_roll_out_s': 1.5,
+        'wave_roll_out_s': {'k': 4.5},
+        'moves': 1,
+        'moves_to': {'lots': 1},
+    }
