Add the replicated log: core, storage and gevent driver

Cause: control needs a Replicator whose acknowledged commands survive the loss of a member, a disk or a connection.

Driver.receive takes the PeerMessages that reach the process's frame server; their sender field is the sender's frame address.

--- /dev/null
+++ b/src/galenareel/_consensus/disk.py
@@ -0,0 +1,138 @@
+"""Files of one data folder."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+import fcntl
+import os
+
+from galenareel._consensus.errors import StorageError
+
+LOCK_NAME = 'lock'
+
+
+class Disk(ABC):
+    """One flat folder; a failing call raises ``OSError``.
+
+    What was appended or renamed is durable only after the matching sync.
+    """
+
+    @abstractmethod
+    def names(self) -> list[str]:
+        """Names of all files, sorted."""
+
+    @abstractmethod
+    def read(self, name: str) -> bytes:
+        """The whole file."""
+
+    @abstractmethod
+    def read_part(self, name: str, offset: int, size: int) -> bytes:
+        """Part of a file."""
+
+    @abstractmethod
+    def append(self, name: str, data: bytes) -> None:
+        """Write at the end; makes the file if needed."""
+
+    @abstractmethod
+    def sync(self, name: str) -> None:
+        """Make the content of a file durable."""
+
+    @abstractmethod
+    def rename(self, old: str, new: str) -> None:
+        """Rename a file over another."""
+
+    @abstractmethod
+    def remove(self, name: str) -> None:
+        """Remove a file; no error if it doesn't exist."""
+
+    @abstractmethod
+    def sync_folder(self) -> None:
+        """Make new, renamed and removed names durable."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Release the folder."""
+
+
+class FolderDisk(Disk):
+    """A folder of the file system, locked against a second process."""
+
+    def __init__(self, path: str) -> None:
+        """:raises StorageError: if the folder can't be used."""
+        self._path = path
+        self._files: dict[str, int] = {}
+        try:
+            os.makedirs(path, exist_ok=True)
+            self._folder = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+            self._lock = os.open(
+                self._full(LOCK_NAME), os.O_CREAT | os.O_RDWR, 0o600
+            )
+        except OSError as exc:
+            raise StorageError(
+                f'data folder {path} can not be used: {exc}; check that it '
+                'is a folder this user may write to'
+            ) from exc
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as exc:
+            self.close()
+            raise StorageError(
+                f'data folder {path} is in use by another process; stop it, '
+                'or give each process its own folder'
+            ) from exc
+
+    def names(self) -> list[str]:
+        return sorted(one for one in os.listdir(self._path) if one != 'lock')
+
+    def read(self, name: str) -> bytes:
+        with open(self._full(name), 'rb') as file:
+            return file.read()
+
+    def read_part(self, name: str, offset: int, size: int) -> bytes:
+        with open(self._full(name), 'rb') as file:
+            file.seek(offset)
+            return file.read(size)
+
+    def append(self, name: str, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            view = view[os.write(self._open(name), view) :]
+
+    def sync(self, name: str) -> None:
+        os.fsync(self._open(name))
+
+    def rename(self, old: str, new: str) -> None:
+        os.rename(self._full(old), self._full(new))
+        self._forget(old)
+        self._forget(new)
+
+    def remove(self, name: str) -> None:
+        self._forget(name)
+        try:
+            os.remove(self._full(name))
+        except FileNotFoundError:
+            pass
+
+    def sync_folder(self) -> None:
+        os.fsync(self._folder)
+
+    def close(self) -> None:
+        for name in list(self._files):
+            self._forget(name)
+        os.close(self._lock)
+        os.close(self._folder)
+
+    def _full(self, name: str) -> str:
+        return os.path.join(self._path, name)
+
+    def _open(self, name: str) -> int:
+        if name not in self._files:
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+            self._files[name] = os.open(self._full(name), flags, 0o600)
+        return self._files[name]
+
+    def _forget(self, name: str) -> None:
+        file = self._files.pop(name, None)
+        if file is not None:
+            os.close(file)
--- /dev/null
+++ b/src/galenareel/_consensus/log.py
@@ -0,0 +1,87 @@
+"""Entries of the log that are held in memory."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from galenareel._consensus.records import Entry
+
+
+class RaftLog:
+    """Entries after a base entry of which only index and term are known."""
+
+    def __init__(
+        self,
+        base_index: int = 0,
+        base_term: int = 0,
+        entries: Sequence[Entry] = (),
+    ) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
+        self._entries = list(entries)
+
+    @property
+    def last_index(self) -> int:
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        return self._entries[-1].term if self._entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Term of an entry; ``None`` if it is compacted or doesn't exist."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self._entries[index - self.base_index - 1].term
+        return None
+
+    def slice(self, first: int, last: int) -> list[Entry]:
+        """Entries from ``first`` to ``last``, both included."""
+        if first <= self.base_index:
+            raise IndexError(f'entry {first} is compacted')
+        start = first - self.base_index - 1
+        return self._entries[start : last - self.base_index]
+
+    def batch(self, first: int, limit_bytes: int) -> tuple[Entry, ...]:
+        """Entries from ``first``, at least one, up to a size."""
+        found: list[Entry] = []
+        size = 0
+        for entry in self.slice(first, self.last_index):
+            size += len(entry.data)
+            if found and size > limit_bytes:
+                break
+            found.append(entry)
+        return tuple(found)
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Add entries; those from the first one's index on are replaced."""
+        if not entries:
+            return
+        first = entries[0].index
+        if not self.base_index < first <= self.last_index + 1:
+            raise IndexError(f'entry {first} does not follow the log')
+        del self._entries[first - self.base_index - 1 :]
+        self._entries.extend(entries)
+
+    def first_of_term(self, index: int) -> int:
+        """First held index with the same term as ``index``."""
+        term = self.term_at(index)
+        while index > self.base_index + 1 and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def compact(self, index: int) -> None:
+        """Make ``index`` the base."""
+        term = self.term_at(index)
+        if term is None or index <= self.base_index:
+            return
+        del self._entries[: index - self.base_index]
+        self.base_index = index
+        self.base_term = term
+
+    def reset(self, index: int, term: int) -> None:
+        """Drop everything; the log goes on after ``index``."""
+        self.base_index = index
+        self.base_term = term
+        self._entries.clear()
--- /dev/null
+++ b/src/galenareel/_consensus/membership.py
@@ -0,0 +1,138 @@
+"""Changes of the members, one at a time.
+
+A new member is a learner: it gets the log but has no vote. The leader makes
+it a voter once it has caught up. If it replaces a member of the same name,
+that one is removed first, so that no majority rests on a member that is gone
+longer than before.
+"""
+
+from __future__ import annotations
+
+from galenareel._common.sentinels import NotLeader
+from galenareel._common.sentinels import Refused
+from galenareel._consensus.records import MemberInfo
+from galenareel._consensus.records import members_entry
+from galenareel._consensus.records import Membership
+from galenareel._consensus.replication import append_own
+from galenareel._consensus.replication import send_append
+from galenareel._consensus.state import ELECTION_MIN_S
+from galenareel._consensus.state import RaftState
+
+Change = int | Refused | NotLeader
+
+
+def add_learner(st: RaftState, member: MemberInfo, now: float) -> Change:
+    """Index of the entry that adds a learner, or why not."""
+    known = st.membership.find(member.identity)
+    if known is not None and known.address == member.address:
+        return st.history[-1][0]
+    if known is not None:
+        moved = MemberInfo(
+            known.identity, known.name, member.address, known.voter
+        )
+        return _change(st, st.membership.with_member(moved), now)
+    for one in st.membership.named(member.name):
+        if not one.voter:
+            return _refused(
+                'member_joining',
+                f'{one.name} already has a new member that is catching up; '
+                f'remove {one.name} first',
+            )
+    learner = MemberInfo(
+        member.identity, member.name, member.address, voter=False
+    )
+    return _change(st, st.membership.with_member(learner), now)
+
+
+def remove(st: RaftState, name: str, now: float) -> Change:
+    """Index of the entry that removes a member, or why not.
+
+    Of two members of that name the learner is removed.
+    """
+    found = sorted(st.membership.named(name), key=lambda one: one.voter)
+    if not found:
+        return _refused('unknown_member', f'no member is named {name}')
+    rest = st.membership.without(found[0].identity)
+    if not rest.voters():
+        return _refused('last_voter', 'the last voter can not be removed')
+    if not _can_commit(st, rest, now):
+        return _refused(
+            'would_lose_quorum',
+            'too few of the remaining voters answer; repair them first',
+        )
+    return _change(st, rest, now)
+
+
+def promote_learners(st: RaftState, now: float) -> None:
+    """Make the first caught-up learner a voter, if no change is open."""
+    for member in st.membership.members:
+        if member.voter or not _caught_up(st, member, now):
+            continue
+        _promote(st, member, now)
+        return
+
+
+def leave_if_removed(st: RaftState, now: float) -> None:
+    """Act on a committed removal; the leader may have removed itself."""
+    index, membership = st.history[-1]
+    if not st.is_leader() or index > st.commit:
+        return
+    for identity in list(st.progress):
+        if membership.find(identity) is None:
+            send_append(st, identity, now, heartbeat=True)
+            del st.progress[identity]
+    if not membership.is_voter(st.identity):
+        st.become_follower(st.term, 0, now)
+
+
+def _promote(st: RaftState, member: MemberInfo, now: float) -> None:
+    former = [one for one in st.membership.named(member.name) if one != member]
+    if former:
+        target = st.membership.without(former[0].identity)
+    else:
+        voter = MemberInfo(member.identity, member.name, member.address)
+        target = st.membership.with_member(voter)
+    if _can_commit(st, target, now):
+        _change(st, target, now)
+
+
+def _caught_up(st: RaftState, member: MemberInfo, now: float) -> bool:
+    """Whether a whole catch-up round took less than an election timeout."""
+    peer = st.progress.get(member.identity)
+    if peer is None or now - peer.heard > ELECTION_MIN_S:
+        return False
+    if peer.round_index == 0:
+        peer.round_index = st.log.last_index
+        peer.round_start = now
+    if peer.match < peer.round_index:
+        return False
+    if now - peer.round_start <= ELECTION_MIN_S:
+        return True
+    peer.round_index = 0
+    return False
+
+
+def _can_commit(st: RaftState, target: Membership, now: float) -> bool:
+    heard = {st.identity}
+    for identity, peer in st.progress.items():
+        if now - peer.heard < ELECTION_MIN_S:
+            heard.add(identity)
+    return len(heard & target.voters()) >= target.quorum()
+
+
+def _change(st: RaftState, target: Membership, now: float) -> Change:
+    if not st.is_leader():
+        return NotLeader(reason='not_leader')
+    if st.log.term_at(st.commit) != st.term:
+        # Without this, two leaders could change the members differently
+        # from the same base and lose the common majority.
+        return _refused('not_ready', 'the leader has just been elected')
+    if st.history[-1][0] > st.commit:
+        return _refused('change_in_progress', 'another change is not done')
+    entry = members_entry(st.log.last_index + 1, st.term, target)
+    append_own(st, [entry], now)
+    return entry.index
+
+
+def _refused(reason: str, detail: str) -> Refused:
+    return Refused(reason=reason, detail=detail, retry_after_s=1.0)
--- /dev/null
+++ b/src/galenareel/_consensus/peers.py
@@ -0,0 +1,145 @@
+"""Links to the other members."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import gevent
+from gevent.event import Event
+
+from galenareel._common.events import HybridClock
+from galenareel._common.frames import connect
+from galenareel._common.frames import Link
+from galenareel._common.messages import AnyMessage
+from galenareel._common.messages import Hello
+from galenareel._common.messages import PeerMessage
+from galenareel._common.messages import Welcome
+
+RECONNECT_S = 0.2
+HELLO_TIMEOUT_S = 1.0
+# A silent partition leaves a connection that TCP retries ever more rarely;
+# a new one works as soon as the network does.
+SILENT_S = 3.0
+# What a frozen member can hold up in memory; raft sends lost messages again.
+QUEUE_MESSAGES = 64
+
+
+class Peer:
+    """Sends to one address, in order, dropping what can't be sent."""
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        own_address: str,
+        process: str,
+        secret: str,
+        clock: HybridClock,
+    ) -> None:
+        self.heard = 0.0  # monotonic time of the latest message from there
+        self.bytes_out = 0
+        self._address = address
+        self._own_address = own_address
+        self._process = process
+        self._secret = secret
+        self._clock = clock
+        self._queue: deque[bytes] = deque()
+        self._wake = Event()
+        self._link: Link | None = None
+        self._link_since = 0.0
+        self._greenlet = gevent.spawn(self._run)
+
+    def send(self, body: bytes, now: float) -> None:
+        if len(self._queue) >= QUEUE_MESSAGES:
+            self._queue.popleft()
+        self._queue.append(body)
+        self._wake.set()
+        self._close_if_silent(now)
+
+    def close(self) -> None:
+        self._greenlet.kill(block=False)
+        if self._link is not None:
+            self._link.close()
+
+    def _close_if_silent(self, now: float) -> None:
+        if self._link is None:
+            return
+        if self._link_since == 0.0:
+            self._link_since = now
+        if now - max(self.heard, self._link_since) > SILENT_S:
+            self._link.close()
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait()
+            self._wake.clear()
+            link = self._open()
+            if link is None:
+                self._queue.clear()
+                gevent.sleep(RECONNECT_S)
+                continue
+            while self._queue and not link.closed:
+                self._send_one(link, self._queue.popleft())
+
+    def _send_one(self, link: Link, body: bytes) -> None:
+        before = link.bytes_out
+        # The receiver answers to the address; a learner whose log is empty
+        # has no other way to know it.
+        link.notify(PeerMessage(sender=self._own_address, body=body))
+        self.bytes_out += link.bytes_out - before
+
+    def _open(self) -> Link | None:
+        if self._link is not None and not self._link.closed:
+            return self._link
+        self._link = None
+        link = connect(self._address, clock=self._clock, handler=_ignore)
+        if not isinstance(link, Link):
+            return None
+        hello = Hello(process=self._process, secret=self._secret)
+        reply = link.request(hello, timeout_s=HELLO_TIMEOUT_S)
+        if not isinstance(reply, Welcome):
+            link.close()
+            return None
+        self._link = link
+        self._link_since = 0.0
+        return link
+
+
+def _ignore(_link: Link, _msg: AnyMessage) -> None:
+    """Members answer on links of their own."""
+
+
+class Peers:
+    """The peers that have been written to."""
+
+    def __init__(
+        self, address: str, *, process: str, secret: str, clock: HybridClock
+    ) -> None:
+        self._address = address
+        self._process = process
+        self._secret = secret
+        self._clock = clock
+        self._peers: dict[str, Peer] = {}
+
+    def send(self, address: str, body: bytes, now: float) -> None:
+        if address not in self._peers:
+            self._peers[address] = Peer(
+                address,
+                own_address=self._address,
+                process=self._process,
+                secret=self._secret,
+                clock=self._clock,
+            )
+        self._peers[address].send(body, now)
+
+    def hear(self, address: str, now: float) -> None:
+        if address in self._peers:
+            self._peers[address].heard = now
+
+    def bytes_out(self) -> int:
+        return sum(one.bytes_out for one in self._peers.values())
+
+    def close(self) -> None:
+        for peer in self._peers.values():
+            peer.close()
+        self._peers.clear()
--- /dev/null
+++ b/src/galenareel/_consensus/state.py
@@ -0,0 +1,169 @@
+"""State of one member that the modules of the core share.
+
+Times are seconds of the member's monotonic clock; wall time plays no part.
+The lease assumes that the monotonic clocks of two members run at rates that
+differ by at most ``MAX_DRIFT``.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from random import Random
+
+from galenareel._consensus.effects import Effects
+from galenareel._consensus.effects import SaveState
+from galenareel._consensus.log import RaftLog
+from galenareel._consensus.messages import Body
+from galenareel._consensus.messages import Envelope
+from galenareel._consensus.records import Membership
+from galenareel._consensus.records import SnapshotMeta
+
+# 0.1 s would spend most of the 2 KB a second that a node may use when idle.
+HEARTBEAT_S = 0.25
+ELECTION_MIN_S = 1.0
+ELECTION_MAX_S = 2.0
+MAX_DRIFT = 0.1
+LEASE_S = ELECTION_MIN_S * (1 - MAX_DRIFT)
+APPEND_BYTES = 256 * 1024
+CHUNK_BYTES = 64 * 1024
+# Bounds what a slow follower can hold up in the leader's send queue.
+MAX_INFLIGHT = 8
+
+
+class SafetyError(AssertionError):
+    """The protocol was violated; the member must stop."""
+
+
+class Role(Enum):
+    FOLLOWER = 'follower'
+    PRE_CANDIDATE = 'pre_candidate'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the leader knows of another member.
+
+    :param next: first entry to send.
+    :param match: last entry known to be synced there.
+    :param stamp: latest stamp that came back, in milliseconds.
+    :param heard: when the latest answer of this term came.
+    :param snapshot: index of the snapshot that is being sent, or 0.
+    :param chunk_heard: an answer to a chunk came since the last heartbeat.
+    :param round_index: where the log ended when the catch-up round began.
+    """
+
+    next: int
+    heard: float
+    match: int = 0
+    stamp: int | None = None
+    inflight: int = 0
+    snapshot: int = 0
+    offset: int = 0
+    chunk_heard: bool = False
+    round_index: int = 0
+    round_start: float = 0.0
+    caught_up: bool = False
+
+
+@dataclass(slots=True)
+class Incoming:
+    """A snapshot that is being received."""
+
+    meta: SnapshotMeta
+    sender: int
+    data: bytearray = field(default_factory=bytearray)
+
+
+@dataclass(slots=True, kw_only=True)
+class RaftState:
+    """Everything the core knows.
+
+    :param synced: last entry that is synced here.
+    :param history: memberships and the entries that brought them, the
+        latest of which is in effect even before it is committed.
+    :param contact: when a leader was last heard; no vote is granted for
+        ``ELECTION_MIN_S`` after it, which is what the lease relies on.
+    """
+
+    identity: int
+    rng: Random
+    cluster: int
+    term: int
+    vote: int
+    log: RaftLog
+    history: list[tuple[int, Membership]]
+    snapshot: SnapshotMeta
+    commit: int
+    synced: int
+    contact: float
+    role: Role = Role.FOLLOWER
+    leader: int = 0
+    votes: set[int] = field(default_factory=set)
+    progress: dict[int, Progress] = field(default_factory=dict)
+    incoming: Incoming | None = None
+    election_due: float = 0.0
+    heartbeat_due: float = 0.0
+    leader_since: float = 0.0
+    effects: Effects = field(default_factory=Effects)
+
+    @property
+    def membership(self) -> Membership:
+        return self.history[-1][1]
+
+    def is_leader(self) -> bool:
+        return self.role is Role.LEADER
+
+    def send(self, to: int, body: Body) -> None:
+        """Send something that rests on no unsynced write."""
+        self.effects.sends.append(self._seal(to, body))
+
+    def reply(self, to: int, body: Body) -> None:
+        """Send once everything written so far is synced."""
+        self.effects.replies.append(self._seal(to, body))
+
+    def _seal(self, to: int, body: Body) -> Envelope:
+        return Envelope(self.cluster, self.identity, to, self.term, body)
+
+    def save_state(self) -> None:
+        self.effects.writes.append(SaveState(self.term, self.vote))
+
+    def reset_election(self, now: float) -> None:
+        """A random timeout makes split votes rare."""
+        timeout = self.rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
+        self.election_due = now + timeout
+
+    def become_follower(self, term: int, leader: int, now: float) -> None:
+        """Follow a leader (0 if unknown), in a new term if it is higher."""
+        if term > self.term:
+            self.term = term
+            self.vote = 0
+            self.save_state()
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self.votes.clear()
+        self.progress.clear()
+        self.reset_election(now)
+
+    def hear_leader(self, sender: int, now: float) -> None:
+        """A message of the leader of the present term has come."""
+        if self.is_leader():
+            raise SafetyError(f'two leaders in term {self.term}')
+        if self.role is not Role.FOLLOWER or self.leader != sender:
+            self.become_follower(self.term, sender, now)
+        self.contact = now
+        self.reset_election(now)
+
+    def in_contact(self, now: float) -> bool:
+        """Whether a leader may still hold a lease that rests on us."""
+        return self.is_leader() or now - self.contact < ELECTION_MIN_S
+
+    def membership_at(self, index: int) -> Membership:
+        found = self.history[0][1]
+        for at, membership in self.history:
+            if at <= index:
+                found = membership
+        return found
--- /dev/null
+++ b/testing/consensus/processes.py
@@ -0,0 +1,105 @@
+"""Control members on real links and folders, in one process."""
+
+from __future__ import annotations
+
+from pathlib import Path
+import socket
+from typing import Any
+
+import gevent
+import msgspec
+
+from galenareel._common.clock import SystemClock
+from galenareel._common.events import HybridClock
+from galenareel._common.frames import FrameServer
+from galenareel._common.frames import Link
+from galenareel._common.messages import AnyMessage
+from galenareel._common.messages import Hello
+from galenareel._common.messages import PeerMessage
+from galenareel._common.messages import Welcome
+from galenareel._consensus.driver import Driver
+from galenareel._consensus.interface import StateMachine
+
+SECRET = 'test secret'
+
+
+def free_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{sock.getsockname()[1]}'
+
+
+class Journal(StateMachine):
+    """Keeps every command; the result of ``apply`` is their number."""
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+
+    def apply(self, index: int, command: bytes) -> Any:
+        self.commands.append(command)
+        return len(self.commands)
+
+    def snapshot(self) -> bytes:
+        return msgspec.msgpack.encode(self.commands)
+
+    def restore(self, index: int, data: bytes) -> None:
+        self.commands = msgspec.msgpack.decode(data, type=list[bytes])
+
+
+class Process:
+    """What a control process has around its driver."""
+
+    def __init__(
+        self,
+        name: str,
+        members: dict[str, str],
+        folder: Path,
+        *,
+        joins: bool = False,
+    ) -> None:
+        self.name = name
+        self.journal = Journal()
+        self.cut = False  # drops everything, in both directions
+        clock = HybridClock(SystemClock())
+        self.driver = Driver(
+            name=name,
+            members=members,
+            data_dir=str(folder / name),
+            machine=self.journal,
+            clock=clock,
+            secret=SECRET,
+            joins=joins,
+        )
+        self.server = FrameServer(
+            members[name], clock=clock, handler=self._handle
+        )
+
+    def start(self) -> None:
+        self.server.start()
+        self.driver.start()
+
+    def close(self) -> None:
+        self.server.close()
+        self.driver.close()
+
+    def _handle(self, _link: Link, msg: AnyMessage) -> AnyMessage | None:
+        if isinstance(msg, Hello) and msg.secret == SECRET:
+            return Welcome(process=self.name)
+        if isinstance(msg, PeerMessage) and not self.cut:
+            self.driver.receive(msg)
+        return None
+
+
+def wait_for(condition: Any, *, timeout_s: float = 10.0) -> Any:
+    """The first true result of a call."""
+    with gevent.Timeout(timeout_s):
+        while not (result := condition()):
+            gevent.sleep(0.02)
+        return result
+
+
+def find_leader(processes: list[Process]) -> Process | None:
+    for one in processes:
+        if one.driver.is_leader():
+            return one
+    return None
