--- /dev/null
+++ b/src/galenareel/_decisions/census.py
@@ -0,0 +1,163 @@
+"""Counts of one tick: who is available where, and what the budgets allow.
+
+Systems record what they take here, so that the decisions of one tick hold
+together; the tables stay as the caller filled them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from galenareel._common.rows import Phase
+
+if TYPE_CHECKING:
+    from galenareel._decisions.tables import Instance
+    from galenareel._decisions.tables import Lease
+    from galenareel._decisions.tables import Pool
+    from galenareel._decisions.tables import Tables
+
+# An instance that came back a moment ago often fails again; it doesn't count
+# towards a budget until it has served this long.
+SETTLE_S = 5.0
+# A committed decision shows in the rows within the report lag of a second;
+# until then the same one is not proposed again.
+DECISION_HOLD_S = 2.0
+
+
+@dataclass(slots=True)
+class Budget:
+    """Availability of one pool in this tick.
+
+    :param serving: instances that may be taken, settled or not.
+    :param racks: available instances by rack.
+    :param inbound: instances that drain elsewhere to come here.
+    """
+
+    pool: Pool
+    serving: list[Instance] = field(default_factory=list)
+    racks: dict[str, int] = field(default_factory=dict)
+    available: int = 0
+    inbound: int = 0
+    slots: int = 0
+
+    def add(self, instance: Instance) -> None:
+        self.available += 1
+        self.racks[instance.rack] = self.racks.get(instance.rack, 0) + 1
+
+    def refusal(self, instance: Instance, *, settled: bool) -> str:
+        """Why it may not be taken now; empty if it may."""
+        left = self.available - settled
+        minimum = self.pool.min_available
+        if left < minimum:
+            return (
+                f'{self.pool.name} has {self.available} available and '
+                f'its budget needs {minimum}'
+            )
+        if not self.pool.survive_rack:
+            return ''
+        largest = self.largest_rack(instance.rack if settled else '')
+        if left - largest < minimum:
+            return (
+                f'{self.pool.name} would keep {left - largest} of the '
+                f'{minimum} its budget needs if it lost a rack'
+            )
+        return ''
+
+    def largest_rack(self, without: str = '') -> int:
+        """Size of the largest rack with one instance of a rack gone."""
+        return max(
+            (count - (rack == without) for rack, count in self.racks.items()),
+            default=0,
+        )
+
+
+class Census:
+    """Everything the systems of one tick share."""
+
+    def __init__(self, tables: Tables, now: float) -> None:
+        self.tables = tables
+        self.now = now
+        self.budgets = {
+            name: Budget(pool) for name, pool in tables.pools.items()
+        }
+        self.taken: set[str] = set()
+        self.leases: dict[str, list[Lease]] = {}
+        self._forget_old_decisions()
+        self._count_instances()
+        for lease in tables.leases.values():
+            self.leases.setdefault(lease.instance, []).append(lease)
+
+    def _forget_old_decisions(self) -> None:
+        decided = self.tables.memory.decided
+        limit = self.now - DECISION_HOLD_S
+        for key in [key for key, at in decided.items() if at <= limit]:
+            del decided[key]
+
+    def _count_instances(self) -> None:
+        decided = self.tables.memory.decided
+        for instance in self.tables.instances.values():
+            if instance.phase is Phase.DRAINING:
+                target = self.budgets.get(instance.target_pool)
+                if target is not None:
+                    target.inbound += 1
+                continue
+            budget = self.budgets.get(instance.pool)
+            if budget is None or instance.phase is not Phase.SERVING:
+                continue
+            if instance.name in decided or not self.is_up(instance):
+                continue
+            budget.serving.append(instance)
+            budget.slots += instance.slots
+            if self.is_settled(instance):
+                budget.add(instance)
+
+    def is_up(self, instance: Instance) -> bool:
+        """Whether its zone is reachable and its home gives it work."""
+        zone = self.tables.zones.get(instance.zone)
+        cut_off = zone is not None and not zone.reachable
+        return not cut_off and not instance.suspect
+
+    def is_settled(self, instance: Instance) -> bool:
+        since = instance.phase_since
+        return since <= 0.0 or self.now - since >= SETTLE_S
+
+    def refusal(self, instance: Instance) -> str:
+        """Why a planned stop of an instance must wait; empty if it may."""
+        if instance.name in self.taken:
+            return 'it was taken in this tick'
+        if instance.name in self.tables.memory.decided:
+            return 'an earlier decision is on its way'
+        budget = self.budgets.get(instance.pool)
+        if budget is None:
+            return f'pool {instance.pool} is not in the document'
+        return budget.refusal(instance, settled=self.counts(instance))
+
+    def counts(self, instance: Instance) -> bool:
+        """Whether it counts as available in its pool's budget."""
+        return (
+            instance.phase is Phase.SERVING
+            and instance.name not in self.taken
+            and instance.name not in self.tables.memory.decided
+            and self.is_up(instance)
+            and self.is_settled(instance)
+        )
+
+    def take(self, instance: Instance, *, target: str = '') -> None:
+        """Record a planned stop; ``target`` is the pool it goes to."""
+        budget = self.budgets[instance.pool]
+        if self.counts(instance):
+            budget.available -= 1
+            budget.racks[instance.rack] -= 1
+        if target:
+            self.budgets[target].inbound += 1
+        budget.slots -= instance.slots
+        self.taken.add(instance.name)
+        self.tables.memory.decided[instance.name] = self.now
+
+    def holding(self, pool: str) -> int:
+        """Instances that serve a pool now or are on their way to it."""
+        budget = self.budgets[pool]
+        gone = sum(1 for one in budget.serving if one.name in self.taken)
+        return len(budget.serving) - gone + budget.inbound
--- /dev/null
+++ b/src/galenareel/_decisions/demand.py
@@ -0,0 +1,108 @@
+"""Peak detection and the number of instances that a pool needs.
+
+Reports arrive about a second late, so the backlog that the lag hides is part
+of the estimate.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import math
+from typing import TYPE_CHECKING
+
+from galenareel._decisions.memory import PeakEstimate
+
+if TYPE_CHECKING:
+    from galenareel._decisions.tables import Pool
+    from galenareel._decisions.tables import Tables
+
+URGENT_START_S = 8.7  # urgent work must start within this time
+REPORT_LAG_S = 1.0
+# A peak is 100 times the demand between peaks; a third of that with at least
+# an instance's worth of work keeps noise out and sees the first half second.
+PEAK_RATIO = 4.0
+PEAK_SLOTS = 12.0
+FIRST_MEAN_S = 20.0  # until a pool's first whole peak has been seen
+SHORTEST_REST_S = 4.0  # a peak that outlasts its mean goes on this long
+SMOOTHING = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """Instances that a pool needs, and why."""
+
+    instances: int
+    peak: bool
+    reason: str
+
+
+def observe(tables: Tables, now: float) -> None:
+    """Bring the estimate of each pool up to its latest report."""
+    for pool in tables.pools.values():
+        estimate = tables.memory.peaks.setdefault(pool.name, PeakEstimate())
+        if pool.load.reported_at == estimate.seen_at:
+            continue
+        estimate.seen_at = pool.load.reported_at
+        _observe_load(estimate, pool, now)
+
+
+def _observe_load(estimate: PeakEstimate, pool: Pool, now: float) -> None:
+    offered = pool.load.arrival_rate * pool.load.service_s
+    if estimate.peak:
+        over = offered < estimate.offered / 2
+        if over:
+            _end_peak(estimate, now)
+        estimate.offered = (
+            offered
+            if over
+            else max(offered, estimate.offered * 0.8 + offered * 0.2)
+        )
+        return
+    threshold = max(PEAK_SLOTS, PEAK_RATIO * estimate.quiet)
+    estimate.offered = offered
+    if offered > threshold:
+        estimate.peak = True
+        estimate.since = now
+        return
+    estimate.quiet += SMOOTHING * (offered - estimate.quiet)
+
+
+def _end_peak(estimate: PeakEstimate, now: float) -> None:
+    length = now - estimate.since
+    known = estimate.mean_s or length
+    estimate.mean_s = known + SMOOTHING * (length - known)
+    estimate.peak = False
+    estimate.ended_at = now
+
+
+def wait_target(tables: Tables) -> float:
+    """How long urgent work may be let to wait at the end of a peak.
+
+    Moves that weigh more are saved by using more of the time that urgent
+    work may wait; the rest covers report lag and errors of the estimate.
+    """
+    weights = tables.weights
+    total = weights.buffer_cost + weights.moves
+    share = weights.moves / total if total > 0 else 0.5
+    return 4.0 + 2.0 * share
+
+
+def need_of(tables: Tables, pool: Pool, now: float, slots: float) -> Need:
+    """:param slots: slots of one instance of the pool."""
+    estimate = tables.memory.peaks[pool.name]
+    backlog = pool.load.queued * pool.load.service_s
+    rest = rest_of_peak(estimate, now) if estimate.peak else 2.0
+    target = wait_target(tables)
+    work = backlog + estimate.offered * (rest + REPORT_LAG_S)
+    count = math.ceil(work / (slots * (rest + target)))
+    reason = (
+        f'{pool.name} needs {count} for {estimate.offered:.0f} slots of '
+        f'urgent work and {pool.load.queued} waiting'
+    )
+    return Need(count, estimate.peak, reason)
+
+
+def rest_of_peak(estimate: PeakEstimate, now: float) -> float:
+    """Expected rest of a peak that runs."""
+    mean = estimate.mean_s or FIRST_MEAN_S
+    return max(mean - (now - estimate.since), SHORTEST_REST_S)
--- /dev/null
+++ b/src/galenareel/_decisions/lending.py
@@ -0,0 +1,142 @@
+"""Lending: instances go straight from a pool with room to one at its peak.
+
+Nothing is moved home when a peak ends. The instance stays where it is until
+another pool needs it, so that it moves once and not twice.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from galenareel._common.rows import Phase
+from galenareel._decisions.decisions import CheckpointJob
+from galenareel._decisions.decisions import Decision
+from galenareel._decisions.decisions import LendInstance
+from galenareel._decisions.demand import need_of
+from galenareel._decisions.drains import drain_s
+from galenareel._decisions.drains import empty_instance
+
+if TYPE_CHECKING:
+    from galenareel._decisions.census import Census
+    from galenareel._decisions.demand import Need
+    from galenareel._decisions.tables import Instance
+
+# A move must leave most of a peak to be of use; peaks last tens of seconds.
+LONGEST_DRAIN_S = 12.0
+RECENT_PEAK_S = 15.0
+
+
+def lend(census: Census) -> list[Decision]:
+    """Cover the pools that need more than they hold."""
+    needs = needs_of_pools(census)
+    decisions: list[Decision] = []
+    for target in _targets(census, needs):
+        short = _shortage(census, needs, target)
+        for _ in range(short):
+            instance = _choose(census, needs, target)
+            if instance is None:
+                break
+            decisions += _lend_one(census, instance, target, needs[target])
+    return decisions
+
+
+def needs_of_pools(census: Census) -> dict[str, Need]:
+    needs = {}
+    for pool in census.tables.pools.values():
+        budget = census.budgets[pool.name]
+        slots = budget.slots / len(budget.serving) if budget.serving else 8
+        needs[pool.name] = need_of(census.tables, pool, census.now, slots)
+    return needs
+
+
+def _shortage(census: Census, needs: dict[str, Need], pool: str) -> int:
+    needed = max(needs[pool].instances, floor_of(census, pool))
+    return needed - census.holding(pool)
+
+
+def floor_of(census: Census, pool: str) -> int:
+    """Instances that the budget needs before anything may be planned."""
+    budget = census.budgets[pool]
+    floor = budget.pool.min_available
+    if budget.pool.survive_rack:
+        floor += budget.largest_rack()
+    return floor
+
+
+def _targets(census: Census, needs: dict[str, Need]) -> list[str]:
+    """Pools that lack instances; the spare pool takes back last."""
+    short = [name for name in needs if _shortage(census, needs, name) > 0]
+    pools = census.tables.pools
+    return sorted(
+        short,
+        key=lambda name: (
+            pools[name].spare,
+            -pools[name].load.oldest_wait_s,
+            name,
+        ),
+    )
+
+
+def _choose(
+    census: Census, needs: dict[str, Need], target: str
+) -> Instance | None:
+    """Instance that can be spared and is free soonest."""
+    donors = [
+        name
+        for name in needs
+        if name != target and _shortage(census, needs, name) < 0
+    ]
+    donors.sort(key=lambda name: _donor_rank(census, needs, name))
+    for donor in donors:
+        found = _soonest(census, donor)
+        if found is not None:
+            return found
+    return None
+
+
+def _donor_rank(
+    census: Census, needs: dict[str, Need], pool: str
+) -> tuple[bool, bool, int, str]:
+    estimate = census.tables.memory.peaks[pool]
+    recent = census.now - estimate.ended_at < RECENT_PEAK_S
+    ended = estimate.ended_at > 0 and recent and not estimate.peak
+    spare = census.tables.pools[pool].spare
+    surplus = census.holding(pool) - needs[pool].instances
+    return (not ended, not spare, -surplus, pool)
+
+
+def _soonest(census: Census, pool: str) -> Instance | None:
+    best: tuple[float, str] = (math.inf, '')
+    chosen = None
+    for instance in census.budgets[pool].serving:
+        if instance.phase is not Phase.SERVING:
+            continue
+        if instance.name in census.taken:
+            continue
+        wait = drain_s(census, instance)
+        if wait > LONGEST_DRAIN_S or (wait, instance.name) >= best:
+            continue
+        if not census.refusal(instance):
+            best = (wait, instance.name)
+            chosen = instance
+    return chosen
+
+
+def _lend_one(
+    census: Census, instance: Instance, target: str, need: Need
+) -> list[Decision]:
+    wait = drain_s(census, instance)
+    move = LendInstance(
+        instance=instance.name,
+        epoch=instance.epoch,
+        source=instance.pool,
+        target=target,
+        reason=(
+            f'{need.reason}; {instance.pool} can spare it and it is '
+            f'free in about {wait:.1f} s'
+        ),
+    )
+    stops: list[CheckpointJob] = empty_instance(census, instance, target)
+    census.take(instance, target=target)
+    return [move, *stops]
--- /dev/null
+++ b/src/galenareel/_decisions/memory.py
@@ -0,0 +1,63 @@
+"""Estimates that the systems keep between ticks.
+
+A new leader starts with an empty memory; every entry is learned again from
+the rows and reports, and none of them decides whether a budget holds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+
+@dataclass(slots=True)
+class PeakEstimate:
+    """Demand of one pool.
+
+    :param mean_s: smoothed length of its past peaks.
+    """
+
+    offered: float = 0.0  # slots that the urgent work needs
+    quiet: float = 0.0  # smoothed ``offered`` outside peaks
+    peak: bool = False
+    since: float = 0.0
+    ended_at: float = 0.0
+    mean_s: float = 0.0
+    seen_at: float = -1.0  # time of the last report used
+
+
+@dataclass(slots=True)
+class HealthEstimate:
+    """Results of one instance, halved every few seconds."""
+
+    finished: float = 0.0
+    failed: float = 0.0
+    probes_passed: int = 0
+    next_probe: float = 0.0
+
+
+@dataclass(slots=True)
+class ServiceEstimate:
+    """Actual run time and size of a service's jobs over the declared."""
+
+    time_ratio: float = 1.0
+    size_ratio: float = 1.0
+    samples: int = 0
+
+
+@dataclass(slots=True)
+class Memory:
+    """All estimates, and the decisions that the rows don't show yet.
+
+    :param decided: instance or job to the time of its last decision.
+    :param learned: finished jobs that have been counted.
+    :param waiting: why each job did not start in the latest tick.
+    """
+
+    peaks: dict[str, PeakEstimate] = field(default_factory=dict)
+    health: dict[str, HealthEstimate] = field(default_factory=dict)
+    services: dict[str, ServiceEstimate] = field(default_factory=dict)
+    decided: dict[str, float] = field(default_factory=dict)
+    learned: set[str] = field(default_factory=set)
+    waiting: dict[str, str] = field(default_factory=dict)
+    wave_waits: dict[str, str] = field(default_factory=dict)
--- /dev/null
+++ b/src/galenareel/_decisions/tables.py
@@ -0,0 +1,236 @@
+"""The tables that the decision systems run over.
+
+The caller fills the rows before each tick and applies the decisions it has
+committed; :func:`galenareel._decisions.tick` itself changes only
+``Tables.memory``. The rows hold everything that must outlive a leader; the
+memory holds estimates, which a new leader learns again.
+
+How a caller fills them:
+
+- ``instances``, ``waves``: one row for each replicated row. Load fields come
+  from the latest reports and may be about a second old.
+- ``pools``, ``services``, ``teams``, ``weights``: from the document in force.
+- ``pools[...].load``: sums over the latest report of every entry instance.
+- ``zones``: ``reachable`` is false while a zone is cut off.
+- ``jobs``, ``leases``: tasks that run under leases; empty where there are
+  none. A lease row is removed when its task has stopped or finished.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import StrEnum
+
+from galenareel._common.findings import Finding
+from galenareel._common.rows import Phase
+from galenareel._common.rows import WaveState
+from galenareel._decisions.memory import Memory
+from galenareel._document.model import Urgency
+from galenareel._document.model import Weights
+
+
+class JobState(StrEnum):
+    """Where a job stands."""
+
+    WAITING = 'waiting'
+    RUNNING = 'running'
+    THROTTLED = 'throttled'  # keeps its memory, leaves its slot
+    CHECKPOINTING = 'checkpointing'  # goes back to waiting
+    DONE = 'done'
+    CANCELLED = 'cancelled'
+    REFUSED = 'refused'
+
+
+@dataclass(slots=True, kw_only=True)
+class Zone:
+    """An availability zone."""
+
+    name: str
+    reachable: bool = True
+
+
+@dataclass(slots=True, kw_only=True)
+class Rack:
+    """A rack; ``down_until`` holds work back from a rack under repair."""
+
+    name: str
+    zone: str
+    down_until: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Instance:
+    """An instance and what its home last reported.
+
+    :param name: ``zone/name``.
+    :param phase_since: when it entered its phase or, while serving, when it
+        last came back from a loss, an ejection or maintenance.
+    :param urgent_in_use: slots that urgent requests hold.
+    :param work_left_s: estimate of the longest remaining run time in flight.
+    :param finished: requests finished since the previous tick.
+    :param failed: requests failed since the previous tick, and while ejected
+        failed probes; ``finished`` then counts probes that succeeded.
+    :param suspect: its home has stopped giving it work for its failures.
+    :param wave: the last wave that has maintained it, or maintains it now.
+    :param throttle_room: jobs that its memory can hold without a slot.
+    """
+
+    name: str
+    zone: str
+    rack: str
+    pool: str
+    image: str = ''
+    epoch: int = 1
+    phase: Phase = Phase.SERVING
+    phase_since: float = 0.0
+    target_pool: str = ''
+    slots: int = 8
+    urgent_in_use: int = 0
+    work_left_s: float = 0.0
+    finished: int = 0
+    failed: int = 0
+    suspect: bool = False
+    wave: str = ''
+    maintained_at: float = 0.0
+    maintenance_step: str = ''
+    throttle_room: int = 2
+    reason: str = ''
+
+
+@dataclass(slots=True, kw_only=True)
+class Load:
+    """Urgent demand of one pool, summed over the entries' latest reports.
+
+    :param arrival_rate: urgent requests a second.
+    :param queued: urgent requests that wait.
+    :param oldest_wait_s: how long the oldest of them has waited.
+    :param service_s: mean run time of an urgent request, as measured.
+    :param reported_at: time of the report; an unchanged time means that no
+        new report has come.
+    """
+
+    arrival_rate: float = 0.0
+    queued: int = 0
+    oldest_wait_s: float = 0.0
+    service_s: float = 1.0
+    reported_at: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Pool:
+    """A pool with its availability budget; see ``_document/model.py``."""
+
+    name: str
+    min_available: int = 0
+    spare: bool = False
+    survive_rack: bool = False
+    load: Load = field(default_factory=Load)
+
+
+@dataclass(slots=True, kw_only=True)
+class Service:
+    """A service; its jobs run on the instances of ``pool``.
+
+    :param observed: run times and sizes of finished jobs relative to what
+        was declared are learned from :class:`Job` rows that turn ``done``.
+    """
+
+    name: str
+    pool: str
+    urgency: Urgency = Urgency.URGENT
+    deadline_s: float = 10.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Team:
+    """A quota of slots that the team's jobs may hold at a time."""
+
+    name: str
+    slots: int
+
+
+@dataclass(slots=True, kw_only=True)
+class Job:
+    """A unit of work that runs under a lease.
+
+    :param size: declared slots.
+    :param declared_s: declared run time.
+    :param run_s: run time so far, as last reported; survives a checkpoint.
+    :param used_slots: slots it really uses, as last reported; 0 if unknown.
+    :param deadline: absolute time by which it must have started, or 0.
+    :param failures: how often it has failed on an instance.
+    :param failed_on: instances on which it has failed.
+    """
+
+    name: str
+    service: str
+    team: str
+    urgency: Urgency = Urgency.DEFERRABLE
+    size: int = 1
+    declared_s: float = 60.0
+    submitted_at: float = 0.0
+    deadline: float = 0.0
+    checkpointable: bool = True
+    state: JobState = JobState.WAITING
+    run_s: float = 0.0
+    used_slots: float = 0.0
+    failures: int = 0
+    failed_on: frozenset[str] = frozenset()
+    findings: tuple[Finding, ...] = ()
+
+
+@dataclass(slots=True, kw_only=True)
+class Lease:
+    """The right of one job to run on one instance.
+
+    :param standby: the home starts the job as soon as a slot is free and no
+        urgent request waits; it holds no slot until then.
+    """
+
+    job: str
+    instance: str
+    since: float
+    standby: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class Wave:
+    """Maintenance of every instance of some pools, once a wave name.
+
+    :param done: instances that came back; ``failed``: that did not, or that
+        failed what they were given afterwards.
+    :param skipped: instances whose drain timed out; tried again at the end.
+    :param acknowledged: failures that an operator has looked at; they no
+        longer count towards ``stop_after``.
+    """
+
+    name: str
+    pools: tuple[str, ...]
+    state: WaveState = WaveState.WAITING
+    first_batch: int = 1
+    max_batch: int = 4
+    stop_after: int = 2
+    drain_timeout_s: float = 60.0
+    done: set[str] = field(default_factory=set)
+    failed: set[str] = field(default_factory=set)
+    skipped: set[str] = field(default_factory=set)
+    acknowledged: set[str] = field(default_factory=set)
+    reason: str = ''
+
+
+@dataclass(slots=True, kw_only=True)
+class Tables:
+    """All entities, keyed by name; leases are keyed by job."""
+
+    instances: dict[str, Instance] = field(default_factory=dict)
+    racks: dict[str, Rack] = field(default_factory=dict)
+    zones: dict[str, Zone] = field(default_factory=dict)
+    pools: dict[str, Pool] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    teams: dict[str, Team] = field(default_factory=dict)
+    jobs: dict[str, Job] = field(default_factory=dict)
+    leases: dict[str, Lease] = field(default_factory=dict)
+    waves: dict[str, Wave] = field(default_factory=dict)
+    weights: Weights = field(default_factory=Weights)
+    memory: Memory = field(default_factory=Memory)
--- /dev/null
+++ b/src/galenareel/_decisions/ticking.py
@@ -0,0 +1,33 @@
+"""One tick: every system over the tables, in order of precedence."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from galenareel._decisions.census import Census
+from galenareel._decisions.demand import observe
+from galenareel._decisions.lending import lend
+
+if TYPE_CHECKING:
+    from galenareel._decisions.decisions import Decision
+    from galenareel._decisions.tables import Tables
+
+TICK_S = 0.5
+
+
+def tick(tables: Tables, *, now: float, rng: Random) -> list[Decision]:
+    """Decide what to do now.
+
+    The rows of ``tables`` are only read. A decision that the caller does not
+    commit is proposed again after a short time if it still makes sense.
+
+    :param now: monotonic seconds, on the same clock as the rows.
+    :param rng: seeded generator, for choices among equals.
+    """
+    observe(tables, now)
+    census = Census(tables, now)
+    decisions: list[Decision] = []
+    for system in (lend,):
+        decisions += system(census)
+    return decisions
