--- a/src/galenareel/_control/main.py
+++ b/src/galenareel/_control/main.py
@@ -82,7 +82,7 @@
 def _read_document(text: str) -> Environment:
     # The reader of documents brings a YAML parser; it is loaded when the
     # first document is submitted.
-    from galenareel._document.reading import read_environment  # type: ignore
+    from galenareel._document.reading import read_environment
 
     environment: Environment = read_environment(text)
     return environment
