--- a/src/galenareel/_common/messages.py
+++ b/src/galenareel/_common/messages.py
@@ -121,7 +121,11 @@
 
 
 class EntryReport(Message, frozen=True):
-    """Sent once a second; renews the session."""
+    """Sent once a second; renews the session.
+
+    :param taken: homes that the entry took over while it was cut off, with
+        the home epoch that this ended.
+    """
 
     entry: str
     incarnation: str
@@ -132,6 +136,7 @@
     drained: tuple[Drained, ...] = ()
     silent_peers: tuple[str, ...] = ()  # of its own zone, over 2 s
     stopping: bool = False
+    taken: tuple[tuple[str, int], ...] = ()
 
 
 class OpenSession(Message, frozen=True):
@@ -249,7 +254,13 @@
 
 
 class PeerHeartbeat(Message, frozen=True):
-    """Sent five times a second in the zone, once a second across zones."""
+    """Sent five times a second in the zone, once a second across zones.
+
+    As a request it is answered by the receiver's own heartbeat.
+
+    :param taken: homes that the sender has got from another entry, with the
+        home epoch that this ended.
+    """
 
     entry: str
     incarnation: str
@@ -257,6 +268,7 @@
     pools: tuple[HomeLoad, ...] = ()
     fenced: bool = False
     stopping: bool = False
+    taken: tuple[tuple[str, int], ...] = ()
 
 
 class RelayAnnouncement(Message, frozen=True):
@@ -301,11 +313,17 @@
 
 
 class ForwardHead(Message, frozen=True):
-    """Status and headers of the backend server's answer."""
+    """Status and headers of the backend server's answer.
+
+    :param body: first part of the body.
+    :param whole: ``body`` is all of it; neither a chunk nor an end follows.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     length: int | None = None
+    body: bytes = b''
+    whole: bool = False
 
 
 class ForwardChunk(Message, frozen=True):
--- /dev/null
+++ b/src/galenareel/_entry/homes.py
@@ -0,0 +1,456 @@
+"""Backend servers of the zone and the slots of those at home here.
+
+Only the home of a backend server sends to it, so its slots are a local
+counter. All servers of the zone are tracked, because a new home begins with
+the in-use count of the latest announcement.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+import hashlib
+
+from galenareel._common.messages import Announcement
+from galenareel._common.messages import Drained
+from galenareel._common.messages import InstanceLoad
+from galenareel._common.rows import InstanceRow
+from galenareel._common.rows import Phase
+from galenareel._entry.health import Health
+from galenareel._entry.health import Verdict
+from galenareel._entry.settings import SILENT_AFTER_S
+
+NEVER = float('-inf')
+SMOOTHING = 0.2  # weight of the latest run time in the mean
+DRAIN_STEPS = frozenset(('draining',))
+
+
+def rendezvous(instance: str, entries: list[str]) -> str:
+    """Home of an instance among some entries; stable as they change."""
+    return max(entries, key=lambda one: (_weight(instance, one), one))
+
+
+def _weight(instance: str, entry: str) -> bytes:
+    text = f'{instance}\0{entry}'.encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """One backend server of the zone.
+
+    :param foreign: requests of the former home that may still run.
+    :param generation: grows when another process takes over the address, so
+        that late releases of the former one don't count.
+    """
+
+    instance: str
+    row: InstanceRow | None = None
+    announcement: Announcement | None = None
+    heard_at: float = NEVER
+    mine: bool = False
+    counted: bool = False  # the home has begun with an in-use count
+    in_flight: int = 0
+    foreign: int = 0
+    generation: int = 0
+    unsure: bool = False  # an answer was given up; the request may run on
+    down: bool = False  # refused a connection since its last announcement
+    health: Health = field(default_factory=Health)
+    finished: int = 0
+    failed: int = 0
+    mean_run_s: float = 0.0
+    started: dict[int, float] = field(default_factory=dict)
+
+    def silent_s(self, now: float) -> float:
+        return now - self.heard_at
+
+    def free(self) -> int:
+        said = self.announcement
+        if said is None:
+            return 0
+        return self.health.slots(said.slots) - self.in_flight - self.foreign
+
+    def reachable(self, now: float) -> bool:
+        """Whether its home may send to it at all."""
+        said = self.announcement
+        return (
+            self.mine
+            and said is not None
+            and not said.leaving
+            and not self.down
+            and now - self.heard_at <= SILENT_AFTER_S
+        )
+
+    def usable(self, now: float) -> bool:
+        """Whether its home may give it work, apart from its slots."""
+        row = self.row
+        return (
+            row is not None
+            and row.phase is Phase.SERVING
+            and self.reachable(now)
+        )
+
+
+@dataclass(slots=True, eq=False)
+class Lease:
+    """One slot of a backend server, until it is released."""
+
+    server: Server
+    generation: int
+    number: int
+    started_at: float
+    service: str
+    probe: bool = False
+    released: bool = False
+
+
+class Homes:
+    """All backend servers of the zone."""
+
+    def __init__(self, entry: str, zone: str) -> None:
+        self.entry = entry
+        self.zone = zone
+        self.servers: dict[str, Server] = {}
+        self.taken: dict[str, int] = {}  # taken over here: home_epoch then
+        self.lost: dict[str, tuple[str, int]] = {}  # taken by a peer
+        self.by_pool: dict[str, list[Server]] = {}
+        self.min_available: dict[str, int] = {}
+        self._serving: dict[str, int] = {}  # in all zones, by pool
+        self._draining = False
+        self.fenced = False
+        self.released = False  # planned stop: homes are given up
+        self._lease_number = 0
+
+    # --- changes from outside ----------------------------------------------
+
+    def heard(self, said: Announcement, *, now: float) -> bool:
+        """Take an announcement; true if it differs in more than in-use."""
+        server = self.servers.get(said.instance)
+        if server is None:
+            server = self.servers[said.instance] = Server(said.instance)
+        before = server.announcement
+        if before is None or before.incarnation != said.incarnation:
+            self._restart(server)
+        server.announcement = said
+        server.heard_at = now
+        server.down = False
+        others = max(0, said.in_use - server.in_flight)
+        server.foreign = min(server.foreign, others)
+        server.unsure = server.unsure and others > 0
+        if server.mine and not server.counted:
+            self._begin_home(server)
+        return before is None or _essence(before) != _essence(said)
+
+    def sync(self, rows: dict[str, InstanceRow], *, now: float) -> None:
+        """Follow the committed rows."""
+        by_pool: dict[str, list[Server]] = {}
+        self._serving = {}
+        for name, row in rows.items():
+            if row.phase is Phase.SERVING:
+                count = self._serving.get(row.pool, 0)
+                self._serving[row.pool] = count + 1
+            if row.zone != self.zone:
+                continue
+            server = self.servers.get(name)
+            if server is None:
+                server = self.servers[name] = Server(name)
+            before, server.row = server.row, row
+            if row.phase is Phase.EJECTED and (
+                before is None or before.phase is not Phase.EJECTED
+            ):
+                server.health.take_out(now=now)
+            self._settle_claims(row)
+            self._assign(server, self._effective_home(row))
+            by_pool.setdefault(row.pool, []).append(server)
+        for name, server in list(self.servers.items()):
+            if name not in rows:
+                server.row = None
+                self._assign(server, '')
+        self._draining = any(
+            one.mine and one.row is not None and _drains(one.row)
+            for one in self.servers.values()
+        )
+        self.by_pool = {
+            pool: [one for one in found if one.mine]
+            for pool, found in by_pool.items()
+        }
+
+    def take_over(
+        self, silent: frozenset[str], live: list[str]
+    ) -> list[tuple[str, int]]:
+        """Take the homes of silent peers that fall to this entry."""
+        taken = []
+        for server in self.servers.values():
+            row = server.row
+            if row is None or self._effective_home(row) not in silent:
+                continue
+            if rendezvous(server.instance, live) == self.entry:
+                self.taken[server.instance] = row.home_epoch
+                self.lost.pop(server.instance, None)
+                taken.append((server.instance, row.home_epoch))
+        return taken
+
+    def peer_has(self, peer: str, homes: tuple[tuple[str, int], ...]) -> bool:
+        """A zone peer says which homes it took; true if that is news."""
+        said = dict(homes)
+        changed = False
+        for instance, (holder, _epoch) in list(self.lost.items()):
+            if holder == peer and instance not in said:
+                del self.lost[instance]
+                changed = True
+        for instance, epoch in homes:
+            changed |= self._peer_took(peer, instance, epoch)
+        return changed
+
+    # --- slots --------------------------------------------------------------
+
+    def pick(
+        self, pool: str, service: str, *, idempotent: bool, now: float
+    ) -> Lease | None:
+        """Reserve a slot on the server of a pool with the most free ones."""
+        if self.fenced:
+            return None
+        best: Server | None = None
+        best_free = 0
+        for server in self.by_pool.get(pool, ()):
+            free = server.free()
+            if free <= best_free or not server.reachable(now):
+                continue
+            assert server.row is not None
+            phase = server.row.phase
+            if phase is not Phase.SERVING and phase is not Phase.EJECTED:
+                continue
+            if server.health.is_out(service):
+                if idempotent and server.health.may_probe(service, now=now):
+                    return self._lease(server, service, now, probe=True)
+            elif phase is Phase.SERVING:
+                best, best_free = server, free
+        if best is None:
+            return None
+        return self._lease(best, service, now, probe=False)
+
+    def finished(
+        self, lease: Lease, *, ok: bool | None, now: float
+    ) -> Verdict | None:
+        """Release a slot and judge its server.
+
+        :param ok: None if the request says nothing about the server.
+        """
+        server = lease.server
+        self.release(lease)
+        if lease.generation != server.generation:
+            return None
+        run_s = now - lease.started_at
+        if lease.probe:
+            return server.health.probe_ended(lease.service, ok=ok, now=now)
+        if ok is None:
+            return None
+        server.finished += 1
+        server.failed += not ok
+        server.mean_run_s += SMOOTHING * (run_s - server.mean_run_s)
+        pool = server.row.pool if server.row is not None else ''
+        return server.health.finished(
+            lease.service,
+            ok=ok,
+            run_s=run_s,
+            now=now,
+            may_take_out=self._spare(pool) > 0,
+            elsewhere_s=self._elsewhere_s(server, pool, lease.service),
+        )
+
+    def release(self, lease: Lease) -> None:
+        """Give the slot back; a second call has no effect."""
+        if lease.released:
+            return
+        lease.released = True
+        server = lease.server
+        if lease.generation == server.generation:
+            server.in_flight -= 1
+            server.started.pop(lease.number, None)
+
+    def free(self, pool: str, *, now: float) -> int:
+        """Free slots of a pool at this home."""
+        if self.fenced:
+            return 0
+        return sum(
+            max(0, one.free())
+            for one in self.by_pool.get(pool, ())
+            if one.usable(now) and not one.health.suspect()
+        )
+
+    def slots(self, pool: str, *, now: float) -> int:
+        """Slots of a pool at this home, free or not."""
+        return sum(
+            one.announcement.slots
+            for one in self.by_pool.get(pool, ())
+            if one.announcement is not None and one.usable(now)
+        )
+
+    # --- reports ------------------------------------------------------------
+
+    @property
+    def draining(self) -> bool:
+        """Whether any home here has an instance to drain."""
+        return self._draining
+
+    def drained(self) -> tuple[Drained, ...]:
+        """Draining instances at home here with nothing in flight."""
+        return tuple(
+            Drained(
+                instance=server.instance,
+                epoch=server.row.epoch,
+                home_epoch=server.row.home_epoch,
+            )
+            for server in self.servers.values()
+            if server.mine
+            and server.row is not None
+            and _drains(server.row)
+            and server.in_flight == 0
+            and server.foreign == 0
+            and not server.unsure
+        )
+
+    def loads(self, *, now: float) -> tuple[InstanceLoad, ...]:
+        return tuple(
+            self._load(one, now) for one in self.servers.values() if one.mine
+        )
+
+    def announcements(self) -> tuple[Announcement, ...]:
+        return tuple(
+            one.announcement
+            for one in self.servers.values()
+            if one.announcement is not None
+        )
+
+    def in_flight(self) -> int:
+        return sum(one.in_flight for one in self.servers.values())
+
+    def suspects(self, pool: str) -> int:
+        return sum(one.health.impaired() for one in self.by_pool.get(pool, ()))
+
+    def __iter__(self) -> Iterator[Server]:
+        return iter(self.servers.values())
+
+    # --- inside -------------------------------------------------------------
+
+    def _effective_home(self, row: InstanceRow) -> str:
+        if row.instance in self.taken:
+            return self.entry
+        if row.instance in self.lost:
+            return self.lost[row.instance][0]
+        return row.home
+
+    def _peer_took(self, peer: str, instance: str, epoch: int) -> bool:
+        server = self.servers.get(instance)
+        row = server.row if server is not None else None
+        if row is None or row.home_epoch > epoch:
+            return False
+        if self.lost.get(instance) == (peer, epoch):
+            return False
+        # Both took it, each cut off from the other: one rule decides.
+        if instance in self.taken and self.entry < peer:
+            return False
+        self.taken.pop(instance, None)
+        self.lost[instance] = (peer, epoch)
+        return True
+
+    def _settle_claims(self, row: InstanceRow) -> None:
+        # A committed home with a higher epoch ends a takeover of the zone.
+        taken = self.taken.get(row.instance)
+        if taken is not None and row.home_epoch > taken:
+            del self.taken[row.instance]
+        lost = self.lost.get(row.instance)
+        if lost is not None and row.home_epoch > lost[1]:
+            del self.lost[row.instance]
+
+    def _assign(self, server: Server, home: str) -> None:
+        mine = home == self.entry and not self.released
+        if mine and not server.mine:
+            server.mine = True
+            server.counted = False
+            if server.announcement is not None:
+                self._begin_home(server)
+        server.mine = mine
+
+    def _begin_home(self, server: Server) -> None:
+        assert server.announcement is not None
+        server.counted = True
+        server.foreign = max(0, server.announcement.in_use - server.in_flight)
+
+    def _restart(self, server: Server) -> None:
+        server.generation += 1
+        server.in_flight = 0
+        server.foreign = 0
+        server.unsure = False
+        server.started.clear()
+        server.health = Health()
+        server.mean_run_s = 0.0
+
+    def _spare(self, pool: str) -> int:
+        """Servers that may be taken out within the pool's budget."""
+        available = self._serving.get(pool, 0) - self.suspects(pool)
+        return available - self.min_available.get(pool, 0)
+
+    def _elsewhere_s(self, server: Server, pool: str, service: str) -> float:
+        means = sorted(
+            mean
+            for one in self.by_pool.get(pool, ())
+            if one is not server and (mean := one.health.mean_s(service)) > 0.0
+        )
+        return means[len(means) // 2] if means else 0.0
+
+    def _lease(
+        self, server: Server, service: str, now: float, *, probe: bool
+    ) -> Lease:
+        if probe:
+            server.health.probe(service)
+        self._lease_number += 1
+        server.in_flight += 1
+        server.started[self._lease_number] = now
+        return Lease(
+            server,
+            server.generation,
+            self._lease_number,
+            now,
+            service,
+            probe=probe,
+        )
+
+    def _load(self, server: Server, now: float) -> InstanceLoad:
+        left = sum(
+            max(0.0, server.mean_run_s - (now - began))
+            for began in server.started.values()
+        )
+        load = InstanceLoad(
+            instance=server.instance,
+            in_use=server.in_flight + server.foreign,
+            work_left_s=round(left, 3),
+            silent_s=round(min(server.silent_s(now), 1e6), 1),
+            finished=server.finished,
+            failed=server.failed,
+            suspect=server.health.impaired(),
+        )
+        server.finished = 0
+        server.failed = 0
+        return load
+
+
+def _essence(said: Announcement) -> tuple[object, ...]:
+    return (
+        said.address,
+        said.rack,
+        said.service,
+        said.incarnation,
+        said.slots,
+        said.connections,
+        said.leaving,
+    )
+
+
+def _drains(row: InstanceRow) -> bool:
+    if row.phase is Phase.DRAINING:
+        return True
+    return (
+        row.phase is Phase.MAINTENANCE and row.maintenance_step in DRAIN_STEPS
+    )
--- /dev/null
+++ b/src/galenareel/_entry/local.py
@@ -0,0 +1,175 @@
+"""Requests to the backend servers whose home is here."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import time
+
+from galenareel._entry.backend import Connections
+from galenareel._entry.backend import Exchange
+from galenareel._entry.backend import request_bytes
+from galenareel._entry.calls import Call
+from galenareel._entry.health import Verdict
+from galenareel._entry.homes import Homes
+from galenareel._entry.homes import Lease
+from galenareel._entry.homes import Server
+from galenareel._entry.outcomes import Answer
+from galenareel._entry.outcomes import Failed
+from galenareel._entry.settings import Limits
+
+# A request given less time than this says nothing about the server's health.
+FAIR_TIME_S = 1.0
+DOWN_REASONS = frozenset(('connect_refused', 'connect_failed'))
+
+
+class LocalHomes:
+    """Runs requests on leased slots and reports the results to the homes.
+
+    :param on_free: called with the pool after a slot became free.
+    :param on_verdict: called when a server was taken out or returned.
+    """
+
+    def __init__(
+        self,
+        homes: Homes,
+        *,
+        limits: Limits,
+        on_free: Callable[[str], None],
+        on_verdict: Callable[[Server, Verdict], None],
+    ) -> None:
+        self._homes = homes
+        self._limits = limits
+        self._on_free = on_free
+        self._on_verdict = on_verdict
+        self._connections: dict[str, tuple[int, Connections]] = {}
+
+    def run(self, call: Call, lease: Lease) -> Answer | Failed:
+        """Send a request on a slot; the slot is free when its answer ends."""
+        server = lease.server
+        said = server.announcement
+        assert said is not None
+        now = time.monotonic()
+        data = request_bytes(
+            call.method,
+            call.path,
+            call.headers,
+            call.body,
+            address=said.address,
+            request_id=call.request_id,
+            service=call.service,
+            deadline_s=call.deadline - now,
+        )
+        exchange = Exchange(
+            self._open(server), deadline=call.deadline, limits=self._limits
+        )
+        try:
+            result = exchange.run(
+                call.method,
+                call.request_id,
+                data,
+                idempotent=call.idempotent,
+            )
+        except BaseException:
+            self._end(lease, call, ok=None, unsure=True)
+            raise
+        if isinstance(result, Failed):
+            self._failed(lease, call, result)
+        elif result.rest is None:
+            self._end(lease, call, ok=result.status < 500)
+        else:
+            result.rest = self._hold_slot(lease, call, result)
+        return result
+
+    def close(self) -> None:
+        for _generation, connections in self._connections.values():
+            connections.close()
+
+    def _hold_slot(
+        self, lease: Lease, call: Call, answer: Answer
+    ) -> Iterator[bytes]:
+        rest = answer.rest
+        assert rest is not None
+        return _Held(
+            rest,
+            lambda ok: self._end(
+                lease, call, ok=ok and answer.status < 500, unsure=not ok
+            ),
+        )
+
+    def _failed(self, lease: Lease, call: Call, failed: Failed) -> None:
+        if failed.reason in DOWN_REASONS:
+            lease.server.down = True
+            self._drop(lease.server)
+        ok: bool | None = False
+        if failed.reason == 'timeout':
+            spent = time.monotonic() - lease.started_at
+            ok = None if spent < FAIR_TIME_S else False
+        self._end(lease, call, ok=ok, unsure=failed.sent)
+
+    def _end(
+        self,
+        lease: Lease,
+        call: Call,
+        *,
+        ok: bool | None,
+        unsure: bool = False,
+    ) -> None:
+        if lease.released:
+            return
+        if unsure:
+            lease.server.unsure = True
+        verdict = self._homes.finished(lease, ok=ok, now=time.monotonic())
+        if verdict is not None:
+            self._on_verdict(lease.server, verdict)
+        self._on_free(call.pool)
+
+    def _open(self, server: Server) -> Connections:
+        assert server.announcement is not None
+        known = self._connections.get(server.instance)
+        if known is not None and known[0] == server.generation:
+            return known[1]
+        self._drop(server)
+        connections = Connections(server.announcement.address)
+        self._connections[server.instance] = server.generation, connections
+        return connections
+
+    def _drop(self, server: Server) -> None:
+        known = self._connections.pop(server.instance, None)
+        if known is not None:
+            known[1].close()
+
+
+class _Held:
+    """Iterator over an answer that ends a lease in every case.
+
+    A generator would not do: closing one that was never started skips its
+    ``finally``, and the slot would stay in use.
+    """
+
+    __slots__ = ('_end', '_rest')
+
+    def __init__(
+        self, rest: Iterator[bytes], end: Callable[[bool], None]
+    ) -> None:
+        self._rest = rest
+        self._end = end
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        try:
+            return next(self._rest)
+        except StopIteration:
+            self._end(True)
+            raise
+        except BaseException:
+            self._end(False)
+            raise
+
+    def close(self) -> None:
+        close = getattr(self._rest, 'close', None)
+        if close is not None:
+            close()
+        self._end(False)
--- /dev/null
+++ b/src/galenareel/_entry/peers.py
@@ -0,0 +1,176 @@
+"""What this entry knows of the other entries, from their heartbeats."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from galenareel._common.messages import PeerHeartbeat
+from galenareel._common.rows import EntryRow
+from galenareel._common.rows import EntryState
+from galenareel._entry.settings import HEARTBEAT_S
+from galenareel._entry.settings import TAKEOVER_AFTER_S
+
+# A peer of the zone gets no work after this many missed heartbeats.
+ZONE_STALE_S = 5 * HEARTBEAT_S
+OTHER_ZONE_STALE_S = 3.0
+# Requests that may wait at one home for a slot, per pool and accepting entry;
+# see ``router`` for why they may.
+PARKED_PER_HOME = 2
+
+
+@dataclass(slots=True, eq=False)
+class Peer:
+    """Another entry.
+
+    :param free: free slots by pool, counted down with each request sent
+        between two heartbeats.
+    """
+
+    name: str
+    zone: str
+    frames: str
+    known_at: float
+    heard_at: float | None = None
+    incarnation: str = ''
+    state: EntryState = EntryState.LIVE
+    fenced: bool = False
+    stopping: bool = False
+    free: dict[str, int] = field(default_factory=dict)
+    queued: dict[str, int] = field(default_factory=dict)
+    parked: dict[str, int] = field(default_factory=dict)
+
+    def silent_s(self, now: float) -> float:
+        since = self.heard_at if self.heard_at is not None else self.known_at
+        return now - since
+
+
+class Peers:
+    """All other entries."""
+
+    def __init__(self, entry: str, zone: str) -> None:
+        self.entry = entry
+        self.zone = zone
+        self.all: dict[str, Peer] = {}
+
+    def sync(self, rows: dict[str, EntryRow], *, now: float) -> None:
+        """Follow the committed rows."""
+        for name, row in rows.items():
+            if name == self.entry or row.state is EntryState.GONE:
+                self.all.pop(name, None)
+                continue
+            peer = self.all.get(name)
+            if peer is None or peer.frames != row.frames:
+                peer = Peer(name, row.zone, row.frames, now)
+                self.all[name] = peer
+            peer.state = row.state
+        for name in [one for one in self.all if one not in rows]:
+            del self.all[name]
+
+    def heard(self, beat: PeerHeartbeat, *, now: float) -> Peer | None:
+        """Take a heartbeat; None if the entry is not in the view yet."""
+        peer = self.all.get(beat.entry)
+        if peer is None:
+            return None
+        peer.heard_at = now
+        peer.incarnation = beat.incarnation
+        peer.fenced = beat.fenced
+        peer.stopping = beat.stopping
+        peer.free = {load.pool: load.free for load in beat.pools}
+        peer.queued = {load.pool: load.queued for load in beat.pools}
+        return peer
+
+    def best(self, pool: str, *, now: float, other_zones: bool) -> Peer | None:
+        """Peer with the most free slots; the own zone goes first."""
+        best: Peer | None = None
+        best_key = (False, 0)
+        for peer in self.all.values():
+            free = peer.free.get(pool, 0)
+            if free <= 0 or not self._takes_work(peer, now, other_zones):
+                continue
+            key = (peer.zone == self.zone, free)
+            if key > best_key:
+                best, best_key = peer, key
+        return best
+
+    def to_park(self, pool: str, *, now: float) -> Peer | None:
+        """Zone peer with homes of a pool where a request may wait."""
+        best: Peer | None = None
+        best_parked = PARKED_PER_HOME
+        for peer in self.all.values():
+            if peer.zone != self.zone or pool not in peer.free:
+                continue
+            parked = peer.parked.get(pool, 0)
+            if parked < best_parked and self._takes_work(peer, now, False):
+                best, best_parked = peer, parked
+        return best
+
+    def silent(self, *, now: float) -> tuple[str, ...]:
+        """Zone peers whose homes are to be taken over."""
+        return tuple(
+            peer.name
+            for peer in self.all.values()
+            if peer.zone == self.zone and peer.silent_s(now) > TAKEOVER_AFTER_S
+        )
+
+    def live_in_zone(self, *, now: float) -> list[str]:
+        """Entries of the zone that may get homes, with this one."""
+        live = [self.entry]
+        live += [
+            peer.name
+            for peer in self.all.values()
+            if peer.zone == self.zone
+            and not peer.stopping
+            and peer.silent_s(now) <= TAKEOVER_AFTER_S
+        ]
+        return sorted(live)
+
+    def _takes_work(self, peer: Peer, now: float, other_zones: bool) -> bool:
+        if peer.fenced or peer.stopping or peer.heard_at is None:
+            return False
+        silent_s = now - peer.heard_at
+        if peer.zone == self.zone:
+            return silent_s <= ZONE_STALE_S
+        return other_zones and silent_s <= OTHER_ZONE_STALE_S
+
+
+class Fence:
+    """Stops an entry whose event loop stood still.
+
+    The peers may have taken its homes over meanwhile, so it must hear from
+    its zone or from control again before it sends work to them.
+    """
+
+    def __init__(self, *, now: float, after_s: float) -> None:
+        self._last = now
+        self._after_s = after_s
+        self.fenced = False
+        self.since = now
+
+    def tick(self, now: float) -> bool:
+        """Note that the loop runs; true if it has just been fenced."""
+        stalled = now - self._last > self._after_s
+        self._last = now
+        if not stalled or self.fenced:
+            return False
+        self.fenced = True
+        self.since = now
+        return True
+
+    def check(self, now: float) -> bool:
+        """Whether work may be sent; looks at the stall itself.
+
+        After a stall a request may run before the loop's own tick does.
+        """
+        return not self.fenced and now - self._last <= self._after_s
+
+    def heard(self, *, asked_at: float) -> bool:
+        """An answer came to a question asked at a time; true if it lifts.
+
+        Messages sent to this entry before the stall ended prove nothing, so
+        only an answer to a later question counts.
+        """
+        if not self.fenced or asked_at < self.since:
+            return False
+        self.fenced = False
+        return True
--- /dev/null
+++ b/src/galenareel/_entry/queue.py
@@ -0,0 +1,200 @@
+"""Requests that wait for a slot of one pool.
+
+Urgent requests come before deferrable ones. Within a class, the caller with
+the fewest requests in flight goes first, then the earliest deadline, so one
+caller's burst can't keep the others waiting.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from bisect import insort
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+SMOOTHING = 0.2  # weight of the latest run time in the mean
+
+
+@dataclass(slots=True, eq=False, kw_only=True)
+class Waiting:
+    """One request in the queue.
+
+    :param place: what the owner needs to wake the request.
+    """
+
+    seq: int
+    deadline: float
+    arrived: float
+    urgent: bool
+    caller: str
+    team: str
+    size: int
+    forwarded: bool = False  # waits here for another entry
+    place: Any = None
+
+
+def _order(one: Waiting) -> tuple[float, int]:
+    return one.deadline, one.seq
+
+
+class Shares:
+    """Requests in flight by caller and by team, over all pools."""
+
+    def __init__(self) -> None:
+        self._callers: dict[str, int] = {}
+        self._teams: dict[str, int] = {}
+        self.quotas: dict[str, int] = {}
+
+    def begin(self, caller: str, team: str) -> None:
+        self._callers[caller] = self._callers.get(caller, 0) + 1
+        if team:
+            self._teams[team] = self._teams.get(team, 0) + 1
+
+    def end(self, caller: str, team: str) -> None:
+        _decrement(self._callers, caller)
+        if team:
+            _decrement(self._teams, team)
+
+    def in_flight(self, caller: str) -> int:
+        return self._callers.get(caller, 0)
+
+    def team_may_run(self, team: str) -> bool:
+        quota = self.quotas.get(team)
+        return quota is None or self._teams.get(team, 0) < quota
+
+
+def _decrement(counts: dict[str, int], key: str) -> None:
+    left = counts[key] - 1
+    if left:
+        counts[key] = left
+    else:
+        del counts[key]
+
+
+class QueueMemory:
+    """Bytes of waiting bodies over all queues."""
+
+    __slots__ = ('limit', 'used')
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.used = 0
+
+
+class RequestQueue:
+    """Bounded queue of one pool."""
+
+    def __init__(
+        self, *, max_length: int, memory: QueueMemory, shares: Shares
+    ) -> None:
+        self._max_length = max_length
+        self._memory = memory
+        self._shares = shares
+        self._urgent: dict[str, list[Waiting]] = {}
+        self._deferrable: dict[str, list[Waiting]] = {}
+        self._length = 0
+        self.urgent = 0
+        self.mean_run_s = 0.0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def __iter__(self) -> Iterator[Waiting]:
+        for lane in (self._urgent, self._deferrable):
+            for line in list(lane.values()):
+                yield from list(line)
+
+    def ran(self, run_s: float) -> None:
+        """Learn from the run time of a finished request."""
+        if self.mean_run_s == 0.0:
+            self.mean_run_s = run_s
+        else:
+            self.mean_run_s += SMOOTHING * (run_s - self.mean_run_s)
+
+    def wait_s(self, ahead: int, *, slots: int) -> float:
+        """Expected wait behind ``ahead`` requests; zero if unknown."""
+        if slots <= 0:
+            return 0.0
+        return (ahead + 1) * self.mean_run_s / slots
+
+    def refuse_reason(
+        self, one: Waiting, *, now: float, slots: int
+    ) -> str | None:
+        """Why a request can't wait here; None if it can."""
+        if now >= one.deadline:
+            return 'deadline'
+        if self._length >= self._max_length:
+            return 'queue_full'
+        if self._memory.used + one.size > self._memory.limit:
+            return 'queue_memory'
+        if now + self._expected_s(one, slots=slots) > one.deadline:
+            return 'deadline_not_met'
+        return None
+
+    def put(self, one: Waiting) -> None:
+        """Add a request for which ``refuse_reason`` gave None."""
+        lane = self._urgent if one.urgent else self._deferrable
+        line = lane.get(one.caller)
+        if line is None:
+            line = lane[one.caller] = []
+        insort(line, one, key=_order)
+        self._length += 1
+        self._memory.used += one.size
+        self.urgent += one.urgent
+
+    def remove(self, one: Waiting) -> bool:
+        """Take out a request that was given up; false if it is gone."""
+        lane = self._urgent if one.urgent else self._deferrable
+        line = lane.get(one.caller)
+        if line is None:
+            return False
+        at = bisect_left(line, _order(one), key=_order)
+        if at == len(line) or line[at] is not one:
+            return False
+        del line[at]
+        if not line:
+            del lane[one.caller]
+        self._length -= 1
+        self._memory.used -= one.size
+        self.urgent -= one.urgent
+        return True
+
+    def peek(self) -> Waiting | None:
+        """Next request to run; None if all wait for their team's quota."""
+        return self._first(self._urgent) or self._first(self._deferrable)
+
+    def hopeless(self, *, now: float, slots: int) -> list[Waiting]:
+        """Requests whose deadline can't be met any more."""
+        given_up: list[Waiting] = []
+        if not self._length:
+            return given_up
+        ahead = 0
+        for one in sorted(self, key=lambda w: (not w.urgent, *_order(w))):
+            needed = self.wait_s(ahead, slots=slots)
+            # Half the mean leaves room for runs shorter than the mean.
+            if now + needed + self.mean_run_s / 2 > one.deadline:
+                given_up.append(one)
+            else:
+                ahead += 1
+        return given_up
+
+    def oldest_wait_s(self, now: float) -> float:
+        arrived = [one.arrived for one in self if one.urgent]
+        return now - min(arrived) if arrived else 0.0
+
+    def _expected_s(self, one: Waiting, *, slots: int) -> float:
+        ahead = self.urgent if one.urgent else self._length
+        return self.wait_s(ahead, slots=slots) + self.mean_run_s
+
+    def _first(self, lane: dict[str, list[Waiting]]) -> Waiting | None:
+        best: Waiting | None = None
+        best_key: tuple[int, float, int] | None = None
+        for caller, line in lane.items():
+            one = line[0]
+            if one.team and not self._shares.team_may_run(one.team):
+                continue
+            key = (self._shares.in_flight(caller), one.deadline, one.seq)
+            if best_key is None or key < best_key:
+                best, best_key = one, key
+        return best
--- /dev/null
+++ b/src/galenareel/_entry/retries.py
@@ -0,0 +1,42 @@
+"""Budget and pace of retries."""
+
+from __future__ import annotations
+
+from random import Random
+
+RETRY_SHARE = 0.1  # retries per first try, per pool
+RETRY_RESERVE = 1.0  # lets a pool with little traffic retry once
+RETRY_BURST = 10.0
+BACKOFF_BASE_S = 0.02
+BACKOFF_CAP_S = 0.5
+
+
+class RetryBudget:
+    """Token bucket filled by first tries.
+
+    Over any period the retries are at most a tenth of the first tries plus
+    the tokens saved before it, so a pool that fails everything gets at most
+    1.1 times its load.
+    """
+
+    __slots__ = ('_tokens',)
+
+    def __init__(self) -> None:
+        self._tokens = RETRY_RESERVE
+
+    def first_try(self) -> None:
+        self._tokens = min(RETRY_BURST, self._tokens + RETRY_SHARE)
+
+    def take(self) -> bool:
+        """Use one retry; false if the budget is spent."""
+        # The tolerance keeps ten additions of 0.1 worth one whole token.
+        if self._tokens < 1.0 - 1e-9:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def backoff_s(attempt: int, *, rng: Random) -> float:
+    """Full jitter: uniform between zero and a doubling bound."""
+    bound = min(BACKOFF_CAP_S, BACKOFF_BASE_S * 2 ** min(attempt, 10))
+    return rng.uniform(0.0, bound)
--- /dev/null
+++ b/src/galenareel/_entry/router.py
@@ -0,0 +1,452 @@
+"""Finds a place for each request: own homes, the zone, other zones, queue.
+
+When no slot is free anywhere, a few requests of the queue wait at the homes
+of the zone themselves for a moment. Otherwise an entry without homes of a
+pool would see no free slot at a peak, as the homes serve their own queue
+first, and its callers would starve.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+import time
+from typing import Any
+
+import gevent
+from gevent.event import AsyncResult
+
+from galenareel._common.rows import EntryState
+from galenareel._common.rows import Phase
+from galenareel._common.sentinels import NotRun
+from galenareel._common.sentinels import OutcomeUnknown
+from galenareel._entry.calls import Call
+from galenareel._entry.forward import ForwardClient
+from galenareel._entry.homes import Homes
+from galenareel._entry.homes import Lease
+from galenareel._entry.local import LocalHomes
+from galenareel._entry.outcomes import after_failure
+from galenareel._entry.outcomes import Answer
+from galenareel._entry.outcomes import Failed
+from galenareel._entry.outcomes import given_up
+from galenareel._entry.outcomes import Next
+from galenareel._entry.outcomes import RETRIED_STATUSES
+from galenareel._entry.peers import Fence
+from galenareel._entry.peers import Peer
+from galenareel._entry.peers import Peers
+from galenareel._entry.queue import QueueMemory
+from galenareel._entry.queue import RequestQueue
+from galenareel._entry.queue import Shares
+from galenareel._entry.queue import Waiting
+from galenareel._entry.retries import backoff_s
+from galenareel._entry.retries import RetryBudget
+from galenareel._entry.settings import Limits
+from galenareel._entry.view import ViewStore
+
+MAX_ATTEMPTS = 4
+MAX_REROUTES = 50
+PARK_S = 0.3
+
+
+@dataclass(slots=True, eq=False)
+class PoolState:
+    """Queue, retry budget and counters of one pool at this entry."""
+
+    queue: RequestQueue
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    arrived: int = 0
+    refused: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class _Remote:
+    """A peer to forward to.
+
+    :param parked: the peer may let the request wait for a slot.
+    """
+
+    peer: Peer
+    parked: bool
+
+
+@dataclass(slots=True, eq=False)
+class _Progress:
+    """What has happened to a request so far."""
+
+    attempts: int = 0
+    reroutes: int = 0
+    waiting: Waiting | None = None
+
+
+Place = Lease | _Remote
+
+
+class Router:
+    """Routes requests; one per entry."""
+
+    def __init__(
+        self,
+        *,
+        homes: Homes,
+        peers: Peers,
+        view: ViewStore,
+        fence: Fence,
+        forward: ForwardClient,
+        limits: Limits,
+        rng: Random,
+    ) -> None:
+        self._homes = homes
+        self._peers = peers
+        self._view = view
+        self._fence = fence
+        self._forward = forward
+        self._limits = limits
+        self._rng = rng
+        self._memory = QueueMemory(limits.max_queue_bytes)
+        self._seq = 0
+        self._shares_key: tuple[int, bool] = (-1, False)
+        self._slot_shares: dict[str, int] = {}
+        self.shares = Shares()
+        self.pools: dict[str, PoolState] = {}
+        self.local: LocalHomes  # set by the owner; it calls back here
+        self.count: Callable[[str], None] = lambda _name: None
+
+    def route(self, call: Call) -> Answer | NotRun | OutcomeUnknown:
+        """Run a caller's request to its outcome."""
+        state = self.pool(call.pool)
+        state.arrived += 1
+        state.budget.first_try()
+        result = self._attempts(call, state, _Progress())
+        if isinstance(result, NotRun):
+            state.refused += 1
+        return result
+
+    def serve_forwarded(self, call: Call) -> Answer | Failed:
+        """Run another entry's request on a home here."""
+        place: object = self._own(call)
+        if place is None:
+            place = self._park(call)
+        if isinstance(place, Lease):
+            return self.local.run(call, place)
+        free = self._homes.free(call.pool, now=time.monotonic())
+        return Failed(
+            reason='no_free_slot', sent=False, routing=True, free=free
+        )
+
+    def pool(self, name: str) -> PoolState:
+        state = self.pools.get(name)
+        if state is None:
+            queue = RequestQueue(
+                max_length=self._limits.max_queue,
+                memory=self._memory,
+                shares=self.shares,
+            )
+            state = self.pools[name] = PoolState(queue)
+        return state
+
+    def pump(self, name: str) -> None:
+        """Give free places to waiting requests."""
+        state = self.pools.get(name)
+        if state is None:
+            return
+        queue = state.queue
+        while len(queue):
+            one = queue.peek()
+            if one is None:
+                return
+            place = self._place(one.place.call, forwarded=one.forwarded)
+            if place is None:
+                return
+            queue.remove(one)
+            one.place.fut.set(place)
+
+    def pump_all(self) -> None:
+        for name in self.pools:
+            self.pump(name)
+
+    def give_up_hopeless(self) -> None:
+        """Answer at once the requests whose deadline can't be met."""
+        now = time.monotonic()
+        for name, state in self.pools.items():
+            if not len(state.queue):
+                continue
+            slots = self._slots(name, now)
+            for one in state.queue.hopeless(now=now, slots=slots):
+                state.queue.remove(one)
+                one.place.fut.set(NotRun(reason='deadline_not_met'))
+
+    # --- attempts -----------------------------------------------------------
+
+    def _attempts(
+        self, call: Call, state: PoolState, progress: _Progress
+    ) -> Answer | NotRun | OutcomeUnknown:
+        while True:
+            place = self._find_place(call, state, progress)
+            if isinstance(place, NotRun):
+                return given_up(
+                    maybe_ran=call.maybe_ran,
+                    reason=place.reason,
+                    detail=place.detail,
+                    retry_after_s=self._retry_after_s(state),
+                )
+            result = self._run(call, state, place)
+            final = self._judge(call, state, progress, result)
+            if final is not None:
+                return final
+
+    def _run(
+        self, call: Call, state: PoolState, place: Place
+    ) -> Answer | Failed:
+        began = time.monotonic()
+        ran_before, call.maybe_ran = call.maybe_ran, True
+        if call.on_send is not None:
+            call.on_send()
+        try:
+            if isinstance(place, Lease):
+                result = self.local.run(call, place)
+            else:
+                result = self._run_remote(call, place)
+        finally:
+            self.shares.end(call.caller, call.team)
+        # An exception leaves it set: the request may have been sent.
+        call.maybe_ran = ran_before
+        parked = isinstance(place, _Remote) and place.parked
+        if isinstance(result, Answer) and not parked:
+            state.queue.ran(time.monotonic() - began)
+        return result
+
+    def _run_remote(self, call: Call, place: _Remote) -> Answer | Failed:
+        peer, pool = place.peer, call.pool
+        began = time.monotonic()
+        if place.parked:
+            peer.parked[pool] = peer.parked.get(pool, 0) + 1
+        else:
+            peer.free[pool] = peer.free.get(pool, 0) - 1
+        try:
+            result = self._forward.send(peer.frames, call)
+        finally:
+            if place.parked:
+                peer.parked[pool] -= 1
+        if isinstance(result, Failed) and result.routing:
+            peer.free[pool] = result.free
+            quick = time.monotonic() - began < PARK_S / 2
+            if place.parked and quick:
+                # Its queue is full or it has no home of the pool; its next
+                # heartbeat makes it a place again.
+                del peer.free[pool]
+            if result.reason == 'peer_unreachable':
+                peer.free.clear()
+        elif not place.parked:
+            peer.free[pool] = peer.free.get(pool, 0) + 1
+            if len(self.pool(pool).queue):
+                self.pump(pool)
+        return result
+
+    def _judge(
+        self,
+        call: Call,
+        state: PoolState,
+        progress: _Progress,
+        result: Answer | Failed,
+    ) -> Answer | NotRun | OutcomeUnknown | None:
+        """Final outcome after an attempt; None for another attempt."""
+        if isinstance(result, Answer):
+            retry = result.status in RETRIED_STATUSES and call.idempotent
+            if not retry or not self._may_retry(call, state, progress):
+                return result
+            result.close()
+            call.maybe_ran = True
+            self._back_off(call, progress)
+            return None
+        if result.routing:
+            # A request that waited at a home spent its time there, so only
+            # quick refusals count towards the limit.
+            progress.reroutes += 1
+            if progress.reroutes < MAX_REROUTES:
+                return None
+            return given_up(maybe_ran=call.maybe_ran, reason=result.reason)
+        can = call.idempotent or not (result.sent or call.maybe_ran)
+        step = after_failure(
+            sent=result.sent,
+            sent_before=call.maybe_ran,
+            idempotent=call.idempotent,
+            may_retry=can and self._may_retry(call, state, progress),
+        )
+        call.maybe_ran |= result.sent
+        if step is Next.RETRY:
+            self._back_off(call, progress)
+            return None
+        return given_up(maybe_ran=step is Next.UNKNOWN, reason=result.reason)
+
+    def _may_retry(
+        self, call: Call, state: PoolState, progress: _Progress
+    ) -> bool:
+        progress.attempts += 1
+        return (
+            progress.attempts < MAX_ATTEMPTS
+            and time.monotonic() < call.deadline
+            and state.budget.take()
+        )
+
+    def _back_off(self, call: Call, progress: _Progress) -> None:
+        self.count('retries')
+        left_s = max(0.0, call.deadline - time.monotonic())
+        gevent.sleep(min(backoff_s(progress.attempts, rng=self._rng), left_s))
+
+    # --- places -------------------------------------------------------------
+
+    def _find_place(
+        self, call: Call, state: PoolState, progress: _Progress
+    ) -> Place | NotRun:
+        if not len(state.queue):
+            if not call.team or self.shares.team_may_run(call.team):
+                place = self._place(call)
+                if place is not None:
+                    return place
+        return self._wait(call, state, progress)
+
+    def _place(self, call: Call, *, forwarded: bool = False) -> Place | None:
+        lease = self._own(call)
+        if lease is not None or forwarded:
+            if not forwarded:
+                self.shares.begin(call.caller, call.team)
+            return lease
+        now = time.monotonic()
+        peer = self._peers.best(
+            call.pool, now=now, other_zones=self._view.is_fresh(now)
+        )
+        parked = peer is None
+        if peer is None:
+            peer = self._peers.to_park(call.pool, now=now)
+        if peer is None:
+            return None
+        self.shares.begin(call.caller, call.team)
+        return _Remote(peer, parked)
+
+    def _own(self, call: Call) -> Lease | None:
+        now = time.monotonic()
+        if not self._fence.check(now):
+            return None
+        return self._homes.pick(
+            call.pool, call.service, idempotent=call.idempotent, now=now
+        )
+
+    def _wait(
+        self, call: Call, state: PoolState, progress: _Progress
+    ) -> Place | NotRun:
+        now = time.monotonic()
+        one = progress.waiting
+        if one is None:
+            self._seq += 1
+            one = Waiting(
+                seq=self._seq,
+                deadline=call.deadline,
+                arrived=now,
+                urgent=call.urgent,
+                caller=call.caller,
+                team=call.team,
+                size=len(call.body) + 1024,
+            )
+            reason = state.queue.refuse_reason(
+                one, now=now, slots=self._slots(call.pool, now)
+            )
+            if reason is None and not self._has_instances(call.pool):
+                reason = 'no_instances'
+            if reason is not None:
+                return NotRun(reason=reason)
+            progress.waiting = one
+        elif now >= call.deadline:
+            return NotRun(reason='deadline')
+        return self._wait_in(state.queue, one, call, call.deadline - now)
+
+    def _park(self, call: Call) -> Place | NotRun | None:
+        """Let a forwarded request wait a moment for a slot here."""
+        if not self._homes.by_pool.get(call.pool):
+            return None
+        now = time.monotonic()
+        state = self.pool(call.pool)
+        until = min(PARK_S, call.deadline - now)
+        self._seq += 1
+        one = Waiting(
+            seq=self._seq,
+            deadline=call.deadline,
+            arrived=now,
+            urgent=call.urgent,
+            caller=call.caller,
+            team='',
+            size=0,
+            forwarded=True,
+        )
+        if until <= 0 or len(state.queue) >= self._limits.max_queue:
+            return None
+        return self._wait_in(state.queue, one, call, until)
+
+    def _wait_in(
+        self, queue: RequestQueue, one: Waiting, call: Call, wait_s: float
+    ) -> Place | NotRun:
+        fut: AsyncResult = AsyncResult()
+        one.place = _Waker(call, fut)
+        queue.put(one)
+        self.pump(call.pool)
+        try:
+            place: Any = fut.get(timeout=wait_s)
+        except gevent.Timeout:
+            queue.remove(one)
+            return NotRun(reason='deadline')
+        except BaseException:
+            queue.remove(one)
+            if fut.ready():
+                self._undo(fut.value, call, forwarded=one.forwarded)
+            raise
+        granted: Place | NotRun = place
+        return granted
+
+    def _undo(self, place: object, call: Call, *, forwarded: bool) -> None:
+        """Free a place that was given to a caller that has gone."""
+        if isinstance(place, NotRun):
+            return
+        if not forwarded:
+            self.shares.end(call.caller, call.team)
+        if isinstance(place, Lease):
+            self._homes.finished(place, ok=None, now=time.monotonic())
+        self.pump(call.pool)
+
+    def _has_instances(self, pool: str) -> bool:
+        return any(row.pool == pool for row in self._view.instances.values())
+
+    def _slots(self, pool: str, now: float) -> int:
+        """Slots that the queue of this entry may count on."""
+        fresh = self._view.is_fresh(now)
+        key = (self._view.index, fresh)
+        if key != self._shares_key:
+            self._shares_key = key
+            self._slot_shares = self._share_slots(fresh)
+        own = self._homes.slots(pool, now=now)
+        return max(own, self._slot_shares.get(pool, 0))
+
+    def _share_slots(self, fresh: bool) -> dict[str, int]:
+        zone = self._homes.zone
+        entries = sum(
+            one.state is EntryState.LIVE and (fresh or one.zone == zone)
+            for one in self._view.entries.values()
+        )
+        slots: dict[str, int] = {}
+        for row in self._view.instances.values():
+            if row.phase is Phase.SERVING and (fresh or row.zone == zone):
+                slots[row.pool] = slots.get(row.pool, 0) + row.slots
+        return {
+            name: count // max(1, entries) for name, count in slots.items()
+        }
+
+    def _retry_after_s(self, state: PoolState) -> float:
+        """Hint that grows with the queue, so that callers spread out."""
+        base = max(0.5, state.queue.mean_run_s * 2)
+        return round(min(30.0, base * (1 + self._rng.random())), 2)
+
+
+@dataclass(slots=True, eq=False)
+class _Waker:
+    call: Call
+    fut: AsyncResult
--- /dev/null
+++ b/src/galenareel/_entry/routes.py
@@ -0,0 +1,64 @@
+"""Routes from paths to services, from the document in force."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+import msgspec
+import yaml
+
+from galenareel._common.rows import DocumentRow
+from galenareel._document.model import Environment
+from galenareel._document.model import Pool
+from galenareel._document.model import Service
+from galenareel._document.model import Team
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Routes:
+    """Services of one document version, longest path prefix first."""
+
+    version: int = 0
+    services: tuple[Service, ...] = ()
+    by_name: dict[str, Service] = field(default_factory=dict)
+    pools: dict[str, Pool] = field(default_factory=dict)
+    teams: dict[str, Team] = field(default_factory=dict)
+    team_of: dict[str, str] = field(default_factory=dict)
+    prefixes: tuple[tuple[str, str, Service], ...] = ()
+
+    def match(self, path: str) -> Service | None:
+        """Service with the longest prefix that ends at a path boundary."""
+        for exact, prefix, service in self.prefixes:
+            if path == exact or path.startswith(prefix):
+                return service
+        return None
+
+
+def routes_of(row: DocumentRow | None) -> Routes:
+    """Routes of a committed document; empty without one."""
+    if row is None:
+        return Routes()
+    env = msgspec.convert(
+        yaml.load(row.text, Loader=_loader()), Environment, strict=False
+    )
+    ordered = sorted(env.services, key=lambda one: -len(one.path))
+    return Routes(
+        version=row.version,
+        services=tuple(ordered),
+        by_name={one.name: one for one in env.services},
+        pools={one.name: one for one in env.pools},
+        teams={one.name: one for one in env.teams},
+        team_of={
+            caller: team.name for team in env.teams for caller in team.callers
+        },
+        prefixes=tuple(
+            (one.path.rstrip('/'), one.path.rstrip('/') + '/', one)
+            for one in ordered
+        ),
+    )
+
+
+def _loader() -> type:
+    loader: type = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
+    return loader
--- /dev/null
+++ b/src/galenareel/_entry/session.py
@@ -0,0 +1,186 @@
+"""Session of an entry with the control leader."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import time
+
+import gevent
+from gevent.event import Event
+
+from galenareel._common.events import HybridClock
+from galenareel._common.frames import connect
+from galenareel._common.frames import Link
+from galenareel._common.messages import AnyMessage
+from galenareel._common.messages import EntryReport
+from galenareel._common.messages import Hello
+from galenareel._common.messages import OpenSession
+from galenareel._common.messages import Problem
+from galenareel._common.messages import Renewed
+from galenareel._common.messages import SessionOpened
+from galenareel._common.messages import ViewDelta
+from galenareel._common.messages import Welcome
+from galenareel._common.sentinels import Unreachable
+from galenareel._entry.settings import REPORT_S
+from galenareel._entry.view import Applied
+from galenareel._entry.view import ViewStore
+
+REPLY_TIMEOUT_S = 1.5
+PAUSE_S = 0.2
+MIN_REPORT_S = 0.05  # between reports that are sent early
+
+
+class ControlSession:
+    """Keeps one link to the leader, and the view up to date.
+
+    :param make_report: builds the next report.
+    :param confirmed: called with a report that the leader has taken (None
+        for the opening), the time it was sent and the leader's index.
+    :param on_view: called after each change of the view.
+    """
+
+    def __init__(
+        self,
+        *,
+        opening: OpenSession,
+        secret: str,
+        addresses: tuple[str, ...],
+        clock: HybridClock,
+        view: ViewStore,
+        make_report: Callable[[], EntryReport],
+        confirmed: Callable[[EntryReport | None, float, int], None],
+        on_view: Callable[[], None],
+    ) -> None:
+        self._opening = opening
+        self._hello = Hello(process=opening.entry, secret=secret)
+        self._addresses = addresses
+        self._clock = clock
+        self._view = view
+        self._make_report = make_report
+        self._confirmed = confirmed
+        self._on_view = on_view
+        self._next = 0
+        self._hint = ''
+        self._link: Link | None = None
+        self._pending: list[ViewDelta] = []
+        self._early = Event()
+        self._job: gevent.Greenlet | None = None
+        self.problem = 'no session with control yet'
+
+    def start(self) -> None:
+        self._job = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        if self._job is not None:
+            self._job.kill()
+        if self._link is not None:
+            self._link.close()
+
+    def report_soon(self) -> None:
+        """Send the next report without waiting for its second."""
+        self._early.set()
+
+    def ask(self, msg: AnyMessage, timeout_s: float) -> AnyMessage | None:
+        """Ask the leader; None without a session or a reply of a leader."""
+        link = self._link
+        if link is None:
+            return None
+        reply = link.request(msg, timeout_s=timeout_s)
+        if isinstance(reply, Unreachable):
+            return None
+        if isinstance(reply, Problem) and reply.reason == 'not_leader':
+            self._hint = reply.leader
+            link.close()
+            return None
+        return reply
+
+    def _run(self) -> None:
+        while True:
+            self._session(self._address())
+            gevent.sleep(PAUSE_S if not self._hint else 0.01)
+
+    def _address(self) -> str:
+        hint, self._hint = self._hint, ''
+        if hint:
+            return hint
+        self._next = (self._next + 1) % len(self._addresses)
+        return self._addresses[self._next]
+
+    def _session(self, address: str) -> None:
+        link = connect(address, clock=self._clock, handler=self._receive)
+        if isinstance(link, Unreachable):
+            self.problem = f'control {address}: {link.detail}'
+            return
+        try:
+            if self._open(link):
+                self._follow(link)
+                self._renew(link)
+        finally:
+            self._link = None
+            self._pending.clear()
+            link.close()
+
+    def _open(self, link: Link) -> bool:
+        welcome = link.request(self._hello, timeout_s=REPLY_TIMEOUT_S)
+        if not isinstance(welcome, Welcome):
+            self.problem = 'control did not accept the cluster secret'
+            return False
+        sent_at = time.monotonic()
+        opening = OpenSession(
+            entry=self._opening.entry,
+            zone=self._opening.zone,
+            frames=self._opening.frames,
+            incarnation=self._opening.incarnation,
+            index=self._view.index,
+        )
+        reply = link.request(opening, timeout_s=REPLY_TIMEOUT_S)
+        if isinstance(reply, Problem):
+            self._hint = reply.leader
+            self.problem = f'control: {reply.reason} {reply.detail}'
+            return False
+        if not isinstance(reply, SessionOpened):
+            self.problem = 'control did not answer'
+            return False
+        if self._view.open(reply) is Applied.OLD:
+            self.problem = 'control is behind the view of this entry'
+            return False
+        self._view.renew(sent_at=sent_at, lease_s=reply.lease_s)
+        self.problem = ''
+        self._on_view()
+        self._confirmed(None, sent_at, reply.index)
+        return True
+
+    def _follow(self, link: Link) -> None:
+        """Apply the changes that came while the session opened."""
+        self._link = link
+        pending, self._pending = self._pending, []
+        for msg in pending:
+            self._receive(link, msg)
+
+    def _renew(self, link: Link) -> None:
+        while not link.closed:
+            report = self._make_report()
+            sent_at = time.monotonic()
+            reply = link.request(report, timeout_s=REPLY_TIMEOUT_S)
+            if not isinstance(reply, Renewed):
+                if isinstance(reply, Problem):
+                    self._hint = reply.leader
+                return
+            self._view.renew(sent_at=sent_at, lease_s=reply.lease_s)
+            self._confirmed(report, sent_at, reply.index)
+            gevent.sleep(MIN_REPORT_S)
+            self._early.wait(timeout=REPORT_S - MIN_REPORT_S)
+            self._early.clear()
+
+    def _receive(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
+        if not isinstance(msg, ViewDelta):
+            return None
+        if link is not self._link:
+            self._pending.append(msg)
+            return None
+        applied = self._view.apply(msg)
+        if applied is Applied.GAP:
+            link.close()
+        elif applied is Applied.NEW:
+            self._on_view()
+        return None
--- /dev/null
+++ b/src/galenareel/_entry/settings.py
@@ -0,0 +1,50 @@
+"""Settings of an entry instance, with the limits for callers."""
+
+from __future__ import annotations
+
+import msgspec
+
+HEARTBEAT_S = 0.2  # in the zone; once a second across zones
+FENCE_AFTER_S = 1.0
+TAKEOVER_AFTER_S = 2.0
+REPORT_S = 1.0
+SILENT_AFTER_S = 5.0
+ANSWER_BUFFER_BYTES = 64 * 1024
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits that protect an entry from callers and backend servers."""
+
+    header_timeout_s: float = 10.0
+    body_timeout_s: float = 30.0
+    idle_timeout_s: float = 75.0
+    send_timeout_s: float = 20.0
+    max_header_bytes: int = 32 * 1024
+    max_headers: int = 100
+    max_body_bytes: int = 4 * 1024 * 1024
+    max_connections: int = 2000
+    max_connections_per_address: int = 1000
+    max_queue: int = 512  # requests per pool
+    max_queue_bytes: int = 32 * 1024 * 1024  # bodies over all pools
+    max_deadline_s: float = 3600.0
+    max_answer_head_bytes: int = 64 * 1024
+    max_answer_bytes: int = 1024 * 1024 * 1024
+    connect_timeout_s: float = 1.0
+    stop_grace_s: float = 5.0
+    stop_limit_s: float = 60.0
+
+
+class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Where an entry listens, whom it talks to, and its limits."""
+
+    name: str
+    zone: str
+    callers: str
+    announcements: str
+    operators: str
+    frames: str
+    control: tuple[str, ...]
+    cluster_secret: str
+    announce_secret: str
+    operator_secret: str
+    limits: Limits = msgspec.field(default_factory=Limits)
--- /dev/null
+++ b/src/galenareel/_entry/zone.py
@@ -0,0 +1,235 @@
+"""Heartbeats in the zone, self-fencing and takeover."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import time
+
+import gevent
+
+from galenareel._common.events import Timeline
+from galenareel._common.frames import Link
+from galenareel._common.messages import Announcement
+from galenareel._common.messages import AnyMessage
+from galenareel._common.messages import HomeLoad
+from galenareel._common.messages import PeerHeartbeat
+from galenareel._common.messages import RelayAnnouncement
+from galenareel._entry.homes import Homes
+from galenareel._entry.links import PeerLinks
+from galenareel._entry.peers import Fence
+from galenareel._entry.peers import Peers
+from galenareel._entry.router import Router
+from galenareel._entry.session import ControlSession
+from galenareel._entry.settings import HEARTBEAT_S
+from galenareel._entry.view import ViewStore
+
+BEATS_PER_SECOND = round(1 / HEARTBEAT_S)
+ASK_TIMEOUT_S = 0.5
+
+
+class Zone:
+    """Loop of an entry that runs five times a second.
+
+    :ivar each_second: called once a second, each in its own greenlet.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        incarnation: str,
+        homes: Homes,
+        peers: Peers,
+        links: PeerLinks,
+        fence: Fence,
+        view: ViewStore,
+        router: Router,
+        session: ControlSession,
+        timeline: Timeline,
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._homes = homes
+        self._peers = peers
+        self._links = links
+        self._fence = fence
+        self._view = view
+        self._router = router
+        self._session = session
+        self._timeline = timeline
+        self._is_stopping = is_stopping
+        self._beats = 0
+        self._last = time.monotonic()
+        self._silent: tuple[str, ...] = ()
+        self._asking: set[str] = set()
+        self._job: gevent.Greenlet | None = None
+        self.each_second: list[Callable[[], None]] = []
+
+    def start(self) -> None:
+        self._last = time.monotonic()
+        self._fence.tick(self._last)
+        self._job = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        if self._job is not None:
+            self._job.kill()
+
+    def relay(self, said: Announcement) -> None:
+        """Pass an announcement to the peers of the zone."""
+        msg = RelayAnnouncement(announcement=said)
+        for peer in self._peers.all.values():
+            if peer.zone == self._homes.zone:
+                self._links.send(peer.name, msg)
+
+    def heard(self, link: Link, beat: PeerHeartbeat) -> PeerHeartbeat | None:
+        """Take a heartbeat; a fenced peer gets one back as its reply."""
+        now = time.monotonic()
+        peer = self._peers.heard(beat, now=now)
+        if peer is not None:
+            self._links.adopt(peer.name, link)
+            if peer.zone == self._homes.zone:
+                self._follow(beat, now)
+            self._router.pump_all()
+        return self._beat(now) if beat.fenced else None
+
+    def unfenced(self, by: str) -> None:
+        """The fence was lifted by an answer."""
+        self._homes.fenced = False
+        self._timeline.record('entry.unfenced', entry=self._name, detail=by)
+        self._router.pump_all()
+
+    def _run(self) -> None:
+        while True:
+            self._tick(time.monotonic())
+            gevent.sleep(HEARTBEAT_S)
+
+    def _tick(self, now: float) -> None:
+        self._skip_stall(now)
+        if self._fence.tick(now):
+            self._homes.fenced = True
+            self._timeline.record(
+                'entry.fenced',
+                entry=self._name,
+                detail='the event loop stood still',
+            )
+        if self._fence.fenced:
+            self._ask_zone(now)
+        self._links.dial()
+        self._send_beats(now)
+        self._watch_silence(now)
+        self._router.give_up_hopeless()
+        self._router.pump_all()
+        self._beats += 1
+        if self._beats % BEATS_PER_SECOND == 0:
+            for job in self.each_second:
+                gevent.spawn(job)
+
+    def _skip_stall(self, now: float) -> None:
+        """Don't count a stall of this process as silence of the peers."""
+        gap = now - self._last - HEARTBEAT_S
+        self._last = now
+        if gap > HEARTBEAT_S:
+            for peer in self._peers.all.values():
+                peer.known_at += gap
+                if peer.heard_at is not None:
+                    peer.heard_at += gap
+
+    def _send_beats(self, now: float) -> None:
+        beat = self._beat(now)
+        second = self._beats % BEATS_PER_SECOND == 0
+        for peer in list(self._peers.all.values()):
+            if second or peer.zone == self._homes.zone:
+                self._links.send(peer.name, beat)
+
+    def _beat(self, now: float) -> PeerHeartbeat:
+        pools = []
+        for name, servers in self._homes.by_pool.items():
+            if servers:
+                state = self._router.pools.get(name)
+                pools.append(
+                    HomeLoad(
+                        pool=name,
+                        free=self._homes.free(name, now=now),
+                        queued=len(state.queue) if state else 0,
+                    )
+                )
+        return PeerHeartbeat(
+            entry=self._name,
+            incarnation=self._incarnation,
+            index=self._view.index,
+            pools=tuple(pools),
+            fenced=self._fence.fenced,
+            stopping=self._is_stopping(),
+            taken=tuple(self._homes.taken.items()),
+        )
+
+    def _follow(self, beat: PeerHeartbeat, now: float) -> None:
+        if self._homes.peer_has(beat.entry, beat.taken):
+            self._timeline.record(
+                'home.moved', entry=self._name, detail=f'{beat.entry} said so'
+            )
+            self._homes.sync(self._view.instances, now=now)
+
+    def _watch_silence(self, now: float) -> None:
+        silent = self._peers.silent(now=now)
+        if silent != self._silent:
+            self._silent = silent
+            for name in silent:
+                self._timeline.record('entry.silent', entry=name)
+            self._session.report_soon()
+        if self._view.is_fresh(now) or self._fence.fenced:
+            return
+        gone = set(silent)
+        for peer in self._peers.all.values():
+            if peer.stopping and peer.zone == self._homes.zone:
+                gone.add(peer.name)
+        if gone and self._view.ready:
+            self._take_over(frozenset(gone), now)
+
+    def _take_over(self, gone: frozenset[str], now: float) -> None:
+        live = self._peers.live_in_zone(now=now)
+        taken = self._homes.take_over(gone, live)
+        if not taken:
+            return
+        for instance, _epoch in taken:
+            self._timeline.record(
+                'home.taken',
+                instance=instance,
+                entry=self._name,
+                detail='without control',
+            )
+        self._homes.sync(self._view.instances, now=now)
+        self._router.pump_all()
+
+    def _ask_zone(self, now: float) -> None:
+        """Ask the peers for their word; any answer lifts the fence."""
+        names = [
+            peer.name
+            for peer in self._peers.all.values()
+            if peer.zone == self._homes.zone
+        ]
+        if not names and self._fence.heard(asked_at=now):
+            # Nobody in the zone could have taken a home.
+            self.unfenced('the only entry of its zone')
+        for name in names:
+            if name not in self._asking:
+                self._asking.add(name)
+                gevent.spawn(self._ask, name, now)
+        self._session.report_soon()
+
+    def _ask(self, name: str, asked_at: float) -> None:
+        try:
+            reply: AnyMessage | None = self._links.request(
+                name,
+                self._beat(asked_at),
+                timeout_s=ASK_TIMEOUT_S,
+            )
+        finally:
+            self._asking.discard(name)
+        if isinstance(reply, PeerHeartbeat):
+            now = time.monotonic()
+            self._peers.heard(reply, now=now)
+            self._follow(reply, now)
+            if self._fence.heard(asked_at=asked_at):
+                self.unfenced(name)
--- /dev/null
+++ b/testing/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of galenareel._entry."""
--- /dev/null
+++ b/testing/entry/fakes.py
@@ -0,0 +1,467 @@
+"""Small stand-ins around an entry: control, backend servers, callers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+import socket
+import time
+from typing import Any
+
+import gevent
+from gevent.server import StreamServer
+from gevent.socket import create_connection
+
+from galenareel._common.clock import SystemClock
+from galenareel._common.events import HybridClock
+from galenareel._common.frames import FrameServer
+from galenareel._common.frames import Link
+from galenareel._common.messages import Announcement
+from galenareel._common.messages import AnyMessage
+from galenareel._common.messages import Claim
+from galenareel._common.messages import ClaimReply
+from galenareel._common.messages import Done
+from galenareel._common.messages import EntryReport
+from galenareel._common.messages import EventsRead
+from galenareel._common.messages import Hello
+from galenareel._common.messages import OpenSession
+from galenareel._common.messages import OperatorAnswer
+from galenareel._common.messages import OperatorCall
+from galenareel._common.messages import Problem
+from galenareel._common.messages import ReadEvents
+from galenareel._common.messages import Renewed
+from galenareel._common.messages import SessionOpened
+from galenareel._common.messages import SettleClaim
+from galenareel._common.messages import ViewDelta
+from galenareel._common.messages import Welcome
+from galenareel._common.rows import DocumentRow
+from galenareel._common.rows import EntryRow
+from galenareel._common.rows import InstanceRow
+from galenareel._common.rows import Stage
+from galenareel._common.rows import StoredAnswer
+from galenareel._entry.process import Entry
+from galenareel._entry.settings import EntrySettings
+from galenareel._entry.settings import Limits
+
+SECRET = 'cluster'
+LEASE_S = 3.0
+
+TEXT = """
+environment: test
+version: {version}
+replaces: {replaces}
+zones: [a, b]
+pools:
+  - {{name: lots, min_available: 1}}
+  - {{name: office, min_available: 0, spare: true}}
+services:
+  - {{name: lots, pool: lots, path: /lots, idempotent: true, deadline_s: 2}}
+  - {{name: sales, pool: lots, path: /sales, deadline_s: 2}}
+  - {{name: office, pool: office, path: /office, urgency: deferrable,
+     deadline_s: 2}}
+teams:
+  - {{name: brokers, slots: 2, callers: [kebede, almaz]}}
+"""
+
+
+def free_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{sock.getsockname()[1]}'
+
+
+def document(version: int = 1) -> DocumentRow:
+    return DocumentRow(
+        version=version,
+        replaces=version - 1,
+        digest=f'digest {version}',
+        text=TEXT.format(version=version, replaces=version - 1),
+        stage=Stage.IN_FORCE,
+    )
+
+
+class FakeControl:
+    """One control member that takes every report and grants claims."""
+
+    def __init__(self) -> None:
+        self.address = free_address()
+        self.index = 1
+        self.instances: dict[str, InstanceRow] = {}
+        self.entries: dict[str, EntryRow] = {}
+        self.document: DocumentRow | None = document()
+        self.leader: str = ''  # set: answer not_leader with this hint
+        self.reports: list[EntryReport] = []
+        self.claims: dict[tuple[str, str], Claim] = {}
+        self.settled: dict[tuple[str, str], SettleClaim] = {}
+        self.claim_away = False
+        self.calls: list[OperatorCall] = []
+        self._sessions: set[Link] = set()
+        self._clock = HybridClock(SystemClock())
+        self._server = self._make_server()
+
+    def start(self) -> None:
+        self._server.start()
+
+    def close(self) -> None:
+        self._server.close()
+        self._sessions.clear()
+
+    def restart(self) -> None:
+        self._server = self._make_server()
+        self._server.start()
+
+    def commit(self, *rows: InstanceRow | EntryRow | DocumentRow) -> None:
+        """Change rows and send the change to every session."""
+        before = self.index
+        self.index += 1
+        changed: dict[str, Any] = {'instances': (), 'entries': ()}
+        for row in rows:
+            if isinstance(row, InstanceRow):
+                self.instances[row.instance] = row
+                changed['instances'] += (row,)
+            elif isinstance(row, EntryRow):
+                self.entries[row.entry] = row
+                changed['entries'] += (row,)
+            else:
+                self.document = row
+                changed['document'] = row
+        delta = ViewDelta(previous=before, index=self.index, **changed)
+        for link in list(self._sessions):
+            link.notify(delta)
+
+    def _make_server(self) -> FrameServer:
+        return FrameServer(
+            self.address,
+            clock=self._clock,
+            handler=self._handle,
+            on_close=self._sessions.discard,
+        )
+
+    def _handle(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
+        if isinstance(msg, Hello):
+            return Welcome(process='control')
+        if isinstance(msg, ReadEvents):
+            return EventsRead(process='control', events=b'[]')
+        if self.leader:
+            return Problem(reason='not_leader', leader=self.leader)
+        if isinstance(msg, OpenSession):
+            self._sessions.add(link)
+            return SessionOpened(
+                index=self.index,
+                lease_s=LEASE_S,
+                instances=tuple(self.instances.values()),
+                entries=tuple(self.entries.values()),
+                document=self.document,
+            )
+        if isinstance(msg, EntryReport):
+            self.reports.append(msg)
+            return Renewed(index=self.index, lease_s=LEASE_S)
+        if isinstance(msg, Claim):
+            return self._claim(msg)
+        if isinstance(msg, SettleClaim):
+            self._settle(msg)
+            return Done()
+        if isinstance(msg, OperatorCall):
+            self.calls.append(msg)
+            return OperatorAnswer(status=200, body=b'{"ok":true}')
+        return None
+
+    def _claim(self, msg: Claim) -> ClaimReply | None:
+        if self.claim_away:
+            return None
+        place = (msg.caller, msg.key)
+        before = self.claims.get(place)
+        if before is None:
+            self.claims[place] = msg
+            return ClaimReply(state='granted')
+        if before.digest != msg.digest:
+            return ClaimReply(state='mismatch')
+        settled = self.settled.get(place)
+        if settled is None:
+            return ClaimReply(state='running')
+        answer: StoredAnswer | None = settled.answer
+        return ClaimReply(state=settled.state, answer=answer)
+
+    def _settle(self, msg: SettleClaim) -> None:
+        place = (msg.caller, msg.key)
+        if msg.state == 'released':
+            self.claims.pop(place, None)
+        elif place in self.claims:
+            self.settled[place] = msg
+
+
+@dataclass
+class Request:
+    """One request as a backend server has read it."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def request_id(self) -> str:
+        return self.headers['galenareel-request-id']
+
+
+Reaction = Callable[['FakeBackend', Any, Request], bool | None]
+
+
+def reply(
+    request: Request,
+    body: bytes = b'done',
+    *,
+    status: str = '200 OK',
+    more: str = '',
+) -> bytes:
+    return (
+        f'HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n'
+        f'Galenareel-Request-Id: {request.request_id}\r\n{more}\r\n'
+    ).encode() + body
+
+
+@dataclass
+class FakeBackend:
+    """Backend server whose reaction a test can replace.
+
+    A reaction returns true to keep the connection open.
+    """
+
+    instance: str = 'a/lots-1'
+    rack: str = 'r1'
+    service: str = 'lots'
+    slots: int = 8
+    address: str = field(default_factory=free_address)
+    incarnation: str = 'one'
+    react: Reaction | None = None
+    requests: list[Request] = field(default_factory=list)
+    running: int = 0
+    most: int = 0
+    leaving: bool = False
+
+    def start(self) -> None:
+        host, port = self.address.split(':')
+        self._server = StreamServer((host, int(port)), self._serve)
+        self._server.start()
+
+    def close(self) -> None:
+        self._server.stop(timeout=0)
+
+    def row(self, **more: Any) -> InstanceRow:
+        fields: dict[str, Any] = {
+            'instance': self.instance,
+            'address': self.address,
+            'zone': self.instance.split('/')[0],
+            'rack': self.rack,
+            'pool': 'lots',
+            'home': 'a1',
+            'home_epoch': 1,
+            'incarnation': self.incarnation,
+            'slots': self.slots,
+        }
+        return InstanceRow(**(fields | more))
+
+    def announcement(self, **more: Any) -> Announcement:
+        fields: dict[str, Any] = {
+            'instance': self.instance,
+            'address': self.address,
+            'zone': self.instance.split('/')[0],
+            'rack': self.rack,
+            'service': self.service,
+            'incarnation': self.incarnation,
+            'slots': self.slots,
+            'in_use': self.running,
+            'leaving': self.leaving,
+        }
+        return Announcement(**(fields | more))
+
+    def _serve(self, sock: Any, _address: Any) -> None:
+        file = sock.makefile('rb')
+        try:
+            while (request := read_request(file)) is not None:
+                self.requests.append(request)
+                self.running += 1
+                self.most = max(self.most, self.running)
+                try:
+                    if not self._react(sock, request):
+                        return
+                finally:
+                    self.running -= 1
+        except OSError:
+            pass
+        finally:
+            file.close()
+            sock.close()
+
+    def _react(self, sock: Any, request: Request) -> bool | None:
+        if self.react is not None:
+            return self.react(self, sock, request)
+        sock.sendall(reply(request))
+        return True
+
+
+def read_request(file: Any) -> Request | None:
+    first = file.readline().decode()
+    if not first:
+        return None
+    method, path, _version = first.split()
+    headers = {}
+    while (line := file.readline().decode().strip()) != '':
+        name, _colon, value = line.partition(':')
+        headers[name.lower()] = value.strip()
+    body = file.read(int(headers.get('content-length', '0')))
+    return Request(method, path, headers, body)
+
+
+@dataclass
+class Reply:
+    """An HTTP answer as a caller has read it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+    @property
+    def outcome(self) -> str:
+        return self.headers.get('galenareel-outcome', '')
+
+
+def call(
+    address: str,
+    path: str = '/lots/1',
+    *,
+    method: str = 'GET',
+    headers: dict[str, str] | None = None,
+    body: bytes = b'',
+    timeout_s: float = 5.0,
+) -> Reply:
+    """One request on a connection of its own."""
+    host, port = address.split(':')
+    with create_connection((host, int(port)), timeout_s) as sock:
+        lines = [f'{method} {path} HTTP/1.1', 'Host: test']
+        lines += [f'{k}: {v}' for k, v in (headers or {}).items()]
+        if body:
+            lines.append(f'Content-Length: {len(body)}')
+        lines += ['Connection: close', '', '']
+        sock.sendall('\r\n'.join(lines).encode() + body)
+        return read_reply(sock)
+
+
+def read_reply(sock: Any) -> Reply:
+    """Read to the end of the connection; tell whether the body is whole."""
+    data = b''
+    try:
+        while part := sock.recv(65536):
+            data += part
+    except ConnectionResetError:
+        pass
+    head, _mark, body = data.partition(b'\r\n\r\n')
+    lines = head.decode('latin-1').split('\r\n')
+    headers = {}
+    for line in lines[1:]:
+        name, _colon, value = line.partition(':')
+        headers[name.lower()] = value.strip()
+    status = int(lines[0].split()[1]) if lines[0] else 0
+    if headers.get('transfer-encoding') == 'chunked':
+        body, whole = dechunk(body)
+    else:
+        whole = len(body) == int(headers.get('content-length', '-1'))
+    return Reply(status, headers, body, whole)
+
+
+def dechunk(data: bytes) -> tuple[bytes, bool]:
+    parts: list[bytes] = []
+    while data:
+        size, mark, data = data.partition(b'\r\n')
+        if not mark:
+            break
+        count = int(size, 16)
+        if count == 0:
+            return b''.join(parts), data == b'\r\n'
+        parts.append(data[:count])
+        data = data[count + 2 :]
+    return b''.join(parts), False
+
+
+def settings(name: str, zone: str, control: str, **limits: Any) -> Any:
+    limits = {'stop_grace_s': 0.2, 'stop_limit_s': 3.0} | limits
+    return EntrySettings(
+        name=name,
+        zone=zone,
+        callers=free_address(),
+        announcements=free_address(),
+        operators=free_address(),
+        frames=free_address(),
+        control=(control,),
+        cluster_secret=SECRET,
+        announce_secret='announce',
+        operator_secret='operate',
+        limits=Limits(**limits),
+    )
+
+
+class Cluster:
+    """Entries, backend servers and a control in this process."""
+
+    def __init__(self) -> None:
+        self.control = FakeControl()
+        self.entries: dict[str, Entry] = {}
+        self.backends: dict[str, FakeBackend] = {}
+        self._announcing: gevent.Greenlet | None = None
+        self.silent: set[str] = set()
+
+    def add_entry(self, name: str, zone: str = 'a', **limits: Any) -> Entry:
+        chosen = settings(name, zone, self.control.address, **limits)
+        entry = Entry(chosen, incarnation=f'{name}-i', rng=Random(1))
+        self.entries[name] = entry
+        self.control.entries[name] = EntryRow(
+            entry=name, zone=zone, frames=chosen.frames, incarnation='i'
+        )
+        return entry
+
+    def add_backend(self, backend: FakeBackend, **row: Any) -> FakeBackend:
+        backend.start()
+        self.backends[backend.instance] = backend
+        self.control.instances[backend.instance] = backend.row(**row)
+        return backend
+
+    def start(self) -> None:
+        self.control.start()
+        for entry in self.entries.values():
+            entry.start()
+        wait_for(lambda: all(e.view.ready for e in self.entries.values()))
+        self.announce()
+        self._announcing = gevent.spawn(self._announce_often)
+
+    def announce(self) -> None:
+        for backend in self.backends.values():
+            if backend.instance not in self.silent:
+                for entry in self.entries.values():
+                    if backend.instance.startswith(entry.settings.zone):
+                        entry.take(backend.announcement(), relayed=True)
+
+    def _announce_often(self) -> None:
+        while True:
+            gevent.sleep(0.3)
+            self.announce()
+
+    def close(self) -> None:
+        if self._announcing is not None:
+            self._announcing.kill()
+        for entry in self.entries.values():
+            entry.close()
+        for backend in self.backends.values():
+            backend.close()
+        self.control.close()
+
+
+def wait_for(
+    check: Callable[[], object], *, timeout_s: float = 5.0, what: str = ''
+) -> None:
+    until = time.monotonic() + timeout_s
+    while not check():
+        assert time.monotonic() < until, f'timed out waiting {what}'
+        gevent.sleep(0.01)
--- /dev/null
+++ b/testing/entry/test_requests.py
@@ -0,0 +1,41 @@
+"""Requests from the caller to the backend server and back."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from testing.entry.fakes import call
+from testing.entry.fakes import Cluster
+from testing.entry.fakes import FakeBackend
+
+
+def test_request_on_own_home(cluster: Cluster) -> None:
+    entry = cluster.add_entry('a1')
+    backend = cluster.add_backend(FakeBackend())
+    cluster.start()
+    got = call(entry.settings.callers, headers={'X-Thing': 'tea'})
+    assert (got.status, got.outcome, got.body) == (200, 'answered', b'done')
+    seen = backend.requests[0]
+    assert seen.headers['x-thing'] == 'tea'
+    assert seen.headers['galenareel-service'] == 'lots'
+    assert seen.request_id == got.headers['galenareel-request-id']
+
+
+def test_request_is_forwarded_to_the_home(cluster: Cluster) -> None:
+    cluster.add_entry('a1')
+    entry = cluster.add_entry('a2')
+    backend = cluster.add_backend(FakeBackend())
+    cluster.start()
+    gevent.sleep(0.5)
+    got = call(entry.settings.callers, method='POST', body=b'x' * 1000)
+    assert (got.status, got.outcome, got.body) == (200, 'answered', b'done')
+    assert backend.requests[0].body == b'x' * 1000
+
+
+@pytest.mark.parametrize('path', ['/nothing', '/lotsmore', '/'])
+def test_unknown_service(cluster: Cluster, path: str) -> None:
+    entry = cluster.add_entry('a1')
+    cluster.start()
+    got = call(entry.settings.callers, path)
+    assert (got.status, got.outcome) == (404, 'not_run')
