Read the entry's settings, log and metrics from the common parts

Change: galenareel-entry uses them in place of its own flags and YAML reading; each change of state goes to the time line and to the log.

Conclusion: the tests of the entry pass.

--- a/src/galenareel/_entry/claims.py
+++ b/src/galenareel/_entry/claims.py
@@ -9,6 +9,8 @@
 
 from galenareel._common.messages import Claim
 from galenareel._common.messages import ClaimReply
+from galenareel._common.messages import Done
+from galenareel._common.messages import Problem
 from galenareel._common.messages import SettleClaim
 from galenareel._common.rows import StoredAnswer
 from galenareel._common.sentinels import NotRun
@@ -20,6 +22,8 @@
 CLAIM_TIMEOUT_S = 2.0
 CLAIM_LIFE_S = 600.0
 MARGIN_S = 30.0
+# Refusals of the state; any other problem may pass.
+FINAL_PROBLEMS = frozenset(('not_holder', 'settled', 'bad_state'))
 MAX_KEY = 256
 MAX_UNSETTLED = 10_000
 
@@ -101,10 +105,10 @@
                 continue
             if now - one.since > CLAIM_LIFE_S:
                 self._unsettled.pop(place, None)
-            elif self._ask(one.settle, CLAIM_TIMEOUT_S) is None:
-                return
-            else:
+            elif _is_final(self._ask(one.settle, CLAIM_TIMEOUT_S)):
                 self._unsettled.pop(place, None)
+            else:
+                return
 
     def pending(self) -> int:
         return sum(one.settle is not None for one in self._unsettled.values())
@@ -173,6 +177,13 @@
         self._wake()
 
 
+def _is_final(reply: object) -> bool:
+    """Whether control has taken a settlement or never will."""
+    if isinstance(reply, Problem):
+        return reply.reason in FINAL_PROBLEMS
+    return isinstance(reply, Done)
+
+
 def _digest(call: Call) -> str:
     digest = hashlib.sha256()
     for part in (call.method, call.path, call.service):
--- a/src/galenareel/_entry/lifecycle.py
+++ b/src/galenareel/_entry/lifecycle.py
@@ -53,14 +53,14 @@
         # Requests that came just before the listener closed.
         gevent.sleep(POLL_S)
         self._wait(until, for_work=True)
-        entry.timeline.record('entry.stopped', entry=entry.settings.name)
+        entry.record('entry.stopped', entry=entry.settings.name)
         entry.close()
 
     def _announce(self) -> None:
         entry = self._entry
         entry.readiness.reason = 'stopping'
         entry.stopping = True
-        entry.timeline.record('entry.stopping', entry=entry.settings.name)
+        entry.record('entry.stopping', entry=entry.settings.name)
         entry.session.report_soon()
         if not entry.view.is_fresh(time.monotonic()):
             # Peers that are cut off take the homes when they hear of the
--- a/src/galenareel/_entry/process.py
+++ b/src/galenareel/_entry/process.py
@@ -12,9 +12,11 @@
 from galenareel._common.clock import SystemClock
 from galenareel._common.events import HybridClock
 from galenareel._common.events import Timeline
+from galenareel._common.findings import FindingsError
 from galenareel._common.frames import FrameServer
 from galenareel._common.frames import Link
 from galenareel._common.frames import parse_address
+from galenareel._common.log import Log
 from galenareel._common.messages import Announcement
 from galenareel._common.messages import AnyMessage
 from galenareel._common.messages import EntryReport
@@ -25,6 +27,7 @@
 from galenareel._common.messages import ReadEvents
 from galenareel._common.messages import RelayAnnouncement
 from galenareel._common.messages import Welcome
+from galenareel._common.metrics import Metrics
 from galenareel._entry.announcements import Announcements
 from galenareel._entry.callers import Callers
 from galenareel._entry.callers import Readiness
@@ -45,7 +48,7 @@
 from galenareel._entry.routes import Routes
 from galenareel._entry.routes import routes_of
 from galenareel._entry.session import ControlSession
-from galenareel._entry.settings import EntrySettings
+from galenareel._entry.settings import EntryConfig
 from galenareel._entry.settings import FENCE_AFTER_S
 from galenareel._entry.view import ViewStore
 from galenareel._entry.wsgi import Server
@@ -59,18 +62,28 @@
     """
 
     def __init__(
-        self, settings: EntrySettings, *, incarnation: str, rng: Random
+        self,
+        settings: EntryConfig,
+        *,
+        incarnation: str,
+        rng: Random,
+        log: Log | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         now = time.monotonic()
         self.settings = settings
         self.incarnation = incarnation
         self.clock = HybridClock(SystemClock())
         self.timeline = Timeline(settings.name, self.clock)
+        self.log = log if log is not None else Log(settings.name)
+        metrics = metrics if metrics is not None else Metrics(settings.name)
+        self._outcomes = metrics.counter('requests', text='by outcome')
         self.counts: Counter[str] = Counter()
         self.readiness = Readiness()
         self.stopping = False
         self.view = ViewStore()
         self.routes = Routes()
+        self._document_seen = 0
         self.homes = Homes(settings.name, settings.zone)
         self.peers = Peers(settings.name, settings.zone)
         self.fence = Fence(now=now, after_s=FENCE_AFTER_S)
@@ -86,7 +99,7 @@
         self.callers_http.start()
         self.session.start()
         self.zone.start()
-        self.timeline.record('entry.started', entry=self.settings.name)
+        self.record('entry.started', entry=self.settings.name)
 
     def close(self) -> None:
         """Close everything; what is in flight is cut."""
@@ -107,7 +120,7 @@
         """Take an announcement of a backend server of the zone."""
         now = time.monotonic()
         if self.homes.heard(said, now=now):
-            self.timeline.record(
+            self.record(
                 'instance.announced',
                 instance=said.instance,
                 detail='leaving' if said.leaving else said.incarnation,
@@ -117,6 +130,11 @@
         if not relayed:
             self.zone.relay(said)
 
+    def record(self, kind: str, *, detail: str = '', **subjects: str) -> None:
+        """Add a change of state to the time line and to the log."""
+        self.timeline.record(kind, detail=detail, **subjects)
+        self.log.info(kind, **subjects, detail=detail)
+
     def in_flight(self) -> int:
         """Requests whose answers are not finished here."""
         return self.callers.in_flight + self.forward_server.busy()
@@ -129,7 +147,7 @@
         self.homes.sync(self.view.instances, now=now)
         if self.readiness.reason == 'starting' and self.routes.version:
             self.readiness.reason = None
-            self.timeline.record('entry.ready', entry=self.settings.name)
+            self.record('entry.ready', entry=self.settings.name)
         if self.homes.drained():
             self.session.report_soon()
         self.router.pump_all()
@@ -208,7 +226,7 @@
             view=self.view,
             router=self.router,
             session=self.session,
-            timeline=self.timeline,
+            record=self.record,
             is_stopping=lambda: self.stopping,
         )
 
@@ -318,7 +336,7 @@
     def _judged(self, server: BackendServer, verdict: Verdict) -> None:
         kind = 'instance.suspect' if verdict.out else 'instance.returned'
         self._count(kind)
-        self.timeline.record(
+        self.record(
             kind,
             instance=server.instance,
             detail=f'service {verdict.service}' if verdict.service else '',
@@ -327,9 +345,18 @@
 
     def _follow_document(self) -> None:
         row = self.view.document
-        if row is None or row.version == self.routes.version:
+        if row is None or row.version == self._document_seen:
+            return
+        self._document_seen = row.version
+        try:
+            routes = routes_of(row)
+        except FindingsError as exc:
+            # Control has checked it, so this entry is older than control.
+            self.log.error(
+                'document.unreadable', version=row.version, problem=exc
+            )
             return
-        self.routes = routes = routes_of(row)
+        self.routes = routes
         self.homes.min_available = {
             pool.name: pool.min_available for pool in routes.pools.values()
         }
@@ -338,7 +365,7 @@
             team.name: max(1, -(-team.slots // entries))
             for team in routes.teams.values()
         }
-        self.timeline.record(
+        self.record(
             'document.in_force',
             document=str(row.version),
             detail=f'index {self.view.index}',
@@ -351,3 +378,4 @@
 
     def _count(self, name: str) -> None:
         self.counts[name] += 1
+        self._outcomes.add(1, {'kind': name})
--- a/src/galenareel/_entry/routes.py
+++ b/src/galenareel/_entry/routes.py
@@ -5,11 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-import msgspec
-import yaml
-
 from galenareel._common.rows import DocumentRow
-from galenareel._document.model import Environment
 from galenareel._document.model import Pool
 from galenareel._document.model import Service
 from galenareel._document.model import Team
@@ -36,12 +32,16 @@
 
 
 def routes_of(row: DocumentRow | None) -> Routes:
-    """Routes of a committed document; empty without one."""
+    """Routes of a committed document; empty without one.
+
+    :raises FindingsError: if this program can't read the document.
+    """
     if row is None:
         return Routes()
-    env = msgspec.convert(
-        yaml.load(row.text, Loader=_loader()), Environment, strict=False
-    )
+    # The YAML parser is loaded with the first document.
+    from galenareel._document.reading import read_environment
+
+    env = read_environment(row.text)
     ordered = sorted(env.services, key=lambda one: -len(one.path))
     return Routes(
         version=row.version,
@@ -57,8 +57,3 @@
             for one in ordered
         ),
     )
-
-
-def _loader() -> type:
-    loader: type = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
-    return loader
--- a/src/galenareel/_entry/settings.py
+++ b/src/galenareel/_entry/settings.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from galenareel._common.settings import EntrySettings
+
 HEARTBEAT_S = 0.2  # in the zone; once a second across zones
 FENCE_AFTER_S = 1.0
 TAKEOVER_AFTER_S = 2.0
@@ -34,7 +36,7 @@
     stop_limit_s: float = 60.0
 
 
-class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
+class EntryConfig(msgspec.Struct, frozen=True, kw_only=True):
     """Where an entry listens, whom it talks to, and its limits."""
 
     name: str
@@ -48,3 +50,25 @@
     announce_secret: str
     operator_secret: str
     limits: Limits = msgspec.field(default_factory=Limits)
+
+
+def config_of(settings: EntrySettings) -> EntryConfig:
+    """Configuration from the settings of the program."""
+    limits = {
+        name: getattr(settings, name)
+        for name in Limits.__struct_fields__
+        if hasattr(settings, name)
+    }
+    return EntryConfig(
+        name=settings.name,
+        zone=settings.zone,
+        callers=settings.callers,
+        announcements=settings.announcements,
+        operators=settings.operators,
+        frames=settings.frames,
+        control=settings.control,
+        cluster_secret=settings.cluster_secret.reveal(),
+        announce_secret=settings.announce_secret.reveal(),
+        operator_secret=settings.operator_secret.reveal(),
+        limits=Limits(**limits),
+    )
--- a/src/galenareel/_entry/zone.py
+++ b/src/galenareel/_entry/zone.py
@@ -7,7 +7,6 @@
 
 import gevent
 
-from galenareel._common.events import Timeline
 from galenareel._common.frames import Link
 from galenareel._common.messages import Announcement
 from galenareel._common.messages import AnyMessage
@@ -30,6 +29,7 @@
 class Zone:
     """Loop of an entry that runs five times a second.
 
+    :param record: adds to the time line and the log.
     :ivar each_second: called once a second, each in its own greenlet.
     """
 
@@ -45,7 +45,7 @@
         view: ViewStore,
         router: Router,
         session: ControlSession,
-        timeline: Timeline,
+        record: Callable[..., None],
         is_stopping: Callable[[], bool],
     ) -> None:
         self._name = name
@@ -57,7 +57,7 @@
         self._view = view
         self._router = router
         self._session = session
-        self._timeline = timeline
+        self._record = record
         self._is_stopping = is_stopping
         self._beats = 0
         self._last = time.monotonic()
@@ -96,7 +96,7 @@
     def unfenced(self, by: str) -> None:
         """The fence was lifted by an answer."""
         self._homes.fenced = False
-        self._timeline.record('entry.unfenced', entry=self._name, detail=by)
+        self._record('entry.unfenced', entry=self._name, detail=by)
         self._router.pump_all()
 
     def _run(self) -> None:
@@ -108,7 +108,7 @@
         self._skip_stall(now)
         if self._fence.tick(now):
             self._homes.fenced = True
-            self._timeline.record(
+            self._record(
                 'entry.fenced',
                 entry=self._name,
                 detail='the event loop stood still',
@@ -166,7 +166,7 @@
 
     def _follow(self, beat: PeerHeartbeat, now: float) -> None:
         if self._homes.peer_has(beat.entry, beat.taken):
-            self._timeline.record(
+            self._record(
                 'home.moved', entry=self._name, detail=f'{beat.entry} said so'
             )
             self._homes.sync(self._view.instances, now=now)
@@ -176,7 +176,7 @@
         if silent != self._silent:
             self._silent = silent
             for name in silent:
-                self._timeline.record('entry.silent', entry=name)
+                self._record('entry.silent', entry=name)
             self._session.report_soon()
         if self._view.is_fresh(now) or self._fence.fenced:
             return
@@ -193,7 +193,7 @@
         if not taken:
             return
         for instance, _epoch in taken:
-            self._timeline.record(
+            self._record(
                 'home.taken',
                 instance=instance,
                 entry=self._name,
--- a/testing/entry/fakes.py
+++ b/testing/entry/fakes.py
@@ -42,7 +42,7 @@
 from galenareel._common.rows import Stage
 from galenareel._common.rows import StoredAnswer
 from galenareel._entry.process import Entry
-from galenareel._entry.settings import EntrySettings
+from galenareel._entry.settings import EntryConfig
 from galenareel._entry.settings import Limits
 
 SECRET = 'cluster'
@@ -388,7 +388,7 @@
 
 def settings(name: str, zone: str, control: str, **limits: Any) -> Any:
     limits = {'stop_grace_s': 0.2, 'stop_limit_s': 3.0} | limits
-    return EntrySettings(
+    return EntryConfig(
         name=name,
         zone=zone,
         callers=free_address(),
