Add stand-ins for backend servers, the platform and callers

The demo and the fault matrix need records of what ran and what was answered that don't come from the system.

--- /dev/null
+++ b/testing/standins/http.py
@@ -0,0 +1,71 @@
+"""One HTTP request on a connection of its own, with a limit in all."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+import gevent
+from geventhttpclient import HTTPClient
+from geventhttpclient import HTTPParseError
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """A whole answer, or why there is none.
+
+    :param connected: whether a byte may have left.
+    """
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b''
+    problem: str = ''
+    connected: bool = True
+
+    def header(self, name: str) -> str:
+        return self.headers.get(name.lower(), '')
+
+
+def ask(
+    address: str,
+    method: str,
+    path: str,
+    *,
+    headers: dict[str, str] | None = None,
+    body: bytes = b'',
+    timeout_s: float = 5.0,
+) -> Answer:
+    """Send one request.
+
+    The client resends idempotent methods by itself after a lost connection;
+    what must be sent only once has to be a POST.
+    """
+    host, port = address.rsplit(':', 1)
+    client = HTTPClient(
+        host,
+        int(port),
+        connection_timeout=CONNECT_TIMEOUT_S,
+        network_timeout=timeout_s,
+    )
+    try:
+        with gevent.Timeout(timeout_s):
+            response = client.request(
+                method, path, body=body, headers=headers or {}
+            )
+            data = bytes(response.read())
+            found = {name.lower(): value for name, value in response.headers}
+    except ConnectionRefusedError as exc:
+        return Answer(problem=str(exc), connected=False)
+    except gevent.Timeout:
+        return Answer(problem=f'no answer within {timeout_s:.1f} s')
+    except (OSError, HTTPParseError, RuntimeError) as exc:
+        return Answer(problem=f'{type(exc).__name__}: {exc}')
+    finally:
+        client.close()
+    # A second answer in the same read is appended to the body by the client.
+    if found.get('content-length', str(len(data))) != str(len(data)):
+        return Answer(problem='the body has another length')
+    return Answer(status=response.status_code, headers=found, body=data)
--- /dev/null
+++ b/testing/standins/test_fleet.py
@@ -0,0 +1,162 @@
+"""The stand-ins behave and misbehave as a test asks them to."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import gevent
+import pytest
+
+from testing.standins.backend import Fault
+from testing.standins.backend import Identity
+from testing.standins.callers import CallerPlan
+from testing.standins.callers import Callers
+from testing.standins.callers import Demand
+from testing.standins.fleet import Fleet
+from testing.standins.fleet import FleetPlan
+from testing.standins.http import Answer
+from testing.standins.http import ask
+from testing.standins.records import Attempt
+from testing.standins.records import Outcome
+from testing.standins.records import read_records
+from testing.standins.records import Seen
+from testing.standins.records import What
+from testing.standins.work import Work
+
+NAME = 'a/w1'
+WORK = Work(token='t1', service='lots', run_s=0.05, size=300)
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    one = Identity(instance=NAME, zone='a', rack='r', service='lots', slots=1)
+    plan = FleetPlan(
+        servers=[one],
+        announcements={'a': ['127.0.0.1:1']},
+        secret='s',
+        records=str(tmp_path / 'seen'),
+        reboot_s=0.1,
+    )
+    fleet = Fleet(plan)
+    fleet.start()
+    yield fleet
+    fleet.close()
+
+
+def whats(tmp_path: Path) -> list[str]:
+    seen = read_records(tmp_path / 'seen', Seen)
+    quiet = (What.OPENED, What.CLOSED)
+    return [
+        f'{one.what} {one.why}'.strip()
+        for one in seen
+        if one.what not in quiet
+    ]
+
+
+def post(fleet: Fleet, work: Work = WORK, timeout_s: float = 5.0) -> Answer:
+    return ask(
+        fleet.servers[NAME].address,
+        'POST',
+        work.path('/lots'),
+        headers={'Galenareel-Request-Id': f'id-{work.token}'},
+        body=b'x',
+        timeout_s=timeout_s,
+    )
+
+
+def test_work_runs_once_and_is_recorded(fleet: Fleet, tmp_path: Path) -> None:
+    answer = post(fleet)
+    assert answer.body == WORK.answer()
+    assert whats(tmp_path) == ['ready', 'started', 'finished']
+
+
+def test_work_over_the_slots_is_refused(fleet: Fleet, tmp_path: Path) -> None:
+    jobs = [gevent.spawn(post, fleet) for _ in range(2)]
+    gevent.joinall(jobs)
+    assert sorted(job.get().status for job in jobs) == [200, 503]
+    assert whats(tmp_path).count('started') == 1
+    assert 'refused' in whats(tmp_path)
+
+
+def test_caller_that_goes_is_recorded_as_a_cut(
+    fleet: Fleet, tmp_path: Path
+) -> None:
+    post(fleet, Work(token='t', service='lots', run_s=1.0), timeout_s=0.1)
+    gevent.sleep(0.1)
+    assert whats(tmp_path)[-1] == 'cut peer_closed'
+
+
+def test_reboot_happens_once_per_token(fleet: Fleet, tmp_path: Path) -> None:
+    gevent.spawn(post, fleet, Work(token='t', service='lots', run_s=5.0))
+    gevent.sleep(0.1)
+    before = fleet.servers[NAME].address, fleet.servers[NAME].incarnation
+    path = f'/v1/instances/{NAME}/reboot'
+    for _ in range(3):
+        answer = ask(
+            fleet.platform.address, 'POST', path, body=b'{"token": "w"}'
+        )
+        assert answer.status == 202
+    gevent.sleep(0.6)
+    server = fleet.servers[NAME]
+    assert server.address == before[0] and server.incarnation != before[1]
+    assert whats(tmp_path) == [
+        'ready',
+        'started',
+        'leaving',
+        'cut reboot',
+        'down reboot',
+        'ready',
+    ]
+
+
+@pytest.mark.parametrize(
+    ('fault', 'works', 'problem', 'status'),
+    [
+        (Fault.FAIL_QUICKLY, 1, '', 500),
+        (Fault.TRUNCATE, 1, 'HTTPParseError', 0),
+        (Fault.CROSS, 2, '', 200),
+        (Fault.DUPLICATE, 1, 'another length', 0),
+    ],
+)
+def test_fault_shows(
+    fleet: Fleet, fault: Fault, works: int, problem: str, status: int
+) -> None:
+    fleet.servers[NAME].fault = fault
+    answers = [
+        post(fleet, Work(token=f't{i}', service='lots')) for i in range(works)
+    ]
+    last = answers[-1]
+    assert problem in last.problem
+    assert last.status == status
+    if fault is Fault.CROSS:
+        other = Work(token='t0', service='lots').answer()
+        assert last.body == other
+
+
+def test_callers_record_each_attempt(fleet: Fleet, tmp_path: Path) -> None:
+    """Guards against requests that no record tells of."""
+    demand = Demand(
+        service='lots',
+        path='/lots',
+        rates=[(0.0, 40.0), (0.5, 0.0)],
+        run_s=0.01,
+        deadline_s=1.0,
+        callers=['c'],
+    )
+    plan = CallerPlan(
+        entries=[fleet.servers[NAME].address, '127.0.0.1:1'],
+        demands=[demand],
+        records=str(tmp_path / 'sent'),
+        duration_s=1.0,
+    )
+    callers = Callers(plan)
+    callers.start()
+    gevent.sleep(1.0)
+    callers.stop()
+    attempts = read_records(tmp_path / 'sent', Attempt)
+    assert len(attempts) == callers.sent > 5
+    # The stand-in names no outcome, which only an entry does.
+    assert {one.outcome for one in attempts} == {Outcome.MISLABELLED}
+    ran = [one for one in attempts if one.status == 200]
+    assert ran and all(one.is_right for one in ran)
