Add the demo, against the interfaces

The demo starts the whole system with stand-ins and counts its figures from what backend servers and callers recorded.

--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,102 @@
+"""Runs the demo and prints its figures as one JSON object at the end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import json
+from pathlib import Path
+import signal
+import sys
+import tempfile
+import time
+from typing import Any
+
+from demo.processes import ROOT
+from demo.story import DemoError
+from demo.story import Story
+from demo.topology import make_topology
+from galenareel._common.declaring import setting
+from galenareel._common.readers import one_of
+from galenareel._common.readers import whole
+from galenareel._common.settings import read_settings
+from galenareel._document.reading import read_environment
+
+SUMMARY = 'Runs a whole deployment on loopback for less than a minute.'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DemoSettings:
+    """Settings of the demo."""
+
+    deployment: str = setting(
+        'which example to run',
+        reader=one_of('abay', 'trilha'),
+        shape='NAME',
+        default='abay',
+    )
+    seed: int = setting(
+        'seed of the demand',
+        reader=whole(low=0, high=2**31),
+        shape='N',
+        default=1,
+    )
+
+
+def main() -> int:
+    cfg = read_settings(
+        'demo', DemoSettings, summary=SUMMARY, argv=sys.argv[1:], environ={}
+    )
+    # A terminated demo ends its processes like an interrupted one.
+    signal.signal(signal.SIGTERM, _interrupt)
+    began = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix='galenareel-demo-') as folder:
+        return _run(cfg, Path(folder), began)
+
+
+def _interrupt(_number: int, _frame: Any) -> None:
+    raise KeyboardInterrupt
+
+
+def _run(cfg: DemoSettings, folder: Path, began: float) -> int:
+    text = (ROOT / 'examples' / f'{cfg.deployment}.yaml').read_text()
+    environment = read_environment(text)
+    story = Story(
+        text,
+        environment,
+        make_topology(environment),
+        folder,
+        seed=cfg.seed,
+        tell=_tell,
+    )
+    try:
+        figures = story.run()
+    except DemoError as exc:
+        _tell(f'demo failed: {exc}')
+        print(json.dumps({'failed': str(exc)}))
+        return 1
+    except KeyboardInterrupt:
+        return 130
+    finally:
+        stuck = story.processes.stop()
+    problems = figures.problems()
+    problems += [f'{name} did not stop when asked' for name in stuck]
+    for one in [*problems, *figures.verdict.details]:
+        _tell(f'problem: {one}')
+    duration_s = round(time.monotonic() - began, 1)
+    result = {
+        'deployment': cfg.deployment,
+        'seed': cfg.seed,
+        **figures.as_json(),
+        'problems': problems,
+        'duration_s': duration_s,
+    }
+    print(json.dumps(result), flush=True)
+    return 1 if problems else 0
+
+
+def _tell(line: str) -> None:
+    print(line, flush=True)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
