Measure the slopes of the capacity page; make deltas independent of size

Cause: the cost of a change to a node must not grow with the number of instances, and docs/CAPACITY.md needs measured slopes.

It showed that State.changes_since walked through all instances for a delta of one row, because a set minus the keys of a dictionary iterates the keys; membership is now tested per changed row.

--- /dev/null
+++ b/bench/capacity_parts.py
@@ -0,0 +1,452 @@
+"""Costs of single mechanisms, each measured at several sizes.
+
+Each function builds what it measures, so that it can run in a process of its
+own; CPU is process time, memory is resident memory.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import gc
+from pathlib import Path
+from random import Random
+import tempfile
+import time
+
+import msgspec
+
+from galenareel._common.messages import EntryReport
+from galenareel._common.messages import InstanceLoad
+from galenareel._common.messages import SessionOpened
+from galenareel._common.messages import ViewDelta
+from galenareel._common.rows import EntryRow
+from galenareel._common.rows import InstanceRow
+from galenareel._consensus.disk import FolderDisk
+from galenareel._consensus.effects import SaveEntries
+from galenareel._consensus.records import Entry
+from galenareel._consensus.records import EntryKind
+from galenareel._consensus.storage import Storage
+from galenareel._decisions.tables import Instance
+from galenareel._decisions.tables import Job
+from galenareel._decisions.tables import Lease
+from galenareel._decisions.tables import Load
+from galenareel._decisions.tables import Pool
+from galenareel._decisions.tables import Rack
+from galenareel._decisions.tables import Service
+from galenareel._decisions.tables import Tables
+from galenareel._decisions.tables import Team
+from galenareel._decisions.tables import Zone
+from galenareel._decisions.ticking import tick
+from galenareel._document.model import Environment
+from galenareel._document.model import Pool as DeclaredPool
+from galenareel._document.model import Service as DeclaredService
+from galenareel._entry.view import ViewStore
+from galenareel._state.commands import AnyCommand
+from galenareel._state.commands import BeginMove
+from galenareel._state.commands import ClaimKey
+from galenareel._state.commands import encode
+from galenareel._state.commands import PromoteDocument
+from galenareel._state.commands import RegisterEntry
+from galenareel._state.commands import RegisterInstance
+from galenareel._state.commands import SubmitDocument
+from galenareel._state.state import State
+
+ZONES = 13
+PER_RACK = 4
+TARGET_POOLS = 82
+TARGET_TEAMS = 490
+PAGE_BYTES = 4096
+
+
+def resident_bytes() -> int:
+    gc.collect()
+    fields = Path('/proc/self/statm').read_text().split()
+    return int(fields[1]) * PAGE_BYTES
+
+
+def name_of(number: int) -> str:
+    return f'zone-{number % ZONES}/worker-{number}'
+
+
+def pool_of(number: int, pools: int) -> str:
+    return f'pool-{number // ZONES % pools}'
+
+
+def environment(pools: int) -> Environment:
+    names = [f'pool-{number}' for number in range(pools)]
+    return Environment(
+        environment='capacity',
+        version=1,
+        replaces=0,
+        zones=tuple(f'zone-{number}' for number in range(ZONES)),
+        pools=tuple(
+            DeclaredPool(name=name, min_available=1, spare=name == names[0])
+            for name in names
+        ),
+        services=tuple(
+            DeclaredService(name=name, pool=name, path=f'/{name}/')
+            for name in names
+        ),
+    )
+
+
+def registration(number: int, pools: int) -> RegisterInstance:
+    return RegisterInstance(
+        instance=name_of(number),
+        address=f'10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8080',
+        zone=f'zone-{number % ZONES}',
+        rack=f'rack-{number // (ZONES * PER_RACK)}',
+        service=pool_of(number, pools),
+        incarnation=f'{number:016x}',
+    )
+
+
+def build_state(instances: int, pools: int) -> State:
+    """Replicated state with a document in force and serving instances."""
+    state = State()
+    declared = environment(pools)
+    commands: list[AnyCommand] = [
+        SubmitDocument(
+            now=0.0,
+            version=1,
+            replaces=0,
+            digest='d',
+            text='x' * 100 * pools,
+            environment=declared,
+        ),
+        PromoteDocument(now=0.0, version=1, digest='d'),
+        *(
+            RegisterEntry(
+                entry=f'zone-{number}-entry',
+                zone=f'zone-{number}',
+                frames='10.0.0.1:7000',
+                incarnation='1',
+            )
+            for number in range(ZONES)
+        ),
+    ]
+    commands += [registration(number, pools) for number in range(instances)]
+    for index, command in enumerate(commands, start=1):
+        state.run(index, command)
+    return state
+
+
+def per_call_us(call: Callable[[int], object], calls: int) -> float:
+    """CPU of one call in microseconds, over ``calls`` numbered calls."""
+    start = time.process_time()
+    for number in range(calls):
+        call(number)
+    return (time.process_time() - start) / calls * 1e6
+
+
+# --- replicated state -------------------------------------------------------
+
+
+def state_memory(instances: int) -> float:
+    """Bytes of the replicated state of one control member."""
+    before = resident_bytes()
+    state = build_state(instances, TARGET_POOLS)
+    after = resident_bytes()
+    assert len(state.instances) == instances
+    return float(after - before)
+
+
+def snapshot_bytes(instances: int) -> float:
+    return float(len(build_state(instances, TARGET_POOLS).snapshot()))
+
+
+def apply_move_us(instances: int) -> float:
+    """CPU to decode and apply the beginning of a move."""
+    state = build_state(instances, TARGET_POOLS)
+    commands = [
+        encode(
+            BeginMove(
+                instance=name_of(number),
+                epoch=1,
+                target='pool-1',
+                reason='measured',
+            )
+        )
+        for number in range(200)
+    ]
+    index = state.index
+    return per_call_us(
+        lambda number: state.apply(index + 1 + number, commands[number]), 200
+    )
+
+
+def apply_claim_us(claims: int) -> float:
+    """CPU to apply one claim while ``claims`` others are held."""
+    state = State()
+
+    def claim(number: int) -> bytes:
+        return encode(
+            ClaimKey(
+                now=1.0,
+                key=f'key-{number}',
+                caller='desk',
+                digest='d',
+                holder='entry/1',
+            )
+        )
+
+    for number in range(claims):
+        state.apply(number + 1, claim(number))
+    more = [claim(claims + number) for number in range(500)]
+    return per_call_us(
+        lambda number: state.apply(claims + number + 1, more[number]), 500
+    )
+
+
+# --- dissemination ----------------------------------------------------------
+
+
+def row(number: int) -> InstanceRow:
+    one = registration(number, TARGET_POOLS)
+    return InstanceRow(
+        instance=one.instance,
+        address=one.address,
+        zone=one.zone,
+        rack=one.rack,
+        pool=one.service,
+        home=f'{one.zone}-entry',
+        home_epoch=1,
+        incarnation=one.incarnation,
+        reason='announced itself',
+    )
+
+
+def delta_bytes(rows: int) -> float:
+    """Bytes of a delta with ``rows`` changed instances."""
+    delta = ViewDelta(
+        previous=1, index=2, instances=tuple(row(one) for one in range(rows))
+    )
+    return float(len(msgspec.msgpack.encode(delta)))
+
+
+def delta_apply_us(instances: int) -> float:
+    """CPU at an entry to decode and apply a delta of one row."""
+    view = build_view(instances)
+    deltas = [
+        msgspec.msgpack.encode(
+            ViewDelta(
+                previous=number + 1, index=number + 2, instances=(row(number),)
+            )
+        )
+        for number in range(200)
+    ]
+    decoder = msgspec.msgpack.Decoder(ViewDelta)
+    return per_call_us(
+        lambda number: view.apply(decoder.decode(deltas[number])), 200
+    )
+
+
+def delta_make_us(instances: int) -> float:
+    """CPU at the leader to make and encode a delta of one row."""
+    state = build_state(instances, TARGET_POOLS)
+    index = state.index
+    state.run(index + 1, registration(instances, TARGET_POOLS))
+    return per_call_us(
+        lambda _: msgspec.msgpack.encode(state.changes_since(index)), 200
+    )
+
+
+def build_view(instances: int) -> ViewStore:
+    view = ViewStore()
+    # Encoded and decoded as on the wire, so that no two rows share strings.
+    data = msgspec.msgpack.encode(
+        SessionOpened(
+            index=1,
+            lease_s=3.0,
+            instances=tuple(row(number) for number in range(instances)),
+            entries=(
+                EntryRow(
+                    entry='e', zone='z', frames='10.0.0.1:1', incarnation='1'
+                ),
+            ),
+        )
+    )
+    view.open(msgspec.msgpack.decode(data, type=SessionOpened))
+    return view
+
+
+def view_memory(instances: int) -> float:
+    """Bytes of the view at one entry instance."""
+    before = resident_bytes()
+    view = build_view(instances)
+    after = resident_bytes()
+    assert len(view.instances) == instances
+    return float(after - before)
+
+
+def report_bytes(homes: int) -> float:
+    """Bytes of a report with ``homes`` backend servers."""
+    report = EntryReport(
+        entry='zone-1-entry',
+        incarnation='0123456789abcdef',
+        index=100000,
+        instances=tuple(
+            InstanceLoad(
+                instance=name_of(number),
+                in_use=4,
+                work_left_s=0.25,
+                silent_s=0.5,
+                finished=20,
+            )
+            for number in range(homes)
+        ),
+    )
+    return float(len(msgspec.msgpack.encode(report)))
+
+
+# --- log --------------------------------------------------------------------
+
+
+def log_sync_ms(batch: int) -> float:
+    """Wall time to store and sync a batch of records."""
+    with tempfile.TemporaryDirectory() as folder:
+        storage, write = open_log(folder)
+        for _ in range(5):
+            write(batch)
+        start = time.perf_counter()
+        for _ in range(30):
+            write(batch)
+        wall = time.perf_counter() - start
+        storage.close()
+    return wall / 30 * 1e3
+
+
+def log_cpu_us(batch: int) -> float:
+    """CPU to store a batch of records."""
+    with tempfile.TemporaryDirectory() as folder:
+        storage, write = open_log(folder)
+        cost = per_call_us(lambda _: write(batch), 100)
+        storage.close()
+    return cost
+
+
+def log_bytes(records: int) -> float:
+    """Bytes on disk of move records."""
+    with tempfile.TemporaryDirectory() as folder:
+        storage, write = open_log(folder)
+        write(records)
+        storage.close()
+        return float(sum(one.stat().st_size for one in Path(folder).iterdir()))
+
+
+def open_log(folder: str) -> tuple[FolderDisk, Callable[[int], None]]:
+    disk = FolderDisk(folder)
+    storage = Storage(disk)
+    storage.open(1)
+    data = encode(
+        BeginMove(
+            instance=name_of(12345),
+            epoch=17,
+            target='pool-17',
+            reason='pool-17 wants 2 more: peak seen 0.8 s ago',
+        )
+    )
+    written = [0]
+
+    def write(count: int) -> None:
+        first = written[0] + 1
+        written[0] += count
+        entries = tuple(
+            Entry(index, 1, EntryKind.COMMAND, data)
+            for index in range(first, first + count)
+        )
+        storage.write([SaveEntries(entries)])
+
+    return disk, write
+
+
+# --- decisions --------------------------------------------------------------
+
+
+def build_tables(instances: int, pools: int, jobs: int = 0) -> Tables:
+    """Decision tables with load in every pool."""
+    rng = Random(1)
+    tables = Tables()
+    for number in range(ZONES):
+        zone = f'zone-{number}'
+        tables.zones[zone] = Zone(name=zone)
+    for number in range(pools):
+        name = f'pool-{number}'
+        load = Load(arrival_rate=rng.uniform(0, 40), queued=rng.randrange(20))
+        tables.pools[name] = Pool(
+            name=name, min_available=1, spare=number == 0, load=load
+        )
+        tables.services[name] = Service(name=name, pool=name)
+    for number in range(TARGET_TEAMS):
+        tables.teams[f'team-{number}'] = Team(name=f'team-{number}', slots=64)
+    for number in range(instances):
+        add_instance(tables, number, pools, rng)
+    for number in range(jobs):
+        add_job(tables, number, instances, pools)
+    return tables
+
+
+def add_instance(tables: Tables, number: int, pools: int, rng: Random) -> None:
+    rack = f'rack-{number // (ZONES * PER_RACK)}-{number % ZONES}'
+    zone = f'zone-{number % ZONES}'
+    tables.racks.setdefault(rack, Rack(name=rack, zone=zone))
+    tables.instances[name_of(number)] = Instance(
+        name=name_of(number),
+        zone=zone,
+        rack=rack,
+        pool=pool_of(number, pools),
+        urgent_in_use=rng.randrange(9),
+        work_left_s=rng.uniform(0, 2),
+        finished=10,
+    )
+
+
+def add_job(tables: Tables, number: int, instances: int, pools: int) -> None:
+    name = f'job-{number}'
+    tables.jobs[name] = Job(
+        name=name,
+        service=pool_of(number, pools),
+        team=f'team-{number % TARGET_TEAMS}',
+    )
+    if number % 2 and instances:
+        home = name_of(number % instances)
+        tables.leases[name] = Lease(job=name, instance=home, since=0.0)
+
+
+def tick_ms(instances: int, pools: int = TARGET_POOLS) -> float:
+    """CPU of one decision tick, mean of ticks 2 to 6."""
+    tables = build_tables(instances, pools)
+    rng = Random(1)
+    tick(tables, now=0.0, rng=rng)
+    return (
+        per_call_us(lambda number: advance(tables, 0.5 * (number + 1), rng), 5)
+        / 1e3
+    )
+
+
+def advance(tables: Tables, now: float, rng: Random) -> None:
+    for pool in tables.pools.values():
+        pool.load.reported_at = now
+    tick(tables, now=now, rng=rng)
+
+
+def tick_pools_ms(pools: int) -> float:
+    return tick_ms(4000, pools)
+
+
+def tables_memory(instances: int) -> float:
+    """Bytes of the decision tables at the leader."""
+    before = resident_bytes()
+    tables = build_tables(instances, TARGET_POOLS)
+    after = resident_bytes()
+    assert len(tables.instances) == instances
+    return float(after - before)
+
+
+def job_memory(jobs: int) -> float:
+    """Bytes of jobs, half of them with a lease."""
+    before = resident_bytes()
+    tables = build_tables(100, TARGET_POOLS, jobs)
+    after = resident_bytes()
+    assert len(tables.jobs) == jobs
+    return float(after - before)
--- a/src/galenareel/_state/state.py
+++ b/src/galenareel/_state/state.py
@@ -159,8 +159,13 @@
         if changed is None:
             return None
         tables = self._tables
-        present = sorted(changed.instances & tables.instances.keys())
-        removed = sorted(changed.removed - tables.instances.keys())
+        # A set operation with the keys would walk through all instances.
+        present = sorted(
+            one for one in changed.instances if one in tables.instances
+        )
+        removed = sorted(
+            one for one in changed.removed if one not in tables.instances
+        )
         return ViewDelta(
             previous=index,
             index=self.view_index,
