--- /dev/null
+++ b/src/galenareel/_entry/main.py
@@ -0,0 +1,51 @@
+"""Program ``galenareel-entry``."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import SystemRandom
+import secrets
+import signal
+import sys
+
+from gevent import signal_handler
+
+from galenareel._common.log import Log
+from galenareel._common.metrics import Metrics
+from galenareel._common.settings import EntrySettings
+from galenareel._common.settings import read_settings
+from galenareel._entry.lifecycle import Lifecycle
+from galenareel._entry.process import Entry
+from galenareel._entry.settings import config_of
+
+SUMMARY = 'One entry instance: callers, announcements, operators, routing.'
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run one entry instance until a signal ends it."""
+    settings = read_settings(
+        'galenareel-entry', EntrySettings, summary=SUMMARY, argv=argv
+    )
+    metrics = Metrics(settings.name, settings.metrics)
+    log = Log(settings.name, level=settings.log_level)
+    entry = Entry(
+        config_of(settings),
+        incarnation=secrets.token_hex(4),
+        rng=SystemRandom(),
+        log=log,
+        metrics=metrics,
+    )
+    lifecycle = Lifecycle(entry)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal_handler(number, lifecycle.signal)
+    try:
+        return lifecycle.run()
+    except OSError as exc:
+        log.error('entry.failed', problem=exc)
+        return 1
+    finally:
+        metrics.close()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
