Compute the measures from what control and the entries report

The first form assumed fields and events that control does not have.

Moves are pairs of committed begins and ends of a move; a document's roll-out time counts the first time that each process had it; the buffer is counted for instances whose use is known.

--- a/src/galenareel/_operator/measures.py
+++ b/src/galenareel/_operator/measures.py
@@ -16,21 +16,25 @@
 from galenareel._common.events import Event
 from galenareel._common.events import LOGICAL_BITS
 from galenareel._common.rows import Phase
-from galenareel._common.rows import Stage
 from galenareel._common.rows import WaveState
 
-MOVE_FINISHED = 'move.finished'
+MOVE_BEGUN = 'control.BeginMove'
+MOVE_FINISHED = 'control.FinishMove'
+COMMITTED = 'committed'  # ends the detail of a command that took effect
 DOCUMENT_IN_FORCE = 'document.in_force'
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class InstanceStatus:
-    """What the measures need of an instance."""
+    """What the measures need of an instance.
+
+    :param in_use: requests that it runs; ``None`` if its home is silent.
+    """
 
     pool: str
     phase: Phase
     slots: int = 8
-    in_use: int = 0
+    in_use: int | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -45,10 +49,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DocumentStatus:
-    """What the measures need of a document."""
+    """What the measures need of the document in force."""
 
     version: int
-    stage: Stage
     promoted_at: float = 0.0
 
 
@@ -58,14 +61,14 @@
 
     instances: tuple[InstanceStatus, ...] = ()
     waves: tuple[WaveStatus, ...] = ()
-    documents: tuple[DocumentStatus, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Measures:
     """What an operator pays.
 
-    :param buffer_cost: idle instances now, counted in slots.
+    :param buffer_cost: idle instances now, by their free slots; ``None``
+        if the status tells of no slot in use.
     :param buffer_share: the same as a share of the serving instances.
     :param document_roll_out_s: time from the promotion of the version in
         force until the last entry had it; ``None`` if no event tells.
@@ -74,8 +77,8 @@
         event that the processes still hold.
     """
 
-    buffer_cost: float
-    buffer_share: float
+    buffer_cost: float | None
+    buffer_share: float | None
     document_version: int | None = None
     document_roll_out_s: float | None = None
     wave_roll_out_s: dict[str, float] = field(default_factory=dict)
@@ -83,22 +86,27 @@
     moves_to: dict[str, int] = field(default_factory=dict)
 
 
-def measure(body: Any, events: Sequence[Event], *, now: float) -> Measures:
-    """:raises msgspec.ValidationError: if the status has another form."""
-    status = msgspec.convert(body, Status)
-    serving = [one for one in status.instances if one.phase == Phase.SERVING]
-    idle = sum(1 - min(1.0, one.in_use / one.slots) for one in serving)
-    moves: dict[str, int] = {}
-    for event in events:
-        if event.kind == MOVE_FINISHED:
-            pool = event.subjects.get('pool', '')
-            moves[pool] = moves.get(pool, 0) + 1
-    version, roll_out_s = _document(status, events)
+def measure(
+    status_body: Any,
+    document_body: Any,
+    events: Sequence[Event],
+    *,
+    now: float,
+) -> Measures:
+    """Compute the measures.
+
+    :param document_body: answer to ``document``; ``None`` without one.
+    :raises msgspec.ValidationError: if an answer has another form.
+    """
+    status = msgspec.convert(status_body, Status)
+    document = msgspec.convert(document_body, DocumentStatus | None)
+    cost, share = _buffer(status)
+    moves = _moves(events)
     return Measures(
-        buffer_cost=round(idle, 3),
-        buffer_share=round(idle / max(1, len(serving)), 3),
-        document_version=version,
-        document_roll_out_s=roll_out_s,
+        buffer_cost=cost,
+        buffer_share=share,
+        document_version=document.version if document else None,
+        document_roll_out_s=_roll_out(document, events),
         wave_roll_out_s={
             one.wave: round((one.ended_at or now) - one.started_at, 3)
             for one in status.waves
@@ -109,20 +117,48 @@
     )
 
 
-def _document(
-    status: Status, events: Sequence[Event]
-) -> tuple[int | None, float | None]:
-    """Version in force and its roll-out time."""
-    for one in status.documents:
-        if one.stage != Stage.IN_FORCE:
+def _buffer(status: Status) -> tuple[float | None, float | None]:
+    known = [
+        one
+        for one in status.instances
+        if one.phase == Phase.SERVING and one.in_use is not None
+    ]
+    if not known:
+        return None, None
+    idle = sum(1 - min(1.0, (one.in_use or 0) / one.slots) for one in known)
+    return round(idle, 3), round(idle / len(known), 3)
+
+
+def _moves(events: Sequence[Event]) -> dict[str, int]:
+    """Finished moves by the receiving pool, which the begin names."""
+    target: dict[str, str] = {}
+    moves: dict[str, int] = {}
+    for event in events:
+        if not event.detail.endswith(COMMITTED):
+            continue
+        instance = event.subjects.get('instance', '')
+        if event.kind == MOVE_BEGUN:
+            target[instance] = event.subjects.get('pool', '')
+        elif event.kind == MOVE_FINISHED:
+            pool = target.pop(instance, 'unknown')
+            moves[pool] = moves.get(pool, 0) + 1
+    return moves
+
+
+def _roll_out(
+    document: DocumentStatus | None, events: Sequence[Event]
+) -> float | None:
+    """Time until the last process had the version; restarts don't count."""
+    if document is None:
+        return None
+    first: dict[str, float] = {}
+    for event in events:
+        version = event.subjects.get('document')
+        if event.kind != DOCUMENT_IN_FORCE:
             continue
-        times = [
-            (event.time >> LOGICAL_BITS) / 1000
-            for event in events
-            if event.kind == DOCUMENT_IN_FORCE
-            and event.subjects.get('document') == str(one.version)
-        ]
-        if not times:
-            return one.version, None
-        return one.version, round(max(times) - one.promoted_at, 3)
-    return None, None
+        if version == str(document.version):
+            at = (event.time >> LOGICAL_BITS) / 1000
+            first.setdefault(event.process, at)
+    if not first:
+        return None
+    return round(max(first.values()) - document.promoted_at, 3)
--- a/src/galenareel/_operator/run.py
+++ b/src/galenareel/_operator/run.py
@@ -13,21 +13,22 @@
 import gevent
 import msgspec
 
-from galenareel._common.events import Event
 from galenareel._common.events import LOGICAL_BITS
 from galenareel._common.findings import FindingsError
 from galenareel._common.sentinels import Absent
+from galenareel._common.sentinels import Unreachable
 from galenareel._document.model import Environment
 from galenareel._document.reading import digest
 from galenareel._document.reading import read_environment
 from galenareel._operator.client import OperatorClient
+from galenareel._operator.gather import gather
+from galenareel._operator.gather import Gathered
 from galenareel._operator.measures import measure
 from galenareel._operator.show import show
 from galenareel._operator.timeline import Filter
 from galenareel._operator.timeline import format_event
 from galenareel._operator.timeline import format_json
 from galenareel._operator.timeline import merged
-from galenareel._operator.timeline import read_events
 
 DONE = 0
 FAILED = 1
@@ -154,36 +155,10 @@
         found = client.call('document', {'version': version})
         if isinstance(found, Absent):
             return _refused(found, command='document')
-        body['digest'] = _digest_of(found, version)
-    if not body['digest']:
-        return _fail(f'promote: version {version} was not submitted')
+        body['digest'] = str(found['digest'])
     return _show_answer(client, 'promote', body, cfg)
 
 
-def _digest_of(answer: Any, version: int) -> str:
-    """Digest of a version, from the answer to ``document``."""
-    items = answer.get('documents', [answer])
-    for item in items:
-        if item.get('version') == version:
-            return str(item.get('digest', ''))
-    return ''
-
-
-def _gather(
-    client: OperatorClient, cfg: Any, since: int
-) -> tuple[list[list[Event]], list[Absent]]:
-    """Events of every entry that answers; each one answers for its peers."""
-    jobs = [
-        gevent.spawn(client.call_at, entry, 'events', {'since': since})
-        for entry in cfg.entry
-    ]
-    gevent.joinall(jobs)
-    answers = [job.get() for job in jobs]
-    problems = [one for one in answers if isinstance(one, Absent)]
-    good = [one for one in answers if not isinstance(one, Absent)]
-    return [read_events(one) for one in good], problems
-
-
 def _timeline(client: OperatorClient, cfg: Any) -> int:
     wanted = Filter(
         instance=cfg.instance,
@@ -195,29 +170,43 @@
     shown: set[tuple[str, int, int]] = set()
     since = 0
     while True:
-        batches, problems = _gather(client, cfg, since)
-        if not batches:
-            return _refused(problems[0], command='timeline')
-        for event in merged(batches, wanted):
+        found = gather(client, cfg.entry, since=since)
+        if isinstance(found, Absent):
+            return _refused(found, command='timeline')
+        for event in merged(found.batches, wanted):
             identity = (event.process, event.seq, event.time)
             if identity not in shown:
                 shown.add(identity)
                 print(line(event), flush=True)
-        for problem in problems:
-            _refused(problem, command='timeline is partial')
         if not cfg.follow:
-            return FAILED if problems else DONE
-        newest = max((one.time for each in batches for one in each), default=0)
+            return _report_missing(found)
         # An event of a process with a slow clock may arrive late.
-        since = max(since, newest - (LATE_MS << LOGICAL_BITS))
+        since = max(since, found.newest() - (LATE_MS << LOGICAL_BITS))
         gevent.sleep(FOLLOW_S)
 
 
+def _report_missing(found: Gathered) -> int:
+    """Partial events are printed, but don't pass for the whole."""
+    if not found.missing:
+        return DONE
+    names = ', '.join(found.missing)
+    return _fail(f'timeline: partial: no events from {names}')
+
+
 def _measure(client: OperatorClient, cfg: Any) -> int:
     status = client.call('status', {})
     if isinstance(status, Absent):
         return _refused(status, command='measure')
-    batches, _problems = _gather(client, cfg, 0)
-    events = merged(batches, Filter())
-    measures = measure(status, events, now=time.time())
+    document = client.call('document', {})
+    if isinstance(document, Unreachable):
+        return _refused(document, command='measure')
+    found = gather(client, cfg.entry, since=0)
+    if isinstance(found, Absent):
+        return _refused(found, command='measure')
+    measures = measure(
+        status,
+        None if isinstance(document, Absent) else document,
+        merged(found.batches, Filter()),
+        now=time.time(),
+    )
     return _print(msgspec.to_builtins(measures), cfg)
--- a/testing/operator/test_main.py
+++ b/testing/operator/test_main.py
@@ -118,11 +118,14 @@
     entry: Entry, call: Callable[..., Any]
 ) -> None:
     entry.answers['document'] = [
-        ('200 OK', {'documents': [{'version': 3, 'digest': 'd3'}]})
+        ('200 OK', {'version': 3, 'digest': 'd3'}),
+        ('404 Not Found', {'reason': 'unknown_version'}),
     ]
     assert call('promote', '3')[0] == 0
     assert entry.asked[-1] == ('promote', {'version': 3, 'digest': 'd3'})
-    assert call('promote', '4')[0] == 1
+    code, _, err = call('promote', '4')
+    assert code == 1 and 'unknown_version' in err
+    assert entry.asked[-1][0] == 'document'
 
 
 def test_refusal_names_the_reason(
@@ -192,9 +195,9 @@
         'time': wall_ms << 16,
         'process': process,
         'seq': seq,
-        'kind': 'move.finished',
+        'kind': 'control.BeginMove',
         'subjects': subjects,
-        'detail': 'by \x1b[31mplan',
+        'detail': 'by \x1b[31mplan; committed',
     }
 
 
@@ -205,17 +208,21 @@
     other = Entry()
     late = event('c1', 9, 2000, pool='lots', instance='a/w1')
     first = event('e1', 4, 1000, pool='lots')
-    entry.answers['events'] = [('200 OK', {'events': [late, first]})]
-    other.answers['events'] = [
-        ('200 OK', [event('e2', 1, 1500, pool='office'), first])
-    ]
-    code, out, _ = call('timeline', at=f'{entry.address},{other.address}')
-    assert code == 0
+    partial = {'events': [late, first], 'unreachable': ['c2', 'e2']}
+    entry.answers['events'] = [('200 OK', partial)]
+    rest = {
+        'events': [event('e2', 1, 1500, pool='office'), first],
+        'unreachable': ['c2', 'c1'],
+    }
+    other.answers['events'] = [('200 OK', rest)]
+    code, out, err = call('timeline', at=f'{entry.address},{other.address}')
+    assert code == 1 and 'partial: no events from c2' in err
     assert [line.split()[1] for line in out.splitlines()] == ['e1', 'e2', 'c1']
     assert '\x1b' not in out
-    _, out, _ = call('timeline', '--pool', 'lots', '--json')
+    entry.answers['events'] = [('200 OK', {'events': [late, first]})]
+    code, out, _ = call('timeline', '--pool', 'lots', '--json')
     found = [json.loads(line)['process'] for line in out.splitlines()]
-    assert found == ['e1', 'c1']
+    assert (code, found) == (0, ['e1', 'c1'])
     other.server.stop(timeout=0)
 
 
@@ -224,20 +231,24 @@
 ) -> None:
     instances = [
         {'pool': 'lots', 'phase': 'serving', 'slots': 8, 'in_use': 2},
+        {'pool': 'lots', 'phase': 'serving', 'slots': 8},
         {'pool': 'lots', 'phase': 'draining', 'slots': 8, 'in_use': 1},
     ]
     wave = {'wave': 'k', 'state': 'done', 'started_at': 5.0, 'ended_at': 9.5}
-    document = {'version': 2, 'stage': 'in_force', 'promoted_at': 1.0}
-    status = {
-        'instances': instances,
-        'waves': [wave],
-        'documents': [document],
-    }
+    status = {'instances': instances, 'waves': [wave]}
     entry.answers['status'] = [('200 OK', status)]
+    document = {'version': 2, 'stage': 'in_force', 'promoted_at': 1.0}
+    entry.answers['document'] = [('200 OK', document)]
     in_force = event('e1', 2, 2500, document='2')
-    in_force['kind'] = 'document.in_force'
-    moved = event('c1', 1, 2000, pool='lots')
-    entry.answers['events'] = [('200 OK', {'events': [moved, in_force]})]
+    again = event('e1', 9, 9500, document='2')
+    in_force['kind'] = again['kind'] = 'document.in_force'
+    begun = event('c1', 1, 2000, pool='lots', instance='a/w1')
+    done = event('c1', 2, 2100, instance='a/w1')
+    refused = event('c1', 3, 2200, instance='a/w1')
+    done['kind'] = refused['kind'] = 'control.FinishMove'
+    refused['detail'] = 'refused: stale_epoch: at epoch 4'
+    events = [begun, done, refused, in_force, again]
+    entry.answers['events'] = [('200 OK', {'events': events})]
     code, out, _ = call('measure', '--json')
     assert code == 0
     assert json.loads(out) == {
