--- /dev/null
+++ b/bench/history.py
@@ -0,0 +1,122 @@
+"""Checks of what a group of members did against what its callers saw."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from math import inf
+
+
+class Violation(AssertionError):
+    """A promise to the callers was broken."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Operation:
+    """A read or write of one register.
+
+    :param value: written or read; written values are unique.
+    :param returned: infinite while the outcome is not known.
+    """
+
+    kind: str
+    key: str
+    value: int
+    called: float
+    returned: float = inf
+
+
+@dataclass(slots=True)
+class History:
+    """Record of one run, checked as it grows and at its end."""
+
+    operations: list[Operation] = field(default_factory=list)
+    acknowledged: dict[int, bytes] = field(default_factory=dict)
+    committed: dict[int, tuple[int, bytes]] = field(default_factory=dict)
+    leaders: dict[int, int] = field(default_factory=dict)
+
+    def note_leader(self, term: int, identity: int) -> None:
+        """:raises Violation: at a second leader of a term."""
+        first = self.leaders.setdefault(term, identity)
+        if first != identity:
+            raise Violation(f'term {term} has leaders {first} and {identity}')
+
+    def note_committed(self, index: int, term: int, data: bytes) -> None:
+        """:raises Violation: if another entry was committed there."""
+        first = self.committed.setdefault(index, (term, data))
+        if first != (term, data):
+            raise Violation(
+                f'entry {index} was committed as {first} and as {(term, data)}'
+            )
+
+    def note_acknowledged(self, index: int, data: bytes) -> None:
+        self.acknowledged[index] = data
+
+    def check(self) -> None:
+        """:raises Violation: if the finished run broke a promise."""
+        for index, data in self.acknowledged.items():
+            found = self.committed.get(index)
+            if found is None or found[1] != data:
+                raise Violation(f'acknowledged entry {index} was lost')
+        for key in {one.key for one in self.operations}:
+            mine = [one for one in self.operations if one.key == key]
+            if not is_linearizable(mine):
+                raise Violation(f'register {key} is not linearizable: {mine}')
+
+    def check_member(
+        self, name: str, applied: Sequence[tuple[int, bytes]]
+    ) -> None:
+        """:raises Violation: if a member lacks an acknowledged entry."""
+        held = dict(applied)
+        last = max(held, default=0)
+        for index, data in self.acknowledged.items():
+            if index <= last and held.get(index) != data:
+                raise Violation(f'{name} lacks acknowledged entry {index}')
+
+
+def is_linearizable(operations: Sequence[Operation]) -> bool:
+    """Whether some order that respects time explains a register's history.
+
+    The register starts at 0. A write of unknown outcome may have happened
+    at any time after its call; if nobody read it, it can be left out.
+    """
+    read = {one.value for one in operations if one.kind == 'read'}
+    ops = [
+        one
+        for one in operations
+        if one.returned < inf or (one.kind == 'write' and one.value in read)
+    ]
+    ops.sort(key=lambda one: one.called)
+    required = sum(1 << i for i, one in enumerate(ops) if one.returned < inf)
+    seen: set[tuple[int, int]] = set()
+    stack = [(0, 0)]
+    while stack:
+        done, value = stack.pop()
+        if done & required == required:
+            return True
+        if (done, value) in seen:
+            continue
+        seen.add((done, value))
+        stack.extend(_next_states(ops, done, value))
+    return False
+
+
+def _next_states(
+    ops: Sequence[Operation], done: int, value: int
+) -> list[tuple[int, int]]:
+    """States after each operation that may come next."""
+    limit = inf
+    found: list[tuple[int, int]] = []
+    for i, op in enumerate(ops):
+        if done >> i & 1:
+            continue
+        if op.called > limit:
+            # An operation that is still open returned before this call.
+            break
+        limit = min(limit, op.returned)
+        if op.kind == 'write':
+            found.append((done | 1 << i, op.value))
+        elif op.value == value:
+            found.append((done | 1 << i, value))
+    return found
--- a/src/galenareel/_consensus/election.py
+++ b/src/galenareel/_consensus/election.py
@@ -11,6 +11,7 @@
 from galenareel._consensus.records import EntryKind
 from galenareel._consensus.replication import append_own
 from galenareel._consensus.replication import sync_progress
+from galenareel._consensus.state import HEARTBEAT_S
 from galenareel._consensus.state import RaftState
 from galenareel._consensus.state import Role
 
@@ -109,7 +110,7 @@
 def _become_leader(st: RaftState, now: float) -> None:
     st.role = Role.LEADER
     st.leader = st.identity
-    st.leader_since = now
+    st.heartbeat_due = now + HEARTBEAT_S
     st.progress.clear()
     sync_progress(st, now)
     # Entries of earlier terms are committed only through one of this term.
--- a/src/galenareel/_consensus/replication.py
+++ b/src/galenareel/_consensus/replication.py
@@ -58,8 +58,9 @@
     append_entries(st, entries)
     sync_progress(st, now)
     for to in sorted(st.progress):
+        # This does not stand in for a heartbeat: a member that is at its
+        # limit of unanswered messages would get nothing while others write.
         send_append(st, to, now)
-    st.heartbeat_due = now + HEARTBEAT_S
 
 
 def sync_progress(st: RaftState, now: float) -> None:
--- a/src/galenareel/_consensus/state.py
+++ b/src/galenareel/_consensus/state.py
@@ -66,7 +66,6 @@
     chunk_heard: bool = False
     round_index: int = 0
     round_start: float = 0.0
-    caught_up: bool = False
 
 
 @dataclass(slots=True)
@@ -107,7 +106,6 @@
     incoming: Incoming | None = None
     election_due: float = 0.0
     heartbeat_due: float = 0.0
-    leader_since: float = 0.0
     effects: Effects = field(default_factory=Effects)
 
     @property
--- /dev/null
+++ b/testing/consensus/fakes.py
@@ -0,0 +1,181 @@
+"""Fakes of the disk, the clock and the network, with their faults."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+import errno
+from random import Random
+
+from galenareel._common.clock import Clock
+from galenareel._consensus.disk import Disk
+from galenareel._consensus.units import SECTOR_BYTES
+
+
+class FakeClock(Clock):
+    """Clocks of one machine as functions of the true time.
+
+    :param rate: of the monotonic clock, against the true time.
+    """
+
+    def __init__(self, true_time: Callable[[], float]) -> None:
+        self._true_time = true_time
+        self._base = (true_time(), 100.0 + true_time())
+        self._rate = 1.0
+        self.wall_offset = 1.7e9
+
+    def set_rate(self, rate: float) -> None:
+        self._base = (self._true_time(), self.monotonic())
+        self._rate = rate
+
+    def monotonic(self) -> float:
+        since, start = self._base
+        return start + (self._true_time() - since) * self._rate
+
+    def wall(self) -> float:
+        return self._true_time() + self.wall_offset
+
+
+@dataclass(slots=True)
+class FakeFile:
+    """Content as a process sees it, and how much of it is durable.
+
+    :param failed: a sync has failed. As on Linux, the pages then count as
+        clean, so a later sync succeeds without making them durable.
+    """
+
+    data: bytearray = field(default_factory=bytearray)
+    durable: int = 0
+    failed: bool = False
+
+    def crash(self, rng: Random) -> None:
+        """Keep some sectors of what was not synced."""
+        tail = self.data[self.durable :]
+        kept = tail[: rng.randint(0, len(tail))]
+        start = self.durable
+        for position in range(start, start + len(kept)):
+            first = position == start or position % SECTOR_BYTES == 0
+            if first and rng.random() < 0.3:
+                end = (position // SECTOR_BYTES + 1) * SECTOR_BYTES
+                size = min(end, start + len(kept)) - position
+                offset = position - start
+                kept[offset : offset + size] = bytes(size)
+        del self.data[start:]
+        self.data.extend(kept)
+        self.durable = len(self.data)
+        self.failed = False
+
+
+class PowerLoss(Exception):
+    """The machine stopped in the middle of a write."""
+
+
+class FakeDisk(Disk):
+    """A folder that loses at a crash what was not synced.
+
+    :param fuse: number of changing calls until power is lost; 0 for never.
+    """
+
+    def __init__(self, *, fuse: int = 0) -> None:
+        self.fuse = fuse
+        self.files: dict[str, FakeFile] = {}
+        self.durable_files: dict[str, FakeFile] = {}
+        self.full = False
+        self.fail_sync = False
+
+    def crash(self, rng: Random) -> None:
+        """Power loss: renames and removals may have reached the disk."""
+        if rng.random() < 0.5:
+            self.files = dict(self.durable_files)
+        self.durable_files = dict(self.files)
+        for file in self.files.values():
+            file.crash(rng)
+
+    def names(self) -> list[str]:
+        return sorted(self.files)
+
+    def read(self, name: str) -> bytes:
+        return bytes(self._find(name).data)
+
+    def read_part(self, name: str, offset: int, size: int) -> bytes:
+        return bytes(self._find(name).data[offset : offset + size])
+
+    def append(self, name: str, data: bytes) -> None:
+        file = self.files.setdefault(name, FakeFile())
+        self._burn()
+        if self.full:
+            file.data.extend(data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, 'No space left on device')
+        file.data.extend(data)
+
+    def sync(self, name: str) -> None:
+        file = self._find(name)
+        self._burn()
+        if self.fail_sync:
+            file.failed = True
+            raise OSError(errno.EIO, 'Input/output error')
+        if not file.failed:
+            file.durable = len(file.data)
+
+    def rename(self, old: str, new: str) -> None:
+        self._burn()
+        self.files[new] = self.files.pop(old)
+
+    def remove(self, name: str) -> None:
+        self._burn()
+        self.files.pop(name, None)
+
+    def sync_folder(self) -> None:
+        self._burn()
+        if self.fail_sync:
+            raise OSError(errno.EIO, 'Input/output error')
+        self.durable_files = dict(self.files)
+
+    def close(self) -> None:
+        """Nothing is held."""
+
+    def _burn(self) -> None:
+        if self.fuse:
+            self.fuse -= 1
+            if not self.fuse:
+                raise PowerLoss
+
+    def _find(self, name: str) -> FakeFile:
+        if name not in self.files:
+            raise FileNotFoundError(errno.ENOENT, 'No such file', name)
+        return self.files[name]
+
+
+@dataclass(slots=True)
+class FakeNetwork:
+    """Decides when the copies of a message arrive, if at all.
+
+    :param cut: pairs of sender and receiver that hear nothing.
+    """
+
+    rng: Random
+    cut: set[tuple[str, str]] = field(default_factory=set)
+    loss: float = 0.0
+    duplication: float = 0.0
+    extra_delay_s: float = 0.0
+    jitter_s: float = 0.0
+    _latest: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def arrivals(self, sender: str, receiver: str, now: float) -> list[float]:
+        pair = (sender, receiver)
+        if pair in self.cut or self.rng.random() < self.loss:
+            return []
+        found = [self._arrival(pair, now)]
+        if self.rng.random() < self.duplication:
+            found.append(found[0] + self.rng.uniform(0, 1.0))
+        return found
+
+    def _arrival(self, pair: tuple[str, str], now: float) -> float:
+        at = now + 0.001 + self.rng.uniform(0, self.extra_delay_s)
+        if self.jitter_s:
+            return at + self.rng.uniform(0, self.jitter_s)
+        # In order, as on one connection.
+        at = max(at, self._latest.get(pair, 0.0))
+        self._latest[pair] = at
+        return at
--- /dev/null
+++ b/testing/consensus/test_history.py
@@ -0,0 +1,145 @@
+"""The checks of the fault matrix find violations that were put in."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from math import inf
+from typing import Any
+
+import pytest
+
+from bench.fault_matrix import Column
+from bench.fault_matrix import run_cell
+from bench.history import History
+from bench.history import is_linearizable
+from bench.history import Operation
+from bench.history import Violation
+from galenareel._consensus.election import _count
+from galenareel._consensus.state import RaftState
+from galenareel._consensus.storage import Storage
+
+CORE = 'galenareel._consensus'
+
+
+def op(kind: str, value: int, called: float, returned: float) -> Operation:
+    return Operation(
+        kind=kind, key='x', value=value, called=called, returned=returned
+    )
+
+
+@pytest.mark.parametrize(
+    ('operations', 'expected'),
+    [
+        ([op('write', 1, 0, 1), op('read', 1, 2, 3)], True),
+        ([op('write', 1, 0, 1), op('read', 0, 2, 3)], False),
+        ([op('write', 1, 0, 9), op('read', 0, 2, 3)], True),
+        ([op('write', 1, 0, inf), op('read', 1, 2, 3)], True),
+        (
+            [
+                op('write', 1, 0, inf),
+                op('read', 1, 2, 3),
+                op('read', 0, 4, 5),
+            ],
+            False,
+        ),
+        ([op('read', 7, 0, 1)], False),
+    ],
+    ids=[
+        'fresh read',
+        'stale read',
+        'read during a write',
+        'unknown write that was read',
+        'value that comes back',
+        'value that nobody wrote',
+    ],
+)
+def test_linearizability(operations: list[Operation], expected: bool) -> None:
+    assert is_linearizable(operations) is expected
+
+
+def two_leaders(history: History) -> None:
+    history.note_leader(3, 1)
+    history.note_leader(3, 2)
+
+
+def changed_entry(history: History) -> None:
+    history.note_committed(5, 1, b'one')
+    history.note_committed(5, 2, b'other')
+
+
+def lost_entry(history: History) -> None:
+    history.note_acknowledged(5, b'one')
+    history.check()
+
+
+def stale_read(history: History) -> None:
+    history.operations += [op('write', 1, 0, 1), op('read', 0, 2, 3)]
+    history.check()
+
+
+def member_without_entry(history: History) -> None:
+    history.note_acknowledged(5, b'one')
+    history.check_member('a', [(4, b'zero'), (6, b'two')])
+
+
+@pytest.mark.parametrize(
+    'violate',
+    [two_leaders, changed_entry, lost_entry, stale_read, member_without_entry],
+)
+def test_each_promise_is_checked(violate: Callable[[History], None]) -> None:
+    with pytest.raises(Violation):
+        violate(History())
+
+
+def forget_writes(patch: pytest.MonkeyPatch) -> None:
+    """Acknowledge what was never stored."""
+    patch.setattr(Storage, 'write', lambda _self, _writes: None)
+
+
+def long_lease(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(f'{CORE}.replication.LEASE_S', 30.0)
+    patch.setattr(f'{CORE}.raft.has_quorum', lambda _st, _now: True)
+
+
+def vote_for_all(patch: pytest.MonkeyPatch) -> None:
+    def count_all(st: RaftState, *_args: Any) -> None:
+        st.votes |= st.membership.voters()
+        count(st, *_args)
+
+    count = _count
+    patch.setattr(f'{CORE}.election._count', count_all)
+
+
+def commit_unsynced(patch: pytest.MonkeyPatch) -> None:
+    """Commit on one copy."""
+
+    def own_index(st: RaftState) -> int:
+        return st.synced
+
+    patch.setattr(f'{CORE}.replication._majority_index', own_index)
+
+
+@pytest.mark.parametrize(
+    ('break_rule', 'step', 'faults', 'problem'),
+    [
+        (
+            forget_writes,
+            'commit',
+            ('crash after sync', 'old state'),
+            'did not converge',
+        ),
+        (long_lease, 'commit', ('two-way',), 'is not linearizable'),
+        (vote_for_all, 'election', ('two-way',), 'has leaders'),
+        (commit_unsynced, 'commit', ('two-way',), 'was committed as'),
+    ],
+)
+def test_matrix_finds_a_broken_rule(
+    monkeypatch: pytest.MonkeyPatch,
+    break_rule: Callable[[pytest.MonkeyPatch], None],
+    step: str,
+    faults: tuple[str, ...],
+    problem: str,
+) -> None:
+    break_rule(monkeypatch)
+    cells = [run_cell(step, Column(faults), seed) for seed in range(1, 6)]
+    assert any(problem in one.problem for one in cells)
