Run control on the replicated log and the decisions

Cause: the replicated log, the settings and the decisions are merged. Change: galenareel-control reads its settings, writes the common log lines and runs on the driver; the in-memory log is gone. An adapter fills the tables of the decisions from state and reports and turns decisions into commands. Takeovers of a cut-off zone are recorded when it reconnects. Leader changes at each step of move and maintenance, cut-off zones, homes and operators' races have tests over an in-memory log.

--- a/src/galenareel/_control/journal.py
+++ b/src/galenareel/_control/journal.py
@@ -7,12 +7,44 @@
 
 import msgspec
 
+from galenareel._common.clock import Clock
 from galenareel._common.events import Timeline
 from galenareel._common.sentinels import Refused
+from galenareel._state import commands as c
 from galenareel._state.commands import AnyCommand
+from galenareel._state.state import State
 
 KEPT_DECISIONS = 1024
 
+KINDS: dict[type[c.Command], str] = {
+    c.SubmitDocument: 'document.submitted',
+    c.PromoteDocument: 'document.promoted',
+    c.RegisterInstance: 'instance.registered',
+    c.MarkLost: 'instance.lost',
+    c.MarkLeft: 'instance.left',
+    c.ForgetInstance: 'instance.forgotten',
+    c.AssignHome: 'home.assigned',
+    c.BeginMove: 'move.begun',
+    c.FinishMove: 'move.finished',
+    c.AbortMove: 'move.aborted',
+    c.BeginMaintenance: 'maintenance.begun',
+    c.StartReboot: 'maintenance.drained',
+    c.FinishMaintenance: 'maintenance.finished',
+    c.AbortMaintenance: 'maintenance.skipped',
+    c.FailMaintenance: 'maintenance.failed',
+    c.EjectInstance: 'instance.ejected',
+    c.ReturnInstance: 'instance.returned',
+    c.BeginWave: 'wave.begun',
+    c.SetWaveState: 'wave.changed',
+    c.RetryWave: 'wave.retried',
+    c.RegisterEntry: 'entry.registered',
+    c.SetEntryState: 'entry.changed',
+    c.SetZoneCut: 'zone.changed',
+    c.ClaimKey: 'claim.asked',
+    c.SettleKey: 'claim.settled',
+    c.ExpireClaims: 'claims.expired',
+}
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Record:
@@ -35,24 +67,24 @@
     a change of leader; the ring does not.
     """
 
-    def __init__(self, timeline: Timeline) -> None:
+    def __init__(self, timeline: Timeline, state: State, clock: Clock) -> None:
         self._timeline = timeline
+        self._state = state
+        self._clock = clock
         self._records: deque[Record] = deque(maxlen=KEPT_DECISIONS)
 
-    def command(
-        self, command: AnyCommand, result: object, *, now: float
-    ) -> None:
+    def command(self, command: AnyCommand, result: object) -> None:
         """Record a command that was committed or refused."""
+        kind = KINDS[type(command)]
+        outcome = 'committed'
         if isinstance(result, Refused):
+            kind += '.refused'
             outcome = f'refused: {result.reason}: {result.detail}'
-        else:
-            outcome = 'committed'
         self.note(
-            type(command).__name__,
-            subjects=subjects_of(command),
+            kind,
+            subjects=self._subjects_of(command),
             reason=getattr(command, 'reason', ''),
             outcome=outcome,
-            now=now,
         )
 
     def note(
@@ -60,12 +92,12 @@
         action: str,
         *,
         subjects: dict[str, str],
-        reason: str,
-        outcome: str,
-        now: float,
+        reason: str = '',
+        outcome: str = '',
     ) -> None:
+        """Record anything else that ``explain`` should show."""
         record = Record(
-            at=now,
+            at=self._clock.wall(),
             action=action,
             subjects=subjects,
             reason=reason,
@@ -73,7 +105,7 @@
         )
         self._records.append(record)
         detail = '; '.join(part for part in (reason, outcome) if part)
-        self._timeline.record(f'control.{action}', detail=detail, **subjects)
+        self._timeline.record(action, detail=detail, **subjects)
 
     def about(self, subject: str) -> list[Record]:
         """Records that name a subject, oldest first."""
@@ -81,19 +113,21 @@
             one for one in self._records if subject in one.subjects.values()
         ]
 
-
-def subjects_of(command: AnyCommand) -> dict[str, str]:
-    """What a command is about, under the keys of the time line."""
-    fields = msgspec.structs.asdict(command)
-    subjects = {
-        name: str(fields[name])
-        for name in ('instance', 'wave', 'entry', 'zone')
-        if fields.get(name)
-    }
-    if fields.get('target'):
-        subjects['pool'] = str(fields['target'])
-    if fields.get('version'):
-        subjects['document'] = str(fields['version'])
-    if fields.get('home'):
-        subjects['entry'] = str(fields['home'])
-    return subjects
+    def _subjects_of(self, command: AnyCommand) -> dict[str, str]:
+        """What a command is about, under the keys of the time line."""
+        fields = msgspec.structs.asdict(command)
+        subjects = {
+            name: str(fields[name])
+            for name in ('instance', 'wave', 'entry', 'zone')
+            if fields.get(name)
+        }
+        row = self._state.instances.get(subjects.get('instance', ''))
+        if fields.get('target'):
+            subjects['pool'] = str(fields['target'])
+        elif row is not None:
+            subjects['pool'] = row.pool
+        if fields.get('version'):
+            subjects['document'] = str(fields['version'])
+        if fields.get('home'):
+            subjects['entry'] = str(fields['home'])
+        return subjects
--- a/src/galenareel/_control/leader.py
+++ b/src/galenareel/_control/leader.py
@@ -10,7 +10,11 @@
 
 from galenareel._common.clock import Clock
 from galenareel._consensus.interface import Replicator
-from galenareel._control import planning
+from galenareel._control.decision_adapter import DecisionAdapter
+from galenareel._control.decision_adapter import plan_removed_waves
+from galenareel._control.journal import Journal
+from galenareel._control.planning import plan_all
+from galenareel._control.planning import plan_orphans
 from galenareel._control.proposer import Proposer
 from galenareel._control.reboots import Reboots
 from galenareel._control.sessions import LEASE_S
@@ -33,23 +37,32 @@
 
 
 class LeaderLoop:
-    """Runs on every member and acts only while it leads."""
+    """Runs on every member and acts only while it leads.
+
+    :param address: frame address of this member.
+    """
 
     def __init__(
         self,
         *,
+        address: str,
         state: State,
         sessions: Sessions,
         proposer: Proposer,
         replicator: Replicator,
         reboots: Reboots,
+        adapter: DecisionAdapter,
+        journal: Journal,
         clock: Clock,
     ) -> None:
+        self._address = address
         self._state = state
         self._sessions = sessions
         self._proposer = proposer
         self._replicator = replicator
         self._reboots = reboots
+        self._adapter = adapter
+        self._journal = journal
         self._clock = clock
         self._wake = Event()
         self._loop: Greenlet | None = None
@@ -77,17 +90,37 @@
     def step(self, now: float) -> None:
         """One pass of the loop."""
         if not self._replicator.is_leader():
-            if self._led_since is not None:
+            # A lease that ran out for a moment ends no session: this member
+            # still leads and the entries would only come back.
+            still_leads = self._replicator.leader() == self._address
+            if self._led_since is not None and not still_leads:
                 self._led_since = None
                 self._sessions.clear()
                 self._reboots.clear()
+                self._adapter.clear()
+                self._journal.note(
+                    'leader.lost', subjects={}, reason='', outcome=''
+                )
             return
         if self._led_since is None:
             self._led_since = now
+            self._journal.note(
+                'leader.won', subjects={}, reason='', outcome=''
+            )
         self._sessions.drop_old(now)
         for _ in range(MAX_ROUNDS):
             if not self._proposer.run(list(self._plan(now)), now):
                 break
+        if now >= self._next_tick:
+            self._next_tick = now + TICK_S
+            self._decide(now)
+
+    def _decide(self, now: float) -> None:
+        decided = self._adapter.decide(
+            list(self._sessions), now=now, wall=self._clock.wall()
+        )
+        commands = [one for _, one in decided if one is not None]
+        self._proposer.run(commands, now)
 
     def _plan(self, now: float) -> Iterator[AnyCommand]:
         state = self._state
@@ -95,15 +128,11 @@
         settled = self._led_since is not None and (
             now - self._led_since >= SETTLE_S
         )
-        yield from planning.plan_zones(state, sessions, now, settled=settled)
-        yield from planning.plan_entries(state, sessions, now)
-        yield from planning.plan_announcements(state, sessions, now)
-        yield from planning.plan_homes(state, sessions, now)
-        yield from planning.plan_drained(state, sessions, now)
-        yield from planning.plan_silence(state, sessions, now)
         zones = self._sessions.fresh_zones(now)
+        yield from plan_all(state, sessions, now, settled=settled)
+        yield from plan_orphans(state, zones)
         yield from self._reboots.plan(zones, now)
-        yield from planning.plan_orphans(state, zones)
+        yield from plan_removed_waves(state.waves, state.environment)
         if now >= self._next_expiry:
             self._next_expiry = now + EXPIRE_INTERVAL_S
             if state.claims:
--- a/src/galenareel/_control/main.py
+++ b/src/galenareel/_control/main.py
@@ -2,80 +2,80 @@
 
 from __future__ import annotations
 
-import argparse
 from collections.abc import Sequence
-import os
-from pathlib import Path
 import signal
 import sys
 
 import gevent
 from gevent.event import Event
-from logbook import Logger
-from logbook import StreamHandler
 
 from galenareel._common.clock import SystemClock
 from galenareel._common.events import HybridClock
-from galenareel._common.messages import PeerMessage
+from galenareel._common.log import Log
+from galenareel._common.settings import ControlSettings
+from galenareel._common.settings import read_settings
+from galenareel._consensus.driver import Driver
+from galenareel._consensus.errors import StorageError
 from galenareel._control.platform import NoPlatform
 from galenareel._control.platform import Platform
 from galenareel._control.program import Control
 from galenareel._control.program import Member
-from galenareel._control.solo import SoloReplicator
 from galenareel._document.model import Environment
 from galenareel._state.state import State
 
-log = Logger('galenareel.control')
+PROGRAM = 'galenareel-control'
+SUMMARY = 'Runs one member of the replicated control of an environment.'
+
+FAILED = 1
 
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run a control member until SIGTERM or SIGINT."""
-    options = _parse(argv)
-    StreamHandler(sys.stderr).push_application()
+    cfg = read_settings(PROGRAM, ControlSettings, summary=SUMMARY, argv=argv)
+    log = Log(cfg.name, level=cfg.log_level)
+    control = _assemble(cfg, log)
+    try:
+        control.start()
+    except (OSError, StorageError) as exc:
+        log.error('start_failed', detail=str(exc))
+        return FAILED
+    log.info('started', zone=cfg.zone, listen=cfg.listen)
+    stop = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stop.set)
+    stop.wait()
+    control.close()
+    log.info('stopped')
+    return 0
+
+
+def _assemble(cfg: ControlSettings, log: Log) -> Control:
     clock = SystemClock()
     hybrid = HybridClock(clock)
     state = State()
-    replicator = SoloReplicator(state, options.listen)
-    member = Member(
-        name=options.name,
-        listen=options.listen,
-        secret=_secret(options.cluster_secret_file),
+    secret = cfg.cluster_secret.reveal()
+    members = {one.name: one.address for one in cfg.members}
+    members.setdefault(cfg.name, cfg.listen)
+    driver = Driver(
+        name=cfg.name,
+        members=members,
+        data_dir=str(cfg.data_dir),
+        machine=state,
+        clock=hybrid,
+        secret=secret,
+        joins=cfg.join,
     )
-    control = Control(
-        member,
+    return Control(
+        Member(name=cfg.name, listen=cfg.listen, secret=secret),
         state=state,
-        replicator=replicator,
-        receive=_ignore,
+        replicator=driver,
+        receive=driver.receive,
         read_document=_read_document,
-        platform=_platform(options.platform_url),
+        platform=_platform(cfg.platform_url),
         clock=clock,
         hybrid=hybrid,
+        log=log,
     )
-    control.start()
-    log.info('{} listens on {}', options.name, options.listen)
-    stop = Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, stop.set)
-    stop.wait()
-    control.close()
-    return 0
-
-
-def _parse(argv: Sequence[str] | None) -> argparse.Namespace:
-    parser = argparse.ArgumentParser(prog='galenareel-control')
-    for flag in ('name', 'zone', 'listen', 'members', 'data-dir'):
-        variable = 'GALENAREEL_' + flag.upper().replace('-', '_')
-        parser.add_argument(f'--{flag}', default=os.environ.get(variable, ''))
-    parser.add_argument('--cluster-secret-file', default='')
-    parser.add_argument('--platform-url', default='')
-    parser.add_argument('--join', action='store_true')
-    return parser.parse_args(argv)
-
-
-def _secret(path: str) -> str:
-    if path:
-        return Path(path).read_text().strip()
-    return os.environ.get('GALENAREEL_CLUSTER_SECRET', '')
 
 
 def _platform(url: str) -> Platform:
@@ -87,17 +87,11 @@
     return HttpPlatform(url)
 
 
-def _ignore(_msg: PeerMessage) -> None:
-    pass
-
-
 def _read_document(text: str) -> Environment:
-    # The reader of documents brings a YAML parser; it is loaded when the
-    # first document is submitted.
+    # The YAML parser is loaded when the first document is submitted.
     from galenareel._document.reading import read_environment
 
-    environment: Environment = read_environment(text)
-    return environment
+    return read_environment(text)
 
 
 if __name__ == '__main__':
--- a/src/galenareel/_control/operations.py
+++ b/src/galenareel/_control/operations.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from hashlib import sha256
+import dataclasses
 from typing import Any
 
 import msgspec
@@ -14,7 +14,6 @@
 from galenareel._common.messages import Done
 from galenareel._common.messages import OperatorAnswer
 from galenareel._common.messages import OperatorCall
-from galenareel._common.rows import DocumentRow
 from galenareel._common.sentinels import NotLeader
 from galenareel._common.sentinels import Refused
 from galenareel._common.sentinels import Unreachable
@@ -22,8 +21,9 @@
 from galenareel._control.journal import Journal
 from galenareel._control.proposer import Proposer
 from galenareel._control.sessions import Sessions
+from galenareel._control.status import describe_document
 from galenareel._control.status import make_status
-from galenareel._control.trial import evaluate
+from galenareel._control.trial import make_trial
 from galenareel._document.model import Environment
 from galenareel._state.commands import PromoteDocument
 from galenareel._state.commands import RetryWave
@@ -170,6 +170,9 @@
         return problem(status, result.reason, result.detail)
 
     def _submit(self, body: Submit) -> OperatorAnswer:
+        # Reading brings a YAML parser, loaded with the first document.
+        from galenareel._document.reading import digest
+
         try:
             environment = self._read_document(body.text)
         except FindingsError as exc:
@@ -182,10 +185,10 @@
                 now=0.0,
                 version=environment.version,
                 replaces=environment.replaces,
-                digest=sha256(body.text.encode()).hexdigest(),
+                digest=digest(body.text),
                 text=body.text,
                 environment=environment,
-                trial=tuple(evaluate(self._state, environment)),
+                trial=make_trial(self._state, environment),
             )
         )
         if not isinstance(result, Done):
@@ -202,7 +205,7 @@
 
     def _stored(self, version: int, index: int) -> OperatorAnswer:
         row = self._state.documents[version].row
-        return answer(OK, {'index': index, **_describe(row)})
+        return answer(OK, {'index': index, **describe_document(row)})
 
     def _status(self, _body: Empty) -> OperatorAnswer:
         status = make_status(
@@ -237,7 +240,7 @@
             return problem(
                 NOT_FOUND, 'unknown_version', 'no such document is kept'
             )
-        return answer(OK, {**_describe(row), 'text': row.text})
+        return answer(OK, dataclasses.asdict(row))
 
     def _events(self, body: Events) -> OperatorAnswer:
         events = self._timeline.since(body.since)
@@ -266,15 +269,3 @@
         if not isinstance(result, Done):
             return self._refusal(result)
         return answer(OK, {'wave': self._state.waves[body.wave]})
-
-
-def _describe(row: DocumentRow) -> dict[str, Any]:
-    return {
-        'version': row.version,
-        'replaces': row.replaces,
-        'digest': row.digest,
-        'stage': row.stage,
-        'submitted_at': row.submitted_at,
-        'promoted_at': row.promoted_at,
-        'trial': row.trial,
-    }
--- a/src/galenareel/_control/planning.py
+++ b/src/galenareel/_control/planning.py
@@ -39,15 +39,30 @@
 
 
 def rendezvous(entries: list[str], instance: str) -> str:
-    """The entry with the highest hash; others keep theirs as one leaves."""
+    """The entry with the highest hash; others keep theirs as one leaves.
 
-    def weight(entry: str) -> bytes:
-        text = f'{entry}|{instance}'.encode()
-        return blake2b(text, digest_size=8).digest()
+    Entries use the same hash when they take over homes by themselves.
+    """
+
+    def weight(entry: str) -> tuple[bytes, str]:
+        text = f'{instance}\0{entry}'.encode()
+        return blake2b(text, digest_size=8).digest(), entry
 
     return max(entries, key=weight)
 
 
+def plan_all(
+    state: State, sessions: list[Session], now: float, *, settled: bool
+) -> Iterator[AnyCommand]:
+    """Everything that follows from the sessions; see :func:`plan_zones`."""
+    yield from plan_zones(state, sessions, now, settled=settled)
+    yield from plan_entries(state, sessions, now)
+    yield from plan_announcements(state, sessions, now)
+    yield from plan_homes(state, sessions, now)
+    yield from plan_drained(state, sessions, now)
+    yield from plan_silence(state, sessions, now)
+
+
 def plan_entries(
     state: State, sessions: list[Session], now: float
 ) -> Iterator[AnyCommand]:
@@ -161,6 +176,7 @@
     state: State, sessions: list[Session], now: float
 ) -> Iterator[AnyCommand]:
     """Give homes to instances whose home released them or is gone."""
+    taken = _taken_homes(sessions, now)
     candidates: dict[str, list[str]] = {}
     for session in sessions:
         entry = state.entries.get(session.entry)
@@ -169,6 +185,15 @@
         if session.is_fresh(now) and session.zone not in state.cut_zones:
             candidates.setdefault(session.zone, []).append(session.entry)
     for row in state.instances.values():
+        taker = taken.get((row.instance, row.home_epoch), '')
+        if taker in candidates.get(row.zone, ()) and taker != row.home:
+            yield AssignHome(
+                instance=row.instance,
+                home_epoch=row.home_epoch,
+                home=taker,
+                taken=True,
+            )
+            continue
         home = state.entries.get(row.home)
         released = home is None or home.state is not EntryState.LIVE
         if released and row.phase not in ABSENT and row.zone in candidates:
@@ -179,6 +204,18 @@
             )
 
 
+def _taken_homes(
+    sessions: list[Session], now: float
+) -> dict[tuple[str, int], str]:
+    """Entry by the instance and home epoch that it took over by itself."""
+    return {
+        (instance, home_epoch): session.entry
+        for session in sessions
+        if session.is_fresh(now) and session.report is not None
+        for instance, home_epoch in session.report.taken
+    }
+
+
 def home_session(
     row: InstanceRow, sessions: dict[str, Session], now: float
 ) -> Session | None:
--- a/src/galenareel/_control/program.py
+++ b/src/galenareel/_control/program.py
@@ -4,13 +4,16 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 
 from galenareel._common.clock import Clock
 from galenareel._common.events import HybridClock
 from galenareel._common.events import Timeline
 from galenareel._common.frames import FrameServer
+from galenareel._common.log import Log
 from galenareel._common.messages import PeerMessage
 from galenareel._consensus.interface import Replicator
+from galenareel._control.decision_adapter import DecisionAdapter
 from galenareel._control.journal import Journal
 from galenareel._control.leader import LeaderLoop
 from galenareel._control.operations import Operations
@@ -53,18 +56,22 @@
         platform: Platform,
         clock: Clock,
         hybrid: HybridClock,
+        log: Log,
     ) -> None:
         self.state = state
         self.timeline = Timeline(member.name, hybrid)
         self.sessions = Sessions(state)
-        self.journal = Journal(self.timeline)
+        self.journal = Journal(self.timeline, state, clock)
         self.proposer = Proposer(replicator, self.journal, clock)
         self.loop = LeaderLoop(
+            address=member.listen,
             state=state,
             sessions=self.sessions,
             proposer=self.proposer,
             replicator=replicator,
             reboots=Reboots(state, platform),
+            adapter=DecisionAdapter(state, rng=Random()),
+            journal=self.journal,
             clock=clock,
         )
         operations = Operations(
@@ -90,6 +97,7 @@
             timeline=self.timeline,
             clock=clock,
             receive=receive,
+            log=log,
         )
         self._replicator = replicator
         self._frames = FrameServer(
--- a/src/galenareel/_control/server.py
+++ b/src/galenareel/_control/server.py
@@ -4,13 +4,14 @@
 
 from collections.abc import Callable
 import hmac
+import traceback
 
-from logbook import Logger
 import msgspec
 
 from galenareel._common.clock import Clock
 from galenareel._common.events import Timeline
 from galenareel._common.frames import Link
+from galenareel._common.log import Log
 from galenareel._common.messages import AnyMessage
 from galenareel._common.messages import Claim
 from galenareel._common.messages import ClaimReply
@@ -45,8 +46,6 @@
 BARRIER_TIMEOUT_S = 1.0
 RETRY_S = 0.5
 
-log = Logger('galenareel.control')
-
 
 class Server:
     """Handler of the frame server."""
@@ -65,6 +64,7 @@
         timeline: Timeline,
         clock: Clock,
         receive: Callable[[PeerMessage], None],
+        log: Log,
     ) -> None:
         self._name = name
         self._secret = secret.encode()
@@ -77,6 +77,7 @@
         self._timeline = timeline
         self._clock = clock
         self._receive = receive
+        self._log = log
 
     def handle(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
         """Answer one message; nothing is answered before the hello."""
@@ -87,14 +88,20 @@
             return None
         try:
             return self._answer(link, msg)
-        except Exception:
+        except Exception as exc:
             # The other requests of this process must go on.
-            log.exception('request {} failed', type(msg).__name__)
+            self._log.error(
+                'request_failed',
+                request=type(msg).__name__,
+                peer=link.peer,
+                error=repr(exc),
+                trace=traceback.format_exc(limit=-3),
+            )
             return Problem(reason='internal', detail='see the log of control')
 
     def _hello(self, link: Link, msg: Hello) -> AnyMessage | None:
         if not hmac.compare_digest(msg.secret.encode(), self._secret):
-            log.warning('{} gave a wrong cluster secret', msg.process)
+            self._log.warning('wrong_cluster_secret', peer=msg.process)
             link.close()
             return None
         link.peer = msg.process
@@ -192,7 +199,7 @@
                 reason='no_session', detail='open a session with the leader'
             )
         session.renew(msg, self._clock.monotonic())
-        if msg.announcements or msg.drained or msg.stopping:
+        if msg.announcements or msg.drained or msg.taken or msg.stopping:
             self._loop.wake()
         return Renewed(index=self._state.view_index, lease_s=LEASE_S)
 
--- a/src/galenareel/_control/sessions.py
+++ b/src/galenareel/_control/sessions.py
@@ -19,6 +19,7 @@
 from galenareel._state.state import State
 
 LEASE_S = 3.0
+REPORT_INTERVAL_S = 1.0
 
 # A session that was not renewed for this long ends with its connection; until
 # then an entry that only stumbled goes on without fetching the view again.
@@ -31,6 +32,10 @@
 
     :param fresh_until: monotonic time at which the lease runs out.
     :param sent: index of the view that the entry was sent last.
+    :param reported_at: monotonic time of the latest report.
+    :param interval_s: time that the latest report covers.
+    :param results: finished and failed requests of each instance that no
+        tick has taken yet.
     :param pending: announcements that the state doesn't show yet.
     """
 
@@ -41,6 +46,9 @@
     fresh_until: float
     sent: int
     report: EntryReport | None = None
+    reported_at: float = 0.0
+    interval_s: float = REPORT_INTERVAL_S
+    results: dict[str, tuple[int, int]] = field(default_factory=dict)
     loads: dict[str, InstanceLoad] = field(default_factory=dict)
     drained: dict[str, Drained] = field(default_factory=dict)
     pending: dict[str, Announcement] = field(default_factory=dict)
@@ -52,12 +60,28 @@
 
     def renew(self, report: EntryReport, now: float) -> None:
         self.fresh_until = now + LEASE_S
+        if self.report is not None:
+            gap = now - self.reported_at
+            self.interval_s = max(gap, REPORT_INTERVAL_S / 2)
         self.report = report
+        self.reported_at = now
         self.loads = {one.instance: one for one in report.instances}
         for announcement in report.announcements:
             self.pending[announcement.instance] = announcement
         for drained in report.drained:
             self.drained[drained.instance] = drained
+        for load in report.instances:
+            finished, failed = self.results.get(load.instance, (0, 0))
+            self.results[load.instance] = (
+                finished + load.finished,
+                failed + load.failed,
+            )
+
+    def take_results(self) -> dict[str, tuple[int, int]]:
+        """Results since the previous call."""
+        results = self.results
+        self.results = {}
+        return results
 
 
 class Sessions:
--- a/src/galenareel/_control/status.py
+++ b/src/galenareel/_control/status.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
+import dataclasses
 from typing import Any
 
+from galenareel._common.rows import DocumentRow
 from galenareel._control.sessions import Sessions
 from galenareel._state.budgets import available
 from galenareel._state.budgets import find_budget
@@ -25,12 +27,33 @@
         'fresh_zones': sorted(sessions.fresh_zones(now)),
         'cut_zones': sorted(state.cut_zones),
         'waves': sorted(state.waves.values(), key=lambda one: one.wave),
-        'instances': sorted(
-            state.instances.values(), key=lambda one: one.instance
-        ),
+        'documents': [
+            describe_document(one.row)
+            for _, one in sorted(state.documents.items())
+        ],
+        'instances': _instances(state, sessions),
     }
 
 
+def describe_document(row: DocumentRow) -> dict[str, Any]:
+    """A document without its text."""
+    fields = dataclasses.asdict(row)
+    del fields['text']
+    return fields
+
+
+def _instances(state: State, sessions: Sessions) -> list[dict[str, Any]]:
+    in_use = {
+        name: load.in_use
+        for session in sessions
+        for name, load in session.loads.items()
+    }
+    return [
+        {**dataclasses.asdict(row), 'in_use': in_use.get(name, 0)}
+        for name, row in sorted(state.instances.items())
+    ]
+
+
 def _pool_names(state: State) -> list[str]:
     names = {row.pool for row in state.instances.values()}
     if state.environment is not None:
--- a/src/galenareel/_state/commands.py
+++ b/src/galenareel/_state/commands.py
@@ -87,11 +87,16 @@
 
 
 class AssignHome(Command, frozen=True):
-    """Give an instance a home; ``home_epoch`` is the one it replaces."""
+    """Give an instance a home; ``home_epoch`` is the one it replaces.
+
+    :param taken: the new home took it over from a silent one already, while
+        the zone was cut off.
+    """
 
     instance: str
     home_epoch: int
     home: str
+    taken: bool = False
 
 
 class BeginMove(Command, frozen=True):
--- a/src/galenareel/_state/instances.py
+++ b/src/galenareel/_state/instances.py
@@ -228,7 +228,8 @@
             detail=f'{command.home} is no live entry of zone {row.zone}',
         )
     old = tables.entries.get(row.home)
-    if old is not None and old.state is EntryState.LIVE:
+    live = old is not None and old.state is EntryState.LIVE
+    if live and not command.taken:
         # Two homes at once would count the same slots twice.
         return Refused(
             reason='home_not_released',
--- a/src/galenareel/_state/maintenance.py
+++ b/src/galenareel/_state/maintenance.py
@@ -42,7 +42,10 @@
         return Done(index=tables.index)
     if row.phase is not Phase.SERVING:
         return wrong_phase(row, 'serving')
-    refused = _refuse_wave(tables, command) or refuse_removal(tables, row)
+    # A refusal is false in a condition, so that "or" would drop the first.
+    refused = _refuse_wave(tables, command)
+    if refused is None:
+        refused = refuse_removal(tables, row)
     if refused is not None:
         return refused
     tables.reboots[row.instance] = Reboot(
--- /dev/null
+++ b/testing/control/test_changes_of_leader.py
@@ -0,0 +1,147 @@
+"""Moves and maintenance go on when the leader is lost at any step."""
+
+from __future__ import annotations
+
+import pytest
+
+from galenareel._common.messages import Done
+from galenareel._common.rows import Phase
+from galenareel._common.rows import WaveState
+from galenareel._common.sentinels import Unreachable
+from galenareel._state.commands import BeginMaintenance
+from galenareel._state.commands import BeginMove
+from galenareel._state.commands import BeginWave
+from galenareel._state.commands import PromoteDocument
+from testing.control.cluster import Cluster
+from testing.control.cluster import Crash
+from testing.control.cluster import make_cluster
+from testing.state.builders import environment
+from testing.state.builders import POOLS
+from testing.state.builders import submit
+
+INSTANCE = 'a/lots-1'
+
+
+@pytest.fixture
+def cluster() -> Cluster:
+    return started()
+
+
+def started(**options: bool) -> Cluster:
+    cluster = make_cluster(**options)
+    document = submit(environment(budget=1))
+    assert isinstance(cluster.propose(document), Done)
+    promote = PromoteDocument(now=1.0, version=1, digest='d')
+    assert isinstance(cluster.propose(promote), Done)
+    cluster.run(2)
+    assert len(cluster.state.instances) == 8
+    assert all(row.home for row in cluster.state.instances.values())
+    return cluster
+
+
+def begin_move(cluster: Cluster) -> None:
+    row = cluster.state.instances[INSTANCE]
+    command = BeginMove(
+        instance=INSTANCE, epoch=row.epoch, target='office', reason='test'
+    )
+    assert isinstance(cluster.propose(command), Done)
+
+
+def begin_maintenance(cluster: Cluster) -> None:
+    row = cluster.state.instances[INSTANCE]
+    wave = BeginWave(now=1.0, wave='w1', pools=POOLS)
+    command = BeginMaintenance(
+        now=cluster.clock.wall(),
+        instance=INSTANCE,
+        epoch=row.epoch,
+        wave='w1',
+        reason='test',
+    )
+    for one in (wave, command):
+        assert isinstance(cluster.propose(one), Done)
+
+
+@pytest.mark.parametrize('committed', [False, True])
+def test_move_survives_lost_leader(cluster: Cluster, committed: bool) -> None:
+    """Guards against moves that hang, or finish twice."""
+    begin_move(cluster)
+    cluster.crash = Crash('FinishMove', committed)
+    cluster.run(8)
+    assert cluster.leader == 'c2'
+    row = cluster.state.instances[INSTANCE]
+    assert (row.pool, row.phase, row.epoch) == ('office', Phase.SERVING, 2)
+
+
+def test_move_waits_for_work_in_flight(cluster: Cluster) -> None:
+    """Guards against a new leader that takes a drain for finished."""
+    cluster.servers[INSTANCE].busy = True
+    begin_move(cluster)
+    cluster.run(2)
+    cluster.change_leader()
+    cluster.run(8)
+    assert cluster.state.instances[INSTANCE].phase is Phase.DRAINING
+    cluster.servers[INSTANCE].busy = False
+    cluster.run(2)
+    assert cluster.state.instances[INSTANCE].pool == 'office'
+
+
+@pytest.mark.parametrize('committed', [False, True])
+@pytest.mark.parametrize(
+    'kind', ['StartReboot', 'RegisterInstance', 'FinishMaintenance']
+)
+def test_maintenance_survives_lost_leader(
+    cluster: Cluster, kind: str, committed: bool
+) -> None:
+    """Guards against instances rebooted twice, or never taken back."""
+    begin_maintenance(cluster)
+    cluster.crash = Crash(kind, committed)
+    cluster.run(40)
+    assert cluster.crash is None, f'{kind} never came'
+    row = cluster.state.instances[INSTANCE]
+    assert row.phase is Phase.SERVING
+    assert row.maintained_at > 0
+    assert cluster.state.waves['w1'].done == (INSTANCE,)
+    assert cluster.platform.reboots == {INSTANCE: 1}
+    assert cluster.platform.saved == {INSTANCE}
+
+
+def test_leader_lost_while_the_platform_reboots(cluster: Cluster) -> None:
+    """Guards against a second reboot by the new leader's own request."""
+    begin_maintenance(cluster)
+    cluster.run_until(lambda: bool(cluster.platform.tokens), 10)
+    cluster.change_leader()
+    cluster.run(30)
+    assert cluster.state.waves['w1'].done == (INSTANCE,)
+    assert cluster.platform.reboots == {INSTANCE: 1}
+
+
+def test_restart_before_the_reboot_is_not_taken_for_it(
+    cluster: Cluster,
+) -> None:
+    """Guards against work given to an instance that will still reboot."""
+    cluster.platform.answer = Unreachable(reason='timeout')
+    begin_maintenance(cluster)
+    cluster.run(3)
+    cluster.servers[INSTANCE].incarnation += 1
+    cluster.run(2)
+    cluster.platform.answer = True
+    cluster.run_until(lambda: bool(cluster.state.waves['w1'].done), 40)
+    assert not cluster.restart_at, 'it serves and will still reboot'
+    assert cluster.platform.reboots == {INSTANCE: 1}
+
+
+def test_refusing_platform_fails_the_instance(cluster: Cluster) -> None:
+    cluster.platform.answer = False
+    begin_maintenance(cluster)
+    cluster.run(5)
+    assert cluster.state.waves['w1'].failed == (INSTANCE,)
+
+
+def test_wave_stops_without_platform() -> None:
+    """Guards against drained instances that wait for nobody."""
+    cluster = started(platform_set=False)
+    begin_maintenance(cluster)
+    cluster.run(3)
+    wave = cluster.state.waves['w1']
+    assert wave.state is WaveState.STOPPED
+    assert '--platform-url' in wave.reason
--- /dev/null
+++ b/testing/control/test_zones_and_homes.py
@@ -0,0 +1,187 @@
+"""Cut-off zones, homes, losses and operators' races at the leader."""
+
+from __future__ import annotations
+
+import pytest
+
+from galenareel._common.messages import Done
+from galenareel._common.rows import EntryState
+from galenareel._common.rows import Phase
+from galenareel._common.sentinels import Refused
+from galenareel._control.planning import rendezvous
+from galenareel._state.commands import BeginMove
+from galenareel._state.commands import EjectInstance
+from galenareel._state.commands import PromoteDocument
+from testing.control.cluster import Cluster
+from testing.control.test_changes_of_leader import begin_move
+from testing.control.test_changes_of_leader import INSTANCE
+from testing.control.test_changes_of_leader import started
+from testing.state.builders import environment
+from testing.state.builders import submit
+
+
+@pytest.fixture
+def cluster() -> Cluster:
+    return started()
+
+
+def cut(cluster: Cluster, zone: str, *, connected: bool = False) -> None:
+    for entry in cluster.entries.values():
+        if entry.zone == zone:
+            entry.connected = connected
+
+
+def zone_rows(cluster: Cluster, zone: str) -> dict[str, object]:
+    rows = cluster.state.instances
+    return {name: row for name, row in rows.items() if row.zone == zone}
+
+
+def test_nothing_moves_in_a_cut_off_zone(cluster: Cluster) -> None:
+    """Guards against decisions about instances that still serve there."""
+    begin_move(cluster)
+    cluster.servers[INSTANCE].busy = True
+    cluster.run(1)
+    before = zone_rows(cluster, 'a')
+    cut(cluster, 'a')
+    cluster.servers[INSTANCE].busy = False
+    cluster.servers['a/lots-2'].alive = False
+    cluster.run(60)
+    assert cluster.state.cut_zones == {'a'}
+    assert zone_rows(cluster, 'a') == before
+    assert cluster.state.entries['ea1'].state is EntryState.LIVE
+
+
+def test_cut_off_zone_counts_as_unavailable(cluster: Cluster) -> None:
+    """Guards against budgets met by instances nobody can reach."""
+    cut(cluster, 'a')
+    cluster.run(8)
+    row = cluster.state.instances['b/lots-1']
+    first = EjectInstance(instance=row.instance, epoch=1, reason='test')
+    second = EjectInstance(instance='b/lots-2', epoch=1, reason='test')
+    assert isinstance(cluster.propose(first), Done)
+    refused = cluster.propose(second)
+    assert isinstance(refused, Refused)
+    assert refused.reason == 'budget'
+
+
+def test_reconnected_zone_goes_on(cluster: Cluster) -> None:
+    """Guards against moves that a partition leaves behind."""
+    cluster.servers[INSTANCE].busy = True
+    begin_move(cluster)
+    cut(cluster, 'a')
+    cluster.run(20)
+    cluster.servers[INSTANCE].busy = False
+    cut(cluster, 'a', connected=True)
+    cluster.run(3)
+    assert cluster.state.cut_zones == frozenset()
+    assert cluster.state.instances[INSTANCE].pool == 'office'
+
+
+def test_new_leader_waits_before_it_judges_zones(cluster: Cluster) -> None:
+    """Guards against zones cut off by every change of leader."""
+    cut(cluster, 'a')
+    cluster.change_leader()
+    cluster.run(2)
+    cut(cluster, 'a', connected=True)
+    cluster.run(10)
+    kinds = [type(one).__name__ for one in cluster.commands]
+    assert 'SetZoneCut' not in kinds
+
+
+def test_homes_of_a_dead_entry_are_taken_over(cluster: Cluster) -> None:
+    """Guards against instances without a home, or with two."""
+    rows = zone_rows(cluster, 'a')
+    cluster.entries['ea1'].alive = False
+    cluster.run(2)
+    assert zone_rows(cluster, 'a') == rows, 'the lease still ran'
+    cluster.run(4)
+    assert cluster.state.entries['ea1'].state is EntryState.SILENT
+    homes = {row.home for row in cluster.state.instances.values()}
+    assert 'ea1' not in homes
+    assert cluster.state.cut_zones == frozenset()
+
+
+def test_unreported_entry_keeps_its_homes(cluster: Cluster) -> None:
+    """Guards against two homes while only the way to control is down."""
+    rows = zone_rows(cluster, 'a')
+    cluster.entries['ea1'].connected = False
+    cluster.run(20)
+    assert zone_rows(cluster, 'a') == rows
+
+
+def test_takeover_while_cut_off_is_recorded(cluster: Cluster) -> None:
+    """Guards against control giving back what the zone took over."""
+    row = cluster.state.instances[INSTANCE]
+    other = {'ea1': 'ea2', 'ea2': 'ea1'}[row.home]
+    cut(cluster, 'a')
+    cluster.run(10)
+    cluster.entries[other].taken = ((INSTANCE, row.home_epoch),)
+    cut(cluster, 'a', connected=True)
+    cluster.run(2)
+    row = cluster.state.instances[INSTANCE]
+    assert (row.home, row.home_epoch) == (other, 2)
+
+
+def test_stopping_entry_hands_its_homes_over(cluster: Cluster) -> None:
+    cluster.entries['ea1'].stopping = True
+    cluster.run(1)
+    homes = {row.home for row in cluster.state.instances.values()}
+    assert 'ea1' not in homes
+    cluster.entries['ea1'].alive = False
+    cluster.run(6)
+    assert cluster.state.entries['ea1'].state is EntryState.GONE
+
+
+def test_silent_instance_is_lost_and_comes_back(cluster: Cluster) -> None:
+    """Guards against losses that flap or never end."""
+    server = cluster.servers[INSTANCE]
+    server.alive = False
+    cluster.run(9)
+    assert cluster.state.instances[INSTANCE].phase is Phase.SERVING
+    cluster.run(3)
+    assert cluster.state.instances[INSTANCE].phase is Phase.LOST
+    server.alive = True
+    cluster.run(5)
+    row = cluster.state.instances[INSTANCE]
+    assert (row.phase, row.epoch) == (Phase.SERVING, 3)
+
+
+def test_instances_leave_a_removed_pool(cluster: Cluster) -> None:
+    """Guards against instances in a pool that no document has."""
+    document = environment(2, replaces=1, budget=1)
+    pools = tuple(one for one in document.pools if one.name == 'lots')
+    document = type(document)(
+        environment='test',
+        version=2,
+        replaces=1,
+        zones=document.zones,
+        pools=pools,
+        services=document.services[:1],
+    )
+    cluster.propose(submit(document))
+    cluster.propose(PromoteDocument(now=1.0, version=2, digest='d'))
+    cluster.run(6)
+    assert {one.pool for one in cluster.state.instances.values()} == {'lots'}
+
+
+def test_two_moves_at_once_can_not_break_a_budget(cluster: Cluster) -> None:
+    """Guards against budgets checked only when a decision is made."""
+    results = [
+        cluster.propose(
+            BeginMove(instance=name, epoch=1, target='office', reason='test')
+        )
+        for name in ('a/lots-1', 'a/lots-2', 'b/lots-1', 'b/lots-2')
+    ]
+    assert [type(one) for one in results] == [Done, Done, Done, Refused]
+
+
+def test_rendezvous_moves_only_what_it_must() -> None:
+    """Guards against a removed entry that moves the homes of others."""
+    names = [f'a/i{n}' for n in range(200)]
+    before = {one: rendezvous(['e1', 'e2', 'e3'], one) for one in names}
+    after = {one: rendezvous(['e1', 'e2'], one) for one in names}
+    assert all(
+        after[one] == before[one] for one in names if before[one] != 'e3'
+    )
+    counts = [list(before.values()).count(one) for one in ('e1', 'e2', 'e3')]
+    assert min(counts) > 40
--- a/testing/state/checkers.py
+++ b/testing/state/checkers.py
@@ -80,6 +80,21 @@
         )
 
 
+@dataclass(slots=True)
+class WaveChecker:
+    """An instance comes back from maintenance once in a wave.
+
+    Only an operator who retries a stopped wave allows failures again.
+    """
+
+    finished: set[tuple[str, str]] = field(default_factory=set)
+
+    def finish(self, wave: str, instance: str) -> None:
+        key = (wave, instance)
+        assert key not in self.finished, f'{instance} had its turn'
+        self.finished.add(key)
+
+
 @dataclass(slots=True)
 class ClaimChecker:
     """H5: a key is granted once until it is released or its time is over."""
--- a/testing/state/test_seeded_faults.py
+++ b/testing/state/test_seeded_faults.py
@@ -61,6 +61,10 @@
     patch.setattr(f'{STATE}.documents._drop_old', drop_old)
 
 
+def wave_forgets_who_had_a_turn(patch: Patch) -> None:
+    patch.setattr(f'{STATE}.maintenance._refuse_wave', lambda *_: None)
+
+
 def repeat_is_granted(patch: Patch) -> None:
     def reply(_row: ClaimRow, _digest: str) -> ClaimReply:
         return ClaimReply(state='granted')
@@ -94,6 +98,7 @@
         pool_keeps_member,
         move_keeps_epoch,
         document_goes_back,
+        wave_forgets_who_had_a_turn,
         repeat_is_granted,
         apply_reads_a_clock,
         delta_is_lost,
