--- a/src/galenareel/_entry/answers.py
+++ b/src/galenareel/_entry/answers.py
@@ -71,16 +71,16 @@
         if self.whole:
             self.extra = True
             return
-        if not self.head_done:
-            self._head_left -= len(data)
-            if self._head_left < -64 * 1024:
-                raise HTTPParseError('the head of the answer is too long')
         try:
             super().feed(data)
         except HTTPParseError:
             if not self.whole:
                 raise
             self.extra = True
+        if not self.head_done:
+            self._head_left -= len(data)
+            if self._head_left < 0:
+                raise HTTPParseError('the head of the answer is too long')
 
     def problem(self, request_id: str) -> str | None:
         """Why the head can't be the answer to a request."""
--- a/src/galenareel/_entry/backend.py
+++ b/src/galenareel/_entry/backend.py
@@ -25,9 +25,6 @@
 from galenareel._entry.settings import Limits
 
 READ_BYTES = 64 * 1024
-# A server may close an idle connection just when a request is sent on it.
-# Requests that can't be sent again use only connections idle for less.
-IDLE_SAFE_S = 0.5
 IDLE_MAX_S = 30.0
 # How long the first part of an answer is held back so that a short answer
 # can be checked as a whole before its head goes to the caller.
@@ -38,23 +35,26 @@
 class Connections:
     """Idle connections to one process of a backend server."""
 
-    __slots__ = ('_idle', 'address', 'closed')
+    __slots__ = ('_idle', '_max_idle', 'address', 'closed')
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, *, max_idle: int) -> None:
         self.address = address
+        self._max_idle = max_idle
         self.closed = False
         self._idle: list[tuple[float, Any]] = []
 
     def take(self, *, safe: bool, limits: Limits, timeout_s: float) -> Any:
         """A connection that is open and has no bytes waiting.
 
+        :param safe: a new one. A server may close an idle connection just
+            when a request is sent on it, and then a request that can't be
+            sent again would end as unknown.
         :raises OSError: if a new one can't be opened.
         """
         now = time.monotonic()
-        max_idle_s = IDLE_SAFE_S if safe else IDLE_MAX_S
-        while self._idle:
+        while self._idle and not safe:
             since, sock = self._idle.pop()
-            if now - since <= max_idle_s and _is_clean(sock):
+            if now - since <= IDLE_MAX_S and _is_clean(sock):
                 return sock
             sock.close()
         sock = create_connection(
@@ -65,7 +65,7 @@
         return sock
 
     def give_back(self, sock: Any) -> None:
-        if self.closed:
+        if self.closed or len(self._idle) >= self._max_idle:
             sock.close()
         else:
             self._idle.append((time.monotonic(), sock))
--- a/src/galenareel/_entry/callers.py
+++ b/src/galenareel/_entry/callers.py
@@ -36,6 +36,8 @@
     )
 )
 DROPPED_FROM_REQUEST = HOP_HEADERS | SET_BY_ENTRY
+# The rest of the body can't be told from a next request.
+UNREAD_BODY = frozenset(('body_too_large', 'body_timeout', 'bad_body'))
 DETAILS = {
     'unknown_service': 'no service has this path',
     'not_ready': 'this entry instance has no view yet or is stopping',
@@ -72,6 +74,7 @@
         limits: Limits,
         id_prefix: str,
         count: Callable[[str], None],
+        on_error: Callable[[Exception], None],
     ) -> None:
         self._router = router
         self._claims = claims
@@ -80,6 +83,7 @@
         self._limits = limits
         self._id_prefix = id_prefix
         self._count = count
+        self._on_error = on_error
         self._number = 0
         self.in_flight = 0
 
@@ -90,6 +94,8 @@
         options.default_media_type = None
         sink: Any = self._sink
         app.add_sink(sink, prefix='/')
+        failed: Any = self._failed
+        app.add_error_handler(Exception, failed)
         return app
 
     def _sink(self, req: falcon.Request, resp: falcon.Response) -> None:
@@ -102,6 +108,21 @@
         finally:
             self.in_flight -= 1
 
+    def _failed(
+        self,
+        _req: falcon.Request,
+        resp: falcon.Response,
+        exc: Exception,
+        _params: object,
+    ) -> None:
+        """An error of this program; the request may have run."""
+        self._count('internal_error')
+        self._on_error(exc)
+        _not_answered(
+            resp,
+            OutcomeUnknown(reason='internal', detail='see the log'),
+        )
+
     def _ready(self, resp: falcon.Response) -> None:
         reason = self._readiness.reason
         resp.status = 200 if reason is None else 503
@@ -116,7 +137,7 @@
         call = self._call(env, head, routes, request_id)
         if isinstance(call, NotRun):
             result: Answer | NotRun | OutcomeUnknown = call
-            if call.reason in ('body_too_large', 'body_timeout'):
+            if call.reason in UNREAD_BODY:
                 env['galenareel.handler'].drop_body()
         else:
             watch = env['galenareel.handler'].watch
@@ -209,6 +230,9 @@
             return NotRun(
                 reason='body_timeout', detail='the body came too slowly'
             )
+        except OSError as exc:
+            # pywsgi's error for chunks it can't decode, or a caller that left.
+            return NotRun(reason='bad_body', detail=str(exc))
         return too_large if len(body) > limit else body
 
 
--- a/src/galenareel/_entry/local.py
+++ b/src/galenareel/_entry/local.py
@@ -125,12 +125,16 @@
         self._on_free(call.pool)
 
     def _open(self, server: Server) -> Connections:
-        assert server.announcement is not None
+        said = server.announcement
+        assert said is not None
         known = self._connections.get(server.instance)
         if known is not None and known[0] == server.generation:
             return known[1]
         self._drop(server)
-        connections = Connections(server.announcement.address)
+        connections = Connections(
+            said.address,
+            max_idle=min(said.slots, max(0, said.connections - said.slots)),
+        )
         self._connections[server.instance] = server.generation, connections
         return connections
 
--- a/src/galenareel/_entry/outcomes.py
+++ b/src/galenareel/_entry/outcomes.py
@@ -42,6 +42,23 @@
             close()
 
 
+def with_first_part(answer: Answer) -> Answer | Failed:
+    """Read the first part of a long answer.
+
+    Until a part has gone to the caller, a broken answer is an attempt that
+    failed and not a connection to cut.
+    """
+    if answer.rest is None or answer.body:
+        return answer
+    try:
+        answer.body = next(answer.rest)
+    except StopIteration:
+        answer.rest = None
+    except AnswerBroken:
+        return Failed(reason='answer_broken', sent=True)
+    return answer
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Failed:
     """An attempt without an answer.
@@ -99,6 +116,7 @@
     'caller_limit': 429,
     'team_limit': 429,
     'bad_request': 400,
+    'bad_body': 400,
     'key_mismatch': 422,
     'body_timeout': 408,
 }
--- a/src/galenareel/_entry/process.py
+++ b/src/galenareel/_entry/process.py
@@ -6,6 +6,7 @@
 import hmac
 from random import Random
 import time
+import traceback
 
 import gevent
 
@@ -246,6 +247,7 @@
             limits=settings.limits,
             id_prefix=f'{settings.name}-{self.incarnation}',
             count=self._count,
+            on_error=self._log_error,
         )
         announcements = Announcements(
             zone=settings.zone,
@@ -330,6 +332,14 @@
         if self.homes.draining and self.homes.drained():
             self.session.report_soon()
 
+    def _log_error(self, exc: Exception) -> None:
+        where = traceback.extract_tb(exc.__traceback__)[-1]
+        self.log.error(
+            'request.failed',
+            problem=repr(exc),
+            at=f'{where.name}:{where.lineno}',
+        )
+
     def _settle_soon(self) -> None:
         gevent.spawn(self.claims.settle_pending)
 
--- a/src/galenareel/_entry/router.py
+++ b/src/galenareel/_entry/router.py
@@ -33,6 +33,7 @@
 from galenareel._entry.outcomes import given_up
 from galenareel._entry.outcomes import Next
 from galenareel._entry.outcomes import RETRIED_STATUSES
+from galenareel._entry.outcomes import with_first_part
 from galenareel._entry.peers import Fence
 from galenareel._entry.peers import Peer
 from galenareel._entry.peers import Peers
@@ -208,6 +209,8 @@
                 result = self.local.run(call, place)
             else:
                 result = self._run_remote(call, place)
+            if isinstance(result, Answer):
+                result = with_first_part(result)
         finally:
             self.shares.end(call.caller, call.team)
         # An exception leaves it set: the request may have been sent.
--- a/testing/entry/fakes.py
+++ b/testing/entry/fakes.py
@@ -222,6 +222,17 @@
     ).encode() + body
 
 
+def answers(body: bytes = b'done', *, after_s: float = 0.0) -> Reaction:
+    """Reaction that sends a whole answer after a while."""
+
+    def react(_backend: FakeBackend, sock: Any, request: Request) -> bool:
+        gevent.sleep(after_s)
+        sock.sendall(reply(request, body))
+        return True
+
+    return react
+
+
 @dataclass
 class FakeBackend:
     """Backend server whose reaction a test can replace.
--- /dev/null
+++ b/testing/entry/test_callers.py
@@ -0,0 +1,285 @@
+"""Hostile and vanishing callers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import gevent
+from gevent.socket import create_connection
+import pytest
+
+from galenareel._entry.process import Entry
+from testing.entry.fakes import answers
+from testing.entry.fakes import call
+from testing.entry.fakes import Cluster
+from testing.entry.fakes import FakeBackend
+from testing.entry.fakes import read_reply
+from testing.entry.fakes import Reply
+from testing.entry.fakes import reply
+from testing.entry.fakes import Request
+from testing.entry.fakes import wait_for
+
+HOST = b'Host: x\r\n'
+
+
+def connect(entry: Entry) -> Any:
+    host, port = entry.settings.callers.split(':')
+    return create_connection((host, int(port)), 5)
+
+
+def raw(entry: Entry, data: bytes) -> Reply:
+    with connect(entry) as sock:
+        sock.sendall(data)
+        return read_reply(sock)
+
+
+def post(*lines: bytes, body: bytes = b'') -> bytes:
+    head = b'\r\n'.join((b'POST /lots HTTP/1.1', *lines))
+    return head + b'\r\n\r\n' + body
+
+
+BAD = {
+    'both framings': (
+        post(
+            b'Host: x',
+            b'Content-Length: 3',
+            b'Transfer-Encoding: chunked',
+            body=b'0\r\n\r\n',
+        ),
+        400,
+    ),
+    'two lengths': (
+        post(b'Host: x', b'Content-Length: 3', b'Content-Length: 4'),
+        400,
+    ),
+    'same length twice': (
+        post(b'Host: x', b'Content-Length: 0', b'Content-Length: 0'),
+        400,
+    ),
+    'length list': (post(b'Host: x', b'Content-Length: 3, 3'), 400),
+    'signed length': (post(b'Host: x', b'Content-Length: +3'), 400),
+    'negative length': (post(b'Host: x', b'Content-Length: -3'), 400),
+    'coding list': (
+        post(b'Host: x', b'Transfer-Encoding: gzip, chunked'),
+        400,
+    ),
+    'two codings': (
+        post(
+            b'Host: x',
+            b'Transfer-Encoding: chunked',
+            b'Transfer-Encoding: identity',
+        ),
+        400,
+    ),
+    'space before colon': (post(b'Host: x', b'Content-Length : 3'), 400),
+    'folded header': (post(b'Host: x', b'A: b', b' c'), 400),
+    'bare line feed': (b'GET /lots HTTP/1.1\nHost: x\n\r\n\r\n', 400),
+    'bare CR in a value': (post(b'Host: x', b'A: b\rContent-Length: 3'), 400),
+    'zero byte': (post(b'Host: x', b'A: b\0c'), 400),
+    'no host': (post(b'A: b'), 400),
+    'two hosts': (post(b'Host: x', b'Host: y'), 400),
+    'absolute target': (b'GET http://y/lots HTTP/1.1\r\nHost: x\r\n\r\n', 400),
+    'HTTP/2 preface': (b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n', 400),
+    'HTTP/0.9': (b'GET /lots\r\n\r\n', 400),
+    'long header': (post(b'Host: x', b'A: ' + b'a' * 40_000), 431),
+    'many headers': (post(b'Host: x', *[b'A: b'] * 200), 431),
+    'bad chunk size': (
+        post(b'Host: x', b'Transfer-Encoding: chunked', body=b'zz\r\n'),
+        400,
+    ),
+    'chunk longer than said': (
+        post(
+            b'Host: x',
+            b'Transfer-Encoding: chunked',
+            body=b'2\r\nabc\r\n0\r\n\r\n',
+        ),
+        400,
+    ),
+    'long body': (post(b'Host: x', b'Content-Length: 99999999'), 413),
+    'long chunked body': (
+        post(
+            b'Host: x',
+            b'Transfer-Encoding: chunked',
+            body=b'2000\r\n' + b'a' * 0x2000 + b'\r\n0\r\n\r\n',
+        ),
+        413,
+    ),
+    'unknown expectation': (post(b'Host: x', b'Expect: tea'), 417),
+}
+
+
+@pytest.mark.parametrize('case', BAD)
+def test_bad_request_reaches_no_server(cluster: Cluster, case: str) -> None:
+    """Guards against smuggling and heads that two readers read apart."""
+    entry = cluster.add_entry('a1', max_body_bytes=4096)
+    backend = cluster.add_backend(FakeBackend())
+    cluster.start()
+    data, status = BAD[case]
+    got = raw(entry, data + b'GET /lots/second HTTP/1.1\r\nHost: x\r\n\r\n')
+    assert got.status == status
+    assert not backend.requests
+
+
+@pytest.mark.parametrize('value', ['nan', 'inf', '-1', '0', 'soon', ''])
+def test_bad_deadline(cluster: Cluster, value: str) -> None:
+    entry = cluster.add_entry('a1')
+    cluster.start()
+    got = call(
+        entry.settings.callers, headers={'Galenareel-Deadline-S': value}
+    )
+    assert (got.status, got.outcome) == (400, 'not_run')
+
+
+def test_slow_head_and_body(cluster: Cluster) -> None:
+    """Guards against callers that hold connections by sending slowly."""
+    entry = cluster.add_entry(
+        'a1', header_timeout_s=0.3, body_timeout_s=0.3, idle_timeout_s=0.3
+    )
+    cluster.add_backend(FakeBackend())
+    cluster.start()
+    assert raw(entry, b'GET /lots HT').status == 408
+    slow = raw(entry, post(b'Host: x', b'Content-Length: 9', body=b'x'))
+    assert (slow.status, slow.outcome) == (408, 'not_run')
+    assert raw(entry, b'').status == 0
+    wait_for(lambda: entry.callers_http.open == 0)
+
+
+def test_connection_limits(cluster: Cluster) -> None:
+    entry = cluster.add_entry(
+        'a1', max_connections=3, max_connections_per_address=2
+    )
+    cluster.add_backend(FakeBackend())
+    cluster.start()
+    held = [connect(entry) for _ in range(2)]
+    gevent.sleep(0.1)
+    assert raw(entry, b'GET /lots HTTP/1.1\r\n' + HOST).status == 429
+    for sock in held:
+        sock.close()
+    wait_for(lambda: entry.callers_http.open == 0)
+    assert call(entry.settings.callers).status == 200
+
+
+def test_pipelined_requests(cluster: Cluster) -> None:
+    """Guards against answers in another order than their requests."""
+    entry = cluster.add_entry('a1')
+    backend = cluster.add_backend(FakeBackend())
+    backend.react = lambda _b, sock, request: (
+        sock.sendall(reply(request, request.path.encode())) or True
+    )
+    cluster.start()
+    first = b'GET /lots/1 HTTP/1.1\r\nHost: x\r\n\r\n'
+    second = b'GET /lots/2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+    with connect(entry) as sock:
+        sock.sendall(first + second)
+        data = b''
+        while part := sock.recv(65536):
+            data += part
+    assert data.count(b'HTTP/1.1 200') == 2
+    assert data.index(b'/lots/1') < data.index(b'/lots/2')
+
+
+def stuck(_backend: FakeBackend, sock: Any, request: Request) -> None:
+    sock.recv(1)  # until the entry closes the connection
+
+
+LEAVE = {
+    'own, running': ('a1', b''),
+    'forwarded, running': ('a2', b''),
+}
+
+
+@pytest.mark.parametrize('case', LEAVE)
+def test_caller_leaves_while_running(cluster: Cluster, case: str) -> None:
+    """Guards against slots held for callers that have gone."""
+    home = cluster.add_entry('a1')
+    other = cluster.add_entry('a2')
+    backend = cluster.add_backend(FakeBackend())
+    backend.react = stuck
+    cluster.start()
+    wait_for(lambda: other.peers.best('lots', now=0, other_zones=False))
+    entry = cluster.entries[LEAVE[case][0]]
+    sock = connect(entry)
+    sock.sendall(b'GET /lots HTTP/1.1\r\nHost: x\r\n\r\n')
+    wait_for(lambda: backend.running == 1)
+    sock.close()
+    wait_for(lambda: home.homes.in_flight() == 0, what='for the slot')
+    wait_for(lambda: backend.running == 0, what='for the connection')
+    assert not entry.router.shares.in_flight('127.0.0.1')
+
+
+def test_caller_leaves_the_queue(cluster: Cluster) -> None:
+    """Guards against queue places held for callers that have gone."""
+    entry = cluster.add_entry('a1')
+    backend = cluster.add_backend(FakeBackend(slots=1))
+    backend.react = stuck
+    cluster.start()
+    first = connect(entry)
+    first.sendall(b'GET /lots HTTP/1.1\r\nHost: x\r\n\r\n')
+    wait_for(lambda: backend.running == 1)
+    second = connect(entry)
+    second.sendall(b'GET /lots HTTP/1.1\r\nHost: x\r\n\r\n')
+    queue = entry.router.pools['lots'].queue
+    wait_for(lambda: len(queue) == 1)
+    second.close()
+    wait_for(lambda: len(queue) == 0)
+    first.close()
+    wait_for(lambda: entry.homes.in_flight() == 0)
+    assert len(backend.requests) == 1
+
+
+@pytest.mark.parametrize('name', ['a1', 'a2'])
+def test_long_answer_is_not_held_in_memory(
+    cluster: Cluster, name: str
+) -> None:
+    """Guards against buffering: a caller that stops reading stops all."""
+    size = 64 * 1024 * 1024
+    home = cluster.add_entry('a1')
+    other = cluster.add_entry('a2')
+    backend = cluster.add_backend(FakeBackend())
+    sent = [0]
+
+    def endless(_backend: FakeBackend, sock: Any, request: Request) -> None:
+        sock.sendall(
+            f'HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n'
+            f'Galenareel-Request-Id: {request.request_id}\r\n\r\n'.encode()
+        )
+        while sent[0] < size:
+            sock.sendall(b'x' * 65536)
+            sent[0] += 65536
+
+    backend.react = endless
+    cluster.start()
+    wait_for(lambda: other.peers.best('lots', now=0, other_zones=False))
+    entry = cluster.entries[name]
+    with connect(entry) as sock:
+        sock.sendall(
+            b'GET /lots HTTP/1.1\r\nHost: x\r\n'
+            b'Galenareel-Deadline-S: 30\r\nConnection: close\r\n\r\n'
+        )
+        gevent.sleep(0.5)
+        stopped = sent[0]
+        gevent.sleep(0.2)
+        assert sent[0] == stopped < size
+        got = 0
+        while part := sock.recv(1 << 20):
+            got += len(part)
+    assert got > size
+    wait_for(lambda: home.homes.in_flight() == 0)
+
+
+def test_deferrable_and_late_requests(cluster: Cluster) -> None:
+    """Guards against answers held back for requests that can't be served."""
+    entry = cluster.add_entry('a1')
+    backend = cluster.add_backend(FakeBackend(slots=1))
+    backend.react = answers(after_s=0.4)
+    cluster.start()
+    assert call(entry.settings.callers).status == 200  # a run time is known
+    holder = gevent.spawn(call, entry.settings.callers)
+    wait_for(lambda: backend.running == 1)
+    with gevent.Timeout(0.3):
+        got = call(
+            entry.settings.callers, headers={'Galenareel-Deadline-S': '0.5'}
+        )
+    assert (got.status, got.outcome) == (503, 'not_run')
+    assert 'retry-after' in got.headers
+    assert holder.get().status == 200
--- /dev/null
+++ b/testing/entry/test_health.py
@@ -0,0 +1,162 @@
+"""Backend servers that fail quickly, slowly, by halves, or for a service."""
+
+from __future__ import annotations
+
+from itertools import cycle
+
+import gevent
+import pytest
+
+from galenareel._entry.health import ALL
+from galenareel._entry.health import Health
+from galenareel._entry.health import PROBE_FIRST_S
+from galenareel._entry.health import PROBES_TO_RETURN
+from galenareel._entry.health import Verdict
+from testing.entry.fakes import answers
+from testing.entry.fakes import call
+from testing.entry.fakes import Cluster
+from testing.entry.fakes import FakeBackend
+from testing.entry.fakes import wait_for
+
+
+def work(
+    health: Health,
+    service: str,
+    *,
+    results: list[bool],
+    run_s: float = 0.1,
+    may_take_out: bool = True,
+    elsewhere_s: float = 0.0,
+) -> Verdict | None:
+    """Verdict of the first request that changed something."""
+    for ok in results:
+        verdict = health.finished(
+            service,
+            ok=ok,
+            run_s=run_s,
+            now=0.0,
+            may_take_out=may_take_out,
+            elsewhere_s=elsewhere_s,
+        )
+        if verdict is not None:
+            return verdict
+    return None
+
+
+HALF = [one for _, one in zip(range(20), cycle([True, False]), strict=False)]
+
+
+@pytest.mark.parametrize('results', [[False] * 5, HALF], ids=['all', 'half'])
+def test_failing_server_is_taken_out(results: list[bool]) -> None:
+    health = Health()
+    assert work(health, 's', results=results) == Verdict(service=ALL, out=True)
+    assert health.is_out('s') and health.is_out('t') and health.suspect()
+
+
+def test_failing_service_is_taken_out_alone() -> None:
+    health = Health()
+    assert work(health, 't', results=[True] * 10) is None
+    assert work(health, 's', results=[False] * 5) == Verdict(
+        service='s', out=True
+    )
+    assert health.is_out('s') and not health.is_out('t')
+    assert health.impaired() and not health.suspect()
+
+
+@pytest.mark.parametrize(
+    ('run_s', 'elsewhere_s', 'out'),
+    [(3.0, 0.1, True), (0.15, 0.02, False), (3.0, 0.0, False)],
+    ids=['slow', 'noise', 'nothing to compare'],
+)
+def test_slow_server(run_s: float, elsewhere_s: float, out: bool) -> None:
+    health = Health()
+    verdict = work(
+        health, 's', results=[True] * 20, run_s=run_s, elsewhere_s=elsewhere_s
+    )
+    assert (verdict is not None) is out
+
+
+def test_few_failures_change_nothing() -> None:
+    health = Health()
+    results = ([True] * 4 + [False]) * 10
+    assert work(health, 's', results=results) is None
+
+
+def test_budget_keeps_a_failing_server() -> None:
+    """Guards against a pool that ejects itself below its budget (H1)."""
+    health = Health()
+    results = [False] * 20
+    assert work(health, 's', results=results, may_take_out=False) is None
+    assert not health.is_out('s')
+
+
+def test_return_is_slow() -> None:
+    """Guards against full load at once on a server that just recovered."""
+    health = Health()
+    work(health, 's', results=[False] * 5)
+    assert not health.may_probe('s', now=0.0)
+    now = PROBE_FIRST_S
+    for _ in range(PROBES_TO_RETURN):
+        assert health.may_probe('s', now=now)
+        health.probe('s')
+        assert not health.may_probe('s', now=now)
+        health.probe_ended('s', ok=True, now=now)
+        now += PROBE_FIRST_S
+    assert not health.is_out('s')
+    shares = [health.slots(8)]
+    for _ in range(12):
+        work(health, 's', results=[True])
+        shares.append(health.slots(8))
+    assert shares[0] == 1
+    assert shares == sorted(shares)
+    assert shares[-1] == 8
+
+
+def test_failed_probes_come_rarer() -> None:
+    health = Health()
+    work(health, 's', results=[False] * 5)
+    health.probe('s')
+    health.probe_ended('s', ok=False, now=1.0)
+    assert not health.may_probe('s', now=1.0 + PROBE_FIRST_S)
+    assert health.may_probe('s', now=1.0 + 2 * PROBE_FIRST_S)
+
+
+def test_cancelled_probe_frees_the_next() -> None:
+    health = Health()
+    work(health, 's', results=[False] * 5)
+    health.probe('s')
+    health.probe_ended('s', ok=None, now=2.0)
+    assert health.may_probe('s', now=2.0)
+
+
+def test_bad_server_leaves_service(cluster: Cluster) -> None:
+    """Guards against callers that meet a failing server again and again."""
+    entry = cluster.add_entry('a1')
+    bad = cluster.add_backend(FakeBackend(instance='a/lots-1'))
+    good = cluster.add_backend(FakeBackend(instance='a/lots-2'))
+    bad.react = lambda _b, _sock, _request: None
+    good.react = answers(after_s=0.01)
+    cluster.start()
+    jobs = [gevent.spawn(call, entry.settings.callers) for _ in range(60)]
+    gevent.joinall(jobs)
+    assert entry.homes.servers['a/lots-1'].health.suspect()
+    count = len(bad.requests)
+    assert all(
+        call(entry.settings.callers, '/sales').status == 200 for _ in range(20)
+    )
+    assert len(bad.requests) == count
+    wait_for(
+        lambda: any(
+            load.suspect
+            for load in cluster.control.reports[-1].instances
+            if load.instance == 'a/lots-1'
+        )
+    )
+    bad.react = None
+    server = entry.homes.servers['a/lots-1']
+
+    def returned() -> bool:
+        call(entry.settings.callers)
+        return not server.health.suspect()
+
+    wait_for(returned, what='for the return')
--- /dev/null
+++ b/testing/entry/test_home_faults.py
@@ -0,0 +1,135 @@
+"""Every fault of the home at every step of a forwarded request."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import gevent
+import pytest
+
+from galenareel._common.clock import SystemClock
+from galenareel._common.events import HybridClock
+from galenareel._common.frames import FrameServer
+from galenareel._common.frames import Link
+from galenareel._common.messages import AnyMessage
+from galenareel._common.messages import Forward
+from galenareel._common.messages import ForwardChunk
+from galenareel._common.messages import ForwardEnd
+from galenareel._common.messages import ForwardFailed
+from galenareel._common.messages import ForwardHead
+from galenareel._common.messages import ForwardRefused
+from galenareel._common.messages import Hello
+from galenareel._common.messages import HomeLoad
+from galenareel._common.messages import PeerHeartbeat
+from galenareel._common.messages import Welcome
+from galenareel._common.rows import EntryRow
+from testing.entry.fakes import call
+from testing.entry.fakes import Cluster
+from testing.entry.fakes import FakeBackend
+from testing.entry.fakes import free_address
+from testing.entry.fakes import wait_for
+
+HEAD = ForwardHead(status=200, headers=(), length=8)
+CLOSE = None  # step that closes the link
+STALL = 'stall'  # step that sends nothing more
+
+# Steps of the home after it has the request, and what the caller of a
+# request that may run only once must be told.
+FAULTS: dict[str, tuple[list[Any], str]] = {
+    'closed at once': ([CLOSE], 'outcome_unknown'),
+    'no answer': ([STALL], 'outcome_unknown'),
+    'failed unsent': (
+        [ForwardFailed(reason='connect_refused', sent=False)],
+        'not_run',
+    ),
+    'failed after sending': (
+        [ForwardFailed(reason='connection_lost', sent=True)],
+        'outcome_unknown',
+    ),
+    'no free slot': ([ForwardRefused(reason='no_free_slot')], 'not_run'),
+    'another message': ([ForwardEnd(size=0)], 'outcome_unknown'),
+    'closed after the head': ([HEAD, CLOSE], 'outcome_unknown'),
+    'stalled after the head': ([HEAD, STALL], 'outcome_unknown'),
+    'failed after the head': (
+        [HEAD, ForwardFailed(reason='broken', sent=True)],
+        'outcome_unknown',
+    ),
+    'closed in the body': ([HEAD, ForwardChunk(data=b'done'), CLOSE], 'cut'),
+    'wrong size': (
+        [HEAD, ForwardChunk(data=b'done'), ForwardEnd(size=8)],
+        'cut',
+    ),
+    'whole': (
+        [
+            HEAD,
+            ForwardChunk(data=b'done'),
+            ForwardChunk(data=b'done'),
+            ForwardEnd(size=8),
+        ],
+        'whole',
+    ),
+}
+
+
+class FakeHome:
+    """Peer entry that claims free slots and then misbehaves."""
+
+    def __init__(self, steps: list[Any]) -> None:
+        self.address = free_address()
+        self.forwards: list[Forward] = []
+        self._steps = steps
+        clock = HybridClock(SystemClock())
+        self.server = FrameServer(
+            self.address, clock=clock, handler=self._handle
+        )
+
+    def _handle(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
+        if isinstance(msg, Hello):
+            return Welcome(process='z')
+        if isinstance(msg, PeerHeartbeat):
+            link.notify(
+                PeerHeartbeat(
+                    entry='z',
+                    incarnation='i',
+                    index=1,
+                    pools=(HomeLoad(pool='lots', free=4),),
+                )
+            )
+        if isinstance(msg, Forward):
+            self.forwards.append(msg)
+            gevent.spawn(self._answer, link)
+        return None
+
+    def _answer(self, link: Link) -> None:
+        for step in self._steps:
+            if step is CLOSE:
+                link.close()
+            elif step != STALL:
+                link.notify(step)
+
+
+@pytest.mark.parametrize('fault', FAULTS)
+def test_home_fault(cluster: Cluster, fault: str) -> None:
+    """Guards against a second run, and a cut answer that looks whole."""
+    steps, expected = FAULTS[fault]
+    home = FakeHome(steps)
+    home.server.start()
+    entry = cluster.add_entry('a1')
+    cluster.control.entries['z'] = EntryRow(
+        entry='z', zone='a', frames=home.address, incarnation='i'
+    )
+    cluster.add_backend(FakeBackend(), home='z')
+    cluster.start()
+    wait_for(lambda: entry.peers.best('lots', now=0, other_zones=False))
+    got = call(
+        entry.settings.callers,
+        '/sales/1',
+        headers={'Galenareel-Deadline-S': '0.5'},
+    )
+    home.server.close()
+    if expected in ('cut', 'whole'):
+        assert (got.status, got.whole) == (200, expected == 'whole')
+    else:
+        assert (got.outcome, got.whole) == (expected, True)
+    if expected != 'not_run':
+        assert len(home.forwards) == 1
--- /dev/null
+++ b/testing/entry/test_ports.py
@@ -0,0 +1,140 @@
+"""The announcement port and the operator port."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from galenareel._common.findings import Findings
+from galenareel._common.messages import Announcement
+from galenareel._entry.announcements import validate
+from testing.entry.fakes import call
+from testing.entry.fakes import Cluster
+from testing.entry.fakes import FakeBackend
+from testing.entry.fakes import Reply
+from testing.entry.fakes import wait_for
+
+GOOD: dict[str, Any] = {
+    'instance': 'a/lots-1',
+    'address': '127.0.0.1:80',
+    'zone': 'a',
+    'rack': 'r1',
+    'service': 'lots',
+    'incarnation': 'one',
+}
+
+
+def encoded(**more: Any) -> bytes:
+    return msgspec.json.encode(GOOD | more)
+
+
+def test_good_announcement() -> None:
+    assert validate(encoded(), zone='a') == Announcement(**GOOD)
+
+
+def test_all_findings_at_once() -> None:
+    """Guards against a sender that mends one field per try."""
+    found = validate(
+        encoded(slots=0, in_use='x', rack='', leaving=1, extra=1), zone='a'
+    )
+    assert isinstance(found, Findings)
+    places = {one.place for one in found.items}
+    assert places == {'slots', 'in_use', 'rack', 'leaving', 'extra'}
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'',
+        b'[]',
+        b'null',
+        b'{',
+        b'\xff',
+        encoded(zone='b'),
+        encoded(instance='b/lots-1'),
+        encoded(address='nowhere'),
+        encoded(address='host:0'),
+        encoded(address='host:99999'),
+        encoded(incarnation='a b'),
+        encoded(rack='r\r\n1'),
+        encoded(slots=True),
+        encoded(slots=10**9),
+        encoded(in_use=-1),
+    ],
+)
+def test_bad_announcement(data: bytes) -> None:
+    found = validate(data, zone='a')
+    assert isinstance(found, Findings)
+    assert found.items
+
+
+def announce(cluster: Cluster, body: bytes, secret: str) -> Reply:
+    return call(
+        cluster.entries['a1'].settings.announcements,
+        '/v1/announcements',
+        method='POST',
+        headers={'Authorization': f'Bearer {secret}'},
+        body=body,
+    )
+
+
+def test_announcement_reaches_peers_and_control(cluster: Cluster) -> None:
+    cluster.add_entry('a1')
+    second = cluster.add_entry('a2')
+    cluster.start()
+    wait_for(lambda: second.peers.all['a1'].heard_at)
+    assert announce(cluster, encoded(), 'announce').status == 204
+    wait_for(lambda: 'a/lots-1' in second.homes.servers)
+    wait_for(lambda: any(one.announcements for one in cluster.control.reports))
+
+
+@pytest.mark.parametrize('secret', ['', 'wrong', 'announce2', '\u00e9'])
+def test_wrong_secret(cluster: Cluster, secret: str) -> None:
+    entry = cluster.add_entry('a1')
+    cluster.start()
+    assert announce(cluster, encoded(), secret).status == 401
+    assert not entry.homes.servers
+
+
+def operate(cluster: Cluster, operation: str, body: bytes = b'{}') -> Reply:
+    return call(
+        cluster.entries['a1'].settings.operators,
+        f'/v1/operations/{operation}',
+        method='POST',
+        headers={'Authorization': 'Bearer operate'},
+        body=body,
+    )
+
+
+def test_operation_is_relayed(cluster: Cluster) -> None:
+    cluster.add_entry('a1')
+    cluster.start()
+    got = operate(cluster, 'submit', b'{"text":"x"}')
+    assert (got.status, got.body) == (200, b'{"ok":true}')
+    assert cluster.control.calls[0].body == b'{"text":"x"}'
+    assert operate(cluster, 'NO').status == 404
+    cluster.control.close()
+    away = operate(cluster, 'status')
+    assert away.status == 503
+    assert 'retry-after' in away.headers
+
+
+def test_events_of_all_processes(cluster: Cluster) -> None:
+    """Guards against time lines that lack a process or hide that."""
+    cluster.add_entry('a1')
+    cluster.add_entry('a2')
+    cluster.add_backend(FakeBackend())
+    cluster.start()
+    got = msgspec.json.decode(operate(cluster, 'events').body)
+    assert {one['process'] for one in got['events']} == {'a1', 'a2'}
+    times = [one['time'] for one in got['events']]
+    assert times == sorted(times)
+    assert got['unreachable'] == []
+    cluster.control.close()
+    later = msgspec.json.decode(
+        operate(cluster, 'events', b'{"since":%d}' % times[-1]).body
+    )
+    assert later['unreachable'] == [cluster.control.address]
+    assert all(one['time'] > times[-1] for one in later['events'])
--- /dev/null
+++ b/testing/entry/test_zone.py
@@ -0,0 +1,286 @@
+"""Homes over failures: view, takeover, fencing, drains, planned stop."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+import time
+from typing import Any
+
+import gevent
+import pytest
+
+from galenareel._common.rows import EntryRow
+from galenareel._common.rows import EntryState
+from galenareel._common.rows import Phase
+from galenareel._entry.calls import Call
+from galenareel._entry.lifecycle import Lifecycle
+from galenareel._entry.process import Entry
+from testing.entry.fakes import answers
+from testing.entry.fakes import call
+from testing.entry.fakes import Cluster
+from testing.entry.fakes import document
+from testing.entry.fakes import FakeBackend
+from testing.entry.fakes import FakeControl
+from testing.entry.fakes import wait_for
+
+
+def freeze(entry: Entry) -> None:
+    """Stop an entry's part in its zone, as a frozen process would."""
+    entry.zone.close()
+    entry.session.close()
+
+
+def test_entry_without_a_view_is_not_ready(cluster: Cluster) -> None:
+    """Guards against an entry that starts cut off and guesses."""
+    entry = cluster.add_entry('a1')
+    entry.start()
+    ready = call(entry.settings.callers, '/-/ready')
+    got = call(entry.settings.callers)
+    assert ready.status == 503
+    assert (got.status, got.outcome) == (503, 'not_run')
+    assert 'retry-after' in got.headers
+    cluster.control.start()
+    wait_for(lambda: entry.view.ready)
+    assert call(entry.settings.callers, '/-/ready').status == 200
+
+
+def test_leader_hint_is_followed(cluster: Cluster) -> None:
+    entry = cluster.add_entry('a1')
+    other = FakeControl()
+    other.entries = cluster.control.entries
+    other.start()
+    cluster.control.leader = other.address
+    cluster.control.start()
+    entry.start()
+    wait_for(lambda: other.reports)
+    other.close()
+
+
+def test_view_index_never_falls(cluster: Cluster) -> None:
+    """Guards against a document in force that reverts (H8)."""
+    entry = cluster.add_entry('a1')
+    cluster.start()
+    cluster.control.commit(document(2))
+    wait_for(lambda: entry.routes.version == 2)
+    cluster.control.close()
+    cluster.control.index = 1
+    cluster.control.document = document(1)
+    cluster.control.restart()
+    gevent.sleep(0.6)
+    assert (entry.view.index, entry.routes.version) == (2, 2)
+    cluster.control.index = 9
+    cluster.control.commit(document(3))
+    wait_for(lambda: entry.routes.version == 3)
+
+
+def test_cut_off_entry_serves_its_zone(cluster: Cluster) -> None:
+    """Guards against a zone that stops with control (passive minority)."""
+    entry = cluster.add_entry('a1')
+    cluster.add_backend(FakeBackend())
+    cluster.start()
+    cluster.control.close()
+    wait_for(lambda: not entry.view.is_fresh(time.monotonic()))
+    assert call(entry.settings.callers).status == 200
+
+
+def test_lost_delta_opens_the_session_again(cluster: Cluster) -> None:
+    entry = cluster.add_entry('a1')
+    cluster.start()
+    cluster.control.index += 5  # changes that the entry never gets
+    cluster.control.commit(document(7))
+    wait_for(lambda: entry.routes.version == 7)
+
+
+def test_takeover_while_cut_off(cluster: Cluster) -> None:
+    """Guards against a zone without homes, and slots counted from zero."""
+    first = cluster.add_entry('a1')
+    second = cluster.add_entry('a2')
+    backend = cluster.add_backend(FakeBackend(slots=4))
+    cluster.start()
+    wait_for(lambda: second.peers.all['a1'].heard_at)
+    cluster.control.close()
+    backend.running = 3
+    cluster.announce()
+    freeze(first)
+    server = second.homes.servers['a/lots-1']
+    wait_for(lambda: server.mine, timeout_s=7, what='for the takeover')
+    assert (server.foreign, server.free()) == (3, 1)
+    assert call(second.settings.callers).status == 200
+    backend.running = 0
+    cluster.announce()
+    assert server.free() == 4
+    # The first one runs again: it must ask before it uses its homes.
+    first.zone.start()
+    wait_for(lambda: not first.homes.servers['a/lots-1'].mine)
+    cluster.control.restart()
+    cluster.control.commit(backend.row(home='a2', home_epoch=2))
+    wait_for(lambda: not second.homes.taken)
+    assert server.mine
+
+
+def test_control_decides_while_its_session_is_fresh(
+    cluster: Cluster,
+) -> None:
+    """Guards against two deciders of one takeover."""
+    first = cluster.add_entry('a1')
+    second = cluster.add_entry('a2')
+    backend = cluster.add_backend(FakeBackend())
+    cluster.start()
+    wait_for(lambda: second.peers.all['a1'].heard_at)
+    freeze(first)
+    wait_for(
+        lambda: cluster.control.reports[-1].silent_peers == ('a1',),
+    )
+    gevent.sleep(0.5)
+    assert not second.homes.servers['a/lots-1'].mine
+    cluster.control.commit(backend.row(home='a2', home_epoch=2))
+    wait_for(lambda: second.homes.servers['a/lots-1'].mine)
+
+
+def test_stalled_loop_fences_the_entry(cluster: Cluster) -> None:
+    """Guards against work from an entry whose homes were taken over."""
+    first = cluster.add_entry('a1')
+    second = cluster.add_entry('a2')
+    cluster.add_backend(FakeBackend())
+    cluster.start()
+    wait_for(lambda: first.peers.all['a2'].heard_at)
+    first.fence._last -= 5.0
+    assert first.router._own(_call_of(first)) is None
+    first.zone._tick(first.zone._last)
+    assert first.homes.fenced
+    wait_for(lambda: not first.homes.fenced)
+    kinds = [one.kind for one in first.timeline.since(0)]
+    assert 'entry.fenced' in kinds
+    assert not second.homes.fenced
+
+
+def _call_of(entry: Entry) -> Any:
+    return Call(
+        request_id='r',
+        service='lots',
+        pool='lots',
+        method='GET',
+        path='/lots',
+        headers=(),
+        body=b'',
+        deadline=entry.fence._last + 100,
+        idempotent=True,
+    )
+
+
+@pytest.mark.parametrize('phase', [Phase.DRAINING, Phase.MAINTENANCE])
+def test_drain_waits_for_work_in_flight(
+    cluster: Cluster, phase: Phase
+) -> None:
+    """Guards against moving an instance that still runs a request."""
+    entry = cluster.add_entry('a1')
+    backend = cluster.add_backend(FakeBackend())
+    backend.react = answers(after_s=0.6)
+    cluster.start()
+    job = gevent.spawn(call, entry.settings.callers)
+    wait_for(lambda: backend.running == 1)
+    row = backend.row(phase=phase, maintenance_step='draining')
+    cluster.control.commit(row)
+    wait_for(lambda: not entry.homes.free('lots', now=0))
+    assert not any(one.drained for one in cluster.control.reports)
+    assert job.get().status == 200
+    wait_for(lambda: cluster.control.reports[-1].drained)
+    (drained,) = cluster.control.reports[-1].drained
+    assert (drained.epoch, drained.home_epoch) == (1, 1)
+    cluster.control.commit(replace(row, phase=Phase.SERVING, epoch=2))
+    wait_for(lambda: call(entry.settings.callers).status == 200)
+
+
+def test_leaving_and_silent_servers_get_no_work(cluster: Cluster) -> None:
+    """Guards against new work for a server that leaves (H6)."""
+    entry = cluster.add_entry('a1')
+    backend = cluster.add_backend(FakeBackend())
+    cluster.start()
+    assert entry.homes.free('lots', now=entry.zone._last) == 8
+    assert entry.homes.free('lots', now=entry.zone._last + 6.0) == 0
+    backend.leaving = True
+    cluster.announce()
+    assert entry.homes.free('lots', now=entry.zone._last) == 0
+    wait_for(
+        lambda: any(
+            said.leaving
+            for report in cluster.control.reports
+            for said in report.announcements
+        )
+    )
+
+
+def test_new_incarnation_starts_afresh(cluster: Cluster) -> None:
+    """Guards against counters and connections of a former process."""
+    entry = cluster.add_entry('a1')
+    backend = cluster.add_backend(FakeBackend())
+    backend.react = answers(after_s=0.4)
+    cluster.start()
+    job = gevent.spawn(call, entry.settings.callers)
+    wait_for(lambda: backend.running == 1)
+    server = entry.homes.servers['a/lots-1']
+    backend.incarnation = 'two'
+    cluster.announce()
+    assert (server.in_flight, server.free()) == (0, 8)
+    job.get()
+    assert (server.in_flight, server.free()) == (0, 8)
+
+
+def test_other_zones_only_under_a_fresh_lease(cluster: Cluster) -> None:
+    """Guards against a cut-off zone that sends work to other zones."""
+    entry = cluster.add_entry('a1')
+    far = cluster.add_entry('b1', zone='b')
+    cluster.add_backend(FakeBackend(instance='b/lots-1'), home='b1')
+    cluster.start()
+    wait_for(lambda: entry.peers.all['b1'].free.get('lots'))
+    assert call(entry.settings.callers).status == 200
+    entry.view._lease_until = 0.0
+    entry.session.close()
+    got = call(
+        entry.settings.callers, headers={'Galenareel-Deadline-S': '0.4'}
+    )
+    assert (got.status, got.outcome) == (503, 'not_run')
+    assert far.view.ready
+
+
+def test_planned_stop(cluster: Cluster) -> None:
+    """Guards against requests that a stop leaves without an answer (H7)."""
+    first = cluster.add_entry('a1', stop_grace_s=0.6)
+    second = cluster.add_entry('a2')
+    backend = cluster.add_backend(FakeBackend())
+    backend.react = answers(after_s=1.0)
+    cluster.start()
+    wait_for(lambda: second.peers.all['a1'].heard_at)
+    running = gevent.spawn(call, first.settings.callers)
+    wait_for(lambda: backend.running == 1)
+    stop = gevent.spawn(Lifecycle(first).stop)
+    wait_for(lambda: cluster.control.reports[-1].stopping)
+    assert call(first.settings.callers, '/-/ready').status == 503
+    cluster.control.commit(
+        EntryRow(
+            entry='a1',
+            zone='a',
+            frames=first.settings.frames,
+            incarnation='i',
+            state=EntryState.STOPPING,
+        ),
+        backend.row(home='a2', home_epoch=2),
+    )
+    late = call(first.settings.callers)
+    assert late.status == 200
+    assert running.get().status == 200
+    stop.get(timeout=3)
+    assert backend.most <= 2
+    assert not first.in_flight()
+
+
+def test_second_signal_ends_the_stop(cluster: Cluster) -> None:
+    entry = cluster.add_entry('a1', stop_grace_s=30.0, stop_limit_s=60.0)
+    cluster.start()
+    lifecycle = Lifecycle(entry)
+    lifecycle.signal()
+    job = gevent.spawn(lifecycle.stop)
+    gevent.sleep(0.1)
+    assert not job.ready()
+    lifecycle.signal()
+    job.get(timeout=1)
