Judge a cut by the attempt that it ended

A keyed request that was cut at its deadline and sent again counted as cut in flight, since the later attempt had just begun. The demo can keep its records in a folder.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -40,6 +40,12 @@
         shape='N',
         default=1,
     )
+    keep: str = setting(
+        'keep the records and logs in this folder, which must be empty',
+        reader=str,
+        shape='PATH',
+        default='',
+    )
 
 
 def main() -> int:
@@ -49,6 +55,9 @@
     # A terminated demo ends its processes like an interrupted one.
     signal.signal(signal.SIGTERM, _interrupt)
     began = time.monotonic()
+    if cfg.keep:
+        Path(cfg.keep).mkdir(parents=True, exist_ok=True)
+        return _run(cfg, Path(cfg.keep), began)
     with tempfile.TemporaryDirectory(prefix='galenareel-demo-') as folder:
         return _run(cfg, Path(folder), began)
 
--- a/testing/standins/checker.py
+++ b/testing/standins/checker.py
@@ -168,13 +168,15 @@
     kills: Sequence[Kill],
     verdict: Verdict,
 ) -> None:
-    sent = {one.token: one for one in attempts}
+    sent: dict[str, list[Attempt]] = {}
+    for one in attempts:
+        sent.setdefault(one.token, []).append(one)
     counted: set[str] = set()
     for record in seen:
         if record.what is not What.CUT or record.token in counted:
             continue
         counted.add(record.token)
-        name = _kind_of_cut(record, sent.get(record.token), kills)
+        name = _kind_of_cut(record, sent.get(record.token, ()), kills)
         _count(verdict, name, [f'{record.token}: {record.why}'])
     for one in attempts:
         if one.outcome is not Outcome.BROKEN or one.token in counted:
@@ -185,7 +187,7 @@
 
 
 def _kind_of_cut(
-    record: Seen, attempt: Attempt | None, kills: Sequence[Kill]
+    record: Seen, attempts: Sequence[Attempt], kills: Sequence[Kill]
 ) -> str:
     if record.why == 'died':
         return 'cut_by_death'
@@ -193,9 +195,12 @@
         return 'cut_in_flight'
     if any(0 <= record.at - kill.at <= KILL_WINDOW_S for kill in kills):
         return 'cut_by_kill'
-    if attempt is not None:
-        waited_s = record.at - attempt.sent_at
-        if waited_s >= attempt.deadline_s - CLOCK_SLACK_S:
+    # A keyed request may have been sent again after it was cut.
+    before = [one for one in attempts if one.sent_at <= record.at]
+    if before:
+        last = max(before, key=lambda one: one.sent_at)
+        waited_s = record.at - last.sent_at
+        if waited_s >= last.deadline_s - CLOCK_SLACK_S:
             return 'cut_by_deadline'
     return 'cut_in_flight'
 
--- a/testing/standins/test_checker.py
+++ b/testing/standins/test_checker.py
@@ -216,6 +216,16 @@
     assert (verdict.cut_by_deadline, verdict.cut_in_flight) == (1, 1)
 
 
+def test_cut_belongs_to_the_attempt_before_it() -> None:
+    """Guards against a resend that hides the deadline of the first."""
+    story = Story()
+    cut_by_entry(story)
+    story.attempts[-1] = attempt('c', deadline_s=0.6, outcome=Outcome.UNKNOWN)
+    story.attempts.append(attempt('c', sent_at=11.5, ended_at=11.6))
+    verdict = story.verdict()
+    assert (verdict.cut_by_deadline, verdict.cut_in_flight) == (1, 0)
+
+
 def test_moves_are_counted_from_the_work() -> None:
     story = Story()
     story.seen += run(30.0, INSTANCES[0], 'm', service='office')
