--- a/src/galenareel/_control/leader.py
+++ b/src/galenareel/_control/leader.py
@@ -135,5 +135,7 @@
         yield from plan_removed_waves(state.waves, state.environment)
         if now >= self._next_expiry:
             self._next_expiry = now + EXPIRE_INTERVAL_S
-            if state.claims:
+            wall = self._clock.wall()
+            claims = state.claims.values()
+            if any(one.expires_at <= wall for one in claims):
                 yield ExpireClaims(now=0.0)
--- a/src/galenareel/_control/main.py
+++ b/src/galenareel/_control/main.py
@@ -71,6 +71,7 @@
         replicator=driver,
         receive=driver.receive,
         read_document=_read_document,
+        members=driver.members,
         platform=_platform(cfg.platform_url),
         clock=clock,
         hybrid=hybrid,
--- a/src/galenareel/_control/operations.py
+++ b/src/galenareel/_control/operations.py
@@ -25,6 +25,7 @@
 from galenareel._control.status import make_status
 from galenareel._control.trial import make_trial
 from galenareel._document.model import Environment
+from galenareel._state.commands import encode
 from galenareel._state.commands import PromoteDocument
 from galenareel._state.commands import RetryWave
 from galenareel._state.commands import SubmitDocument
@@ -34,12 +35,16 @@
 BAD_REQUEST = 400
 NOT_FOUND = 404
 CONFLICT = 409
+TOO_LARGE = 413
 UNPROCESSABLE = 422
 UNAVAILABLE = 503
 TIMEOUT = 504
 
 RETRY_S = 0.5
 
+# The log takes 1 MB; the rest is for the time stamp.
+MAX_RECORD_BYTES = 1024 * 1024 - 64
+
 # Refusals that name something which does not exist; others are conflicts.
 UNKNOWN = ('unknown_version', 'unknown_wave')
 
@@ -112,6 +117,7 @@
         timeline: Timeline,
         clock: Clock,
         read_document: Callable[[str], Environment],
+        members: Callable[[], Any],
     ) -> None:
         self._name = name
         self._state = state
@@ -122,6 +128,7 @@
         self._timeline = timeline
         self._clock = clock
         self._read_document = read_document
+        self._members_of = members
         self._operations: dict[str, tuple[Any, Callable[[Any], Any]]] = {
             'submit': (Submit, self._submit),
             'promote': (Promote, self._promote),
@@ -180,17 +187,22 @@
                 UNPROCESSABLE,
                 {'reason': 'findings', 'findings': exc.findings},
             )
-        result = self._proposer.propose_recorded(
-            SubmitDocument(
-                now=0.0,
-                version=environment.version,
-                replaces=environment.replaces,
-                digest=digest(body.text),
-                text=body.text,
-                environment=environment,
-                trial=make_trial(self._state, environment),
-            )
+        command = SubmitDocument(
+            now=0.0,
+            version=environment.version,
+            replaces=environment.replaces,
+            digest=digest(body.text),
+            text=body.text,
+            environment=environment,
+            trial=make_trial(self._state, environment),
         )
+        if len(encode(command)) > MAX_RECORD_BYTES:
+            return problem(
+                TOO_LARGE,
+                'too_large',
+                f'its record has over {MAX_RECORD_BYTES} bytes; shorten it',
+            )
+        result = self._proposer.propose_recorded(command)
         if not isinstance(result, Done):
             return self._refusal(result)
         return self._stored(environment.version, result.index)
@@ -254,13 +266,22 @@
                 'members change one at a time; give add or remove',
             )
         if body.add is None and body.remove is None:
-            return answer(OK, {'leader': self._replicator.leader()})
+            return self._show_members()
         result = self._replicator.change_members(
             add=body.add, remove=body.remove
         )
         if isinstance(result, NotLeader | Refused | Unreachable):
             return self._refusal(result)
-        return answer(OK, {'leader': self._replicator.leader()})
+        return self._show_members()
+
+    def _show_members(self) -> OperatorAnswer:
+        body = {
+            'leader': self._replicator.leader(),
+            'members': [
+                msgspec.structs.asdict(one) for one in self._members_of()
+            ],
+        }
+        return answer(OK, body)
 
     def _retry_wave(self, body: Retry) -> OperatorAnswer:
         result = self._proposer.propose_recorded(
--- a/src/galenareel/_control/planning.py
+++ b/src/galenareel/_control/planning.py
@@ -27,12 +27,10 @@
 from galenareel._state.commands import SetEntryState
 from galenareel._state.commands import SetZoneCut
 from galenareel._state.commands import StartReboot
-from galenareel._state.instances import ABSENT
 from galenareel._state.maintenance import DRAINING
 from galenareel._state.maintenance import REBOOTING
 from galenareel._state.state import State
-
-LOST_AFTER_S = 10.0
+from galenareel._state.tables import ABSENT
 
 # A home that reports a lost instance silent for less than this has heard it.
 HEARD_S = 2.0
@@ -111,8 +109,7 @@
         that a missing session says nothing about its zone.
     """
     fresh = {one.zone for one in sessions if one.is_fresh(now)}
-    zones = {row.zone for row in state.instances.values()}
-    zones |= {row.zone for row in state.entries.values()}
+    zones = {row.zone for row in state.entries.values()}
     for zone in sorted(zones):
         cut = zone in state.cut_zones
         if cut and zone in fresh:
@@ -142,7 +139,7 @@
             else:
                 # What homes reported before this announcement is outdated.
                 for one in sessions:
-                    one.loads.pop(name, None)
+                    one.forget_load(name)
                 yield RegisterInstance(
                     instance=name,
                     address=msg.address,
@@ -184,24 +181,34 @@
             continue
         if session.is_fresh(now) and session.zone not in state.cut_zones:
             candidates.setdefault(session.zone, []).append(session.entry)
-    for row in state.instances.values():
-        taker = taken.get((row.instance, row.home_epoch), '')
-        if taker in candidates.get(row.zone, ()) and taker != row.home:
-            yield AssignHome(
-                instance=row.instance,
-                home_epoch=row.home_epoch,
-                home=taker,
-                taken=True,
-            )
+    for (name, home_epoch), taker in taken.items():
+        row = state.instances.get(name)
+        if row is None or row.home_epoch != home_epoch or row.home == taker:
             continue
-        home = state.entries.get(row.home)
-        released = home is None or home.state is not EntryState.LIVE
-        if released and row.phase not in ABSENT and row.zone in candidates:
+        if taker in candidates.get(row.zone, ()):
             yield AssignHome(
-                instance=row.instance,
-                home_epoch=row.home_epoch,
-                home=rendezvous(candidates[row.zone], row.instance),
+                instance=name, home_epoch=home_epoch, home=taker, taken=True
             )
+    for name in _released(state):
+        row = state.instances[name]
+        if (name, row.home_epoch) in taken or row.zone not in candidates:
+            continue
+        yield AssignHome(
+            instance=name,
+            home_epoch=row.home_epoch,
+            home=rendezvous(candidates[row.zone], name),
+        )
+
+
+def _released(state: State) -> Iterator[str]:
+    """Instances without a home that is live, except absent ones."""
+    for home, names in state.tables.homes.items():
+        entry = state.entries.get(home)
+        if entry is not None and entry.state is EntryState.LIVE:
+            continue
+        for name in names:
+            if state.instances[name].phase not in ABSENT:
+                yield name
 
 
 def _taken_homes(
@@ -216,65 +223,63 @@
     }
 
 
-def home_session(
-    row: InstanceRow, sessions: dict[str, Session], now: float
-) -> Session | None:
-    """Session of an instance's home, if it is fresh."""
-    session = sessions.get(row.home)
-    if session is None or not session.is_fresh(now):
-        return None
-    return session
-
-
 def plan_drained(
     state: State, sessions: list[Session], now: float
 ) -> Iterator[AnyCommand]:
     """Go on with the drains that the present home reports as finished."""
-    by_entry = {one.entry: one for one in sessions}
-    for row in state.instances.values():
-        session = home_session(row, by_entry, now)
-        if session is None:
-            continue
-        drained = session.drained.get(row.instance)
-        if drained is None or not _is_current(row, drained):
+    for session in sessions:
+        if not session.is_fresh(now):
             continue
-        if row.phase is Phase.DRAINING:
-            yield FinishMove(
-                instance=row.instance,
-                epoch=row.epoch,
-                home_epoch=row.home_epoch,
-            )
-        elif row.maintenance_step == DRAINING:
-            yield StartReboot(
-                now=0.0,
-                instance=row.instance,
-                epoch=row.epoch,
-                home_epoch=row.home_epoch,
-            )
+        for name, drained in list(session.drained.items()):
+            row = state.instances.get(name)
+            if row is None or not _is_current(row, drained, session.entry):
+                del session.drained[name]
+            elif row.phase is Phase.DRAINING:
+                yield FinishMove(
+                    instance=name,
+                    epoch=row.epoch,
+                    home_epoch=row.home_epoch,
+                )
+            elif row.maintenance_step == DRAINING:
+                yield StartReboot(
+                    now=0.0,
+                    instance=name,
+                    epoch=row.epoch,
+                    home_epoch=row.home_epoch,
+                )
 
 
-def _is_current(row: InstanceRow, drained: Drained) -> bool:
-    return (drained.epoch, drained.home_epoch) == (row.epoch, row.home_epoch)
+def _is_current(row: InstanceRow, drained: Drained, entry: str) -> bool:
+    return (drained.epoch, drained.home_epoch, entry) == (
+        row.epoch,
+        row.home_epoch,
+        row.home,
+    )
 
 
 def plan_silence(
     state: State, sessions: list[Session], now: float
 ) -> Iterator[AnyCommand]:
     """Record instances that their homes no longer hear, or hear again."""
-    by_entry = {one.entry: one for one in sessions}
-    for row in state.instances.values():
-        session = home_session(row, by_entry, now)
-        load = session.loads.get(row.instance) if session else None
-        if load is None or row.maintenance_step == REBOOTING:
-            continue
-        if row.phase not in ABSENT and load.silent_s >= LOST_AFTER_S:
+    by_entry = {one.entry: one for one in sessions if one.is_fresh(now)}
+    for session in by_entry.values():
+        for load in session.silent:
+            row = state.instances.get(load.instance)
+            if row is None or row.home != session.entry:
+                continue
+            if row.phase in ABSENT or row.maintenance_step == REBOOTING:
+                continue
             yield MarkLost(
                 now=0.0,
                 instance=row.instance,
                 epoch=row.epoch,
                 reason=f'silent for {load.silent_s:.0f} s',
             )
-        elif row.phase is Phase.LOST and load.silent_s < HEARD_S:
+    for name in state.tables.phases.get(Phase.LOST, ()):
+        row = state.instances[name]
+        home = by_entry.get(row.home)
+        heard = home.loads.get(name) if home is not None else None
+        if heard is not None and heard.silent_s < HEARD_S:
             yield _register_again(state, row)
 
 
--- a/src/galenareel/_control/program.py
+++ b/src/galenareel/_control/program.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import Any
 
 from galenareel._common.clock import Clock
 from galenareel._common.events import HybridClock
@@ -43,6 +44,7 @@
 
     :param replicator: holds ``state`` as its state machine.
     :param receive: takes the messages of other members.
+    :param members: the members in effect, for operators.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         replicator: Replicator,
         receive: Callable[[PeerMessage], None],
         read_document: Callable[[str], Environment],
+        members: Callable[[], Any],
         platform: Platform,
         clock: Clock,
         hybrid: HybridClock,
@@ -84,6 +87,7 @@
             timeline=self.timeline,
             clock=clock,
             read_document=read_document,
+            members=members,
         )
         server = Server(
             name=member.name,
--- a/src/galenareel/_control/sessions.py
+++ b/src/galenareel/_control/sessions.py
@@ -19,6 +19,7 @@
 from galenareel._state.state import State
 
 LEASE_S = 3.0
+LOST_AFTER_S = 10.0
 REPORT_INTERVAL_S = 1.0
 
 # A session that was not renewed for this long ends with its connection; until
@@ -36,6 +37,7 @@
     :param interval_s: time that the latest report covers.
     :param results: finished and failed requests of each instance that no
         tick has taken yet.
+    :param silent: loads of instances that are silent for too long.
     :param pending: announcements that the state doesn't show yet.
     """
 
@@ -50,6 +52,7 @@
     interval_s: float = REPORT_INTERVAL_S
     results: dict[str, tuple[int, int]] = field(default_factory=dict)
     loads: dict[str, InstanceLoad] = field(default_factory=dict)
+    silent: list[InstanceLoad] = field(default_factory=list)
     drained: dict[str, Drained] = field(default_factory=dict)
     pending: dict[str, Announcement] = field(default_factory=dict)
     changed: Event = field(default_factory=Event)
@@ -66,6 +69,9 @@
         self.report = report
         self.reported_at = now
         self.loads = {one.instance: one for one in report.instances}
+        self.silent = [
+            one for one in report.instances if one.silent_s >= LOST_AFTER_S
+        ]
         for announcement in report.announcements:
             self.pending[announcement.instance] = announcement
         for drained in report.drained:
@@ -77,6 +83,11 @@
                 failed + load.failed,
             )
 
+    def forget_load(self, instance: str) -> None:
+        """What was reported of an instance no longer holds."""
+        self.loads.pop(instance, None)
+        self.silent = [one for one in self.silent if one.instance != instance]
+
     def take_results(self) -> dict[str, tuple[int, int]]:
         """Results since the previous call."""
         results = self.results
--- a/src/galenareel/_control/trial.py
+++ b/src/galenareel/_control/trial.py
@@ -8,9 +8,9 @@
 from galenareel._document.model import Pool
 from galenareel._state.budgets import available
 from galenareel._state.budgets import margin
-from galenareel._state.instances import ABSENT
 from galenareel._state.instances import first_pool
 from galenareel._state.state import State
+from galenareel._state.tables import ABSENT
 
 # The result is part of the command, which the log limits to 1 MB.
 MAX_SENTENCES = 200
--- a/src/galenareel/_state/instances.py
+++ b/src/galenareel/_state/instances.py
@@ -18,11 +18,10 @@
 from galenareel._state.commands import MarkLost
 from galenareel._state.commands import RegisterInstance
 from galenareel._state.commands import ReturnInstance
+from galenareel._state.tables import ABSENT
 from galenareel._state.tables import Handlers
 from galenareel._state.tables import Tables
 
-ABSENT = (Phase.LOST, Phase.LEFT)
-
 
 def find(tables: Tables, instance: str, epoch: int) -> InstanceRow | Refused:
     """The row at exactly this epoch."""
@@ -99,14 +98,8 @@
 
 
 def _address_holder(tables: Tables, command: RegisterInstance) -> str | None:
-    for row in tables.instances.values():
-        if (
-            row.address == command.address
-            and row.instance != command.instance
-            and row.phase not in ABSENT
-        ):
-            return row.instance
-    return None
+    holder = tables.addresses.get(command.address)
+    return None if holder == command.instance else holder
 
 
 def _new_row(tables: Tables, command: RegisterInstance) -> InstanceRow:
--- a/src/galenareel/_state/tables.py
+++ b/src/galenareel/_state/tables.py
@@ -15,11 +15,15 @@
 from galenareel._common.rows import DocumentRow
 from galenareel._common.rows import EntryRow
 from galenareel._common.rows import InstanceRow
+from galenareel._common.rows import Phase
 from galenareel._common.rows import WaveRow
 from galenareel._common.sentinels import Refused
 from galenareel._document.model import Environment
 from galenareel._state.commands import Command
 
+# Phases of an instance that nobody can reach.
+ABSENT = (Phase.LOST, Phase.LEFT)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoredDocument:
@@ -75,6 +79,9 @@
     :param cut_zones: zones without a fresh session.
     :param epoch_floor: highest epoch of a removed row, so that epochs grow
         even for an instance that was forgotten and comes back.
+    :param pools: names of instances by pool; ``homes``, ``phases`` and
+        ``addresses`` are indexes too, so that no command and no pass of the
+        leader has to walk through all instances.
     """
 
     index: int = 0
@@ -91,6 +98,9 @@
     cut_zones: set[str] = field(default_factory=set)
     epoch_floor: int = 0
     pools: dict[str, set[str]] = field(default_factory=dict)
+    homes: dict[str, set[str]] = field(default_factory=dict)
+    phases: dict[Phase, set[str]] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
     changed: Changed = field(default_factory=Changed)
 
     def advance_time(self, now: float) -> float:
@@ -100,9 +110,13 @@
 
     def put_instance(self, row: InstanceRow) -> None:
         old = self.instances.get(row.instance)
-        if old is not None and old.pool != row.pool:
-            self.pools[old.pool].discard(row.instance)
+        if old is not None:
+            self._unlist(old)
         self.pools.setdefault(row.pool, set()).add(row.instance)
+        self.homes.setdefault(row.home, set()).add(row.instance)
+        self.phases.setdefault(row.phase, set()).add(row.instance)
+        if row.phase not in ABSENT:
+            self.addresses[row.address] = row.instance
         self.instances[row.instance] = row
         self.changed.removed.discard(row.instance)
         self.changed.instances.add(row.instance)
@@ -110,13 +124,20 @@
     def remove_instance(self, row: InstanceRow) -> None:
         floor = max(self.epoch_floor, row.epoch, row.home_epoch)
         self.epoch_floor = floor
-        self.pools[row.pool].discard(row.instance)
+        self._unlist(row)
         del self.instances[row.instance]
         self.services.pop(row.instance, None)
         self.reboots.pop(row.instance, None)
         self.changed.instances.discard(row.instance)
         self.changed.removed.add(row.instance)
 
+    def _unlist(self, row: InstanceRow) -> None:
+        self.pools[row.pool].discard(row.instance)
+        self.homes[row.home].discard(row.instance)
+        self.phases[row.phase].discard(row.instance)
+        if self.addresses.get(row.address) == row.instance:
+            del self.addresses[row.address]
+
     def put_entry(self, row: EntryRow) -> None:
         self.entries[row.entry] = row
         self.changed.entries.add(row.entry)
--- a/testing/state/test_machine.py
+++ b/testing/state/test_machine.py
@@ -55,6 +55,12 @@
     )
 
 
+def indexes(state: State) -> list[dict[Any, Any]]:
+    tables = state.tables
+    found = (tables.pools, tables.homes, tables.phases, tables.addresses)
+    return [{key: one for key, one in each.items() if one} for each in found]
+
+
 class Histories(RuleBasedStateMachine):
     def __init__(self) -> None:
         super().__init__()
@@ -273,6 +279,13 @@
     def replicas_are_equal(self) -> None:
         assert self.replica.snapshot() == self.log.state.snapshot()
 
+    @invariant()
+    def indexes_match_the_rows(self) -> None:
+        """A restored state builds its indexes anew."""
+        fresh = State()
+        fresh.restore(self.log.index, self.log.state.snapshot())
+        assert indexes(fresh) == indexes(self.log.state)
+
     @invariant()
     def deltas_give_the_view(self) -> None:
         delta = self.log.state.changes_since(self.view.index)
--- a/testing/state/test_seeded_faults.py
+++ b/testing/state/test_seeded_faults.py
@@ -34,10 +34,13 @@
 
 
 def pool_keeps_member(patch: Patch) -> None:
+    original = Tables.put_instance
+
     def put(tables: Tables, row: InstanceRow) -> None:
-        tables.pools.setdefault(row.pool, set()).add(row.instance)
-        tables.instances[row.instance] = row
-        tables.changed.instances.add(row.instance)
+        old = tables.instances.get(row.instance)
+        original(tables, row)
+        if old is not None:
+            tables.pools[old.pool].add(row.instance)
 
     patch.setattr(Tables, 'put_instance', put)
 
