Keep the decisions' rows by deltas and test the adapter

Cause: filling the tables took nearly all of a decision tick, in proportion to the number of instances. Change: instance rows are kept up to date by deltas of the state and the reports that are new; tests for the adapter, among them a peak that lends through the whole leader loop within the budgets.

--- a/src/galenareel/_control/decision_adapter.py
+++ b/src/galenareel/_control/decision_adapter.py
@@ -6,10 +6,9 @@
 from collections.abc import Mapping
 from random import Random
 
-from galenareel._common.rows import InstanceRow
-from galenareel._common.rows import Phase
 from galenareel._common.rows import WaveRow
 from galenareel._common.rows import WaveState
+from galenareel._control.instance_table import InstanceTable
 from galenareel._control.loads import Loads
 from galenareel._control.sessions import Session
 from galenareel._decisions import decisions as d
@@ -29,15 +28,6 @@
 from galenareel._state.commands import SetWaveState
 from galenareel._state.state import State
 
-# Phases that the decisions see; the others are out of their reach.
-SEEN = (
-    Phase.SERVING,
-    Phase.DRAINING,
-    Phase.MAINTENANCE,
-    Phase.EJECTED,
-    Phase.LOST,
-)
-
 
 class DecisionAdapter:
     """The decision functions over the replicated state and the reports.
@@ -50,14 +40,14 @@
         self._state = state
         self._rng = rng
         self._tables = t.Tables()
-        self._loads = Loads()
-        self._phases: dict[str, tuple[Phase, str, float]] = {}
+        self._loads = Loads(state)
+        self._instances = InstanceTable(state)
 
     def clear(self) -> None:
         """This member no longer leads; estimates are learned again."""
         self._tables = t.Tables()
-        self._loads = Loads()
-        self._phases.clear()
+        self._loads = Loads(self._state)
+        self._instances = InstanceTable(self._state)
 
     def decide(
         self, sessions: list[Session], *, now: float, wall: float
@@ -93,22 +83,15 @@
         wall: float,
     ) -> None:
         tables = self._tables
-        self._loads.take(self._state, sessions)
+        self._instances.update(now=now, wall=wall)
+        self._loads.take(sessions, self._instances.rows)
         reachable = {one.zone for one in sessions} - self._state.cut_zones
         tables.zones = {
             name: t.Zone(name=name, reachable=name in reachable)
             for name in environment.zones
         }
-        rows = self._state.instances
-        tables.instances = {
-            name: self._instance(row, now=now, wall=wall)
-            for name, row in rows.items()
-            if row.phase in SEEN
-        }
-        tables.racks = {
-            one.rack: t.Rack(name=one.rack, zone=one.zone)
-            for one in tables.instances.values()
-        }
+        tables.instances = self._instances.rows
+        tables.racks = self._instances.racks
         tables.pools = {
             one.name: t.Pool(
                 name=one.name,
@@ -138,52 +121,6 @@
         }
         tables.weights = environment.weights
 
-    def _instance(
-        self, row: InstanceRow, *, now: float, wall: float
-    ) -> t.Instance:
-        load = self._loads.of_instance(row.instance)
-        return t.Instance(
-            name=row.instance,
-            zone=row.zone,
-            # A rack's name is unique only in its zone.
-            rack=f'{row.zone}/{row.rack}',
-            pool=row.pool,
-            epoch=row.epoch,
-            phase=row.phase,
-            phase_since=self._since(row, now=now, wall=wall),
-            target_pool=row.target_pool,
-            slots=row.slots,
-            urgent_in_use=load.in_use,
-            work_left_s=load.work_left_s,
-            finished=load.finished,
-            failed=load.failed,
-            suspect=load.suspect,
-            wave=row.wave,
-            maintained_at=row.maintained_at,
-            maintenance_step=row.maintenance_step,
-            reason=row.reason,
-        )
-
-    def _since(self, row: InstanceRow, *, now: float, wall: float) -> float:
-        """When it entered its phase, on the monotonic clock.
-
-        Steps of maintenance have their time in the log, so that their limits
-        hold over a change of leader. For the rest a new leader starts with
-        zero, which means long ago.
-        """
-        reboot = self._state.reboots.get(row.instance)
-        if reboot is not None:
-            return now - max(0.0, wall - reboot.since)
-        known = self._phases.get(row.instance)
-        if known is None:
-            since = 0.0
-        elif known[0] is row.phase and known[1] == row.incarnation:
-            return known[2]
-        else:
-            since = now
-        self._phases[row.instance] = (row.phase, row.incarnation, since)
-        return since
-
     # --- commands -----------------------------------------------------------
 
     def _command(self, one: d.Decision) -> AnyCommand | None:
--- a/src/galenareel/_control/loads.py
+++ b/src/galenareel/_control/loads.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from galenareel._common.messages import InstanceLoad
 from galenareel._control.sessions import Session
+from galenareel._decisions.tables import Instance
 from galenareel._decisions.tables import Load
 from galenareel._state.state import State
 
@@ -17,7 +17,7 @@
 
 @dataclass(slots=True)
 class Work:
-    """Requests of a pool in its latest reports.
+    """Requests of a pool in one report.
 
     :param in_use: requests that run now.
     :param finished: requests finished a second.
@@ -28,33 +28,38 @@
 
 
 class Loads:
-    """Loads of pools and instances at one tick."""
+    """Loads of the pools, and those of the instances in their rows."""
 
-    def __init__(self) -> None:
+    def __init__(self, state: State) -> None:
+        self._state = state
         self._pools: dict[str, Load] = {}
-        self._instances: dict[str, InstanceLoad] = {}
         self._service_s: dict[str, float] = {}
+        self._seen: dict[str, float] = {}
+        self._with_results: list[str] = []
 
-    def take(self, state: State, sessions: list[Session]) -> None:
-        """Read what has arrived; results are counted once."""
-        reported_at = max((one.reported_at for one in sessions), default=0.0)
+    def take(self, sessions: list[Session], rows: dict[str, Instance]) -> None:
+        """Read what has arrived; results are counted in one tick only."""
+        self._forget_results(rows)
         self._pools = {}
-        self._instances = {}
-        work: dict[str, Work] = {}
+        reported_at = max((one.reported_at for one in sessions), default=0.0)
         for session in sessions:
             self._take_pools(session, reported_at)
-            self._take_instances(state, session, work)
-        for pool, one in work.items():
-            self._learn(pool, one)
+            if self._seen.get(session.entry) != session.reported_at:
+                self._seen[session.entry] = session.reported_at
+                self._take_instances(session, rows)
 
     def of_pool(self, pool: str) -> Load:
         load = self._pools.get(pool, Load())
         load.service_s = self._service_s.get(pool, FIRST_SERVICE_S)
         return load
 
-    def of_instance(self, instance: str) -> InstanceLoad:
-        load = self._instances.get(instance)
-        return load or InstanceLoad(instance=instance)
+    def _forget_results(self, rows: dict[str, Instance]) -> None:
+        for name in self._with_results:
+            row = rows.get(name)
+            if row is not None:
+                row.finished = 0
+                row.failed = 0
+        self._with_results = []
 
     def _take_pools(self, session: Session, reported_at: float) -> None:
         if session.report is None:
@@ -67,25 +72,29 @@
             load.reported_at = reported_at
 
     def _take_instances(
-        self, state: State, session: Session, work: dict[str, Work]
+        self, session: Session, rows: dict[str, Instance]
     ) -> None:
         results = session.take_results()
+        work: dict[str, Work] = {}
         for name, one in session.loads.items():
-            row = state.instances.get(name)
-            if row is None or row.home != session.entry:
+            row = rows.get(name)
+            if row is None or self._home_of(name) != session.entry:
                 continue
-            finished, failed = results.get(name, (0, 0))
-            self._instances[name] = InstanceLoad(
-                instance=name,
-                in_use=one.in_use,
-                work_left_s=one.work_left_s,
-                finished=finished,
-                failed=failed,
-                suspect=one.suspect,
-            )
+            row.urgent_in_use = one.in_use
+            row.work_left_s = one.work_left_s
+            row.suspect = one.suspect
+            row.finished, row.failed = results.get(name, (0, 0))
+            if row.finished or row.failed:
+                self._with_results.append(name)
             pool = work.setdefault(row.pool, Work())
             pool.in_use += one.in_use
             pool.finished += one.finished / session.interval_s
+        for name, pool_work in work.items():
+            self._learn(name, pool_work)
+
+    def _home_of(self, instance: str) -> str:
+        row = self._state.instances.get(instance)
+        return row.home if row is not None else ''
 
     def _learn(self, pool: str, work: Work) -> None:
         """Mean run time by Little's law: requests inside over their rate."""
--- a/testing/control/cluster.py
+++ b/testing/control/cluster.py
@@ -21,6 +21,7 @@
 from galenareel._common.messages import EntryReport
 from galenareel._common.messages import InstanceLoad
 from galenareel._common.messages import OpenSession
+from galenareel._common.messages import PoolLoad
 from galenareel._common.rows import EntryState
 from galenareel._common.rows import InstanceRow
 from galenareel._common.rows import Phase
@@ -191,6 +192,7 @@
     stopping: bool = False
     incarnation: str = '1'
     taken: tuple[tuple[str, int], ...] = ()
+    pools: tuple[PoolLoad, ...] = ()
 
 
 @dataclass(slots=True)
@@ -349,6 +351,7 @@
             silent_peers=tuple(peers),
             stopping=entry.stopping,
             taken=entry.taken,
+            pools=entry.pools,
         )
 
     def _load(self, row: InstanceRow) -> InstanceLoad:
--- a/testing/control/test_changes_of_leader.py
+++ b/testing/control/test_changes_of_leader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from galenareel._common.messages import Done
@@ -27,7 +29,7 @@
     return started()
 
 
-def started(**options: bool) -> Cluster:
+def started(**options: Any) -> Cluster:
     cluster = make_cluster(**options)
     document = submit(environment(budget=1))
     assert isinstance(cluster.propose(document), Done)
