Give each test process a loopback address of its own

Cause: one test failed with "address already in use" in a full run. Ports that the kernel hands out on 127.0.0.1 are also taken by outgoing connections.

Change: testing/ports.py, in place of five copies of free_address and the demo's own; it listens on a loopback address made from the process id, below the ephemeral ports.

--- a/demo/topology.py
+++ b/demo/topology.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 import secrets
-import socket
 
 from galenareel._document.model import Environment
 from galenareel._document.model import Service
 from galenareel._document.model import Urgency
+from testing.ports import free_address
 from testing.standins.backend import Identity
 from testing.standins.callers import CallerPlan
 from testing.standins.callers import Demand
@@ -72,18 +72,6 @@
         return ','.join(one.listen for one in self.controls)
 
 
-def free_addresses(count: int) -> list[str]:
-    """Addresses that nothing listens on now."""
-    socks = [socket.socket() for _ in range(count)]
-    try:
-        for sock in socks:
-            sock.bind(('127.0.0.1', 0))
-        return [f'127.0.0.1:{sock.getsockname()[1]}' for sock in socks]
-    finally:
-        for sock in socks:
-            sock.close()
-
-
 def make_topology(cfg: Environment) -> Topology:
     """Two entries in each zone, and three control members in as many."""
     names = [
@@ -91,15 +79,14 @@
         for number, zone in enumerate(cfg.zones)
         for i in range(ENTRIES_PER_ZONE)
     ]
-    free = iter(free_addresses(4 * len(names) + CONTROL_MEMBERS + 1))
     entries = tuple(
         EntryPlace(
             name=name,
             zone=zone,
-            callers=next(free),
-            announcements=next(free),
-            operators=next(free),
-            frames=next(free),
+            callers=free_address(),
+            announcements=free_address(),
+            operators=free_address(),
+            frames=free_address(),
         )
         for name, zone in names
     )
@@ -107,14 +94,14 @@
         ControlPlace(
             name=f'c{i + 1}',
             zone=cfg.zones[i % len(cfg.zones)],
-            listen=next(free),
+            listen=free_address(),
         )
         for i in range(CONTROL_MEMBERS)
     )
     return Topology(
         entries=entries,
         controls=controls,
-        platform=next(free),
+        platform=free_address(),
         secrets={
             name: secrets.token_hex(16)
             for name in ('cluster', 'announce', 'operator')
--- a/testing/common/test_frames.py
+++ b/testing/common/test_frames.py
@@ -20,12 +20,7 @@
 from galenareel._common.messages import Hello
 from galenareel._common.messages import Welcome
 from galenareel._common.sentinels import Unreachable
-
-
-def free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{sock.getsockname()[1]}'
+from testing.ports import free_address
 
 
 def answer(_link: Link, msg: AnyMessage) -> AnyMessage | None:
--- a/testing/consensus/processes.py
+++ b/testing/consensus/processes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from pathlib import Path
-import socket
 from typing import Any
 
 import gevent
@@ -23,12 +22,6 @@
 SECRET = 'test secret'
 
 
-def free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{sock.getsockname()[1]}'
-
-
 class Journal(StateMachine):
     """Keeps every command; the result of ``apply`` is their number."""
 
--- a/testing/consensus/test_driver.py
+++ b/testing/consensus/test_driver.py
@@ -13,9 +13,9 @@
 from galenareel._common.sentinels import Refused
 from galenareel._consensus.errors import StorageError
 from testing.consensus.processes import find_leader
-from testing.consensus.processes import free_address
 from testing.consensus.processes import Process
 from testing.consensus.processes import wait_for
+from testing.ports import free_address
 
 
 @pytest.fixture
--- a/testing/control/harness.py
+++ b/testing/control/harness.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-import socket
 from typing import Any
 
 from galenareel._common.clock import SystemClock
@@ -24,12 +23,6 @@
 SECRET = 'cluster secret of the tests'
 
 
-def free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{sock.getsockname()[1]}'
-
-
 @dataclass(slots=True)
 class EntryView:
     """What an entry holds after a session and its deltas."""
--- a/testing/control/live.py
+++ b/testing/control/live.py
@@ -22,8 +22,8 @@
 from galenareel._common.messages import SessionOpened
 from galenareel._common.rows import Phase
 from testing.control.harness import FakeEntry
-from testing.control.harness import free_address
 from testing.control.harness import SECRET
+from testing.ports import free_address
 
 REPORT_S = 0.2
 
--- a/testing/control/test_process.py
+++ b/testing/control/test_process.py
@@ -18,8 +18,8 @@
 from galenareel._common.messages import SessionOpened
 from galenareel._common.sentinels import Unreachable
 from testing.control.harness import FakeEntry
-from testing.control.harness import free_address
 from testing.control.harness import SECRET
+from testing.ports import free_address
 
 
 def wait_until(condition: Callable[[], bool], limit_s: float = 10.0) -> None:
--- a/testing/entry/fakes.py
+++ b/testing/entry/fakes.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from dataclasses import field
 from random import Random
-import socket
 import time
 from typing import Any
 
@@ -44,6 +43,7 @@
 from galenareel._entry.process import Entry
 from galenareel._entry.settings import EntryConfig
 from galenareel._entry.settings import Limits
+from testing.ports import free_address
 
 SECRET = 'cluster'
 LEASE_S = 3.0
@@ -66,12 +66,6 @@
 """
 
 
-def free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{sock.getsockname()[1]}'
-
-
 def document(version: int = 1) -> DocumentRow:
     return DocumentRow(
         version=version,
--- a/testing/entry/test_home_faults.py
+++ b/testing/entry/test_home_faults.py
@@ -26,8 +26,8 @@
 from testing.entry.fakes import call
 from testing.entry.fakes import Cluster
 from testing.entry.fakes import FakeBackend
-from testing.entry.fakes import free_address
 from testing.entry.fakes import wait_for
+from testing.ports import free_address
 
 HEAD = ForwardHead(status=200, headers=(), length=8)
 CLOSE = None  # step that closes the link
--- a/testing/operator/test_main.py
+++ b/testing/operator/test_main.py
@@ -6,13 +6,13 @@
 from collections.abc import Iterator
 import json
 from pathlib import Path
-import socket
 from typing import Any
 
 from gevent.pywsgi import WSGIServer
 import pytest
 
 from galenareel._operator.main import main
+from testing.ports import free_address
 
 EXAMPLE = Path(__file__).parents[2] / 'examples' / 'abay.yaml'
 SECRET = 'operator secret'
@@ -75,12 +75,6 @@
     return call
 
 
-def free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{sock.getsockname()[1]}'
-
-
 def test_validate_needs_no_entry(call: Callable[..., Any]) -> None:
     code, out, _ = call('validate', str(EXAMPLE))
     assert code == 0
