Free a slot only when its server has let the request go

Change: a request that was given up keeps its slot until the server closes the connection or no longer counts the request; a home that is handed over by a living entry begins with the next announcement; a planned stop waits for answers that are still being written; a request that waited so long that its run won't fit is refused as not run.

--- a/src/galenareel/_entry/backend.py
+++ b/src/galenareel/_entry/backend.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import socket
 import time
 from typing import Any
 
+import gevent
 from gevent.socket import create_connection
 from gevent.socket import timeout as SocketTimeout
 from geventhttpclient.response import HTTPParseError
@@ -30,16 +32,25 @@
 # can be checked as a whole before its head goes to the caller.
 HOLD_HEAD_S = 0.1
 MIN_TIMEOUT_S = 0.001
+# After this the server's announcements alone tell whether it still runs.
+GIVE_UP_S = 10.0
 
 
 class Connections:
-    """Idle connections to one process of a backend server."""
+    """Connections to one process of a backend server.
 
-    __slots__ = ('_idle', '_max_idle', 'address', 'closed')
+    :param on_end: called when the server has closed a connection whose
+        request was given up.
+    """
 
-    def __init__(self, address: str, *, max_idle: int) -> None:
+    __slots__ = ('_idle', '_max_idle', '_on_end', 'address', 'closed')
+
+    def __init__(
+        self, address: str, *, max_idle: int, on_end: Callable[[], None]
+    ) -> None:
         self.address = address
         self._max_idle = max_idle
+        self._on_end = on_end
         self.closed = False
         self._idle: list[tuple[float, Any]] = []
 
@@ -70,6 +81,28 @@
         else:
             self._idle.append((time.monotonic(), sock))
 
+    def give_up(self, sock: Any) -> None:
+        """End a connection whose request may still run.
+
+        The server closes its side when it has noticed, and only then does
+        the request no longer use one of its slots.
+        """
+        gevent.spawn(self._await_end, sock)
+
+    def _await_end(self, sock: Any) -> None:
+        try:
+            sock.shutdown(socket.SHUT_WR)
+            sock.settimeout(GIVE_UP_S)
+            while sock.recv(READ_BYTES):
+                pass
+        except SocketTimeout:
+            return
+        except OSError:
+            pass
+        finally:
+            sock.close()
+        self._on_end()
+
     def close(self) -> None:
         self.closed = True
         for _since, sock in self._idle:
@@ -98,6 +131,7 @@
         '_parser',
         '_size',
         '_sock',
+        'sent',
     )
 
     def __init__(
@@ -106,6 +140,7 @@
         self._connections = connections
         self._deadline = deadline
         self._limits = limits
+        self.sent = False
         self._size = 0
         self._sock: Any = None
         self._parser: AnswerParser
@@ -141,15 +176,20 @@
 
     def abort(self) -> None:
         """Close the connection; it is not used again."""
-        if self._sock is not None:
-            self._sock.close()
-            self._sock = None
+        sock, self._sock = self._sock, None
+        if sock is None:
+            return
+        if self.sent:
+            self._connections.give_up(sock)
+        else:
+            sock.close()
 
     def _talk(
         self, method: str, request_id: str, data: bytes
     ) -> Answer | Failed:
         sock = self._sock
         sock.settimeout(self._left_s())
+        self.sent = True
         sock.sendall(data)
         parser = self._parser = AnswerParser(
             method, max_head=self._limits.max_answer_head_bytes
--- a/src/galenareel/_entry/callers.py
+++ b/src/galenareel/_entry/callers.py
@@ -85,7 +85,6 @@
         self._count = count
         self._on_error = on_error
         self._number = 0
-        self.in_flight = 0
 
     def app(self) -> falcon.App:
         app = falcon.App()
@@ -102,11 +101,7 @@
         if req.path == READY_PATH:
             self._ready(resp)
             return
-        self.in_flight += 1
-        try:
-            self._handle(req.env, resp)
-        finally:
-            self.in_flight -= 1
+        self._handle(req.env, resp)
 
     def _failed(
         self,
--- a/src/galenareel/_entry/homes.py
+++ b/src/galenareel/_entry/homes.py
@@ -7,9 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
-from dataclasses import dataclass
-from dataclasses import field
 import hashlib
 
 from galenareel._common.messages import Announcement
@@ -19,11 +18,12 @@
 from galenareel._common.rows import Phase
 from galenareel._entry.health import Health
 from galenareel._entry.health import Verdict
-from galenareel._entry.settings import SILENT_AFTER_S
+from galenareel._entry.servers import drains
+from galenareel._entry.servers import essence
+from galenareel._entry.servers import Lease
+from galenareel._entry.servers import Server
 
-NEVER = float('-inf')
 SMOOTHING = 0.2  # weight of the latest run time in the mean
-DRAIN_STEPS = frozenset(('draining',))
 
 
 def rendezvous(instance: str, entries: list[str]) -> str:
@@ -36,75 +36,6 @@
     return hashlib.blake2b(text, digest_size=8).digest()
 
 
-@dataclass(slots=True, eq=False)
-class Server:
-    """One backend server of the zone.
-
-    :param foreign: requests of the former home that may still run.
-    :param generation: grows when another process takes over the address, so
-        that late releases of the former one don't count.
-    """
-
-    instance: str
-    row: InstanceRow | None = None
-    announcement: Announcement | None = None
-    heard_at: float = NEVER
-    mine: bool = False
-    counted: bool = False  # the home has begun with an in-use count
-    in_flight: int = 0
-    foreign: int = 0
-    generation: int = 0
-    unsure: bool = False  # an answer was given up; the request may run on
-    down: bool = False  # refused a connection since its last announcement
-    health: Health = field(default_factory=Health)
-    finished: int = 0
-    failed: int = 0
-    mean_run_s: float = 0.0
-    started: dict[int, float] = field(default_factory=dict)
-
-    def silent_s(self, now: float) -> float:
-        return now - self.heard_at
-
-    def free(self) -> int:
-        said = self.announcement
-        if said is None:
-            return 0
-        return self.health.slots(said.slots) - self.in_flight - self.foreign
-
-    def reachable(self, now: float) -> bool:
-        """Whether its home may send to it at all."""
-        said = self.announcement
-        return (
-            self.mine
-            and said is not None
-            and not said.leaving
-            and not self.down
-            and now - self.heard_at <= SILENT_AFTER_S
-        )
-
-    def usable(self, now: float) -> bool:
-        """Whether its home may give it work, apart from its slots."""
-        row = self.row
-        return (
-            row is not None
-            and row.phase is Phase.SERVING
-            and self.reachable(now)
-        )
-
-
-@dataclass(slots=True, eq=False)
-class Lease:
-    """One slot of a backend server, until it is released."""
-
-    server: Server
-    generation: int
-    number: int
-    started_at: float
-    service: str
-    probe: bool = False
-    released: bool = False
-
-
 class Homes:
     """All backend servers of the zone."""
 
@@ -115,6 +46,7 @@
         self.taken: dict[str, int] = {}  # taken over here: home_epoch then
         self.lost: dict[str, tuple[str, int]] = {}  # taken by a peer
         self.by_pool: dict[str, list[Server]] = {}
+        self.is_silent: Callable[[str], bool] = lambda _entry: True
         self.min_available: dict[str, int] = {}
         self._serving: dict[str, int] = {}  # in all zones, by pool
         self._draining = False
@@ -137,10 +69,9 @@
         server.down = False
         others = max(0, said.in_use - server.in_flight)
         server.foreign = min(server.foreign, others)
-        server.unsure = server.unsure and others > 0
         if server.mine and not server.counted:
             self._begin_home(server)
-        return before is None or _essence(before) != _essence(said)
+        return before is None or essence(before) != essence(said)
 
     def sync(self, rows: dict[str, InstanceRow], *, now: float) -> None:
         """Follow the committed rows."""
@@ -161,14 +92,18 @@
             ):
                 server.health.take_out(now=now)
             self._settle_claims(row)
-            self._assign(server, self._effective_home(row))
+            self._assign(
+                server,
+                self._effective_home(row),
+                before.home if before is not None else row.home,
+            )
             by_pool.setdefault(row.pool, []).append(server)
         for name, server in list(self.servers.items()):
             if name not in rows:
                 server.row = None
-                self._assign(server, '')
+                self._assign(server, '', '')
         self._draining = any(
-            one.mine and one.row is not None and _drains(one.row)
+            one.mine and one.row is not None and drains(one.row)
             for one in self.servers.values()
         )
         self.by_pool = {
@@ -231,16 +166,25 @@
         return self._lease(best, service, now, probe=False)
 
     def finished(
-        self, lease: Lease, *, ok: bool | None, now: float
+        self,
+        lease: Lease,
+        *,
+        ok: bool | None,
+        now: float,
+        runs_on: bool = False,
     ) -> Verdict | None:
         """Release a slot and judge its server.
 
         :param ok: None if the request says nothing about the server.
+        :param runs_on: the request was given up, and the server may not have
+            noticed yet; the slot is free after :meth:`ended`, or when an
+            announcement counts it no more.
         """
         server = lease.server
         self.release(lease)
         if lease.generation != server.generation:
             return None
+        server.foreign += runs_on
         run_s = now - lease.started_at
         if lease.probe:
             return server.health.probe_ended(lease.service, ok=ok, now=now)
@@ -269,6 +213,13 @@
             server.in_flight -= 1
             server.started.pop(lease.number, None)
 
+    def ended(self, server: Server, generation: int) -> bool:
+        """A request that was given up has ended; true if a slot is free."""
+        if generation != server.generation or not server.foreign:
+            return False
+        server.foreign -= 1
+        return True
+
     def free(self, pool: str, *, now: float) -> int:
         """Free slots of a pool at this home."""
         if self.fenced:
@@ -305,15 +256,14 @@
             for server in self.servers.values()
             if server.mine
             and server.row is not None
-            and _drains(server.row)
+            and drains(server.row)
             and server.in_flight == 0
             and server.foreign == 0
-            and not server.unsure
         )
 
     def loads(self, *, now: float) -> tuple[InstanceLoad, ...]:
         return tuple(
-            self._load(one, now) for one in self.servers.values() if one.mine
+            one.load(now) for one in self.servers.values() if one.mine
         )
 
     def announcements(self) -> tuple[Announcement, ...]:
@@ -364,12 +314,15 @@
         if lost is not None and row.home_epoch > lost[1]:
             del self.lost[row.instance]
 
-    def _assign(self, server: Server, home: str) -> None:
+    def _assign(self, server: Server, home: str, before: str) -> None:
         mine = home == self.entry and not self.released
         if mine and not server.mine:
             server.mine = True
+            # A former home that still runs may have sent work after the
+            # latest announcement, so this home waits for the next one.
+            handed_over = bool(before) and not self.is_silent(before)
             server.counted = False
-            if server.announcement is not None:
+            if server.announcement is not None and not handed_over:
                 self._begin_home(server)
         server.mine = mine
 
@@ -382,7 +335,6 @@
         server.generation += 1
         server.in_flight = 0
         server.foreign = 0
-        server.unsure = False
         server.started.clear()
         server.health = Health()
         server.mean_run_s = 0.0
@@ -416,41 +368,3 @@
             service,
             probe=probe,
         )
-
-    def _load(self, server: Server, now: float) -> InstanceLoad:
-        left = sum(
-            max(0.0, server.mean_run_s - (now - began))
-            for began in server.started.values()
-        )
-        load = InstanceLoad(
-            instance=server.instance,
-            in_use=server.in_flight + server.foreign,
-            work_left_s=round(left, 3),
-            silent_s=round(min(server.silent_s(now), 1e6), 1),
-            finished=server.finished,
-            failed=server.failed,
-            suspect=server.health.impaired(),
-        )
-        server.finished = 0
-        server.failed = 0
-        return load
-
-
-def _essence(said: Announcement) -> tuple[object, ...]:
-    return (
-        said.address,
-        said.rack,
-        said.service,
-        said.incarnation,
-        said.slots,
-        said.connections,
-        said.leaving,
-    )
-
-
-def _drains(row: InstanceRow) -> bool:
-    if row.phase is Phase.DRAINING:
-        return True
-    return (
-        row.phase is Phase.MAINTENANCE and row.maintenance_step in DRAIN_STEPS
-    )
--- a/src/galenareel/_entry/local.py
+++ b/src/galenareel/_entry/local.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from functools import partial
 import time
 
 from galenareel._entry.backend import Connections
@@ -12,10 +13,10 @@
 from galenareel._entry.calls import Call
 from galenareel._entry.health import Verdict
 from galenareel._entry.homes import Homes
-from galenareel._entry.homes import Lease
-from galenareel._entry.homes import Server
 from galenareel._entry.outcomes import Answer
 from galenareel._entry.outcomes import Failed
+from galenareel._entry.servers import Lease
+from galenareel._entry.servers import Server
 from galenareel._entry.settings import Limits
 
 # A request given less time than this says nothing about the server's health.
@@ -71,7 +72,7 @@
                 idempotent=call.idempotent,
             )
         except BaseException:
-            self._end(lease, call, ok=None, unsure=True)
+            self._end(lease, call, ok=None, runs_on=exchange.sent)
             raise
         if isinstance(result, Failed):
             self._failed(lease, call, result)
@@ -93,7 +94,7 @@
         return _Held(
             rest,
             lambda ok: self._end(
-                lease, call, ok=ok and answer.status < 500, unsure=not ok
+                lease, call, ok=ok and answer.status < 500, runs_on=not ok
             ),
         )
 
@@ -105,7 +106,7 @@
         if failed.reason == 'timeout':
             spent = time.monotonic() - lease.started_at
             ok = None if spent < FAIR_TIME_S else False
-        self._end(lease, call, ok=ok, unsure=failed.sent)
+        self._end(lease, call, ok=ok, runs_on=failed.sent)
 
     def _end(
         self,
@@ -113,17 +114,22 @@
         call: Call,
         *,
         ok: bool | None,
-        unsure: bool = False,
+        runs_on: bool = False,
     ) -> None:
         if lease.released:
             return
-        if unsure:
-            lease.server.unsure = True
-        verdict = self._homes.finished(lease, ok=ok, now=time.monotonic())
+        verdict = self._homes.finished(
+            lease, ok=ok, now=time.monotonic(), runs_on=runs_on
+        )
         if verdict is not None:
             self._on_verdict(lease.server, verdict)
         self._on_free(call.pool)
 
+    def _ended(self, server: Server, generation: int) -> None:
+        """A request that was given up no longer runs."""
+        if self._homes.ended(server, generation) and server.row is not None:
+            self._on_free(server.row.pool)
+
     def _open(self, server: Server) -> Connections:
         said = server.announcement
         assert said is not None
@@ -134,6 +140,7 @@
         connections = Connections(
             said.address,
             max_idle=min(said.slots, max(0, said.connections - said.slots)),
+            on_end=partial(self._ended, server, server.generation),
         )
         self._connections[server.instance] = server.generation, connections
         return connections
--- a/src/galenareel/_entry/process.py
+++ b/src/galenareel/_entry/process.py
@@ -37,7 +37,6 @@
 from galenareel._entry.forward import ForwardServer
 from galenareel._entry.health import Verdict
 from galenareel._entry.homes import Homes
-from galenareel._entry.homes import Server as BackendServer
 from galenareel._entry.links import PeerLinks
 from galenareel._entry.local import LocalHomes
 from galenareel._entry.operators import EventSource
@@ -48,6 +47,7 @@
 from galenareel._entry.router import Router
 from galenareel._entry.routes import Routes
 from galenareel._entry.routes import routes_of
+from galenareel._entry.servers import Server as BackendServer
 from galenareel._entry.session import ControlSession
 from galenareel._entry.settings import EntryConfig
 from galenareel._entry.settings import FENCE_AFTER_S
@@ -87,6 +87,7 @@
         self._document_seen = 0
         self.homes = Homes(settings.name, settings.zone)
         self.peers = Peers(settings.name, settings.zone)
+        self.homes.is_silent = self.peers.is_silent
         self.fence = Fence(now=now, after_s=FENCE_AFTER_S)
         self._build_routing(rng)
         self._build_links()
@@ -138,7 +139,7 @@
 
     def in_flight(self) -> int:
         """Requests whose answers are not finished here."""
-        return self.callers.in_flight + self.forward_server.busy()
+        return self.callers_http.busy() + self.forward_server.busy()
 
     def follow_view(self) -> None:
         """Bring everything in line with a new view."""
--- a/src/galenareel/_entry/queue.py
+++ b/src/galenareel/_entry/queue.py
@@ -96,6 +96,7 @@
         self._length = 0
         self.urgent = 0
         self.mean_run_s = 0.0
+        self.spread_s = 0.0  # mean deviation of the run times
 
     def __len__(self) -> int:
         return self._length
@@ -109,8 +110,24 @@
         """Learn from the run time of a finished request."""
         if self.mean_run_s == 0.0:
             self.mean_run_s = run_s
-        else:
-            self.mean_run_s += SMOOTHING * (run_s - self.mean_run_s)
+            return
+        error = run_s - self.mean_run_s
+        self.mean_run_s += SMOOTHING * error
+        self.spread_s += SMOOTHING * (abs(error) - self.spread_s)
+
+    def too_late(self, one: Waiting, *, now: float, once: bool) -> bool:
+        """Whether a request has waited so long that its run won't fit.
+
+        A run that is cut at the deadline costs a slot and tells the caller
+        nothing, most of all for a request that may run only once. A request
+        is always tried while half its time is left, so that a service whose
+        runs have become longer is still measured.
+
+        :param once: it can't be sent again after an unknown outcome.
+        """
+        needed = self.mean_run_s + (2 * self.spread_s if once else 0.0)
+        half = (one.deadline - one.arrived) / 2
+        return one.deadline - now < min(needed, half)
 
     def wait_s(self, ahead: int, *, slots: int) -> float:
         """Expected wait behind ``ahead`` requests; zero if unknown."""
--- a/src/galenareel/_entry/reports.py
+++ b/src/galenareel/_entry/reports.py
@@ -8,9 +8,9 @@
 from galenareel._common.rows import InstanceRow
 from galenareel._common.rows import Phase
 from galenareel._entry.homes import Homes
-from galenareel._entry.homes import Server
 from galenareel._entry.router import PoolState
 from galenareel._entry.router import Router
+from galenareel._entry.servers import Server
 
 REPEAT_S = 2.0
 
--- a/src/galenareel/_entry/router.py
+++ b/src/galenareel/_entry/router.py
@@ -9,8 +9,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
 from random import Random
 import time
 from typing import Any
@@ -18,14 +16,13 @@
 import gevent
 from gevent.event import AsyncResult
 
-from galenareel._common.rows import EntryState
-from galenareel._common.rows import Phase
 from galenareel._common.sentinels import NotRun
 from galenareel._common.sentinels import OutcomeUnknown
 from galenareel._entry.calls import Call
+from galenareel._entry.capacity import Capacity
+from galenareel._entry.capacity import PoolState
 from galenareel._entry.forward import ForwardClient
 from galenareel._entry.homes import Homes
-from galenareel._entry.homes import Lease
 from galenareel._entry.local import LocalHomes
 from galenareel._entry.outcomes import after_failure
 from galenareel._entry.outcomes import Answer
@@ -35,14 +32,17 @@
 from galenareel._entry.outcomes import RETRIED_STATUSES
 from galenareel._entry.outcomes import with_first_part
 from galenareel._entry.peers import Fence
-from galenareel._entry.peers import Peer
 from galenareel._entry.peers import Peers
+from galenareel._entry.places import Place
+from galenareel._entry.places import Progress
+from galenareel._entry.places import Remote
+from galenareel._entry.places import Waker
 from galenareel._entry.queue import QueueMemory
 from galenareel._entry.queue import RequestQueue
 from galenareel._entry.queue import Shares
 from galenareel._entry.queue import Waiting
 from galenareel._entry.retries import backoff_s
-from galenareel._entry.retries import RetryBudget
+from galenareel._entry.servers import Lease
 from galenareel._entry.settings import Limits
 from galenareel._entry.view import ViewStore
 
@@ -51,39 +51,6 @@
 PARK_S = 0.3
 
 
-@dataclass(slots=True, eq=False)
-class PoolState:
-    """Queue, retry budget and counters of one pool at this entry."""
-
-    queue: RequestQueue
-    budget: RetryBudget = field(default_factory=RetryBudget)
-    arrived: int = 0
-    refused: int = 0
-
-
-@dataclass(slots=True, eq=False)
-class _Remote:
-    """A peer to forward to.
-
-    :param parked: the peer may let the request wait for a slot.
-    """
-
-    peer: Peer
-    parked: bool
-
-
-@dataclass(slots=True, eq=False)
-class _Progress:
-    """What has happened to a request so far."""
-
-    attempts: int = 0
-    reroutes: int = 0
-    waiting: Waiting | None = None
-
-
-Place = Lease | _Remote
-
-
 class Router:
     """Routes requests; one per entry."""
 
@@ -107,8 +74,7 @@
         self._rng = rng
         self._memory = QueueMemory(limits.max_queue_bytes)
         self._seq = 0
-        self._shares_key: tuple[int, bool] = (-1, False)
-        self._slot_shares: dict[str, int] = {}
+        self._capacity = Capacity(view=view, homes=homes)
         self.shares = Shares()
         self.pools: dict[str, PoolState] = {}
         self.local: LocalHomes  # set by the owner; it calls back here
@@ -119,7 +85,7 @@
         state = self.pool(call.pool)
         state.arrived += 1
         state.budget.first_try()
-        result = self._attempts(call, state, _Progress())
+        result = self._attempts(call, state, Progress())
         if isinstance(result, NotRun):
             state.refused += 1
         return result
@@ -157,7 +123,14 @@
             one = queue.peek()
             if one is None:
                 return
-            place = self._place(one.place.call, forwarded=one.forwarded)
+            call = one.place.call
+            place: Place | NotRun | None
+            if queue.too_late(
+                one, now=time.monotonic(), once=not call.idempotent
+            ):
+                place = NotRun(reason='deadline_not_met')
+            else:
+                place = self._place(call, forwarded=one.forwarded)
             if place is None:
                 return
             queue.remove(one)
@@ -173,7 +146,7 @@
         for name, state in self.pools.items():
             if not len(state.queue):
                 continue
-            slots = self._slots(name, now)
+            slots = self._capacity.slots(name, now=now)
             for one in state.queue.hopeless(now=now, slots=slots):
                 state.queue.remove(one)
                 one.place.fut.set(NotRun(reason='deadline_not_met'))
@@ -181,7 +154,7 @@
     # --- attempts -----------------------------------------------------------
 
     def _attempts(
-        self, call: Call, state: PoolState, progress: _Progress
+        self, call: Call, state: PoolState, progress: Progress
     ) -> Answer | NotRun | OutcomeUnknown:
         while True:
             place = self._find_place(call, state, progress)
@@ -215,12 +188,14 @@
             self.shares.end(call.caller, call.team)
         # An exception leaves it set: the request may have been sent.
         call.maybe_ran = ran_before
-        parked = isinstance(place, _Remote) and place.parked
-        if isinstance(result, Answer) and not parked:
+        parked = isinstance(place, Remote) and place.parked
+        # A run cut at its deadline took at least as long.
+        whole = isinstance(result, Answer) or result.reason == 'timeout'
+        if whole and not parked:
             state.queue.ran(time.monotonic() - began)
         return result
 
-    def _run_remote(self, call: Call, place: _Remote) -> Answer | Failed:
+    def _run_remote(self, call: Call, place: Remote) -> Answer | Failed:
         peer, pool = place.peer, call.pool
         began = time.monotonic()
         if place.parked:
@@ -251,7 +226,7 @@
         self,
         call: Call,
         state: PoolState,
-        progress: _Progress,
+        progress: Progress,
         result: Answer | Failed,
     ) -> Answer | NotRun | OutcomeUnknown | None:
         """Final outcome after an attempt; None for another attempt."""
@@ -284,7 +259,7 @@
         return given_up(maybe_ran=step is Next.UNKNOWN, reason=result.reason)
 
     def _may_retry(
-        self, call: Call, state: PoolState, progress: _Progress
+        self, call: Call, state: PoolState, progress: Progress
     ) -> bool:
         progress.attempts += 1
         return (
@@ -293,7 +268,7 @@
             and state.budget.take()
         )
 
-    def _back_off(self, call: Call, progress: _Progress) -> None:
+    def _back_off(self, call: Call, progress: Progress) -> None:
         self.count('retries')
         left_s = max(0.0, call.deadline - time.monotonic())
         gevent.sleep(min(backoff_s(progress.attempts, rng=self._rng), left_s))
@@ -301,7 +276,7 @@
     # --- places -------------------------------------------------------------
 
     def _find_place(
-        self, call: Call, state: PoolState, progress: _Progress
+        self, call: Call, state: PoolState, progress: Progress
     ) -> Place | NotRun:
         if not len(state.queue):
             if not call.team or self.shares.team_may_run(call.team):
@@ -326,7 +301,7 @@
         if peer is None:
             return None
         self.shares.begin(call.caller, call.team)
-        return _Remote(peer, parked)
+        return Remote(peer, parked)
 
     def _own(self, call: Call) -> Lease | None:
         now = time.monotonic()
@@ -337,7 +312,7 @@
         )
 
     def _wait(
-        self, call: Call, state: PoolState, progress: _Progress
+        self, call: Call, state: PoolState, progress: Progress
     ) -> Place | NotRun:
         now = time.monotonic()
         one = progress.waiting
@@ -353,9 +328,9 @@
                 size=len(call.body) + 1024,
             )
             reason = state.queue.refuse_reason(
-                one, now=now, slots=self._slots(call.pool, now)
+                one, now=now, slots=self._capacity.slots(call.pool, now=now)
             )
-            if reason is None and not self._has_instances(call.pool):
+            if reason is None and not self._capacity.has_instances(call.pool):
                 reason = 'no_instances'
             if reason is not None:
                 return NotRun(reason=reason)
@@ -390,7 +365,7 @@
         self, queue: RequestQueue, one: Waiting, call: Call, wait_s: float
     ) -> Place | NotRun:
         fut: AsyncResult = AsyncResult()
-        one.place = _Waker(call, fut)
+        one.place = Waker(call, fut)
         queue.put(one)
         self.pump(call.pool)
         try:
@@ -416,40 +391,7 @@
             self._homes.finished(place, ok=None, now=time.monotonic())
         self.pump(call.pool)
 
-    def _has_instances(self, pool: str) -> bool:
-        return any(row.pool == pool for row in self._view.instances.values())
-
-    def _slots(self, pool: str, now: float) -> int:
-        """Slots that the queue of this entry may count on."""
-        fresh = self._view.is_fresh(now)
-        key = (self._view.index, fresh)
-        if key != self._shares_key:
-            self._shares_key = key
-            self._slot_shares = self._share_slots(fresh)
-        own = self._homes.slots(pool, now=now)
-        return max(own, self._slot_shares.get(pool, 0))
-
-    def _share_slots(self, fresh: bool) -> dict[str, int]:
-        zone = self._homes.zone
-        entries = sum(
-            one.state is EntryState.LIVE and (fresh or one.zone == zone)
-            for one in self._view.entries.values()
-        )
-        slots: dict[str, int] = {}
-        for row in self._view.instances.values():
-            if row.phase is Phase.SERVING and (fresh or row.zone == zone):
-                slots[row.pool] = slots.get(row.pool, 0) + row.slots
-        return {
-            name: count // max(1, entries) for name, count in slots.items()
-        }
-
     def _retry_after_s(self, state: PoolState) -> float:
         """Hint that grows with the queue, so that callers spread out."""
         base = max(0.5, state.queue.mean_run_s * 2)
         return round(min(30.0, base * (1 + self._rng.random())), 2)
-
-
-@dataclass(slots=True, eq=False)
-class _Waker:
-    call: Call
-    fut: AsyncResult
--- a/testing/entry/test_callers.py
+++ b/testing/entry/test_callers.py
@@ -207,6 +207,40 @@
     assert not entry.router.shares.in_flight('127.0.0.1')
 
 
+def test_slot_stays_used_while_the_server_runs_on(cluster: Cluster) -> None:
+    """Guards against more requests on a server than it has slots."""
+    entry = cluster.add_entry('a1')
+    backend = cluster.add_backend(FakeBackend(slots=1))
+    backend.react = answers(after_s=0.6)
+    cluster.start()
+    with connect(entry) as sock:
+        sock.sendall(b'GET /lots HTTP/1.1\r\nHost: x\r\n\r\n')
+        wait_for(lambda: backend.running == 1)
+    wait_for(lambda: entry.homes.in_flight() == 0)
+    assert call(entry.settings.callers).status == 200
+    assert (len(backend.requests), backend.most) == (2, 1)
+
+
+def test_request_that_waited_too_long_is_not_sent(cluster: Cluster) -> None:
+    """Guards against unknown outcomes of runs that can't end in time."""
+    entry = cluster.add_entry('a1')
+    backend = cluster.add_backend(FakeBackend(slots=1))
+    backend.react = answers(after_s=0.4)
+    cluster.start()
+    assert call(entry.settings.callers).status == 200  # a run time is known
+    backend.requests.clear()
+    holder = gevent.spawn(call, entry.settings.callers)
+    wait_for(lambda: backend.running == 1)
+    got = call(
+        entry.settings.callers,
+        '/sales',
+        headers={'Galenareel-Deadline-S': '0.6'},
+    )
+    assert got.outcome == 'not_run'
+    assert holder.get().status == 200
+    assert len(backend.requests) == 1
+
+
 def test_caller_leaves_the_queue(cluster: Cluster) -> None:
     """Guards against queue places held for callers that have gone."""
     entry = cluster.add_entry('a1')
--- a/testing/entry/test_machines.py
+++ b/testing/entry/test_machines.py
@@ -18,7 +18,6 @@
 from galenareel._common.rows import Phase
 from galenareel._common.sentinels import NotRun
 from galenareel._entry.homes import Homes
-from galenareel._entry.homes import Lease
 from galenareel._entry.outcomes import after_failure
 from galenareel._entry.outcomes import given_up
 from galenareel._entry.outcomes import Next
@@ -31,6 +30,7 @@
 from galenareel._entry.retries import RETRY_RESERVE
 from galenareel._entry.retries import RETRY_SHARE
 from galenareel._entry.retries import RetryBudget
+from galenareel._entry.servers import Lease
 from galenareel._entry.settings import SILENT_AFTER_S
 
 FEW = settings(max_examples=60, stateful_step_count=40, deadline=None)
