--- /dev/null
+++ b/testing/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the programs as processes."""
--- /dev/null
+++ b/testing/programs/test_bad_input.py
@@ -0,0 +1,332 @@
+"""Bad input to running programs: a clear error, and nothing changed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from dataclasses import replace
+from pathlib import Path
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+import msgspec
+import pytest
+
+from demo.operating import Operator
+from demo.processes import clean_environ
+from demo.processes import Processes
+from demo.topology import fleet_plan
+from demo.topology import make_topology
+from demo.topology import Topology
+from galenareel._common.frames import parse_address
+from galenareel._document.reading import read_environment
+from testing.standins.http import Answer
+from testing.standins.http import ask
+from testing.standins.records import read_records
+from testing.standins.records import Seen
+from testing.standins.records import What
+from testing.standins.work import Work
+
+EXAMPLE = Path(__file__).parents[2] / 'examples' / 'abay.yaml'
+START_LIMIT_S = 15.0
+END_LIMIT_S = 10.0
+BODY_LIMIT = 1 << 20
+
+WORK = Work(token='good', service='lots', run_s=0.01)
+
+
+class Running:
+    """One control member, one entry and the backend servers of its zone."""
+
+    def __init__(self, topology: Topology, folder: Path) -> None:
+        self.topology = topology
+        self.folder = folder
+        self.entry = topology.entries[0]
+        self.operator = Operator(topology)
+
+    def status(self) -> Any:
+        result = self.operator.run('status', '--json')
+        assert result.status == 0, result.output
+        return result.json()
+
+    def post(self, path: str, body: bytes = b'x') -> Answer:
+        headers = {'Galenareel-Caller': 'broker-1'}
+        return ask(
+            self.entry.callers, 'POST', path, headers=headers, body=body
+        )
+
+    def announce(self, body: bytes, *, secret: str = '') -> Answer:
+        shown = secret or self.topology.secrets['announce']
+        return ask(
+            self.entry.announcements,
+            'POST',
+            '/v1/announcements',
+            headers={'Authorization': f'Bearer {shown}'},
+            body=body,
+        )
+
+
+def wait_until(is_true: Callable[[], bool], what: str) -> None:
+    ends = time.monotonic() + START_LIMIT_S
+    while not is_true():
+        assert time.monotonic() < ends, f'no {what}'
+        time.sleep(0.1)
+
+
+@pytest.fixture(scope='module')
+def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Running]:
+    folder = tmp_path_factory.mktemp('running')
+    cfg = read_environment(EXAMPLE.read_text())
+    whole = make_topology(cfg)
+    topology = replace(
+        whole, entries=whole.entries[:1], controls=whole.controls[:1]
+    )
+    plan = fleet_plan(cfg, topology, folder / 'seen', seed=1)
+    plan.servers = [
+        one for one in plan.servers if one.zone == topology.entries[0].zone
+    ]
+    path = folder / 'fleet.json'
+    path.write_bytes(msgspec.json.encode(plan))
+    processes = Processes(folder, topology)
+    try:
+        processes.start_control(topology.controls[0])
+        processes.start_entry(topology.entries[0])
+        processes.start_standin('fleet', 'testing.standins.fleet', path)
+        found = Running(topology, folder)
+        run = found.operator.run
+        wait_until(
+            lambda: run('submit', str(EXAMPLE)).status == 0, 'submission'
+        )
+        assert run('promote', '1').status == 0
+        wait_until(
+            lambda: found.post(WORK.path('/lots')).status == 200, 'answer'
+        )
+        yield found
+    finally:
+        assert processes.stop() == []
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'{',
+        b'[]',
+        b'{"instance": "addis-1/new"}',
+        b'\xff\xfe',
+        b'{"instance": "addis-1/new", "address": "nowhere", "zone": "addis-1"'
+        b', "rack": "r", "service": "lots", "incarnation": "i"}',
+        b'{"instance": "addis-2/new", "address": "127.0.0.1:9", "zone": '
+        b'"addis-2", "rack": "r", "service": "lots", "incarnation": "i"}',
+        b'{"instance": "addis-1/new", "address": "127.0.0.1:9", "zone": '
+        b'"addis-1", "rack": "r", "service": "lots", "incarnation": "i", '
+        b'"slots": -1}',
+        b'x' * 100_000,
+    ],
+    ids=[
+        'empty',
+        'cut short',
+        'a list',
+        'fields missing',
+        'not text',
+        'bad address',
+        'other zone',
+        'negative slots',
+        'too long',
+    ],
+)
+def test_malformed_announcement_is_refused(
+    running: Running, body: bytes
+) -> None:
+    """Guards against instances that nobody can send work to."""
+    answer = running.announce(body)
+    assert 400 <= answer.status < 500
+    assert answer.body
+    time.sleep(0.2)
+    names = {one['instance'] for one in running.status()['instances']}
+    assert not {name for name in names if name.endswith('/new')}
+
+
+def test_wrong_secret_changes_nothing(running: Running) -> None:
+    before = running.status()['index']
+    body = b'{"instance": "addis-1/new"}'
+    assert running.announce(body, secret='not the secret').status == 401
+    for operation in ('submit', 'promote', 'members', 'events', 'status'):
+        answer = ask(
+            running.entry.operators,
+            'POST',
+            f'/v1/operations/{operation}',
+            headers={'Authorization': 'Bearer not the secret'},
+            body=b'{"text": ""}',
+        )
+        assert answer.status == 401
+        assert running.topology.secrets['operator'] not in str(answer)
+    assert running.status()['index'] == before
+
+
+def test_body_over_the_limit_does_not_run(running: Running) -> None:
+    """Guards against a caller who fills the memory of an entry."""
+    work = Work(token='too-big', service='lots')
+    answer = running.post(work.path('/lots'), b'x' * (BODY_LIMIT + 1))
+    assert answer.status == 413
+    assert answer.header('Galenareel-Outcome') == 'not_run'
+    seen = read_records(running.folder / 'seen', Seen)
+    assert 'too-big' not in {one.token for one in seen}
+    assert running.post(WORK.path('/lots')).status == 200
+
+
+def test_unknown_service_is_not_run(running: Running) -> None:
+    answer = running.post('/nowhere')
+    assert answer.status == 404
+    assert answer.header('Galenareel-Outcome') == 'not_run'
+
+
+@pytest.mark.parametrize('body', [b'{', b'[1]', b'{"texts": ""}', b'\xff'])
+def test_malformed_operation_is_refused(running: Running, body: bytes) -> None:
+    before = running.status()['index']
+    answer = ask(
+        running.entry.operators,
+        'POST',
+        '/v1/operations/submit',
+        headers={
+            'Authorization': f'Bearer {running.topology.secrets["operator"]}'
+        },
+        body=body,
+    )
+    assert 400 <= answer.status < 500
+    assert running.status()['index'] == before
+
+
+def test_invalid_document_is_refused_with_findings(running: Running) -> None:
+    """Guards against a client that does not validate before it submits."""
+    secret = running.topology.secrets['operator']
+    answer = ask(
+        running.entry.operators,
+        'POST',
+        '/v1/operations/submit',
+        headers={'Authorization': f'Bearer {secret}'},
+        body=msgspec.json.encode({'text': 'environment: x\nversion: 0\n'}),
+    )
+    assert 400 <= answer.status < 500
+    assert b'line 2, version' in answer.body or b'line 1' in answer.body
+
+
+@pytest.mark.parametrize('data', [b'\x00' * 64, b'GET / HTTP/1.1\r\n\r\n'])
+def test_garbage_on_the_frame_port_is_dropped(
+    running: Running, data: bytes
+) -> None:
+    for address in (
+        running.entry.frames,
+        running.topology.controls[0].listen,
+    ):
+        with socket.create_connection(parse_address(address)) as sock:
+            sock.sendall(data)
+            sock.settimeout(5)
+            sock.shutdown(socket.SHUT_WR)
+            assert sock.recv(1) == b''
+    assert running.post(WORK.path('/lots')).status == 200
+
+
+# --- programs that can't start ----------------------------------------------
+
+
+def start(program: str, argv: list[str]) -> tuple[int, str]:
+    """Exit status and stderr of a program that should end by itself."""
+    child = subprocess.Popen(
+        [sys.executable, '-m', f'galenareel._{program}.main', *argv],
+        env=clean_environ(),
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    try:
+        output, _ = child.communicate(timeout=END_LIMIT_S)
+    except subprocess.TimeoutExpired:
+        child.send_signal(signal.SIGKILL)
+        output, _ = child.communicate()
+        return 0, f'still running: {output}'
+    return child.returncode, output
+
+
+def control_argv(topology: Topology, folder: Path, **other: str) -> list[str]:
+    secret = folder / 'secret'
+    secret.write_text('a cluster secret')
+    place = topology.controls[0]
+    flags = {
+        'name': place.name,
+        'zone': place.zone,
+        'listen': place.listen,
+        'members': f'{place.name}={place.listen}',
+        'data-dir': str(folder / 'data'),
+        'cluster-secret-file': str(secret),
+        **other,
+    }
+    return [word for name in flags for word in (f'--{name}', flags[name])]
+
+
+def entry_argv(topology: Topology, folder: Path, **other: str) -> list[str]:
+    secret = folder / 'secret'
+    secret.write_text('a cluster secret')
+    place = topology.entries[0]
+    flags = {
+        'name': place.name,
+        'zone': place.zone,
+        'callers': place.callers,
+        'announcements': place.announcements,
+        'operators': place.operators,
+        'frames': place.frames,
+        'control': topology.control_addresses(),
+        'cluster-secret-file': str(secret),
+        'announce-secret-file': str(secret),
+        'operator-secret-file': str(secret),
+        **other,
+    }
+    return [word for name in flags for word in (f'--{name}', flags[name])]
+
+
+@pytest.fixture
+def topology() -> Topology:
+    return make_topology(read_environment(EXAMPLE.read_text()))
+
+
+@pytest.fixture
+def taken() -> Iterator[str]:
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        sock.listen()
+        yield f'127.0.0.1:{sock.getsockname()[1]}'
+
+
+@pytest.mark.parametrize(
+    'flag', ['callers', 'announcements', 'operators', 'frames']
+)
+def test_entry_names_the_port_in_use(
+    topology: Topology, tmp_path: Path, taken: str, flag: str
+) -> None:
+    argv = entry_argv(topology, tmp_path, **{flag: taken})
+    status, output = start('entry', argv)
+    assert status not in (0, 2), output
+    assert 'in use' in output and 'Traceback' not in output
+    assert taken.rsplit(':', 1)[1] in output
+
+
+@pytest.mark.parametrize('program', ['control', 'entry'])
+def test_unknown_flag_starts_nothing(
+    topology: Topology, tmp_path: Path, program: str
+) -> None:
+    make = control_argv if program == 'control' else entry_argv
+    argv = [*make(topology, tmp_path), '--bogus', '1']
+    status, output = start(program, argv)
+    assert status == 2
+    assert '--bogus' in output and 'Traceback' not in output
+    assert not (tmp_path / 'data').exists()
+
+
+def test_records_hold_what_ran(running: Running) -> None:
+    """Guards against a stand-in whose records are empty."""
+    seen = read_records(running.folder / 'seen', Seen)
+    assert [one for one in seen if one.what is What.FINISHED]
