--- a/experiment/__init__.py
+++ b/experiment/__init__.py
@@ -1,1 +1,1 @@
-"""Experiment that drives the decisions with demand traces."""
+"""Drives the decision functions with traces of demand and faults."""
--- /dev/null
+++ b/experiment/control.py
@@ -0,0 +1,467 @@
+"""Fills the tables from late reports and carries decisions out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from experiment.ledger import MIN_AVAILABLE
+from experiment.ledger import Task
+from experiment.ledger import Worker
+from experiment.trace import Fault
+from experiment.trace import HOUR_S
+from experiment.trace import JobSpec
+from experiment.trace import SECOND_WAVE_AT
+from experiment.trace import Trace
+from experiment.trace import WAVE_AT
+from experiment.world import BOOT_ANNOUNCE_S
+from experiment.world import World
+from galenareel._common.rows import Phase
+from galenareel._common.rows import WaveState
+from galenareel._decisions.decisions import CancelMove
+from galenareel._decisions.decisions import CheckpointJob
+from galenareel._decisions.decisions import Decision
+from galenareel._decisions.decisions import EjectInstance
+from galenareel._decisions.decisions import FailMaintenance
+from galenareel._decisions.decisions import FinishWave
+from galenareel._decisions.decisions import LendInstance
+from galenareel._decisions.decisions import PauseWave
+from galenareel._decisions.decisions import ProbeInstance
+from galenareel._decisions.decisions import RefuseJob
+from galenareel._decisions.decisions import ResumeWave
+from galenareel._decisions.decisions import ReturnInstance
+from galenareel._decisions.decisions import SkipMaintenance
+from galenareel._decisions.decisions import StartJob
+from galenareel._decisions.decisions import StartMaintenance
+from galenareel._decisions.decisions import StartWave
+from galenareel._decisions.decisions import StopJob
+from galenareel._decisions.decisions import StopWave
+from galenareel._decisions.decisions import ThrottleJob
+from galenareel._decisions.tables import Instance
+from galenareel._decisions.tables import Job
+from galenareel._decisions.tables import JobState
+from galenareel._decisions.tables import Lease
+from galenareel._decisions.tables import Load
+from galenareel._decisions.tables import Pool
+from galenareel._decisions.tables import Rack
+from galenareel._decisions.tables import Service
+from galenareel._decisions.tables import Tables
+from galenareel._decisions.tables import Team
+from galenareel._decisions.tables import Wave
+from galenareel._decisions.tables import Zone
+from galenareel._decisions.ticking import TICK_S
+
+REPORT_S = 1.0
+LOST_AFTER_S = 10.0
+OPERATOR_S = 120.0  # until somebody looks at a stopped wave
+PROBE_S = 0.5
+
+Policy = Callable[[Tables, float, Random], list[Decision]]
+
+STATES = {
+    'waiting': JobState.WAITING,
+    'standby': JobState.WAITING,
+    'running': JobState.RUNNING,
+    'throttled': JobState.THROTTLED,
+    'saving': JobState.CHECKPOINTING,
+    'parked': JobState.CHECKPOINTING,
+}
+WAVE_STATES = {
+    StartWave: WaveState.RUNNING,
+    PauseWave: WaveState.PAUSED,
+    ResumeWave: WaveState.RUNNING,
+    StopWave: WaveState.STOPPED,
+    FinishWave: WaveState.DONE,
+}
+
+
+class Control:
+    """One run of a policy over a trace."""
+
+    def __init__(
+        self, trace: Trace, policy: Policy, length: float = HOUR_S
+    ) -> None:
+        self.world = World(trace)
+        self.world.on_empty = self.drained
+        self.trace = trace
+        self.policy = policy
+        self.length = length
+        self.rng = Random(1)
+        self.tables = make_tables(trace)
+        self.log: list[tuple[float, Decision]] = []
+        self._schedule()
+
+    # --- outside events ---
+
+    def _schedule(self) -> None:
+        at = self.world.at
+        trace = self.trace
+        for spec in trace.jobs:
+            at(spec.at, self.submit, spec)
+        for fault in trace.faults:
+            at(fault.at, self.fault, fault)
+        for when, number in trace.cancels:
+            at(when, self.cancel, number)
+        at(WAVE_AT, self.declare_wave, 'wave-1')
+        at(SECOND_WAVE_AT, self.declare_wave, 'wave-2')
+        at(0.2, self.report)
+        at(TICK_S, self.tick)
+        at(0.0, self.world.look)
+        if trace.requests:
+            at(trace.requests[0][0], self._arrive, 0)
+
+    def _arrive(self, index: int) -> None:
+        requests = self.trace.requests
+        self.world.arrive(requests[index])
+        if index + 1 < len(requests):
+            self.world.at(requests[index + 1][0], self._arrive, index + 1)
+
+    def submit(self, spec: JobSpec) -> None:
+        self.world.submit(Task(spec))
+        self.tables.jobs[spec.name] = Job(
+            name=spec.name,
+            service=spec.service,
+            team=spec.team,
+            urgency=spec.urgency,
+            size=spec.size,
+            declared_s=spec.declared_s,
+            submitted_at=spec.at,
+            checkpointable=spec.checkpointable,
+        )
+
+    def cancel(self, number: int) -> None:
+        names = [
+            name
+            for name, task in self.world.tasks.items()
+            if task.state in ('waiting', 'standby', 'running')
+            and task.spec.run_s > 20.0
+        ]
+        for name in self.rng.sample(names, min(number, len(names))):
+            self.tables.jobs[name].state = JobState.CANCELLED
+            if name not in self.tables.leases:
+                self.world.stop(self.world.tasks[name], 'cancelled')
+
+    def declare_wave(self, name: str) -> None:
+        pools = self.trace.deployment.pools
+        self.tables.waves[name] = Wave(name=name, pools=pools)
+        self.world.ledger.wave_times[name] = [self.world.now]
+
+    def fault(self, fault: Fault) -> None:
+        world = self.world
+        for name in fault.instances:
+            worker = world.workers[name]
+            if worker.state == 'lost' or worker.bad:
+                continue
+            if fault.kind == 'bad':
+                worker.bad = True
+                worker.down_since = world.now
+            else:
+                world.lose(worker)
+            world.at(fault.until, self.repair, worker, worker.incarnation)
+        for pool in world.queues:
+            world.ledger.judge_loss(pool, world.now)
+        if fault.cause == 'zone':
+            zone = self.tables.zones[world.workers[fault.instances[0]].site.zone]
+            world.at(world.now + REPORT_S, self.reach, zone, False)
+            world.at(fault.until + REPORT_S, self.reach, zone, True)
+
+    def reach(self, zone: Zone, reachable: bool) -> None:
+        zone.reachable = reachable
+
+    def repair(self, worker: Worker, incarnation: int) -> None:
+        if worker.incarnation != incarnation:
+            return
+        worker.bad = False
+        if worker.state == 'lost':
+            row = self.tables.instances[worker.site.name]
+            row.suspect = False
+            self._serve(worker, row)
+
+    # --- reports ---
+
+    def report(self) -> None:
+        """Everything that the entries say, at most a second old."""
+        now = self.world.now
+        for name, worker in self.world.workers.items():
+            self._report_worker(worker, self.tables.instances[name])
+        for name, pool in self.tables.pools.items():
+            queue = self.world.queues[name]
+            pool.load = Load(
+                arrival_rate=self.world.arrived[name] / REPORT_S,
+                queued=len(queue),
+                oldest_wait_s=now - queue[0][0] if queue else 0.0,
+                service_s=2.0,
+                reported_at=now,
+            )
+            self.world.arrived[name] = 0
+        self._report_jobs()
+        self.world.at(now + REPORT_S, self.report)
+
+    def _report_worker(self, worker: Worker, row: Instance) -> None:
+        now = self.world.now
+        row.urgent_in_use = worker.urgent
+        row.work_left_s = 1.5 if worker.urgent else 0.0
+        row.finished += worker.finished
+        row.failed += worker.failed
+        worker.finished = worker.failed = 0
+        lost = worker.state == 'lost'
+        row.suspect = lost or worker.suspect_until > now
+        if lost and now - worker.down_since >= LOST_AFTER_S:
+            if row.phase is not Phase.LOST:
+                row.phase = Phase.LOST
+                row.phase_since = now
+                row.target_pool = ''
+
+    def _report_jobs(self) -> None:
+        tables = self.tables
+        for name, job in list(tables.jobs.items()):
+            task = self.world.tasks[name]
+            if task.failed_on:
+                job.failed_on = frozenset(task.failed_on)
+            waits = task.state == 'waiting' and job.state is JobState.WAITING
+            if waits and name not in tables.leases:
+                continue
+            if task.state in ('done', 'cancelled', 'refused'):
+                self._report_end(job, task)
+                continue
+            job.run_s = task.saved_s
+            if task.state == 'running':
+                job.run_s += self.world.now - task.since
+                job.used_slots = float(task.spec.size)
+            if job.state is not JobState.CANCELLED:
+                job.state = STATES[task.state]
+            lease = tables.leases.get(name)
+            if task.worker is None:
+                tables.leases.pop(name, None)
+            elif lease is not None:
+                lease.standby = task.state == 'standby'
+
+    def _report_end(self, job: Job, task: Task) -> None:
+        self.tables.leases.pop(job.name, None)
+        if job.state in (JobState.DONE, JobState.CANCELLED):
+            del self.tables.jobs[job.name]
+            del self.world.tasks[job.name]
+            return
+        job.run_s = task.saved_s
+        job.state = (
+            JobState.DONE if task.state == 'done' else JobState.CANCELLED
+        )
+
+    # --- decisions ---
+
+    def tick(self) -> None:
+        now = self.world.now
+        for decision in self.policy(self.tables, now, self.rng):
+            self.log.append((now, decision))
+            self.carry_out(decision)
+        for row in self.tables.instances.values():
+            row.finished = row.failed = 0
+        self.world.at(now + TICK_S, self.tick)
+
+    def carry_out(self, decision: Decision) -> None:
+        match decision:
+            case LendInstance() | StartMaintenance() | EjectInstance():
+                self._take(decision)
+            case SkipMaintenance() | FailMaintenance() | CancelMove():
+                self._give_up(decision)
+            case ProbeInstance():
+                self.world.at(
+                    self.world.now + PROBE_S, self._probed, decision.instance
+                )
+            case ReturnInstance():
+                worker = self.world.workers[decision.instance]
+                self._serve(worker, self.tables.instances[decision.instance])
+            case StartJob() | CheckpointJob() | ThrottleJob():
+                self._job(decision)
+            case StopJob():
+                self.world.stop(self.world.tasks[decision.job], 'cancelled')
+                self.tables.leases.pop(decision.job, None)
+            case RefuseJob():
+                self.world.stop(self.world.tasks[decision.job], 'refused')
+            case _:
+                self._wave(decision)
+
+    def _take(
+        self, decision: LendInstance | StartMaintenance | EjectInstance
+    ) -> None:
+        worker = self.world.workers[decision.instance]
+        row = self.tables.instances[decision.instance]
+        row.phase_since = self.world.now
+        row.epoch += 1
+        if worker.state != 'serving':
+            return
+        if isinstance(decision, LendInstance):
+            row.phase, row.target_pool = Phase.DRAINING, decision.target
+            worker.purpose = decision.target
+        elif isinstance(decision, StartMaintenance):
+            row.phase, row.wave = Phase.MAINTENANCE, decision.wave
+            row.maintenance_step = 'draining'
+            worker.purpose = decision.wave
+        else:
+            row.phase = Phase.EJECTED
+        worker.incarnation += not worker.bad and row.phase is not Phase.EJECTED
+        ejected = row.phase is Phase.EJECTED
+        self.world.set_state(worker, 'ejected' if ejected else 'draining')
+        if not (ejected and worker.bad):
+            what = f'{type(decision).__name__} of {decision.instance}'
+            self.world.ledger.judge_plan(worker.pool, self.world.now, what)
+        self.world.check_empty(worker)
+
+    def drained(self, worker: Worker) -> None:
+        """The home has reported that nothing is in flight."""
+        row = self.tables.instances[worker.site.name]
+        if worker.requests or worker.tasks:
+            self.world.cut_all(worker)
+        if row.phase is Phase.DRAINING:
+            self.world.ledger.moves += 1
+            self.world.touch(worker)
+            worker.pool = row.pool = row.target_pool
+            self._serve(worker, row, settled=True)
+        elif row.phase is Phase.MAINTENANCE:
+            row.maintenance_step = 'rebooting'
+            self.world.set_state(worker, 'booting')
+            ready = self.trace.reboot_s[worker.site.name] + BOOT_ANNOUNCE_S
+            self.world.at(
+                self.world.now + ready,
+                self._booted,
+                worker,
+                worker.incarnation,
+            )
+
+    def _booted(self, worker: Worker, incarnation: int) -> None:
+        if worker.state != 'booting' or worker.incarnation != incarnation:
+            return
+        row = self.tables.instances[worker.site.name]
+        wave = self.tables.waves[row.wave]
+        wave.done.add(row.name)
+        self.world.ledger.maintained.append((wave.name, row.name))
+        row.maintained_at = self.world.now
+        worker.bad = wave.name == 'wave-2' and row.name in self.trace.spoiled
+        self._serve(worker, row)
+
+    def _serve(
+        self, worker: Worker, row: Instance, *, settled: bool = False
+    ) -> None:
+        row.phase, row.target_pool = Phase.SERVING, ''
+        row.maintenance_step = ''
+        row.epoch += 1
+        row.phase_since = 0.0 if settled else self.world.now
+        worker.failed_row = 0
+        worker.suspect_until = 0.0
+        self.world.set_state(worker, 'serving')
+
+    def _give_up(
+        self, decision: SkipMaintenance | FailMaintenance | CancelMove
+    ) -> None:
+        worker = self.world.workers[decision.instance]
+        row = self.tables.instances[decision.instance]
+        if isinstance(decision, FailMaintenance):
+            wave = self.tables.waves[decision.wave]
+            wave.done.discard(row.name)
+            wave.failed.add(row.name)
+            return
+        if isinstance(decision, SkipMaintenance):
+            self.tables.waves[decision.wave].skipped.add(row.name)
+            row.wave = ''
+        if worker.state in ('draining', 'empty'):
+            worker.incarnation += 1
+            self._serve(worker, row, settled=True)
+
+    def _probed(self, name: str) -> None:
+        row, worker = self.tables.instances[name], self.world.workers[name]
+        if row.phase is Phase.EJECTED:
+            row.failed += worker.bad
+            row.finished += not worker.bad
+
+    def _job(self, decision: StartJob | CheckpointJob | ThrottleJob) -> None:
+        task = self.world.tasks[decision.job]
+        row = self.tables.jobs[decision.job]
+        if isinstance(decision, StartJob):
+            worker = self.world.workers[decision.instance]
+            self.world.grant(task, worker)
+        elif isinstance(decision, CheckpointJob):
+            self.world.checkpoint(task)
+        elif decision.share > 0:
+            self.world.unthrottle(task)
+        else:
+            self.world.throttle(task)
+        self.world.dispatch(task.spec.pool)
+        if task.worker is None:
+            self.tables.leases.pop(decision.job, None)
+        else:
+            self.tables.leases[decision.job] = Lease(
+                job=decision.job,
+                instance=task.worker.site.name,
+                since=self.world.now,
+                standby=task.state == 'standby',
+            )
+        if row.state is not JobState.CANCELLED and task.state in STATES:
+            row.state = STATES[task.state]
+
+    def _wave(self, decision: Decision) -> None:
+        assert isinstance(
+            decision, StartWave | PauseWave | ResumeWave | StopWave | FinishWave
+        )
+        wave = self.tables.waves[decision.wave]
+        wave.state = WAVE_STATES[type(decision)]
+        wave.reason = decision.reason
+        if isinstance(decision, FinishWave):
+            times = self.world.ledger.wave_times[wave.name]
+            times.append(self.world.now)
+        elif isinstance(decision, StopWave):
+            self.world.at(self.world.now + OPERATOR_S, self._retry, wave)
+
+    def _retry(self, wave: Wave) -> None:
+        """The operator has repaired the instances that failed."""
+        for name in wave.failed | set(self.trace.spoiled):
+            self.world.workers[name].bad = False
+        wave.acknowledged |= wave.failed
+        wave.state = WaveState.RUNNING
+
+    def run(self) -> dict[str, float | int]:
+        self.world.run_until(self.length)
+        for worker in self.world.workers.values():
+            self.world.touch(worker)
+            for task in worker.tasks.values():
+                if task.state == 'running':
+                    self.world.throttle(task)
+        for queue in self.world.queues.values():
+            for request in queue:
+                late = self.length - request[0]
+                if late > 8.7:
+                    self.world.ledger.started(request[0], self.length)
+        return self.world.ledger.results(self.length)
+
+
+def make_tables(trace: Trace) -> Tables:
+    """Rows of a deployment before anything has happened."""
+    deployment = trace.deployment
+    tables = Tables(weights=deployment.weights)
+    for site in trace.sites:
+        tables.instances[site.name] = Instance(
+            name=site.name,
+            zone=site.zone,
+            rack=site.rack,
+            pool=site.pool,
+            image=site.image,
+            maintained_at=float('-inf'),
+        )
+        tables.racks[site.rack] = Rack(name=site.rack, zone=site.zone)
+        tables.zones[site.zone] = Zone(name=site.zone)
+    for name in deployment.pools:
+        tables.pools[name] = Pool(
+            name=name,
+            min_available=MIN_AVAILABLE,
+            spare=name == deployment.spare,
+            survive_rack=True,
+        )
+        for service in (name, f'{name}-batch'):
+            tables.services[service] = Service(name=service, pool=name)
+    for team, slots in (
+        ('desk', 40),
+        ('archive', 100),
+        ('ledger', 100),
+        ('research', 60),
+    ):
+        tables.teams[team] = Team(name=team, slots=slots)
+    return tables
--- /dev/null
+++ b/src/galenareel/_decisions/admission.py
@@ -0,0 +1,178 @@
+"""Jobs that can never run, and what jobs of a service really take."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from galenareel._common.findings import Finding
+from galenareel._common.findings import Findings
+from galenareel._common.rows import Phase
+from galenareel._decisions.decisions import Decision
+from galenareel._decisions.decisions import RefuseJob
+from galenareel._decisions.decisions import StopJob
+from galenareel._decisions.memory import ServiceEstimate
+from galenareel._decisions.tables import JobState
+
+if TYPE_CHECKING:
+    from galenareel._decisions.census import Census
+    from galenareel._decisions.tables import Job
+
+# A job that failed on this many instances is at fault itself.
+FAILED_INSTANCES = 3
+# Weight of a new sample; the first samples count more.
+SLOWEST_WEIGHT = 0.1
+
+
+def admit(census: Census) -> list[Decision]:
+    """Refuse what can never run and end leases of cancelled jobs."""
+    _learn(census)
+    decisions: list[Decision] = []
+    largest = _largest_instances(census)
+    for job in census.tables.jobs.values():
+        if job.state is JobState.WAITING:
+            decisions += _refuse(census, job, largest)
+        elif job.state is JobState.CANCELLED:
+            decisions += _stop(census, job)
+    return decisions
+
+
+def _largest_instances(census: Census) -> dict[str, int]:
+    """Most slots of any instance of each pool, whatever its phase."""
+    largest: dict[str, int] = {}
+    for instance in census.tables.instances.values():
+        known = largest.get(instance.pool, 0)
+        largest[instance.pool] = max(known, instance.slots)
+    return largest
+
+
+def _refuse(
+    census: Census, job: Job, largest: dict[str, int]
+) -> list[Decision]:
+    memory = census.tables.memory
+    if job.name in memory.decided:
+        return []
+    if job.name in memory.admitted and not job.failed_on:
+        return []
+    found = findings_of(census, job, largest)
+    if not found:
+        memory.admitted.add(job.name)
+        return []
+    memory.decided[job.name] = census.now
+    reason = '; '.join(one.problem for one in found)
+    return [RefuseJob(job=job.name, findings=found, reason=reason)]
+
+
+def findings_of(
+    census: Census, job: Job, largest: dict[str, int]
+) -> tuple[Finding, ...]:
+    """Everything that keeps a job from ever running."""
+    found = Findings()
+    _check_size(census, job, largest, found)
+    _check_team(census, job, found)
+    sound = [name for name in job.failed_on if _is_sound(census, name)]
+    if len(sound) >= FAILED_INSTANCES:
+        found.add(
+            place=f'{job.name}.failures',
+            problem=f'it failed on {len(sound)} sound instances',
+            remedy='read the output of the job and submit it again',
+        )
+    return tuple(found.items)
+
+
+def _is_sound(census: Census, name: str) -> bool:
+    """Whether an instance serves without failing other work too."""
+    instance = census.tables.instances.get(name)
+    if instance is None or instance.phase is not Phase.SERVING:
+        return False
+    health = census.tables.memory.health.get(name)
+    return health is None or health.failed < max(health.finished, 1.0)
+
+
+def _check_size(
+    census: Census, job: Job, largest: dict[str, int], found: Findings
+) -> None:
+    service = census.tables.services.get(job.service)
+    if service is None:
+        found.add(
+            place=f'{job.name}.service',
+            problem=f'no service is called {job.service!r}',
+            remedy='name a service of the document in force',
+        )
+        return
+    slots = largest.get(service.pool, 0)
+    if slots and job.size > slots:
+        found.add(
+            place=f'{job.name}.size',
+            problem=(
+                f'it needs {job.size} slots and the largest instance '
+                f'of {service.pool} has {slots}'
+            ),
+            remedy=f'split it into parts of at most {slots} slots',
+        )
+
+
+def _check_team(census: Census, job: Job, found: Findings) -> None:
+    team = census.tables.teams.get(job.team)
+    if team is None:
+        found.add(
+            place=f'{job.name}.team',
+            problem=f'no team is called {job.team!r}',
+            remedy='name a team of the document in force',
+        )
+    elif job.size > team.slots:
+        found.add(
+            place=f'{job.name}.size',
+            problem=(
+                f'it needs {job.size} slots and the quota of '
+                f'{team.name} is {team.slots}'
+            ),
+            remedy='split it or ask for a larger quota',
+        )
+
+
+def _stop(census: Census, job: Job) -> list[Decision]:
+    lease = census.tables.leases.get(job.name)
+    decided = census.tables.memory.decided
+    if lease is None or job.name in decided:
+        return []
+    decided[job.name] = census.now
+    return [
+        StopJob(
+            job=job.name,
+            instance=lease.instance,
+            reason='it was cancelled',
+        )
+    ]
+
+
+def _learn(census: Census) -> None:
+    memory = census.tables.memory
+    jobs = census.tables.jobs
+    memory.learned.intersection_update(jobs)
+    memory.admitted.intersection_update(jobs)
+    for job in jobs.values():
+        if job.state is JobState.DONE and job.name not in memory.learned:
+            memory.learned.add(job.name)
+            known = memory.services.setdefault(job.service, ServiceEstimate())
+            _learn_job(known, job)
+
+
+def _learn_job(known: ServiceEstimate, job: Job) -> None:
+    known.samples += 1
+    weight = max(1.0 / known.samples, SLOWEST_WEIGHT)
+    ratio = job.run_s / max(job.declared_s, 0.1)
+    known.time_ratio += weight * (ratio - known.time_ratio)
+    if job.used_slots > 0:
+        ratio = job.used_slots / max(job.size, 1)
+        known.size_ratio += weight * (ratio - known.size_ratio)
+
+
+def learned_size(census: Census, job: Job) -> int:
+    """Slots to reserve for a job; never more than it declared twice over."""
+    known = census.tables.memory.services.get(job.service)
+    if job.used_slots > 0:
+        return max(math.ceil(job.used_slots), 1)
+    ratio = known.size_ratio if known is not None else 1.0
+    size = math.ceil(job.size * min(max(ratio, 0.5), 2.0) - 0.25)
+    return max(size, 1)
--- /dev/null
+++ b/src/galenareel/_decisions/buffer.py
@@ -0,0 +1,159 @@
+"""Deferrable work as the buffer for peaks: its slots are taken and given.
+
+Throttling and checkpoints cost no move, so they come before lending has any
+effect. A throttled job leaves its slot at once but keeps its memory, so an
+instance holds only a few of them; the others are checkpointed.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from galenareel._common.rows import Phase
+from galenareel._decisions.decisions import CheckpointJob
+from galenareel._decisions.decisions import Decision
+from galenareel._decisions.decisions import ThrottleJob
+from galenareel._decisions.tables import JobState
+from galenareel._document.model import Urgency
+
+if TYPE_CHECKING:
+    from galenareel._decisions.census import Census
+    from galenareel._decisions.tables import Instance
+    from galenareel._decisions.tables import Job
+    from galenareel._decisions.tables import Lease
+    from galenareel._decisions.tables import Pool
+
+# Backlog is worked off within this time on top of the offered load.
+CATCH_UP_S = 4.0
+# Shorter waits pass by themselves as urgent requests end.
+PRESSURE_WAIT_S = 1.0
+
+
+def make_room(census: Census) -> list[Decision]:
+    """Give urgent work the slots of deferrable jobs, or give them back."""
+    decisions: list[Decision] = []
+    for pool in census.tables.pools.values():
+        if _under_pressure(census, pool):
+            decisions += _free_slots(census, pool)
+        elif not pool.load.queued:
+            decisions += _give_back(census, pool)
+    return decisions
+
+
+def _under_pressure(census: Census, pool: Pool) -> bool:
+    estimate = census.tables.memory.peaks[pool.name]
+    load = pool.load
+    return estimate.peak or (
+        load.queued > 0 and load.oldest_wait_s >= PRESSURE_WAIT_S
+    )
+
+
+def wanted_slots(census: Census, pool: Pool) -> float:
+    """Slots that urgent work should have now."""
+    estimate = census.tables.memory.peaks[pool.name]
+    backlog = pool.load.queued * pool.load.service_s
+    return estimate.offered + backlog / CATCH_UP_S
+
+
+def _free_slots(census: Census, pool: Pool) -> list[Decision]:
+    instances = _instances(census, pool)
+    running = [
+        (instance, lease, job)
+        for instance in instances
+        for lease, job in jobs_on(census, instance, JobState.RUNNING)
+        if job.urgency is Urgency.DEFERRABLE
+    ]
+    total = sum(one.slots for one in instances)
+    held = sum(job.size for _, _, job in running)
+    excess = held - (total - wanted_slots(census, pool))
+    running.sort(key=lambda one: (one[2].run_s, one[2].name))
+    decisions: list[Decision] = []
+    room = {one.name: _throttle_room(census, one) for one in instances}
+    for instance, lease, job in running:
+        if excess <= 0:
+            break
+        decision = _yield_slot(census, instance, lease, job, room)
+        if decision is not None:
+            decisions.append(decision)
+            excess -= job.size
+    return decisions
+
+
+def _yield_slot(
+    census: Census,
+    instance: Instance,
+    lease: Lease,
+    job: Job,
+    room: dict[str, int],
+) -> Decision | None:
+    decided = census.tables.memory.decided
+    if job.name in decided:
+        return None
+    reason = f'urgent work of {instance.pool} needs the slot'
+    if room[instance.name] > 0:
+        room[instance.name] -= 1
+        decided[job.name] = census.now
+        return ThrottleJob(
+            job=job.name, instance=instance.name, share=0.0, reason=reason
+        )
+    if not job.checkpointable:
+        return None
+    decided[job.name] = census.now
+    return CheckpointJob(job=job.name, instance=instance.name, reason=reason)
+
+
+def _throttle_room(census: Census, instance: Instance) -> int:
+    throttled = sum(1 for _ in jobs_on(census, instance, JobState.THROTTLED))
+    return instance.throttle_room - throttled
+
+
+def _give_back(census: Census, pool: Pool) -> list[Decision]:
+    decisions: list[Decision] = []
+    decided = census.tables.memory.decided
+    for instance in _instances(census, pool):
+        free = free_slots(census, instance)
+        for _, job in jobs_on(census, instance, JobState.THROTTLED):
+            if free < job.size or job.name in decided:
+                continue
+            free -= job.size
+            decided[job.name] = census.now
+            decisions.append(
+                ThrottleJob(
+                    job=job.name,
+                    instance=instance.name,
+                    share=1.0,
+                    reason=f'no urgent work of {pool.name} waits',
+                )
+            )
+    return decisions
+
+
+def _instances(census: Census, pool: Pool) -> list[Instance]:
+    return [
+        one
+        for one in census.budgets[pool.name].serving
+        if one.name not in census.taken and one.phase is Phase.SERVING
+    ]
+
+
+def jobs_on(
+    census: Census, instance: Instance, state: JobState
+) -> list[tuple[Lease, Job]]:
+    """Leases and jobs of an instance whose job is in a state."""
+    jobs = census.tables.jobs
+    return [
+        (lease, jobs[lease.job])
+        for lease in census.leases.get(instance.name, ())
+        if not lease.standby
+        and lease.job in jobs
+        and jobs[lease.job].state is state
+    ]
+
+
+def free_slots(census: Census, instance: Instance) -> int:
+    held = sum(
+        job.size
+        for state in (JobState.RUNNING, JobState.CHECKPOINTING)
+        for _, job in jobs_on(census, instance, state)
+    )
+    return instance.slots - instance.urgent_in_use - held
--- a/src/galenareel/_decisions/census.py
+++ b/src/galenareel/_decisions/census.py
@@ -94,6 +94,7 @@
         limit = self.now - DECISION_HOLD_S
         for key in [key for key, at in decided.items() if at <= limit]:
             del decided[key]
+            self.tables.memory.moving.pop(key, None)
 
     def _count_instances(self) -> None:
         decided = self.tables.memory.decided
@@ -103,16 +104,25 @@
                 if target is not None:
                     target.inbound += 1
                 continue
+            if instance.name in decided:
+                self._count_decided(instance)
+                continue
             budget = self.budgets.get(instance.pool)
             if budget is None or instance.phase is not Phase.SERVING:
                 continue
-            if instance.name in decided or not self.is_up(instance):
+            if not self.is_up(instance):
                 continue
             budget.serving.append(instance)
             budget.slots += instance.slots
             if self.is_settled(instance):
                 budget.add(instance)
 
+    def _count_decided(self, instance: Instance) -> None:
+        """A move that the rows don't show yet is on its way all the same."""
+        target = self.tables.memory.moving.get(instance.name, '')
+        if target in self.budgets and instance.pool != target:
+            self.budgets[target].inbound += 1
+
     def is_up(self, instance: Instance) -> bool:
         """Whether its zone is reachable and its home gives it work."""
         zone = self.tables.zones.get(instance.zone)
@@ -152,6 +162,7 @@
             budget.racks[instance.rack] -= 1
         if target:
             self.budgets[target].inbound += 1
+            self.tables.memory.moving[instance.name] = target
         budget.slots -= instance.slots
         self.taken.add(instance.name)
         self.tables.memory.decided[instance.name] = self.now
--- a/src/galenareel/_decisions/lending.py
+++ b/src/galenareel/_decisions/lending.py
@@ -32,7 +32,7 @@
     needs = needs_of_pools(census)
     decisions: list[Decision] = []
     for target in _targets(census, needs):
-        short = _shortage(census, needs, target)
+        short = shortage(census, needs, target)
         for _ in range(short):
             instance = _choose(census, needs, target)
             if instance is None:
@@ -50,23 +50,24 @@
     return needs
 
 
-def _shortage(census: Census, needs: dict[str, Need], pool: str) -> int:
-    needed = max(needs[pool].instances, floor_of(census, pool))
-    return needed - census.holding(pool)
+def shortage(census: Census, needs: dict[str, Need], pool: str) -> int:
+    """Instances that a pool lacks; negative if it can spare some."""
+    lack = needs[pool].instances - census.holding(pool)
+    return max(lack, 1) if budget_is_broken(census, pool) else lack
 
 
-def floor_of(census: Census, pool: str) -> int:
-    """Instances that the budget needs before anything may be planned."""
+def budget_is_broken(census: Census, pool: str) -> bool:
+    """Whether failures have left less than the budget needs."""
     budget = census.budgets[pool]
-    floor = budget.pool.min_available
+    left = budget.available + budget.inbound
     if budget.pool.survive_rack:
-        floor += budget.largest_rack()
-    return floor
+        left -= budget.largest_rack()
+    return left < budget.pool.min_available
 
 
 def _targets(census: Census, needs: dict[str, Need]) -> list[str]:
     """Pools that lack instances; the spare pool takes back last."""
-    short = [name for name in needs if _shortage(census, needs, name) > 0]
+    short = [name for name in needs if shortage(census, needs, name) > 0]
     pools = census.tables.pools
     return sorted(
         short,
@@ -85,7 +86,7 @@
     donors = [
         name
         for name in needs
-        if name != target and _shortage(census, needs, name) < 0
+        if name != target and shortage(census, needs, name) < 0
     ]
     donors.sort(key=lambda name: _donor_rank(census, needs, name))
     for donor in donors:
--- a/src/galenareel/_decisions/memory.py
+++ b/src/galenareel/_decisions/memory.py
@@ -34,6 +34,7 @@
     failed: float = 0.0
     probes_passed: int = 0
     next_probe: float = 0.0
+    seen_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -50,14 +51,21 @@
     """All estimates, and the decisions that the rows don't show yet.
 
     :param decided: instance or job to the time of its last decision.
+    :param moving: decided moves, instance to pool, while in ``decided``.
     :param learned: finished jobs that have been counted.
+    :param admitted: waiting jobs without findings.
     :param waiting: why each job did not start in the latest tick.
+    :param short_since: since when a pool has lacked instances.
+    :param wave_waits: why each wave started nothing in the latest tick.
     """
 
     peaks: dict[str, PeakEstimate] = field(default_factory=dict)
     health: dict[str, HealthEstimate] = field(default_factory=dict)
     services: dict[str, ServiceEstimate] = field(default_factory=dict)
     decided: dict[str, float] = field(default_factory=dict)
+    moving: dict[str, str] = field(default_factory=dict)
     learned: set[str] = field(default_factory=set)
+    admitted: set[str] = field(default_factory=set)
     waiting: dict[str, str] = field(default_factory=dict)
+    short_since: float | None = None
     wave_waits: dict[str, str] = field(default_factory=dict)
--- a/src/galenareel/_decisions/tables.py
+++ b/src/galenareel/_decisions/tables.py
@@ -72,6 +72,8 @@
     :param failed: requests failed since the previous tick, and while ejected
         failed probes; ``finished`` then counts probes that succeeded.
     :param suspect: its home has stopped giving it work for its failures.
+    :param maintained_at: when its last maintenance ended, on the tick's
+        clock; ``-inf`` or a time long ago if unknown.
     :param wave: the last wave that has maintained it, or maintains it now.
     :param throttle_room: jobs that its memory can hold without a slot.
     """
@@ -185,7 +187,6 @@
     """The right of one job to run on one instance.
 
     :param standby: the home starts the job as soon as a slot is free and no
-        urgent request waits; it holds no slot until then.
     """
 
     job: str
--- a/src/galenareel/_decisions/ticking.py
+++ b/src/galenareel/_decisions/ticking.py
@@ -5,9 +5,14 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from galenareel._decisions.admission import admit
+from galenareel._decisions.buffer import make_room
 from galenareel._decisions.census import Census
 from galenareel._decisions.demand import observe
+from galenareel._decisions.ejection import eject
 from galenareel._decisions.lending import lend
+from galenareel._decisions.placement import place
+from galenareel._decisions.waves import run_waves
 
 if TYPE_CHECKING:
     from galenareel._decisions.decisions import Decision
@@ -28,6 +33,6 @@
     observe(tables, now)
     census = Census(tables, now)
     decisions: list[Decision] = []
-    for system in (lend,):
+    for system in (admit, eject, lend, make_room, run_waves):
         decisions += system(census)
-    return decisions
+    return decisions + place(census, rng)
--- /dev/null
+++ b/src/galenareel/_decisions/waves.py
@@ -0,0 +1,212 @@
+"""Maintenance waves: every instance once, in widening batches.
+
+Progress is in the rows only (``Wave.done``, ``Wave.failed``, the phases), so
+a new leader goes on where the last one stopped.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from galenareel._common.rows import Phase
+from galenareel._common.rows import WaveState
+from galenareel._decisions.decisions import Decision
+from galenareel._decisions.decisions import FinishWave
+from galenareel._decisions.decisions import PauseWave
+from galenareel._decisions.decisions import ResumeWave
+from galenareel._decisions.decisions import StartMaintenance
+from galenareel._decisions.decisions import StartWave
+from galenareel._decisions.decisions import StopWave
+from galenareel._decisions.drains import drain_s
+from galenareel._decisions.drains import empty_instance
+from galenareel._decisions.lending import needs_of_pools
+from galenareel._decisions.lending import shortage
+from galenareel._decisions.wave_failures import correlated
+from galenareel._decisions.wave_failures import end_overdue
+from galenareel._decisions.wave_failures import report_failures
+
+if TYPE_CHECKING:
+    from galenareel._decisions.census import Census
+    from galenareel._decisions.demand import Need
+    from galenareel._decisions.tables import Instance
+    from galenareel._decisions.tables import Wave
+
+# A shortage shorter than this ends with the moves that are on their way.
+PAUSE_AFTER_S = 2.0
+# An instance lost for longer than this no longer keeps a wave open.
+LOST_S = 600.0
+
+
+def run_waves(census: Census) -> list[Decision]:
+    """Advance every wave of the document."""
+    needs = needs_of_pools(census)
+    short = _shortage_persists(census, needs)
+    census.tables.memory.wave_waits.clear()
+    decisions: list[Decision] = []
+    busy: set[str] = set()
+    for wave in sorted(census.tables.waves.values(), key=_rank):
+        if wave.state in (WaveState.DONE, WaveState.STOPPED):
+            continue
+        if busy.intersection(wave.pools):
+            _wait(census, wave, 'another wave runs in its pools')
+            continue
+        busy.update(wave.pools)
+        decisions += _advance(census, wave, needs, short)
+    return decisions
+
+
+def _rank(wave: Wave) -> tuple[bool, str]:
+    return (wave.state is WaveState.WAITING, wave.name)
+
+
+def _wait(census: Census, wave: Wave, reason: str) -> None:
+    census.tables.memory.wave_waits[wave.name] = reason
+
+
+def _shortage_persists(census: Census, needs: dict[str, Need]) -> str:
+    """The pool that has lacked instances for a while, or empty."""
+    memory = census.tables.memory
+    short = [name for name in needs if shortage(census, needs, name) > 0]
+    if not short:
+        memory.short_since = None
+        return ''
+    if memory.short_since is None:
+        memory.short_since = census.now
+    lasting = census.now - memory.short_since >= PAUSE_AFTER_S
+    return short[0] if lasting else ''
+
+
+def _advance(
+    census: Census, wave: Wave, needs: dict[str, Need], short: str
+) -> list[Decision]:
+    if wave.state is WaveState.WAITING:
+        return [StartWave(wave=wave.name, reason='its pools are free')]
+    decisions: list[Decision] = []
+    decisions += end_overdue(census, wave)
+    decisions += report_failures(census, wave)
+    reason = correlated(census, wave)
+    if reason:
+        _wait(census, wave, reason)
+        return [*decisions, StopWave(wave=wave.name, reason=reason)]
+    if wave.state is WaveState.PAUSED:
+        if short:
+            _wait(census, wave, f'{short} is at its peak and lacks instances')
+            return decisions
+        resume = ResumeWave(wave=wave.name, reason='no pool lacks instances')
+        return [*decisions, resume]
+    if short:
+        reason = f'{short} is at its peak and lacks instances'
+        _wait(census, wave, reason)
+        return [*decisions, PauseWave(wave=wave.name, reason=reason)]
+    return decisions + _start_batch(census, wave, needs)
+
+
+def batch_end(wave: Wave, visited: int) -> tuple[int, int]:
+    """Size of the current batch and the count of visits at its end."""
+    size = max(wave.first_batch, 1)
+    end = size
+    while end <= visited:
+        size = min(size * 2, max(wave.max_batch, 1))
+        end += size
+    return size, end
+
+
+def _start_batch(
+    census: Census, wave: Wave, needs: dict[str, Need]
+) -> list[Decision]:
+    members = _members(census, wave)
+    unvisited = [one for one in members if not _touched(wave, one)]
+    running = sum(1 for one in members if _in_progress(wave, one))
+    if not unvisited and not running:
+        reason = (
+            f'{len(wave.done)} maintained, {len(wave.failed)} failed: '
+            f'{", ".join(sorted(wave.failed)) or "none"}'
+        )
+        return [FinishWave(wave=wave.name, reason=reason)]
+    visited = len(wave.done) + len(wave.failed)
+    size, end = batch_end(wave, visited)
+    decisions: list[Decision] = []
+    unvisited.sort(key=lambda one: _visit_rank(census, wave, one))
+    for instance in unvisited:
+        if visited + running >= end:
+            break
+        started = _start_one(census, wave, instance, needs, size)
+        running += bool(started)
+        decisions += started
+    return decisions
+
+
+def _members(census: Census, wave: Wave) -> list[Instance]:
+    """Instances that are in its pools or on their way to one."""
+    return [
+        one
+        for one in census.tables.instances.values()
+        if (one.pool in wave.pools or one.target_pool in wave.pools)
+        and one.phase is not Phase.LEFT
+        and not _gone(census, one)
+    ]
+
+
+def _gone(census: Census, instance: Instance) -> bool:
+    lost = instance.phase is Phase.LOST
+    return lost and census.now - instance.phase_since > LOST_S
+
+
+def _touched(wave: Wave, instance: Instance) -> bool:
+    visited = instance.name in wave.done or instance.name in wave.failed
+    return visited or _in_progress(wave, instance)
+
+
+def _in_progress(wave: Wave, instance: Instance) -> bool:
+    maintained = instance.phase is Phase.MAINTENANCE
+    visited = instance.name in wave.done or instance.name in wave.failed
+    return maintained and instance.wave == wave.name and not visited
+
+
+def _visit_rank(
+    census: Census, wave: Wave, instance: Instance
+) -> tuple[bool, float, str]:
+    return (
+        instance.name in wave.skipped,
+        drain_s(census, instance),
+        instance.name,
+    )
+
+
+def _start_one(
+    census: Census,
+    wave: Wave,
+    instance: Instance,
+    needs: dict[str, Need],
+    size: int,
+) -> list[Decision]:
+    refusal = _refusal(census, instance, needs)
+    if refusal:
+        _wait(census, wave, refusal)
+        return []
+    wait = drain_s(census, instance)
+    decision = StartMaintenance(
+        instance=instance.name,
+        epoch=instance.epoch,
+        wave=wave.name,
+        batch=size,
+        reason=(
+            f'{wave.name} has not maintained it; {instance.pool} can '
+            f'spare it and it is free in about {wait:.1f} s'
+        ),
+    )
+    stops = empty_instance(census, instance, wave.name)
+    census.take(instance)
+    return [decision, *stops]
+
+
+def _refusal(
+    census: Census, instance: Instance, needs: dict[str, Need]
+) -> str:
+    if instance.phase is not Phase.SERVING:
+        return f'{instance.name} is {instance.phase}'
+    if needs[instance.pool].peak:
+        return f'{instance.pool} is at its peak'
+    if shortage(census, needs, instance.pool) >= 0:
+        return f'{instance.pool} needs all its instances'
+    return census.refusal(instance)
