--- a/experiment/control.py
+++ b/experiment/control.py
@@ -14,7 +14,7 @@
 from experiment.trace import SECOND_WAVE_AT
 from experiment.trace import Trace
 from experiment.trace import WAVE_AT
-from experiment.world import BOOT_ANNOUNCE_S
+from experiment.trace import BOOT_ANNOUNCE_S
 from experiment.world import World
 from galenareel._common.rows import Phase
 from galenareel._common.rows import WaveState
@@ -37,6 +37,7 @@
 from galenareel._decisions.decisions import StopJob
 from galenareel._decisions.decisions import StopWave
 from galenareel._decisions.decisions import ThrottleJob
+from galenareel._decisions.decisions import WithdrawJob
 from galenareel._decisions.tables import Instance
 from galenareel._decisions.tables import Job
 from galenareel._decisions.tables import JobState
@@ -271,7 +272,7 @@
             case ReturnInstance():
                 worker = self.world.workers[decision.instance]
                 self._serve(worker, self.tables.instances[decision.instance])
-            case StartJob() | CheckpointJob() | ThrottleJob():
+            case StartJob() | CheckpointJob() | ThrottleJob() | WithdrawJob():
                 self._job(decision)
             case StopJob():
                 self.world.stop(self.world.tasks[decision.job], 'cancelled')
@@ -373,7 +374,9 @@
             row.failed += worker.bad
             row.finished += not worker.bad
 
-    def _job(self, decision: StartJob | CheckpointJob | ThrottleJob) -> None:
+    def _job(
+        self, decision: StartJob | CheckpointJob | ThrottleJob | WithdrawJob
+    ) -> None:
         task = self.world.tasks[decision.job]
         row = self.tables.jobs[decision.job]
         if isinstance(decision, StartJob):
@@ -381,6 +384,8 @@
             self.world.grant(task, worker)
         elif isinstance(decision, CheckpointJob):
             self.world.checkpoint(task)
+        elif isinstance(decision, WithdrawJob):
+            self.world.withdraw(task)
         elif decision.share > 0:
             self.world.unthrottle(task)
         else:
--- a/experiment/policies.py
+++ b/experiment/policies.py
@@ -11,6 +11,7 @@
 from galenareel._decisions.decisions import Decision
 from galenareel._decisions.decisions import LendInstance
 from galenareel._decisions.demand import observe
+from galenareel._decisions.drains import continue_drains
 from galenareel._decisions.drains import drain_s
 from galenareel._decisions.drains import empty_instance
 from galenareel._decisions.ejection import eject
@@ -31,7 +32,8 @@
     """Fixed pools; jobs, ejection and waves as in galenareel."""
     observe(tables, now)
     census = Census(tables, now)
-    decisions = admit(census) + eject(census) + make_room(census)
+    decisions = admit(census) + continue_drains(census) + eject(census)
+    decisions += make_room(census)
     return decisions + run_waves(census) + place(census, rng)
 
 
@@ -39,7 +41,7 @@
     """Moves an instance on any imbalance and home again afterwards."""
     observe(tables, now)
     census = Census(tables, now)
-    decisions = admit(census) + eject(census)
+    decisions = admit(census) + continue_drains(census) + eject(census)
     decisions += _balance(census) + make_room(census)
     return decisions + run_waves(census) + place(census, rng)
 
--- a/experiment/trace.py
+++ b/experiment/trace.py
@@ -16,6 +16,7 @@
 URGENT_START_S = 8.7
 CHECKPOINT_S = 2.0
 HANDOVER_S = 0.7  # half a report interval and a commit
+BOOT_ANNOUNCE_S = 1.0
 THROTTLE_ROOM = 2
 SERVICE_S = (1.0, 3.0)  # run time of an urgent request
 PEAK_S = (20.0, 40.0)
--- a/src/galenareel/_decisions/decisions.py
+++ b/src/galenareel/_decisions/decisions.py
@@ -152,6 +152,15 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WithdrawJob:
+    """Take back a lease that stands by; no effect once its job runs."""
+
+    job: str
+    instance: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ThrottleJob:
     """Change a job's share of the processor.
@@ -200,6 +209,7 @@
     | StartJob
     | CheckpointJob
     | ThrottleJob
+    | WithdrawJob
     | StopJob
     | RefuseJob
 )
--- a/src/galenareel/_decisions/demand.py
+++ b/src/galenareel/_decisions/demand.py
@@ -16,7 +16,10 @@
     from galenareel._decisions.tables import Pool
     from galenareel._decisions.tables import Tables
 
-URGENT_START_S = 8.7  # urgent work must start within this time
+# Urgent work must start within 8.7 s; lag and errors of the estimate need
+# the difference.
+LONGEST_WAIT_S = 8.0
+SHORTEST_WAIT_S = 5.0
 REPORT_LAG_S = 1.0
 # A peak is 100 times the demand between peaks; a third of that with at least
 # an instance's worth of work keeps noise out and sees the first half second.
@@ -25,6 +28,8 @@
 FIRST_MEAN_S = 20.0  # until a pool's first whole peak has been seen
 SHORTEST_REST_S = 4.0  # a peak that outlasts its mean goes on this long
 SMOOTHING = 0.3
+# Arrivals in one second vary by a seventh at 50 a second.
+SLOWEST_WEIGHT = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,23 +53,27 @@
 
 def _observe_load(estimate: PeakEstimate, pool: Pool, now: float) -> None:
     offered = pool.load.arrival_rate * pool.load.service_s
-    if estimate.peak:
-        over = offered < estimate.offered / 2
-        if over:
-            _end_peak(estimate, now)
-        estimate.offered = (
-            offered
-            if over
-            else max(offered, estimate.offered * 0.8 + offered * 0.2)
-        )
-        return
-    threshold = max(PEAK_SLOTS, PEAK_RATIO * estimate.quiet)
-    estimate.offered = offered
-    if offered > threshold:
-        estimate.peak = True
-        estimate.since = now
-        return
-    estimate.quiet += SMOOTHING * (offered - estimate.quiet)
+    if not estimate.peak:
+        threshold = max(PEAK_SLOTS, PEAK_RATIO * estimate.quiet)
+        estimate.offered = offered
+        if offered > threshold:
+            estimate.peak = True
+            estimate.since = now
+            estimate.samples = 0
+            return
+        estimate.quiet += SMOOTHING * (offered - estimate.quiet)
+    elif offered < estimate.offered / 2:
+        estimate.offered = offered
+        _end_peak(estimate, now)
+    else:
+        _average(estimate, offered)
+
+
+def _average(estimate: PeakEstimate, offered: float) -> None:
+    """The first report of a peak covers only a part of a second."""
+    estimate.samples += 1
+    weight = max(1.0 / estimate.samples, SLOWEST_WEIGHT)
+    estimate.offered += weight * (offered - estimate.offered)
 
 
 def _end_peak(estimate: PeakEstimate, now: float) -> None:
@@ -84,17 +93,16 @@
     weights = tables.weights
     total = weights.buffer_cost + weights.moves
     share = weights.moves / total if total > 0 else 0.5
-    return 4.0 + 2.0 * share
+    return SHORTEST_WAIT_S + (LONGEST_WAIT_S - SHORTEST_WAIT_S) * share
 
 
 def need_of(tables: Tables, pool: Pool, now: float, slots: float) -> Need:
     """:param slots: slots of one instance of the pool."""
     estimate = tables.memory.peaks[pool.name]
     backlog = pool.load.queued * pool.load.service_s
-    rest = rest_of_peak(estimate, now) if estimate.peak else 2.0
-    target = wait_target(tables)
+    rest = rest_of_peak(estimate, now) if estimate.peak else 0.0
     work = backlog + estimate.offered * (rest + REPORT_LAG_S)
-    count = math.ceil(work / (slots * (rest + target)))
+    count = math.ceil(work / (slots * (rest + wait_target(tables))))
     reason = (
         f'{pool.name} needs {count} for {estimate.offered:.0f} slots of '
         f'urgent work and {pool.load.queued} waiting'
--- a/src/galenareel/_decisions/drains.py
+++ b/src/galenareel/_decisions/drains.py
@@ -4,7 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from galenareel._common.rows import Phase
+from galenareel._decisions.decisions import CancelMove
 from galenareel._decisions.decisions import CheckpointJob
+from galenareel._decisions.decisions import Decision
+from galenareel._decisions.decisions import WithdrawJob
 from galenareel._decisions.tables import JobState
 
 if TYPE_CHECKING:
@@ -13,6 +17,8 @@
     from galenareel._decisions.tables import Job
 
 CHECKPOINT_S = 2.0  # usual time to save a job
+# A move that takes longer than a peak is of no use to the pool that asked.
+LONGEST_MOVE_S = 30.0
 
 
 def drain_s(census: Census, instance: Instance) -> float:
@@ -41,24 +47,59 @@
 
 def empty_instance(
     census: Census, instance: Instance, purpose: str
-) -> list[CheckpointJob]:
+) -> list[Decision]:
     """Checkpoint what can be saved; the rest is waited for."""
-    decisions = []
+    decisions: list[Decision] = []
     decided = census.tables.memory.decided
+    reason = f'{instance.name} drains for {purpose}'
     for lease in census.leases.get(instance.name, ()):
         job = census.tables.jobs.get(lease.job)
         if job is None or lease.job in decided:
             continue
         if job.state is JobState.CHECKPOINTING:
             continue
-        if not lease.standby and not job.checkpointable:
+        # The home may have started a job since it was reported as standing
+        # by, so one that can't be saved is only withdrawn.
+        if not job.checkpointable and not lease.standby:
             continue
+        kind = CheckpointJob if job.checkpointable else WithdrawJob
         decided[lease.job] = census.now
         decisions.append(
-            CheckpointJob(
-                job=lease.job,
-                instance=instance.name,
-                reason=f'{instance.name} drains for {purpose}',
-            )
+            kind(job=lease.job, instance=instance.name, reason=reason)
         )
     return decisions
+
+
+def continue_drains(census: Census) -> list[Decision]:
+    """Empty what still drains, and end moves that take too long.
+
+    A job that was granted in the tick before a drain shows up only now, and
+    a new leader finds drains that another one began.
+    """
+    decisions: list[Decision] = []
+    for instance in census.tables.instances.values():
+        if instance.phase is Phase.DRAINING:
+            if census.now - instance.phase_since > LONGEST_MOVE_S:
+                decisions += _cancel(census, instance)
+                continue
+        elif instance.phase is Phase.MAINTENANCE:
+            if instance.maintenance_step != 'draining':
+                continue
+        elif instance.phase is not Phase.EJECTED:
+            continue
+        decisions += empty_instance(census, instance, instance.phase)
+    return decisions
+
+
+def _cancel(census: Census, instance: Instance) -> list[Decision]:
+    decided = census.tables.memory.decided
+    if instance.name in decided:
+        return []
+    decided[instance.name] = census.now
+    return [
+        CancelMove(
+            instance=instance.name,
+            epoch=instance.epoch,
+            reason=f'its drain has taken more than {LONGEST_MOVE_S:.0f} s',
+        )
+    ]
--- a/src/galenareel/_decisions/lending.py
+++ b/src/galenareel/_decisions/lending.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING
 
 from galenareel._common.rows import Phase
-from galenareel._decisions.decisions import CheckpointJob
 from galenareel._decisions.decisions import Decision
 from galenareel._decisions.decisions import LendInstance
 from galenareel._decisions.demand import need_of
@@ -82,11 +81,18 @@
 def _choose(
     census: Census, needs: dict[str, Need], target: str
 ) -> Instance | None:
-    """Instance that can be spared and is free soonest."""
+    """Instance that can be spared and is free soonest.
+
+    A pool that failures have left below its budget comes before the peak of
+    another one.
+    """
+    broken = budget_is_broken(census, target)
     donors = [
         name
         for name in needs
-        if name != target and shortage(census, needs, name) < 0
+        if name != target
+        and (broken or shortage(census, needs, name) < 0)
+        and not budget_is_broken(census, name)
     ]
     donors.sort(key=lambda name: _donor_rank(census, needs, name))
     for donor in donors:
@@ -138,6 +144,6 @@
             f'free in about {wait:.1f} s'
         ),
     )
-    stops: list[CheckpointJob] = empty_instance(census, instance, target)
+    stops = empty_instance(census, instance, target)
     census.take(instance, target=target)
     return [move, *stops]
--- a/src/galenareel/_decisions/memory.py
+++ b/src/galenareel/_decisions/memory.py
@@ -21,6 +21,7 @@
     quiet: float = 0.0  # smoothed ``offered`` outside peaks
     peak: bool = False
     since: float = 0.0
+    samples: int = 0  # whole reports since then
     ended_at: float = 0.0
     mean_s: float = 0.0
     seen_at: float = -1.0  # time of the last report used
--- a/src/galenareel/_decisions/ticking.py
+++ b/src/galenareel/_decisions/ticking.py
@@ -9,6 +9,7 @@
 from galenareel._decisions.buffer import make_room
 from galenareel._decisions.census import Census
 from galenareel._decisions.demand import observe
+from galenareel._decisions.drains import continue_drains
 from galenareel._decisions.ejection import eject
 from galenareel._decisions.lending import lend
 from galenareel._decisions.placement import place
@@ -33,6 +34,13 @@
     observe(tables, now)
     census = Census(tables, now)
     decisions: list[Decision] = []
-    for system in (admit, eject, lend, make_room, run_waves):
+    for system in (
+        admit,
+        continue_drains,
+        eject,
+        lend,
+        make_room,
+        run_waves,
+    ):
         decisions += system(census)
     return decisions + place(census, rng)
