Count failing instances as unavailable and level the donors

Change: health is observed before the census; donors are ranked by surplus; peaks of all pools share their expected length.

--- a/experiment/policies.py
+++ b/experiment/policies.py
@@ -15,6 +15,7 @@
 from galenareel._decisions.drains import drain_s
 from galenareel._decisions.drains import empty_instance
 from galenareel._decisions.ejection import eject
+from galenareel._decisions.ejection import observe_health
 from galenareel._decisions.placement import place
 from galenareel._decisions.tables import Instance
 from galenareel._decisions.tables import Tables
@@ -31,6 +32,7 @@
 def static(tables: Tables, now: float, rng: Random) -> list[Decision]:
     """Fixed pools; jobs, ejection and waves as in galenareel."""
     observe(tables, now)
+    observe_health(tables, now)
     census = Census(tables, now)
     decisions = admit(census) + continue_drains(census) + eject(census)
     decisions += make_room(census)
@@ -40,6 +42,7 @@
 def greedy(tables: Tables, now: float, rng: Random) -> list[Decision]:
     """Moves an instance on any imbalance and home again afterwards."""
     observe(tables, now)
+    observe_health(tables, now)
     census = Census(tables, now)
     decisions = admit(census) + continue_drains(census) + eject(census)
     decisions += _balance(census) + make_room(census)
--- a/experiment/world.py
+++ b/experiment/world.py
@@ -138,6 +138,9 @@
         self.check_empty(worker)
 
     def _result(self, worker: Worker, failed: bool) -> None:
+        if failed and worker.bad and not worker.seen_bad:
+            worker.seen_bad = True
+            worker.down_since = self.now
         worker.finished += not failed
         worker.failed += failed
         worker.failed_row = worker.failed_row + 1 if failed else 0
--- a/src/galenareel/_decisions/census.py
+++ b/src/galenareel/_decisions/census.py
@@ -40,7 +40,6 @@
     racks: dict[str, int] = field(default_factory=dict)
     available: int = 0
     inbound: int = 0
-    slots: int = 0
 
     def add(self, instance: Instance) -> None:
         self.available += 1
@@ -113,7 +112,6 @@
             if not self.is_up(instance):
                 continue
             budget.serving.append(instance)
-            budget.slots += instance.slots
             if self.is_settled(instance):
                 budget.add(instance)
 
@@ -124,7 +122,10 @@
             self.budgets[target].inbound += 1
 
     def is_up(self, instance: Instance) -> bool:
-        """Whether its zone is reachable and its home gives it work."""
+        """Whether its zone is reachable and it does what it is given."""
+        health = self.tables.memory.health.get(instance.name)
+        if health is not None and health.fails:
+            return False
         zone = self.tables.zones.get(instance.zone)
         cut_off = zone is not None and not zone.reachable
         return not cut_off and not instance.suspect
@@ -163,7 +164,6 @@
         if target:
             self.budgets[target].inbound += 1
             self.tables.memory.moving[instance.name] = target
-        budget.slots -= instance.slots
         self.taken.add(instance.name)
         self.tables.memory.decided[instance.name] = self.now
 
--- a/src/galenareel/_decisions/demand.py
+++ b/src/galenareel/_decisions/demand.py
@@ -30,6 +30,10 @@
 SMOOTHING = 0.3
 # Arrivals in one second vary by a seventh at 50 a second.
 SLOWEST_WEIGHT = 0.15
+# The level of past peaks counts as this many reports of the present one, and
+# before the first whole report this share of it is taken as certain.
+LEVEL_SAMPLES = 2.0
+PARTIAL = 0.8
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,9 +64,11 @@
             estimate.peak = True
             estimate.since = now
             estimate.samples = 0
+            estimate.offered = max(offered, estimate.level * PARTIAL)
             return
         estimate.quiet += SMOOTHING * (offered - estimate.quiet)
     elif offered < estimate.offered / 2:
+        estimate.top = estimate.offered
         estimate.offered = offered
         _end_peak(estimate, now)
     else:
@@ -72,7 +78,10 @@
 def _average(estimate: PeakEstimate, offered: float) -> None:
     """The first report of a peak covers only a part of a second."""
     estimate.samples += 1
-    weight = max(1.0 / estimate.samples, SLOWEST_WEIGHT)
+    known = LEVEL_SAMPLES if estimate.level else 0.0
+    if estimate.samples == 1:
+        estimate.offered = estimate.level or offered
+    weight = max(1.0 / (known + estimate.samples), SLOWEST_WEIGHT)
     estimate.offered += weight * (offered - estimate.offered)
 
 
@@ -80,6 +89,8 @@
     length = now - estimate.since
     known = estimate.mean_s or length
     estimate.mean_s = known + SMOOTHING * (length - known)
+    level = estimate.level or estimate.top
+    estimate.level = level + SMOOTHING * (estimate.top - level)
     estimate.peak = False
     estimate.ended_at = now
 
@@ -100,7 +111,7 @@
     """:param slots: slots of one instance of the pool."""
     estimate = tables.memory.peaks[pool.name]
     backlog = pool.load.queued * pool.load.service_s
-    rest = rest_of_peak(estimate, now) if estimate.peak else 0.0
+    rest = rest_of_peak(tables, estimate, now) if estimate.peak else 0.0
     work = backlog + estimate.offered * (rest + REPORT_LAG_S)
     count = math.ceil(work / (slots * (rest + wait_target(tables))))
     reason = (
@@ -110,7 +121,14 @@
     return Need(count, estimate.peak, reason)
 
 
-def rest_of_peak(estimate: PeakEstimate, now: float) -> float:
-    """Expected rest of a peak that runs."""
-    mean = estimate.mean_s or FIRST_MEAN_S
+def rest_of_peak(
+    tables: Tables, estimate: PeakEstimate, now: float
+) -> float:
+    """Expected rest of a peak that runs.
+
+    The queues of a deployment peak in turn and for about as long, so the
+    lengths of all pools' peaks are pooled.
+    """
+    known = [one.mean_s for one in tables.memory.peaks.values() if one.mean_s]
+    mean = sum(known) / len(known) if known else FIRST_MEAN_S
     return max(mean - (now - estimate.since), SHORTEST_REST_S)
--- a/src/galenareel/_decisions/ejection.py
+++ b/src/galenareel/_decisions/ejection.py
@@ -15,11 +15,9 @@
 if TYPE_CHECKING:
     from galenareel._decisions.census import Census
     from galenareel._decisions.tables import Instance
+    from galenareel._decisions.tables import Tables
 
 HALF_LIFE_S = 10.0
-# Fewer failures than this happen on sound instances within a half-life.
-EJECT_FAILURES = 4.0
-EJECT_RATIO = 0.8
 # With this share of a pool's work failing, the work is at fault and taking
 # instances out would only add load to the others.
 POOL_RATIO = 0.5
@@ -27,13 +25,30 @@
 PROBES_TO_RETURN = 3
 
 
+def observe_health(tables: Tables, now: float) -> None:
+    """Bring the results of each instance up to date."""
+    health = tables.memory.health
+    for instance in tables.instances.values():
+        known = health.get(instance.name)
+        if known is None:
+            if not instance.failed and instance.phase is not Phase.EJECTED:
+                continue
+            known = health[instance.name] = HealthEstimate()
+        _observe_one(known, instance, now)
+        quiet = known.failed < 0.01 and not known.in_a_row
+        if quiet and instance.phase is Phase.SERVING:
+            del health[instance.name]
+
+
 def eject(census: Census) -> list[Decision]:
     """Eject, probe and return instances by what they did."""
-    _observe(census)
     decisions: list[Decision] = []
     blamed = _pools_with_bad_work(census)
     returned: set[str] = set()
-    for instance in census.tables.instances.values():
+    for name in list(census.tables.memory.health):
+        instance = census.tables.instances.get(name)
+        if instance is None:
+            continue
         if instance.phase is Phase.EJECTED:
             decisions += _probe(census, instance, returned)
         elif _fails(census, instance) and instance.pool not in blamed:
@@ -41,20 +56,6 @@
     return decisions
 
 
-def _observe(census: Census) -> None:
-    health = census.tables.memory.health
-    for instance in census.tables.instances.values():
-        known = health.get(instance.name)
-        if known is None:
-            if not instance.failed and instance.phase is not Phase.EJECTED:
-                continue
-            known = health[instance.name] = HealthEstimate()
-        _observe_one(known, instance, census.now)
-        quiet = known.finished + known.failed < 0.01
-        if quiet and instance.phase is Phase.SERVING:
-            del health[instance.name]
-
-
 def _observe_one(
     known: HealthEstimate, instance: Instance, now: float
 ) -> None:
@@ -63,6 +64,11 @@
     factor = 0.5 ** (elapsed / HALF_LIFE_S)
     known.finished = known.finished * factor + instance.finished
     known.failed = known.failed * factor + instance.failed
+    # A home that suspects an instance saw its failures last.
+    if instance.finished and not instance.suspect:
+        known.in_a_row = 0
+    else:
+        known.in_a_row += instance.failed
     if instance.phase is not Phase.EJECTED:
         known.probes_passed = 0
     elif instance.failed:
@@ -73,12 +79,8 @@
 
 def _fails(census: Census, instance: Instance) -> bool:
     known = census.tables.memory.health.get(instance.name)
-    if known is None or instance.phase is not Phase.SERVING:
-        return False
-    total = known.finished + known.failed
-    return known.failed >= EJECT_FAILURES and (
-        known.failed >= EJECT_RATIO * total
-    )
+    serving = instance.phase is Phase.SERVING
+    return known is not None and serving and known.fails
 
 
 def _pools_with_bad_work(census: Census) -> set[str]:
@@ -98,8 +100,9 @@
 
 
 def _eject_one(census: Census, instance: Instance) -> list[Decision]:
-    refusal = census.refusal(instance)
-    if refusal:
+    if instance.name in census.taken or not _leaves_enough(census, instance):
+        return []
+    if instance.name in census.tables.memory.decided:
         return []
     known = census.tables.memory.health[instance.name]
     known.probes_passed = 0
@@ -117,6 +120,26 @@
     return [decision, *stops]
 
 
+def _leaves_enough(census: Census, instance: Instance) -> bool:
+    """Whether the pool keeps its minimum, sound or not.
+
+    An instance that fails everything is no longer counted as available, so
+    its ejection takes nothing from the budget. The limit guards against
+    instances that are blamed for a fault elsewhere.
+    """
+    budget = census.budgets.get(instance.pool)
+    if budget is None:
+        return False
+    left = sum(
+        1
+        for one in census.tables.instances.values()
+        if one.pool == instance.pool
+        and one.phase is Phase.SERVING
+        and one.name not in census.taken
+    )
+    return left - 1 >= budget.pool.min_available
+
+
 def _probe(
     census: Census, instance: Instance, returned: set[str]
 ) -> list[Decision]:
@@ -128,6 +151,7 @@
         returned.add(instance.pool)
         census.tables.memory.decided[instance.name] = census.now
         known.finished = known.failed = 0.0
+        known.in_a_row = 0
         return [
             ReturnInstance(
                 instance=instance.name,
--- a/src/galenareel/_decisions/lending.py
+++ b/src/galenareel/_decisions/lending.py
@@ -23,7 +23,7 @@
 
 # A move must leave most of a peak to be of use; peaks last tens of seconds.
 LONGEST_DRAIN_S = 12.0
-RECENT_PEAK_S = 15.0
+USUAL_SLOTS = 8.0  # for a pool that has lost every instance
 
 
 def lend(census: Census) -> list[Decision]:
@@ -43,9 +43,11 @@
 def needs_of_pools(census: Census) -> dict[str, Need]:
     needs = {}
     for pool in census.tables.pools.values():
-        budget = census.budgets[pool.name]
-        slots = budget.slots / len(budget.serving) if budget.serving else 8
-        needs[pool.name] = need_of(census.tables, pool, census.now, slots)
+        serving = census.budgets[pool.name].serving
+        slots = sum(one.slots for one in serving) / max(len(serving), 1)
+        needs[pool.name] = need_of(
+            census.tables, pool, census.now, slots or USUAL_SLOTS
+        )
     return needs
 
 
@@ -104,13 +106,14 @@
 
 def _donor_rank(
     census: Census, needs: dict[str, Need], pool: str
-) -> tuple[bool, bool, int, str]:
-    estimate = census.tables.memory.peaks[pool]
-    recent = census.now - estimate.ended_at < RECENT_PEAK_S
-    ended = estimate.ended_at > 0 and recent and not estimate.peak
-    spare = census.tables.pools[pool].spare
+) -> tuple[int, bool, str]:
+    """The pool whose peak just ended has the most to spare.
+
+    Taking from the largest surplus also keeps the others level, which keeps
+    the number of moves for the next peak small, whichever it is.
+    """
     surplus = census.holding(pool) - needs[pool].instances
-    return (not ended, not spare, -surplus, pool)
+    return (-surplus, not census.tables.pools[pool].spare, pool)
 
 
 def _soonest(census: Census, pool: str) -> Instance | None:
--- a/src/galenareel/_decisions/memory.py
+++ b/src/galenareel/_decisions/memory.py
@@ -15,6 +15,7 @@
     """Demand of one pool.
 
     :param mean_s: smoothed length of its past peaks.
+    :param level: smoothed ``offered`` of its past peaks.
     """
 
     offered: float = 0.0  # slots that the urgent work needs
@@ -24,19 +25,36 @@
     samples: int = 0  # whole reports since then
     ended_at: float = 0.0
     mean_s: float = 0.0
+    level: float = 0.0
+    top: float = 0.0  # ``offered`` when the latest peak ended
     seen_at: float = -1.0  # time of the last report used
 
 
+# Sound instances seldom fail three times without a success between.
+FAILURES_IN_A_ROW = 3
+FAILURE_RATIO = 0.8
+
+
 @dataclass(slots=True)
 class HealthEstimate:
     """Results of one instance, halved every few seconds."""
 
     finished: float = 0.0
     failed: float = 0.0
+    in_a_row: int = 0  # failures since the last success
     probes_passed: int = 0
     next_probe: float = 0.0
     seen_at: float = 0.0
 
+    @property
+    def fails(self) -> bool:
+        """Whether nearly everything it was given lately has failed."""
+        if self.in_a_row >= FAILURES_IN_A_ROW:
+            return True
+        total = self.finished + self.failed
+        enough = self.failed >= 2 * FAILURES_IN_A_ROW
+        return enough and self.failed >= FAILURE_RATIO * total
+
 
 @dataclass(slots=True)
 class ServiceEstimate:
--- a/src/galenareel/_decisions/ticking.py
+++ b/src/galenareel/_decisions/ticking.py
@@ -11,6 +11,7 @@
 from galenareel._decisions.demand import observe
 from galenareel._decisions.drains import continue_drains
 from galenareel._decisions.ejection import eject
+from galenareel._decisions.ejection import observe_health
 from galenareel._decisions.lending import lend
 from galenareel._decisions.placement import place
 from galenareel._decisions.waves import run_waves
@@ -32,6 +33,7 @@
     :param rng: seeded generator, for choices among equals.
     """
     observe(tables, now)
+    observe_health(tables, now)
     census = Census(tables, now)
     decisions: list[Decision] = []
     for system in (
