Take from the pool whose peak ended last, and round needs

Cause: noise of the demand estimate only ever adds moves, and pools that were next to peak had been emptied first.

--- a/src/galenareel/_decisions/demand.py
+++ b/src/galenareel/_decisions/demand.py
@@ -20,6 +20,9 @@
 # the difference.
 LONGEST_WAIT_S = 8.0
 SHORTEST_WAIT_S = 5.0
+# Part of an instance that is not moved for: the noise of the estimate only
+# ever adds moves, and a peak that goes on is seen again in the next report.
+ROUND_DOWN = 0.5
 REPORT_LAG_S = 1.0
 # A peak is 100 times the demand between peaks; a third of that with at least
 # an instance's worth of work keeps noise out and sees the first half second.
@@ -113,7 +116,8 @@
     backlog = pool.load.queued * pool.load.service_s
     rest = rest_of_peak(tables, estimate, now) if estimate.peak else 0.0
     work = backlog + estimate.offered * (rest + REPORT_LAG_S)
-    count = math.ceil(work / (slots * (rest + wait_target(tables))))
+    exact = work / (slots * (rest + wait_target(tables)))
+    count = math.ceil(exact - ROUND_DOWN)
     reason = (
         f'{pool.name} needs {count} for {estimate.offered:.0f} slots of '
         f'urgent work and {pool.load.queued} waiting'
--- a/src/galenareel/_decisions/lending.py
+++ b/src/galenareel/_decisions/lending.py
@@ -106,14 +106,16 @@
 
 def _donor_rank(
     census: Census, needs: dict[str, Need], pool: str
-) -> tuple[int, bool, str]:
-    """The pool whose peak just ended has the most to spare.
+) -> tuple[float, bool, int, str]:
+    """The pool whose peak ended last gives first.
 
-    Taking from the largest surplus also keeps the others level, which keeps
-    the number of moves for the next peak small, whichever it is.
+    Queues peak in turn, so the pool whose peak lies furthest back is likely
+    to be next, and what it keeps doesn't have to be moved to it.
     """
+    ended_at = census.tables.memory.peaks[pool].ended_at
     surplus = census.holding(pool) - needs[pool].instances
-    return (-surplus, not census.tables.pools[pool].spare, pool)
+    spare = census.tables.pools[pool].spare
+    return (-ended_at, not spare, -surplus, pool)
 
 
 def _soonest(census: Census, pool: str) -> Instance | None:
