--- /dev/null
+++ b/experiment/reports.py
@@ -0,0 +1,142 @@
+"""Tables of a deployment, and the reports that keep them up to date."""
+
+from __future__ import annotations
+
+from experiment.ledger import MIN_AVAILABLE
+from experiment.ledger import Task
+from experiment.ledger import Worker
+from experiment.trace import Trace
+from experiment.world import World
+from galenareel._common.rows import Phase
+from galenareel._decisions.tables import Instance
+from galenareel._decisions.tables import Job
+from galenareel._decisions.tables import JobState
+from galenareel._decisions.tables import Load
+from galenareel._decisions.tables import Pool
+from galenareel._decisions.tables import Rack
+from galenareel._decisions.tables import Service
+from galenareel._decisions.tables import Tables
+from galenareel._decisions.tables import Team
+from galenareel._decisions.tables import Zone
+
+REPORT_S = 1.0
+LOST_AFTER_S = 10.0
+
+STATES = {
+    'waiting': JobState.WAITING,
+    'standby': JobState.WAITING,
+    'running': JobState.RUNNING,
+    'throttled': JobState.THROTTLED,
+    'saving': JobState.CHECKPOINTING,
+    'parked': JobState.CHECKPOINTING,
+}
+
+
+class Reports:
+    """What the entries tell control, once a second."""
+
+    def __init__(self, world: World, tables: Tables) -> None:
+        self.world = world
+        self.tables = tables
+
+    def send(self) -> None:
+        """Everything that the entries say, at most a second old."""
+        now = self.world.now
+        for name, worker in self.world.workers.items():
+            self._report_worker(worker, self.tables.instances[name])
+        for name, pool in self.tables.pools.items():
+            queue = self.world.queues[name]
+            pool.load = Load(
+                arrival_rate=self.world.arrived[name] / REPORT_S,
+                queued=len(queue),
+                oldest_wait_s=now - queue[0][0] if queue else 0.0,
+                service_s=2.0,
+                reported_at=now,
+            )
+            self.world.arrived[name] = 0
+        self._report_jobs()
+        self.world.at(now + REPORT_S, self.send)
+
+    def _report_worker(self, worker: Worker, row: Instance) -> None:
+        now = self.world.now
+        row.urgent_in_use = worker.urgent
+        row.work_left_s = 1.5 if worker.urgent else 0.0
+        row.finished += worker.finished
+        row.failed += worker.failed
+        worker.finished = worker.failed = 0
+        lost = worker.state == 'lost'
+        row.suspect = lost or worker.suspect_until > now
+        if lost and now - worker.down_since >= LOST_AFTER_S:
+            if row.phase is not Phase.LOST:
+                row.phase = Phase.LOST
+                row.phase_since = now
+                row.target_pool = ''
+
+    def _report_jobs(self) -> None:
+        tables = self.tables
+        for name, job in list(tables.jobs.items()):
+            task = self.world.tasks[name]
+            if task.failed_on:
+                job.failed_on = frozenset(task.failed_on)
+            waits = task.state == 'waiting' and job.state is JobState.WAITING
+            if waits and name not in tables.leases:
+                continue
+            if task.state in ('done', 'cancelled', 'refused'):
+                self._report_end(job, task)
+                continue
+            job.run_s = task.saved_s
+            if task.state == 'running':
+                job.run_s += self.world.now - task.since
+                job.used_slots = float(task.spec.size)
+            if job.state is not JobState.CANCELLED:
+                job.state = STATES[task.state]
+            lease = tables.leases.get(name)
+            if task.worker is None:
+                tables.leases.pop(name, None)
+            elif lease is not None:
+                lease.standby = task.state == 'standby'
+
+    def _report_end(self, job: Job, task: Task) -> None:
+        self.tables.leases.pop(job.name, None)
+        if job.state in (JobState.DONE, JobState.CANCELLED):
+            del self.tables.jobs[job.name]
+            del self.world.tasks[job.name]
+            return
+        job.run_s = task.saved_s
+        job.state = (
+            JobState.DONE if task.state == 'done' else JobState.CANCELLED
+        )
+
+
+def make_tables(trace: Trace) -> Tables:
+    """Rows of a deployment before anything has happened."""
+    deployment = trace.deployment
+    tables = Tables(weights=deployment.weights)
+    for site in trace.sites:
+        tables.instances[site.name] = Instance(
+            name=site.name,
+            zone=site.zone,
+            rack=site.rack,
+            pool=site.pool,
+            image=site.image,
+            maintained_at=float('-inf'),
+        )
+        tables.racks[site.rack] = Rack(name=site.rack, zone=site.zone)
+        tables.zones[site.zone] = Zone(name=site.zone)
+    for name in deployment.pools:
+        tables.pools[name] = Pool(
+            name=name,
+            min_available=MIN_AVAILABLE,
+            spare=name == deployment.spare,
+            survive_rack=True,
+        )
+        for service in (name, f'{name}-batch'):
+            tables.services[service] = Service(name=service, pool=name)
+    for team, slots in (
+        ('desk', 40),
+        ('archive', 100),
+        ('ledger', 100),
+        ('research', 60),
+    ):
+        tables.teams[team] = Team(name=team, slots=slots)
+    return tables
--- a/src/galenareel/_decisions/buffer.py
+++ b/src/galenareel/_decisions/buffer.py
@@ -9,18 +9,15 @@
 
 from typing import TYPE_CHECKING
 
-from galenareel._common.rows import Phase
 from galenareel._decisions.decisions import CheckpointJob
 from galenareel._decisions.decisions import Decision
 from galenareel._decisions.decisions import ThrottleJob
-from galenareel._decisions.tables import JobState
 from galenareel._document.model import Urgency
 
 if TYPE_CHECKING:
     from galenareel._decisions.census import Census
     from galenareel._decisions.tables import Instance
     from galenareel._decisions.tables import Job
-    from galenareel._decisions.tables import Lease
     from galenareel._decisions.tables import Pool
 
 # Backlog is worked off within this time on top of the offered load.
@@ -58,21 +55,26 @@
 def _free_slots(census: Census, pool: Pool) -> list[Decision]:
     instances = _instances(census, pool)
     running = [
-        (instance, lease, job)
+        (instance, job)
         for instance in instances
-        for lease, job in jobs_on(census, instance, JobState.RUNNING)
+        for job in census.running.get(instance.name, ())
         if job.urgency is Urgency.DEFERRABLE
     ]
     total = sum(one.slots for one in instances)
-    held = sum(job.size for _, _, job in running)
+    held = sum(job.size for _, job in running)
     excess = held - (total - wanted_slots(census, pool))
-    running.sort(key=lambda one: (one[2].run_s, one[2].name))
+    if excess <= 0:
+        return []
+    running.sort(key=lambda one: (one[1].run_s, one[1].name))
     decisions: list[Decision] = []
-    room = {one.name: _throttle_room(census, one) for one in instances}
-    for instance, lease, job in running:
+    room = {
+        one.name: one.throttle_room - len(census.throttled.get(one.name, ()))
+        for one in instances
+    }
+    for instance, job in running:
         if excess <= 0:
             break
-        decision = _yield_slot(census, instance, lease, job, room)
+        decision = _yield_slot(census, instance, job, room)
         if decision is not None:
             decisions.append(decision)
             excess -= job.size
@@ -80,11 +82,7 @@
 
 
 def _yield_slot(
-    census: Census,
-    instance: Instance,
-    lease: Lease,
-    job: Job,
-    room: dict[str, int],
+    census: Census, instance: Instance, job: Job, room: dict[str, int]
 ) -> Decision | None:
     decided = census.tables.memory.decided
     if job.name in decided:
@@ -102,17 +100,15 @@
     return CheckpointJob(job=job.name, instance=instance.name, reason=reason)
 
 
-def _throttle_room(census: Census, instance: Instance) -> int:
-    throttled = sum(1 for _ in jobs_on(census, instance, JobState.THROTTLED))
-    return instance.throttle_room - throttled
-
-
 def _give_back(census: Census, pool: Pool) -> list[Decision]:
     decisions: list[Decision] = []
     decided = census.tables.memory.decided
     for instance in _instances(census, pool):
+        throttled = census.throttled.get(instance.name)
+        if not throttled:
+            continue
         free = free_slots(census, instance)
-        for _, job in jobs_on(census, instance, JobState.THROTTLED):
+        for job in throttled:
             if free < job.size or job.name in decided:
                 continue
             free -= job.size
@@ -132,28 +128,16 @@
     return [
         one
         for one in census.budgets[pool.name].serving
-        if one.name not in census.taken and one.phase is Phase.SERVING
-    ]
-
-
-def jobs_on(
-    census: Census, instance: Instance, state: JobState
-) -> list[tuple[Lease, Job]]:
-    """Leases and jobs of an instance whose job is in a state."""
-    jobs = census.tables.jobs
-    return [
-        (lease, jobs[lease.job])
-        for lease in census.leases.get(instance.name, ())
-        if not lease.standby
-        and lease.job in jobs
-        and jobs[lease.job].state is state
+        if one.name not in census.taken
     ]
 
 
 def free_slots(census: Census, instance: Instance) -> int:
+    """Slots that neither urgent requests nor jobs hold."""
     held = sum(
-        job.size
-        for state in (JobState.RUNNING, JobState.CHECKPOINTING)
-        for _, job in jobs_on(census, instance, state)
+        census.tables.jobs[lease.job].size
+        for lease in census.leases.get(instance.name, ())
+        if not lease.standby and lease.job in census.tables.jobs
     )
+    held -= sum(job.size for job in census.throttled.get(instance.name, ()))
     return instance.slots - instance.urgent_in_use - held
--- a/src/galenareel/_decisions/census.py
+++ b/src/galenareel/_decisions/census.py
@@ -11,9 +11,11 @@
 from typing import TYPE_CHECKING
 
 from galenareel._common.rows import Phase
+from galenareel._decisions.tables import JobState
 
 if TYPE_CHECKING:
     from galenareel._decisions.tables import Instance
+    from galenareel._decisions.tables import Job
     from galenareel._decisions.tables import Lease
     from galenareel._decisions.tables import Pool
     from galenareel._decisions.tables import Tables
@@ -40,11 +42,18 @@
     racks: dict[str, int] = field(default_factory=dict)
     available: int = 0
     inbound: int = 0
+    taken: int = 0
+    top: tuple[int, int] | None = None  # largest rack and how many are so
 
     def add(self, instance: Instance) -> None:
         self.available += 1
         self.racks[instance.rack] = self.racks.get(instance.rack, 0) + 1
 
+    def remove(self, instance: Instance) -> None:
+        self.available -= 1
+        self.racks[instance.rack] -= 1
+        self.top = None
+
     def refusal(self, instance: Instance, *, settled: bool) -> str:
         """Why it may not be taken now; empty if it may."""
         left = self.available - settled
@@ -66,10 +75,14 @@
 
     def largest_rack(self, without: str = '') -> int:
         """Size of the largest rack with one instance of a rack gone."""
-        return max(
-            (count - (rack == without) for rack, count in self.racks.items()),
-            default=0,
-        )
+        if self.top is None:
+            counts = self.racks.values()
+            largest = max(counts, default=0)
+            ties = sum(1 for count in counts if count == largest)
+            self.top = (largest, ties)
+        largest, ties = self.top
+        alone = ties == 1 and largest > 0
+        return largest - (alone and self.racks.get(without) == largest)
 
 
 class Census:
@@ -85,8 +98,20 @@
         self.leases: dict[str, list[Lease]] = {}
         self._forget_old_decisions()
         self._count_instances()
+        self.running: dict[str, list[Job]] = {}
+        self.throttled: dict[str, list[Job]] = {}
         for lease in tables.leases.values():
-            self.leases.setdefault(lease.instance, []).append(lease)
+            self._count_lease(lease)
+
+    def _count_lease(self, lease: Lease) -> None:
+        self.leases.setdefault(lease.instance, []).append(lease)
+        job = self.tables.jobs.get(lease.job)
+        if job is None or lease.standby:
+            return
+        if job.state is JobState.RUNNING:
+            self.running.setdefault(lease.instance, []).append(job)
+        elif job.state is JobState.THROTTLED:
+            self.throttled.setdefault(lease.instance, []).append(job)
 
     def _forget_old_decisions(self) -> None:
         decided = self.tables.memory.decided
@@ -159,16 +184,15 @@
         """Record a planned stop; ``target`` is the pool it goes to."""
         budget = self.budgets[instance.pool]
         if self.counts(instance):
-            budget.available -= 1
-            budget.racks[instance.rack] -= 1
+            budget.remove(instance)
         if target:
             self.budgets[target].inbound += 1
             self.tables.memory.moving[instance.name] = target
+        budget.taken += 1
         self.taken.add(instance.name)
         self.tables.memory.decided[instance.name] = self.now
 
     def holding(self, pool: str) -> int:
         """Instances that serve a pool now or are on their way to it."""
         budget = self.budgets[pool]
-        gone = sum(1 for one in budget.serving if one.name in self.taken)
-        return len(budget.serving) - gone + budget.inbound
+        return len(budget.serving) - budget.taken + budget.inbound
--- a/src/galenareel/_decisions/demand.py
+++ b/src/galenareel/_decisions/demand.py
@@ -19,10 +19,12 @@
 # Urgent work must start within 8.7 s; lag and errors of the estimate need
 # the difference.
 LONGEST_WAIT_S = 8.0
-SHORTEST_WAIT_S = 5.0
+SHORTEST_WAIT_S = 6.5
 # Part of an instance that is not moved for: the noise of the estimate only
 # ever adds moves, and a peak that goes on is seen again in the next report.
 ROUND_DOWN = 0.5
+ROUND_DOWN_LATER = 1.0
+FIRST_LOOK_S = 3.0  # a second look at a peak that has just begun
 REPORT_LAG_S = 1.0
 # A peak is 100 times the demand between peaks; a third of that with at least
 # an instance's worth of work keeps noise out and sees the first half second.
@@ -117,7 +119,8 @@
     rest = rest_of_peak(tables, estimate, now) if estimate.peak else 0.0
     work = backlog + estimate.offered * (rest + REPORT_LAG_S)
     exact = work / (slots * (rest + wait_target(tables)))
-    count = math.ceil(exact - ROUND_DOWN)
+    settled = estimate.peak and now - estimate.since > FIRST_LOOK_S
+    count = math.ceil(exact - (ROUND_DOWN_LATER if settled else ROUND_DOWN))
     reason = (
         f'{pool.name} needs {count} for {estimate.offered:.0f} slots of '
         f'urgent work and {pool.load.queued} waiting'
@@ -125,9 +128,7 @@
     return Need(count, estimate.peak, reason)
 
 
-def rest_of_peak(
-    tables: Tables, estimate: PeakEstimate, now: float
-) -> float:
+def rest_of_peak(tables: Tables, estimate: PeakEstimate, now: float) -> float:
     """Expected rest of a peak that runs.
 
     The queues of a deployment peak in turn and for about as long, so the
--- /dev/null
+++ b/src/galenareel/_decisions/explain.py
@@ -0,0 +1,116 @@
+"""Why an instance moved, a wave waits or a job does not start."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from galenareel._common.rows import Phase
+from galenareel._common.rows import WaveState
+from galenareel._decisions.census import Census
+from galenareel._decisions.tables import JobState
+
+if TYPE_CHECKING:
+    from galenareel._decisions.decisions import Decision
+    from galenareel._decisions.tables import Instance
+    from galenareel._decisions.tables import Job
+    from galenareel._decisions.tables import Pool
+    from galenareel._decisions.tables import Tables
+    from galenareel._decisions.tables import Wave
+
+
+def explain(
+    tables: Tables,
+    decisions: Iterable[tuple[float, Decision]],
+    subject: str,
+    *,
+    now: float,
+) -> tuple[str, ...]:
+    """Sentences about one instance, pool, wave or job.
+
+    :param decisions: the latest decisions with their times, oldest first.
+    :param subject: name of a row; an unknown name is said to be unknown.
+    """
+    lines: list[str] = []
+    if subject in tables.instances:
+        lines += _instance(tables, tables.instances[subject], now)
+    if subject in tables.pools:
+        lines += _pool(tables, tables.pools[subject], now)
+    if subject in tables.waves:
+        lines += _wave(tables, tables.waves[subject])
+    if subject in tables.jobs:
+        lines += _job(tables, tables.jobs[subject], now)
+    if not lines:
+        return (f'no instance, pool, wave or job is called {subject!r}',)
+    for at, decision in decisions:
+        if subject in _names(decision):
+            kind = type(decision).__name__
+            lines.append(f'{now - at:.0f} s ago {kind}: {decision.reason}')
+    return tuple(lines)
+
+
+def _names(decision: Decision) -> set[str]:
+    fields = ('instance', 'source', 'target', 'wave', 'job')
+    return {getattr(decision, one, '') for one in fields}
+
+
+def _instance(tables: Tables, row: Instance, now: float) -> list[str]:
+    lines = [f'{row.name} is {row.phase} in {row.pool}']
+    if row.target_pool:
+        lines.append(f'it drains to go to {row.target_pool}')
+    if row.reason:
+        lines.append(row.reason)
+    if row.phase is Phase.SERVING:
+        refusal = Census(tables, now).refusal(row)
+        if refusal:
+            lines.append(f'it may not be stopped now: {refusal}')
+    return lines
+
+
+def _pool(tables: Tables, row: Pool, now: float) -> list[str]:
+    budget = Census(tables, now).budgets[row.name]
+    lines = [
+        f'{row.name} has {budget.available} instances available, '
+        f'{budget.inbound} on their way, and needs {row.min_available}'
+    ]
+    if row.survive_rack:
+        left = budget.available - budget.largest_rack()
+        lines.append(f'it would keep {left} if it lost its largest rack')
+    estimate = tables.memory.peaks.get(row.name)
+    if estimate is not None and estimate.peak:
+        since = now - estimate.since
+        lines.append(
+            f'it has been at its peak for {since:.0f} s and needs '
+            f'{estimate.offered:.0f} slots'
+        )
+    return lines
+
+
+def _wave(tables: Tables, row: Wave) -> list[str]:
+    lines = [
+        f'{row.name} is {row.state}: {len(row.done)} maintained, '
+        f'{len(row.failed)} failed, {len(row.skipped)} skipped'
+    ]
+    if row.reason:
+        lines.append(row.reason)
+    waits = tables.memory.wave_waits.get(row.name)
+    if waits and row.state is not WaveState.DONE:
+        lines.append(f'it waits: {waits}')
+    return lines
+
+
+def _job(tables: Tables, row: Job, now: float) -> list[str]:
+    lines = [f'{row.name} is {row.state}']
+    lines += [str(finding) for finding in row.findings]
+    lease = tables.leases.get(row.name)
+    if lease is not None and lease.standby:
+        lines.append(
+            f'it stands by at {lease.instance} until a slot is free and no '
+            f'urgent request waits'
+        )
+    waits = tables.memory.waiting.get(row.name)
+    if waits and row.state is JobState.WAITING:
+        lines.append(f'it has waited {now - row.submitted_at:.0f} s: {waits}')
+    elif row.state is JobState.WAITING and lease is None:
+        lines.append('jobs that have waited longer take every free slot')
+    return lines
--- a/src/galenareel/_decisions/placement.py
+++ b/src/galenareel/_decisions/placement.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+from heapq import heapify
+from heapq import heappop
+from heapq import heappush
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -46,6 +49,11 @@
         self.order = sorted(self.room)
         rng.shuffle(self.order)
         self.left = sum(max(one, 0) for one in self.room.values())
+        self.place_of = {name: at for at, name in enumerate(self.order)}
+        self.heap = [
+            self._entry(one) for one in self.order if self.room[one] > 0
+        ]
+        heapify(self.heap)
 
     def _add(self, instance: Instance) -> None:
         jobs = self.census.tables.jobs
@@ -61,22 +69,42 @@
         free = instance.slots - running - instance.urgent_in_use
         self.free[instance.name] = free
 
+    def _entry(self, name: str) -> tuple[int, int, int, str]:
+        """The emptiest instance sorts first; equals in random order."""
+        return (
+            -self.free[name],
+            -self.room[name],
+            self.place_of[name],
+            name,
+        )
+
     def find(self, job: Job, size: int) -> str:
-        """Instance with the most free slots that has room for a job."""
-        best = ''
-        best_rank = (-1, -1)
-        urgent = job.urgency is Urgency.URGENT
-        for name in self.order:
-            if name in self.reserved or name in job.failed_on:
-                continue
-            if not urgent and self.room[name] < size:
-                continue
-            rank = (self.free[name], self.room[name])
-            if best and rank <= best_rank:
-                continue
-            if self._fits_waves(job, name):
-                best, best_rank = name, rank
-        return best
+        """Instance with the most free slots that has room for a job.
+
+        An urgent job may take an instance whose room is full: it stands by
+        before the deferrable ones.
+        """
+        if job.urgency is Urgency.URGENT:
+            fitting = (one for one in self.order if self._allowed(job, one))
+            return min(fitting, key=self._entry, default='')
+        passed = []
+        found = ''
+        while self.heap and not found:
+            entry = heappop(self.heap)
+            name = entry[-1]
+            if entry != self._entry(name):
+                continue  # a later entry of the same instance is in the heap
+            passed.append(entry)
+            if self.room[name] >= size and self._allowed(job, name):
+                found = name
+        for entry in passed:
+            heappush(self.heap, entry)
+        return found
+
+    def _allowed(self, job: Job, name: str) -> bool:
+        if name in self.reserved or name in job.failed_on:
+            return False
+        return self._fits_waves(job, name)
 
     def _fits_waves(self, job: Job, name: str) -> bool:
         """Long jobs that can't be saved stay off instances of a wave."""
@@ -98,6 +126,8 @@
         self.left -= size
         if not standby:
             self.free[name] -= size
+        if self.room[name] > 0:
+            heappush(self.heap, self._entry(name))
         return standby
 
     def reserve(self, job: Job) -> None:
--- a/src/galenareel/_decisions/waves.py
+++ b/src/galenareel/_decisions/waves.py
@@ -101,14 +101,21 @@
     return decisions + _start_batch(census, wave, needs)
 
 
-def batch_end(wave: Wave, visited: int) -> tuple[int, int]:
-    """Size of the current batch and the count of visits at its end."""
-    size = max(wave.first_batch, 1)
+def room_in_batch(wave: Wave, visited: int, running: int) -> tuple[int, int]:
+    """Size of the current batch and how many it may still start.
+
+    A batch must end before a wider one begins. At full width an instance
+    that has come back makes room for the next at once.
+    """
+    widest = max(wave.max_batch, 1)
+    size = min(max(wave.first_batch, 1), widest)
     end = size
-    while end <= visited:
-        size = min(size * 2, max(wave.max_batch, 1))
+    while end <= visited and size < widest:
+        size = min(size * 2, widest)
         end += size
-    return size, end
+    if size == widest:
+        return size, widest - running
+    return size, end - visited - running
 
 
 def _start_batch(
@@ -124,14 +131,14 @@
         )
         return [FinishWave(wave=wave.name, reason=reason)]
     visited = len(wave.done) + len(wave.failed)
-    size, end = batch_end(wave, visited)
+    size, room = room_in_batch(wave, visited, running)
     decisions: list[Decision] = []
     unvisited.sort(key=lambda one: _visit_rank(census, wave, one))
     for instance in unvisited:
-        if visited + running >= end:
+        if room <= 0:
             break
         started = _start_one(census, wave, instance, needs, size)
-        running += bool(started)
+        room -= bool(started)
         decisions += started
     return decisions
 
@@ -165,9 +172,12 @@
 
 def _visit_rank(
     census: Census, wave: Wave, instance: Instance
-) -> tuple[bool, float, str]:
+) -> tuple[bool, float, float, str]:
+    """Pools whose peak lies furthest back are next to have one."""
+    estimate = census.tables.memory.peaks.get(instance.pool)
     return (
         instance.name in wave.skipped,
+        estimate.ended_at if estimate is not None else 0.0,
         drain_s(census, instance),
         instance.name,
     )
