--- a/src/galenareel/_decisions/admission.py
+++ b/src/galenareel/_decisions/admission.py
@@ -26,35 +26,31 @@
 
 def admit(census: Census) -> list[Decision]:
     """Refuse what can never run and end leases of cancelled jobs."""
-    _learn(census)
+    memory = census.tables.memory
+    jobs = census.tables.jobs
+    memory.learned.intersection_update(jobs)
+    memory.admitted.intersection_update(jobs)
+    admitted = memory.admitted
     decisions: list[Decision] = []
-    largest = _largest_instances(census)
-    for job in census.tables.jobs.values():
-        if job.state is JobState.WAITING:
-            decisions += _refuse(census, job, largest)
-        elif job.state is JobState.CANCELLED:
+    for job in jobs.values():
+        state = job.state
+        if state is JobState.WAITING:
+            if job.name not in admitted or job.failed_on:
+                decisions += _refuse(census, job)
+        elif state is JobState.CANCELLED:
             decisions += _stop(census, job)
+        elif state is JobState.DONE and job.name not in memory.learned:
+            memory.learned.add(job.name)
+            known = memory.services.setdefault(job.service, ServiceEstimate())
+            _learn_job(known, job)
     return decisions
 
 
-def _largest_instances(census: Census) -> dict[str, int]:
-    """Most slots of any instance of each pool, whatever its phase."""
-    largest: dict[str, int] = {}
-    for instance in census.tables.instances.values():
-        known = largest.get(instance.pool, 0)
-        largest[instance.pool] = max(known, instance.slots)
-    return largest
-
-
-def _refuse(
-    census: Census, job: Job, largest: dict[str, int]
-) -> list[Decision]:
+def _refuse(census: Census, job: Job) -> list[Decision]:
     memory = census.tables.memory
     if job.name in memory.decided:
         return []
-    if job.name in memory.admitted and not job.failed_on:
-        return []
-    found = findings_of(census, job, largest)
+    found = findings_of(census, job)
     if not found:
         memory.admitted.add(job.name)
         return []
@@ -63,12 +59,10 @@
     return [RefuseJob(job=job.name, findings=found, reason=reason)]
 
 
-def findings_of(
-    census: Census, job: Job, largest: dict[str, int]
-) -> tuple[Finding, ...]:
+def findings_of(census: Census, job: Job) -> tuple[Finding, ...]:
     """Everything that keeps a job from ever running."""
     found = Findings()
-    _check_size(census, job, largest, found)
+    _check_size(census, job, found)
     _check_team(census, job, found)
     sound = [name for name in job.failed_on if _is_sound(census, name)]
     if len(sound) >= FAILED_INSTANCES:
@@ -89,9 +83,7 @@
     return health is None or health.failed < max(health.finished, 1.0)
 
 
-def _check_size(
-    census: Census, job: Job, largest: dict[str, int], found: Findings
-) -> None:
+def _check_size(census: Census, job: Job, found: Findings) -> None:
     service = census.tables.services.get(job.service)
     if service is None:
         found.add(
@@ -100,7 +92,7 @@
             remedy='name a service of the document in force',
         )
         return
-    slots = largest.get(service.pool, 0)
+    slots = census.largest.get(service.pool, 0)
     if slots and job.size > slots:
         found.add(
             place=f'{job.name}.size',
@@ -146,18 +138,6 @@
     ]
 
 
-def _learn(census: Census) -> None:
-    memory = census.tables.memory
-    jobs = census.tables.jobs
-    memory.learned.intersection_update(jobs)
-    memory.admitted.intersection_update(jobs)
-    for job in jobs.values():
-        if job.state is JobState.DONE and job.name not in memory.learned:
-            memory.learned.add(job.name)
-            known = memory.services.setdefault(job.service, ServiceEstimate())
-            _learn_job(known, job)
-
-
 def _learn_job(known: ServiceEstimate, job: Job) -> None:
     known.samples += 1
     weight = max(1.0 / known.samples, SLOWEST_WEIGHT)
--- a/src/galenareel/_decisions/census.py
+++ b/src/galenareel/_decisions/census.py
@@ -95,23 +95,35 @@
             name: Budget(pool) for name, pool in tables.pools.items()
         }
         self.taken: set[str] = set()
+        self.largest: dict[str, int] = {}  # most slots by pool
         self.leases: dict[str, list[Lease]] = {}
         self._forget_old_decisions()
         self._count_instances()
         self.running: dict[str, list[Job]] = {}
         self.throttled: dict[str, list[Job]] = {}
-        for lease in tables.leases.values():
-            self._count_lease(lease)
-
-    def _count_lease(self, lease: Lease) -> None:
-        self.leases.setdefault(lease.instance, []).append(lease)
-        job = self.tables.jobs.get(lease.job)
-        if job is None or lease.standby:
-            return
-        if job.state is JobState.RUNNING:
-            self.running.setdefault(lease.instance, []).append(job)
-        elif job.state is JobState.THROTTLED:
-            self.throttled.setdefault(lease.instance, []).append(job)
+        self.team_use: dict[str, int] = {}
+        self._count_leases()
+
+    def _count_leases(self) -> None:
+        """One pass, for there are several leases to an instance."""
+        jobs = self.tables.jobs
+        leases, use = self.leases, self.team_use
+        lists = {
+            JobState.RUNNING: self.running,
+            JobState.THROTTLED: self.throttled,
+        }
+        for lease in self.tables.leases.values():
+            name = lease.instance
+            if name in leases:
+                leases[name].append(lease)
+            else:
+                leases[name] = [lease]
+            job = jobs.get(lease.job)
+            if job is None:
+                continue
+            use[job.team] = use.get(job.team, 0) + job.size
+            if not lease.standby and job.state in lists:
+                lists[job.state].setdefault(name, []).append(job)
 
     def _forget_old_decisions(self) -> None:
         decided = self.tables.memory.decided
@@ -122,7 +134,10 @@
 
     def _count_instances(self) -> None:
         decided = self.tables.memory.decided
+        largest = self.largest
         for instance in self.tables.instances.values():
+            if instance.slots > largest.get(instance.pool, 0):
+                largest[instance.pool] = instance.slots
             if instance.phase is Phase.DRAINING:
                 target = self.budgets.get(instance.target_pool)
                 if target is not None:
--- a/src/galenareel/_decisions/placement.py
+++ b/src/galenareel/_decisions/placement.py
@@ -144,7 +144,7 @@
 def place(census: Census, rng: Random) -> list[Decision]:
     """Grant leases: urgent jobs first, then the longest waiting."""
     decisions: list[Decision] = []
-    used = _team_usage(census)
+    used = census.team_use
     waiting = _waiting_jobs(census)
     census.tables.memory.waiting.clear()
     for pool, jobs in waiting.items():
@@ -176,15 +176,6 @@
     return waiting
 
 
-def _team_usage(census: Census) -> dict[str, int]:
-    used: dict[str, int] = {}
-    for lease in census.tables.leases.values():
-        job = census.tables.jobs.get(lease.job)
-        if job is not None:
-            used[job.team] = used.get(job.team, 0) + job.size
-    return used
-
-
 def _place_one(
     census: Census, placer: Placer, job: Job, used: dict[str, int]
 ) -> list[Decision]:
