--- /dev/null
+++ b/experiment/__main__.py
@@ -0,0 +1,60 @@
+"""Compares the policies on one trace; the last line is JSON."""
+
+from __future__ import annotations
+
+import argparse
+from concurrent.futures import as_completed
+from concurrent.futures import ProcessPoolExecutor
+import json
+import sys
+
+from experiment.bound import bound
+from experiment.control import Control
+from experiment.policies import galenareel
+from experiment.policies import greedy
+from experiment.policies import static
+from experiment.trace import DEPLOYMENTS
+from experiment.trace import make_trace
+
+POLICIES = {'galenareel': galenareel, 'static': static, 'greedy': greedy}
+
+
+def run(
+    name: str, deployment: str, seed: int
+) -> tuple[dict[str, float | int], list[str]]:
+    """Figures of one policy, and what went wrong in its run."""
+    trace = make_trace(deployment, seed)
+    if name == 'bound':
+        return bound(trace), []
+    control = Control(trace, POLICIES[name])
+    figures = control.run()
+    ledger = control.world.ledger
+    return figures, ledger.violations[:10] + ledger.cut[:10]
+
+
+def main(arguments: list[str]) -> int:
+    parser = argparse.ArgumentParser(prog='experiment')
+    parser.add_argument('--deployment', choices=DEPLOYMENTS, default='abay')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--policy', choices=POLICIES, default='')
+    options = parser.parse_args(arguments)
+    result: dict[str, object] = {
+        'deployment': options.deployment,
+        'seed': options.seed,
+    }
+    names = [options.policy] if options.policy else [*POLICIES, 'bound']
+    with ProcessPoolExecutor(len(names)) as pool:
+        runs = {
+            pool.submit(run, name, options.deployment, options.seed): name
+            for name in names
+        }
+        for done in as_completed(runs):
+            figures, lines = done.result()
+            result[runs[done]] = figures
+            print(f'{runs[done]}: {figures}', *lines, sep='\n  ', flush=True)
+    print(json.dumps(result))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- a/src/galenareel/_decisions/census.py
+++ b/src/galenareel/_decisions/census.py
@@ -11,9 +11,11 @@
 from typing import TYPE_CHECKING
 
 from galenareel._common.rows import Phase
+from galenareel._decisions.tables import JobState
 
 if TYPE_CHECKING:
     from galenareel._decisions.tables import Instance
+    from galenareel._decisions.tables import Job
     from galenareel._decisions.tables import Lease
     from galenareel._decisions.tables import Pool
     from galenareel._decisions.tables import Tables
@@ -40,12 +42,18 @@
     racks: dict[str, int] = field(default_factory=dict)
     available: int = 0
     inbound: int = 0
-    slots: int = 0
+    taken: int = 0
+    top: tuple[int, int] | None = None  # largest rack and how many are so
 
     def add(self, instance: Instance) -> None:
         self.available += 1
         self.racks[instance.rack] = self.racks.get(instance.rack, 0) + 1
 
+    def remove(self, instance: Instance) -> None:
+        self.available -= 1
+        self.racks[instance.rack] -= 1
+        self.top = None
+
     def refusal(self, instance: Instance, *, settled: bool) -> str:
         """Why it may not be taken now; empty if it may."""
         left = self.available - settled
@@ -67,10 +75,14 @@
 
     def largest_rack(self, without: str = '') -> int:
         """Size of the largest rack with one instance of a rack gone."""
-        return max(
-            (count - (rack == without) for rack, count in self.racks.items()),
-            default=0,
-        )
+        if self.top is None:
+            counts = self.racks.values()
+            largest = max(counts, default=0)
+            ties = sum(1 for count in counts if count == largest)
+            self.top = (largest, ties)
+        largest, ties = self.top
+        alone = ties == 1 and largest > 0
+        return largest - (alone and self.racks.get(without) == largest)
 
 
 class Census:
@@ -83,38 +95,77 @@
             name: Budget(pool) for name, pool in tables.pools.items()
         }
         self.taken: set[str] = set()
+        self.largest: dict[str, int] = {}  # most slots by pool
         self.leases: dict[str, list[Lease]] = {}
         self._forget_old_decisions()
         self._count_instances()
-        for lease in tables.leases.values():
-            self.leases.setdefault(lease.instance, []).append(lease)
+        self.running: dict[str, list[Job]] = {}
+        self.throttled: dict[str, list[Job]] = {}
+        self.team_use: dict[str, int] = {}
+        self._count_leases()
+
+    def _count_leases(self) -> None:
+        """One pass, for there are several leases to an instance."""
+        jobs = self.tables.jobs
+        leases, use = self.leases, self.team_use
+        lists = {
+            JobState.RUNNING: self.running,
+            JobState.THROTTLED: self.throttled,
+        }
+        for lease in self.tables.leases.values():
+            name = lease.instance
+            if name in leases:
+                leases[name].append(lease)
+            else:
+                leases[name] = [lease]
+            job = jobs.get(lease.job)
+            if job is None:
+                continue
+            use[job.team] = use.get(job.team, 0) + job.size
+            if not lease.standby and job.state in lists:
+                lists[job.state].setdefault(name, []).append(job)
 
     def _forget_old_decisions(self) -> None:
         decided = self.tables.memory.decided
         limit = self.now - DECISION_HOLD_S
         for key in [key for key, at in decided.items() if at <= limit]:
             del decided[key]
+            self.tables.memory.moving.pop(key, None)
 
     def _count_instances(self) -> None:
         decided = self.tables.memory.decided
+        largest = self.largest
         for instance in self.tables.instances.values():
+            if instance.slots > largest.get(instance.pool, 0):
+                largest[instance.pool] = instance.slots
             if instance.phase is Phase.DRAINING:
                 target = self.budgets.get(instance.target_pool)
                 if target is not None:
                     target.inbound += 1
                 continue
+            if instance.name in decided:
+                self._count_decided(instance)
+                continue
             budget = self.budgets.get(instance.pool)
             if budget is None or instance.phase is not Phase.SERVING:
                 continue
-            if instance.name in decided or not self.is_up(instance):
+            if not self.is_up(instance):
                 continue
             budget.serving.append(instance)
-            budget.slots += instance.slots
             if self.is_settled(instance):
                 budget.add(instance)
 
+    def _count_decided(self, instance: Instance) -> None:
+        """A move that the rows don't show yet is on its way all the same."""
+        target = self.tables.memory.moving.get(instance.name, '')
+        if target in self.budgets and instance.pool != target:
+            self.budgets[target].inbound += 1
+
     def is_up(self, instance: Instance) -> bool:
-        """Whether its zone is reachable and its home gives it work."""
+        """Whether its zone is reachable and it does what it is given."""
+        health = self.tables.memory.health.get(instance.name)
+        if health is not None and health.fails:
+            return False
         zone = self.tables.zones.get(instance.zone)
         cut_off = zone is not None and not zone.reachable
         return not cut_off and not instance.suspect
@@ -148,16 +199,15 @@
         """Record a planned stop; ``target`` is the pool it goes to."""
         budget = self.budgets[instance.pool]
         if self.counts(instance):
-            budget.available -= 1
-            budget.racks[instance.rack] -= 1
+            budget.remove(instance)
         if target:
             self.budgets[target].inbound += 1
-        budget.slots -= instance.slots
+            self.tables.memory.moving[instance.name] = target
+        budget.taken += 1
         self.taken.add(instance.name)
         self.tables.memory.decided[instance.name] = self.now
 
     def holding(self, pool: str) -> int:
         """Instances that serve a pool now or are on their way to it."""
         budget = self.budgets[pool]
-        gone = sum(1 for one in budget.serving if one.name in self.taken)
-        return len(budget.serving) - gone + budget.inbound
+        return len(budget.serving) - budget.taken + budget.inbound
--- a/src/galenareel/_decisions/lending.py
+++ b/src/galenareel/_decisions/lending.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING
 
 from galenareel._common.rows import Phase
-from galenareel._decisions.decisions import CheckpointJob
 from galenareel._decisions.decisions import Decision
 from galenareel._decisions.decisions import LendInstance
 from galenareel._decisions.demand import need_of
@@ -24,7 +23,7 @@
 
 # A move must leave most of a peak to be of use; peaks last tens of seconds.
 LONGEST_DRAIN_S = 12.0
-RECENT_PEAK_S = 15.0
+USUAL_SLOTS = 8.0  # for a pool that has lost every instance
 
 
 def lend(census: Census) -> list[Decision]:
@@ -32,7 +31,7 @@
     needs = needs_of_pools(census)
     decisions: list[Decision] = []
     for target in _targets(census, needs):
-        short = _shortage(census, needs, target)
+        short = shortage(census, needs, target)
         for _ in range(short):
             instance = _choose(census, needs, target)
             if instance is None:
@@ -44,29 +43,32 @@
 def needs_of_pools(census: Census) -> dict[str, Need]:
     needs = {}
     for pool in census.tables.pools.values():
-        budget = census.budgets[pool.name]
-        slots = budget.slots / len(budget.serving) if budget.serving else 8
-        needs[pool.name] = need_of(census.tables, pool, census.now, slots)
+        serving = census.budgets[pool.name].serving
+        slots = sum(one.slots for one in serving) / max(len(serving), 1)
+        needs[pool.name] = need_of(
+            census.tables, pool, census.now, slots or USUAL_SLOTS
+        )
     return needs
 
 
-def _shortage(census: Census, needs: dict[str, Need], pool: str) -> int:
-    needed = max(needs[pool].instances, floor_of(census, pool))
-    return needed - census.holding(pool)
+def shortage(census: Census, needs: dict[str, Need], pool: str) -> int:
+    """Instances that a pool lacks; negative if it can spare some."""
+    lack = needs[pool].instances - census.holding(pool)
+    return max(lack, 1) if budget_is_broken(census, pool) else lack
 
 
-def floor_of(census: Census, pool: str) -> int:
-    """Instances that the budget needs before anything may be planned."""
+def budget_is_broken(census: Census, pool: str) -> bool:
+    """Whether failures have left less than the budget needs."""
     budget = census.budgets[pool]
-    floor = budget.pool.min_available
+    left = budget.available + budget.inbound
     if budget.pool.survive_rack:
-        floor += budget.largest_rack()
-    return floor
+        left -= budget.largest_rack()
+    return left < budget.pool.min_available
 
 
 def _targets(census: Census, needs: dict[str, Need]) -> list[str]:
     """Pools that lack instances; the spare pool takes back last."""
-    short = [name for name in needs if _shortage(census, needs, name) > 0]
+    short = [name for name in needs if shortage(census, needs, name) > 0]
     pools = census.tables.pools
     return sorted(
         short,
@@ -81,11 +83,18 @@
 def _choose(
     census: Census, needs: dict[str, Need], target: str
 ) -> Instance | None:
-    """Instance that can be spared and is free soonest."""
+    """Instance that can be spared and is free soonest.
+
+    A pool that failures have left below its budget comes before the peak of
+    another one.
+    """
+    broken = budget_is_broken(census, target)
     donors = [
         name
         for name in needs
-        if name != target and _shortage(census, needs, name) < 0
+        if name != target
+        and (broken or shortage(census, needs, name) < 0)
+        and not budget_is_broken(census, name)
     ]
     donors.sort(key=lambda name: _donor_rank(census, needs, name))
     for donor in donors:
@@ -97,13 +106,16 @@
 
 def _donor_rank(
     census: Census, needs: dict[str, Need], pool: str
-) -> tuple[bool, bool, int, str]:
-    estimate = census.tables.memory.peaks[pool]
-    recent = census.now - estimate.ended_at < RECENT_PEAK_S
-    ended = estimate.ended_at > 0 and recent and not estimate.peak
-    spare = census.tables.pools[pool].spare
+) -> tuple[float, bool, int, str]:
+    """The pool whose peak ended last gives first.
+
+    Queues peak in turn, so the pool whose peak lies furthest back is likely
+    to be next, and what it keeps doesn't have to be moved to it.
+    """
+    ended_at = census.tables.memory.peaks[pool].ended_at
     surplus = census.holding(pool) - needs[pool].instances
-    return (not ended, not spare, -surplus, pool)
+    spare = census.tables.pools[pool].spare
+    return (-ended_at, not spare, -surplus, pool)
 
 
 def _soonest(census: Census, pool: str) -> Instance | None:
@@ -137,6 +149,6 @@
             f'free in about {wait:.1f} s'
         ),
     )
-    stops: list[CheckpointJob] = empty_instance(census, instance, target)
+    stops = empty_instance(census, instance, target)
     census.take(instance, target=target)
     return [move, *stops]
