--- a/src/galenareel/_control/decision_adapter.py
+++ b/src/galenareel/_control/decision_adapter.py
@@ -12,6 +12,7 @@
 from galenareel._control.loads import Loads
 from galenareel._control.sessions import Session
 from galenareel._decisions import decisions as d
+from galenareel._decisions import explain as explaining
 from galenareel._decisions import tables as t
 from galenareel._decisions.ticking import tick
 from galenareel._document.model import Environment
@@ -66,6 +67,10 @@
             if self._is_reachable(one, zones)
         ]
 
+    def explain(self, subject: str, *, now: float) -> tuple[str, ...]:
+        """Sentences about a subject as of the latest tick."""
+        return explaining.explain(self._tables, (), subject, now=now)
+
     def _is_reachable(self, decision: d.Decision, zones: set[str]) -> bool:
         """No decision touches an instance of a zone without a session."""
         name = getattr(decision, 'instance', '')
--- a/src/galenareel/_control/instance_table.py
+++ b/src/galenareel/_control/instance_table.py
@@ -8,6 +8,8 @@
 from galenareel._decisions.tables import Rack
 from galenareel._state.state import State
 
+NEVER = float('-inf')
+
 # Long ago: what a new leader assumes of a phase that it has not seen begin.
 LONG_AGO = 0.0
 
@@ -69,7 +71,7 @@
             target_pool=row.target_pool,
             slots=row.slots,
             wave=row.wave,
-            maintained_at=row.maintained_at,
+            maintained_at=_maintained_at(row, now=now, wall=wall),
             maintenance_step=row.maintenance_step,
             reason=row.reason,
         )
@@ -104,3 +106,10 @@
         if same and old.phase is row.phase:
             return old.phase_since
         return now
+
+
+def _maintained_at(row: InstanceRow, *, now: float, wall: float) -> float:
+    """End of its last maintenance, on the monotonic clock."""
+    if not row.maintained_at:
+        return NEVER
+    return now - max(0.0, wall - row.maintained_at)
--- a/src/galenareel/_control/operations.py
+++ b/src/galenareel/_control/operations.py
@@ -18,6 +18,7 @@
 from galenareel._common.sentinels import Refused
 from galenareel._common.sentinels import Unreachable
 from galenareel._consensus.interface import Replicator
+from galenareel._control.decision_adapter import DecisionAdapter
 from galenareel._control.journal import Journal
 from galenareel._control.proposer import Proposer
 from galenareel._control.sessions import Sessions
@@ -118,6 +119,7 @@
         clock: Clock,
         read_document: Callable[[str], Environment],
         members: Callable[[], Any],
+        adapter: DecisionAdapter,
     ) -> None:
         self._name = name
         self._state = state
@@ -129,6 +131,7 @@
         self._clock = clock
         self._read_document = read_document
         self._members_of = members
+        self._adapter = adapter
         self._operations: dict[str, tuple[Any, Callable[[Any], Any]]] = {
             'submit': (Submit, self._submit),
             'promote': (Promote, self._promote),
@@ -238,6 +241,9 @@
             {
                 'subject': body.subject,
                 'present': present,
+                'sentences': self._adapter.explain(
+                    body.subject, now=self._clock.monotonic()
+                ),
                 'decisions': decisions,
             },
         )
--- a/src/galenareel/_control/program.py
+++ b/src/galenareel/_control/program.py
@@ -66,6 +66,7 @@
         self.sessions = Sessions(state)
         self.journal = Journal(self.timeline, state, clock)
         self.proposer = Proposer(replicator, self.journal, clock)
+        adapter = DecisionAdapter(state, rng=Random())
         self.loop = LeaderLoop(
             address=member.listen,
             state=state,
@@ -73,7 +74,7 @@
             proposer=self.proposer,
             replicator=replicator,
             reboots=Reboots(state, platform),
-            adapter=DecisionAdapter(state, rng=Random()),
+            adapter=adapter,
             journal=self.journal,
             clock=clock,
         )
@@ -88,6 +89,7 @@
             clock=clock,
             read_document=read_document,
             members=members,
+            adapter=adapter,
         )
         server = Server(
             name=member.name,
--- a/testing/control/test_decision_adapter.py
+++ b/testing/control/test_decision_adapter.py
@@ -195,6 +195,25 @@
     return DecisionAdapter(state, rng=Random(1))
 
 
+@pytest.mark.parametrize('changes', [(), (0.5, 3.0, 5.5, 8.0)])
+def test_wave_maintains_each_instance_once(
+    changes: tuple[float, ...],
+) -> None:
+    """Guards against waves that a change of leader repeats or stops."""
+    cluster = started(adapter=make_adapter)
+    begun = cluster.clock.now
+
+    def is_done() -> bool:
+        if cluster.clock.now - begun in changes:
+            cluster.change_leader()
+        wave = cluster.state.waves.get('w1')
+        return wave is not None and wave.state is WaveState.DONE
+
+    cluster.run_until(is_done, 120)
+    assert cluster.platform.reboots == dict.fromkeys(cluster.servers, 1)
+    assert set(cluster.state.waves['w1'].done) == set(cluster.servers)
+
+
 def lots(cluster: Cluster) -> int:
     rows = cluster.state.instances.values()
     return sum(one.pool == 'lots' for one in rows)
--- /dev/null
+++ b/testing/control/test_operations.py
@@ -0,0 +1,127 @@
+"""Operators' operations, with their statuses and bodies."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from galenareel._common.events import HybridClock
+from galenareel._common.events import Timeline
+from galenareel._common.messages import OperatorCall
+from galenareel._control.operations import Operations
+from galenareel._document.reading import digest
+from galenareel._document.reading import read_environment
+from testing.control.cluster import Cluster
+from testing.control.cluster import Crash
+from testing.control.cluster import NoDecisions
+from testing.control.cluster import SharedLog
+from testing.control.test_changes_of_leader import started
+from testing.control.test_members import document
+
+
+class Caller:
+    def __init__(self) -> None:
+        self.cluster: Cluster = started()
+        member = self.cluster.lead
+        adapter: Any = NoDecisions()
+        adapter.explain = lambda *_args, **_times: ()
+        clock = self.cluster.clock
+        self._operations = Operations(
+            name='c1',
+            state=member.state,
+            sessions=member.sessions,
+            proposer=member.proposer,
+            replicator=SharedLog('c1', self.cluster),
+            journal=member.journal,
+            timeline=Timeline('c1', HybridClock(clock)),
+            clock=clock,
+            read_document=read_environment,
+            members=lambda: [],
+            adapter=adapter,
+        )
+
+    def __call__(
+        self, operation: str, body: bytes = b'', **fields: Any
+    ) -> Any:
+        data = body or msgspec.json.encode(fields)
+        reply = self._operations.call(
+            OperatorCall(operation=operation, body=data)
+        )
+        return reply.status, msgspec.json.decode(reply.body)
+
+
+@pytest.fixture
+def call() -> Caller:
+    return Caller()
+
+
+def test_submit_shows_a_trial_and_changes_nothing(call: Caller) -> None:
+    """Guards against trials that touch what is served."""
+    before = call.cluster.state.view()
+    text = document(2, 'spare')
+    status, body = call('submit', text=text)
+    assert status == 200
+    assert body['stage'] == 'trial'
+    assert body['digest'] == digest(text)
+    assert 'Pool lots goes.' in body['trial']
+    assert any('a/lots-1 moves from lots' in one for one in body['trial'])
+    short = [one for one in body['trial'] if 'more are needed' in one]
+    assert short == [
+        'Pool spare has 0 available instances today and can not keep 1; '
+        '1 more are needed.'
+    ]
+    assert call.cluster.state.view() == before
+    assert call('submit', text=text) == (200, body)
+
+
+def test_promotion_and_its_repeat(call: Caller) -> None:
+    _, submitted = call('submit', text=document(2, 'lots'))
+    named = {'version': 2, 'digest': submitted['digest']}
+    first = call('promote', **named)
+    assert first[0] == 200
+    assert first[1]['stage'] == 'in_force'
+    assert call('promote', **named) == first
+    assert call('document')[1]['text'] == document(2, 'lots')
+
+
+def test_errors_have_their_status(call: Caller) -> None:
+    text = document(2, 'lots')
+    call('submit', text=text)
+    race = call('submit', text=text + '# mine\n')
+    assert race[0] == 409
+    assert race[1]['reason'] == 'conflict'
+    assert digest(text) in race[1]['detail']
+    assert call('promote', version=9, digest='x')[0] == 404
+    assert call('retry-wave', wave='none')[0] == 404
+    assert call('submit', text='pools: 3')[1]['reason'] == 'findings'
+    assert call('promote', version='two', digest='x')[0] == 400
+    assert call('status', body=b'{')[0] == 400
+    assert call('reboot')[1]['reason'] == 'unknown_operation'
+    assert call('members', add='a=b:1', remove='a')[0] == 400
+
+
+@pytest.mark.parametrize('committed', [False, True])
+def test_lost_answer_is_learned_by_a_repeat(
+    call: Caller, committed: bool
+) -> None:
+    """Guards against an operator told that nothing was changed."""
+    call.cluster.crash = Crash('SubmitDocument', committed)
+    status, body = call('submit', text=document(2, 'lots'))
+    assert (status, body['reason']) == (504, 'unknown')
+    call.cluster.change_leader()
+    assert call('submit', text=document(2, 'lots'))[0] == 200
+
+
+def test_status_and_explain(call: Caller) -> None:
+    status, body = call('status')
+    assert status == 200
+    pools = {one['pool']: one for one in body['pools']}
+    assert pools['lots']['available'] == 4
+    assert pools['lots']['margin'] == 3
+    assert len(body['instances']) == 8
+    _, told = call('explain', subject='a/lots-1')
+    assert told['present']['instance']['pool'] == 'lots'
+    kinds = [one['action'] for one in told['decisions']]
+    assert kinds == ['instance.registered', 'home.assigned']
