Keep the begin of a move in the log

Change: BeginMove carries its time, which is kept while the drain lasts; a cancelled move out of a pool that the document has removed is dropped. Conclusion: limits of drains hold over a change of leader.

--- a/src/galenareel/_control/decision_adapter.py
+++ b/src/galenareel/_control/decision_adapter.py
@@ -65,6 +65,7 @@
             (one, self._command(one))
             for one in decided
             if self._is_reachable(one, zones)
+            and not self._keeps_in_removed_pool(one, environment)
         ]
 
     def explain(self, subject: str, *, now: float) -> tuple[str, ...]:
@@ -77,6 +78,18 @@
         row = self._state.instances.get(name)
         return not name or (row is not None and row.zone in zones)
 
+    def _keeps_in_removed_pool(
+        self, decision: d.Decision, environment: Environment
+    ) -> bool:
+        """Whether it cancels a move out of a pool without a document.
+
+        Control would begin the move again, and both would go on for ever.
+        """
+        if not isinstance(decision, d.CancelMove):
+            return False
+        row = self._state.instances[decision.instance]
+        return all(one.name != row.pool for one in environment.pools)
+
     # --- tables -------------------------------------------------------------
 
     def _fill(
--- a/src/galenareel/_control/instance_table.py
+++ b/src/galenareel/_control/instance_table.py
@@ -94,12 +94,15 @@
     ) -> float:
         """When it entered its phase, on the monotonic clock.
 
-        Steps of maintenance have their time in the log, so that their limits
-        hold over a change of leader.
+        Moves and steps of maintenance have their time in the log, so that
+        their limits hold over a change of leader.
         """
+        began = self._state.drains.get(row.instance)
         reboot = self._state.reboots.get(row.instance)
         if reboot is not None:
-            return now - max(0.0, wall - reboot.since)
+            began = reboot.since
+        if began is not None:
+            return now - max(0.0, wall - began)
         if old is None:
             return first_seen
         same = self._incarnations.get(row.instance) == row.incarnation
--- a/src/galenareel/_state/commands.py
+++ b/src/galenareel/_state/commands.py
@@ -106,6 +106,7 @@
     epoch: int
     target: str
     reason: str
+    now: float = 0.0
 
 
 class FinishMove(Command, frozen=True):
--- a/src/galenareel/_state/moves.py
+++ b/src/galenareel/_state/moves.py
@@ -35,6 +35,7 @@
     refused = refuse_removal(tables, row)
     if refused is not None:
         return refused
+    tables.drains[row.instance] = tables.advance_time(command.now)
     tables.put_instance(
         replace(
             row,
--- a/src/galenareel/_state/snapshots.py
+++ b/src/galenareel/_state/snapshots.py
@@ -29,6 +29,7 @@
     waves: list[WaveRow]
     claims: list[ClaimRow]
     cut_zones: list[str]
+    drains: dict[str, float] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -50,6 +51,7 @@
         waves=[row for _, row in sorted(tables.waves.items())],
         claims=[row for _, row in sorted(tables.claims.items())],
         cut_zones=sorted(tables.cut_zones),
+        drains=dict(sorted(tables.drains.items())),
     )
     return _encoder.encode(snapshot)
 
@@ -62,6 +64,7 @@
         time=snapshot.time,
         services=snapshot.services,
         reboots=snapshot.reboots,
+        drains=snapshot.drains,
         entries={row.entry: row for row in snapshot.entries},
         documents={one.row.version: one for one in snapshot.documents},
         in_force=snapshot.in_force,
--- a/src/galenareel/_state/state.py
+++ b/src/galenareel/_state/state.py
@@ -125,6 +125,11 @@
     def reboots(self) -> Mapping[str, Reboot]:
         return MappingProxyType(self._tables.reboots)
 
+    @property
+    def drains(self) -> Mapping[str, float]:
+        """Time at which each move in progress began."""
+        return MappingProxyType(self._tables.drains)
+
     @property
     def cut_zones(self) -> frozenset[str]:
         return frozenset(self._tables.cut_zones)
--- a/src/galenareel/_state/tables.py
+++ b/src/galenareel/_state/tables.py
@@ -76,6 +76,7 @@
     :param index: log index of the last applied command.
     :param time: latest time that a command carried.
     :param services: the service that each instance announced.
+    :param drains: time at which each move in progress began.
     :param cut_zones: zones without a fresh session.
     :param epoch_floor: highest epoch of a removed row, so that epochs grow
         even for an instance that was forgotten and comes back.
@@ -89,6 +90,7 @@
     instances: dict[str, InstanceRow] = field(default_factory=dict)
     services: dict[str, str] = field(default_factory=dict)
     reboots: dict[str, Reboot] = field(default_factory=dict)
+    drains: dict[str, float] = field(default_factory=dict)
     entries: dict[str, EntryRow] = field(default_factory=dict)
     documents: dict[int, StoredDocument] = field(default_factory=dict)
     in_force: int = 0
@@ -115,6 +117,8 @@
         self.pools.setdefault(row.pool, set()).add(row.instance)
         self.homes.setdefault(row.home, set()).add(row.instance)
         self.phases.setdefault(row.phase, set()).add(row.instance)
+        if row.phase is not Phase.DRAINING:
+            self.drains.pop(row.instance, None)
         if row.phase not in ABSENT:
             self.addresses[row.address] = row.instance
         self.instances[row.instance] = row
@@ -125,6 +129,7 @@
         floor = max(self.epoch_floor, row.epoch, row.home_epoch)
         self.epoch_floor = floor
         self._unlist(row)
+        self.drains.pop(row.instance, None)
         del self.instances[row.instance]
         self.services.pop(row.instance, None)
         self.reboots.pop(row.instance, None)
--- a/testing/control/cluster.py
+++ b/testing/control/cluster.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from random import Random
 from typing import Any
 
 import gevent
@@ -28,6 +29,7 @@
 from galenareel._common.sentinels import NotLeader
 from galenareel._common.sentinels import Unreachable
 from galenareel._consensus.interface import Replicator
+from galenareel._control.decision_adapter import DecisionAdapter
 from galenareel._control.journal import Journal
 from galenareel._control.leader import LeaderLoop
 from galenareel._control.platform import NoPlatform
@@ -388,3 +390,8 @@
                     instance, f'r{number}', pool
                 )
     return cluster
+
+
+def make_adapter(state: State) -> DecisionAdapter:
+    """The real decisions, seeded."""
+    return DecisionAdapter(state, rng=Random(1))
--- a/testing/control/test_changes_of_leader.py
+++ b/testing/control/test_changes_of_leader.py
@@ -16,6 +16,7 @@
 from galenareel._state.commands import PromoteDocument
 from testing.control.cluster import Cluster
 from testing.control.cluster import Crash
+from testing.control.cluster import make_adapter
 from testing.control.cluster import make_cluster
 from testing.state.builders import environment
 from testing.state.builders import POOLS
@@ -29,9 +30,9 @@
     return started()
 
 
-def started(**options: Any) -> Cluster:
+def started(*, wave: bool = True, **options: Any) -> Cluster:
     cluster = make_cluster(**options)
-    document = submit(environment(budget=1))
+    document = submit(environment(budget=1, wave=wave))
     assert isinstance(cluster.propose(document), Done)
     promote = PromoteDocument(now=1.0, version=1, digest='d')
     assert isinstance(cluster.propose(promote), Done)
@@ -44,7 +45,11 @@
 def begin_move(cluster: Cluster) -> None:
     row = cluster.state.instances[INSTANCE]
     command = BeginMove(
-        instance=INSTANCE, epoch=row.epoch, target='office', reason='test'
+        now=cluster.clock.wall(),
+        instance=INSTANCE,
+        epoch=row.epoch,
+        target='office',
+        reason='test',
     )
     assert isinstance(cluster.propose(command), Done)
 
@@ -74,8 +79,12 @@
     assert (row.pool, row.phase, row.epoch) == ('office', Phase.SERVING, 2)
 
 
-def test_move_waits_for_work_in_flight(cluster: Cluster) -> None:
-    """Guards against a new leader that takes a drain for finished."""
+def test_move_waits_for_work_in_flight() -> None:
+    """Guards against a new leader that ends a drain it has not begun.
+
+    The decisions took the drain for one that had begun long ago.
+    """
+    cluster = started(wave=False, adapter=make_adapter)
     cluster.servers[INSTANCE].busy = True
     begin_move(cluster)
     cluster.run(2)
--- a/testing/control/test_decision_adapter.py
+++ b/testing/control/test_decision_adapter.py
@@ -19,9 +19,9 @@
 from galenareel._control.sessions import Sessions
 from galenareel._decisions import decisions as d
 from galenareel._state import commands as c
-from galenareel._state.state import State
 from testing.control.cluster import Cluster
 from testing.control.cluster import FakeLink
+from testing.control.cluster import make_adapter
 from testing.control.test_changes_of_leader import started
 from testing.state.builders import Log
 from testing.state.builders import ready_log
@@ -191,10 +191,6 @@
     assert not ticks.tables.zones['b'].reachable
 
 
-def make_adapter(state: State) -> DecisionAdapter:
-    return DecisionAdapter(state, rng=Random(1))
-
-
 @pytest.mark.parametrize('changes', [(), (0.5, 3.0, 5.5, 8.0)])
 def test_wave_maintains_each_instance_once(
     changes: tuple[float, ...],
--- a/testing/control/test_zones_and_homes.py
+++ b/testing/control/test_zones_and_homes.py
@@ -13,6 +13,7 @@
 from galenareel._state.commands import EjectInstance
 from galenareel._state.commands import PromoteDocument
 from testing.control.cluster import Cluster
+from testing.control.cluster import make_adapter
 from testing.control.test_changes_of_leader import begin_move
 from testing.control.test_changes_of_leader import INSTANCE
 from testing.control.test_changes_of_leader import started
@@ -146,8 +147,13 @@
     assert (row.phase, row.epoch) == (Phase.SERVING, 3)
 
 
-def test_instances_leave_a_removed_pool(cluster: Cluster) -> None:
-    """Guards against instances in a pool that no document has."""
+@pytest.mark.parametrize('busy_s', [0, 20])
+def test_instances_leave_a_removed_pool(busy_s: int) -> None:
+    """Guards against instances in a pool that no document has.
+
+    The decisions cancelled these moves, and control began them again.
+    """
+    cluster = started(adapter=make_adapter)
     document = environment(2, replaces=1, budget=1)
     pools = tuple(one for one in document.pools if one.name == 'lots')
     document = type(document)(
@@ -159,8 +165,12 @@
         services=document.services[:1],
     )
     cluster.propose(submit(document))
+    cluster.servers['a/office-1'].busy = busy_s > 0
     cluster.propose(PromoteDocument(now=1.0, version=2, digest='d'))
+    cluster.run(busy_s)
+    cluster.servers['a/office-1'].busy = False
     cluster.run(6)
+    assert cluster.state.instances['a/office-1'].epoch == 2
     assert {one.pool for one in cluster.state.instances.values()} == {'lots'}
 
 
--- a/testing/state/builders.py
+++ b/testing/state/builders.py
@@ -21,7 +21,12 @@
 
 
 def environment(
-    version: int = 1, *, replaces: int = 0, budget: int = 2, rack: bool = False
+    version: int = 1,
+    *,
+    replaces: int = 0,
+    budget: int = 2,
+    rack: bool = False,
+    wave: bool = True,
 ) -> Environment:
     pools = tuple(
         Pool(name=name, min_available=budget, survive_rack=rack)
@@ -37,7 +42,7 @@
         zones=('a', 'b'),
         pools=pools,
         services=services,
-        waves=(Wave(name='w1', pools=POOLS),),
+        waves=(Wave(name='w1', pools=POOLS),) if wave else (),
     )
 
 
