--- a/src/galenareel/_control/leader.py
+++ b/src/galenareel/_control/leader.py
@@ -14,6 +14,7 @@
 from galenareel._control.decision_adapter import plan_removed_waves
 from galenareel._control.journal import Journal
 from galenareel._control.planning import plan_all
+from galenareel._control.planning import plan_forgotten
 from galenareel._control.planning import plan_orphans
 from galenareel._control.proposer import Proposer
 from galenareel._control.reboots import Reboots
@@ -33,7 +34,7 @@
 # tick: register, then home, then the finished drain.
 MAX_ROUNDS = 4
 
-EXPIRE_INTERVAL_S = 10.0
+CLEAN_INTERVAL_S = 10.0
 
 
 class LeaderLoop:
@@ -68,7 +69,7 @@
         self._loop: Greenlet | None = None
         self._led_since: float | None = None
         self._next_tick = 0.0
-        self._next_expiry = 0.0
+        self._next_cleaning = 0.0
 
     def start(self) -> None:
         self._loop = gevent.spawn(self._run)
@@ -133,9 +134,10 @@
         yield from plan_orphans(state, zones)
         yield from self._reboots.plan(zones, now)
         yield from plan_removed_waves(state.waves, state.environment)
-        if now >= self._next_expiry:
-            self._next_expiry = now + EXPIRE_INTERVAL_S
+        if now >= self._next_cleaning:
+            self._next_cleaning = now + CLEAN_INTERVAL_S
             wall = self._clock.wall()
+            yield from plan_forgotten(state, wall)
             claims = state.claims.values()
             if any(one.expires_at <= wall for one in claims):
                 yield ExpireClaims(now=0.0)
--- a/src/galenareel/_control/planning.py
+++ b/src/galenareel/_control/planning.py
@@ -21,6 +21,7 @@
 from galenareel._state.commands import AssignHome
 from galenareel._state.commands import BeginMove
 from galenareel._state.commands import FinishMove
+from galenareel._state.commands import ForgetInstance
 from galenareel._state.commands import MarkLeft
 from galenareel._state.commands import MarkLost
 from galenareel._state.commands import RegisterInstance
@@ -32,6 +33,10 @@
 from galenareel._state.state import State
 from galenareel._state.tables import ABSENT
 
+# At 1,800 replaced instances a day this bounds the rows of absent ones, and
+# an operator can still ask on the next day why one has gone.
+FORGET_AFTER_S = 86400.0
+
 # A home that reports a lost instance silent for less than this has heard it.
 HEARD_S = 2.0
 
@@ -317,3 +322,11 @@
                 target=destination(state, environment, name),
                 reason=f'pool {pool or "(none)"} is not in the document',
             )
+
+
+def plan_forgotten(state: State, wall: float) -> Iterator[AnyCommand]:
+    """Remove rows of instances that have been away for long."""
+    for name, since in state.absent.items():
+        row = state.instances[name]
+        if wall - since >= FORGET_AFTER_S and row.zone not in state.cut_zones:
+            yield ForgetInstance(instance=name, epoch=row.epoch)
--- a/src/galenareel/_state/instances.py
+++ b/src/galenareel/_state/instances.py
@@ -153,6 +153,7 @@
         return row
     if row.phase in ABSENT:
         return wrong_phase(row, 'present')
+    tables.advance_time(command.now)
     return take_away(tables, row, Phase.LOST, command.reason)
 
 
@@ -185,6 +186,7 @@
         )
     if row.phase is Phase.LEFT:
         return Done(index=tables.index)
+    tables.advance_time(command.now)
     return take_away(tables, row, Phase.LEFT, 'said that it is leaving')
 
 
--- a/src/galenareel/_state/snapshots.py
+++ b/src/galenareel/_state/snapshots.py
@@ -30,6 +30,7 @@
     claims: list[ClaimRow]
     cut_zones: list[str]
     drains: dict[str, float] = {}
+    absent: dict[str, float] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -52,6 +53,7 @@
         claims=[row for _, row in sorted(tables.claims.items())],
         cut_zones=sorted(tables.cut_zones),
         drains=dict(sorted(tables.drains.items())),
+        absent=dict(sorted(tables.absent.items())),
     )
     return _encoder.encode(snapshot)
 
@@ -65,6 +67,7 @@
         services=snapshot.services,
         reboots=snapshot.reboots,
         drains=snapshot.drains,
+        absent=snapshot.absent,
         entries={row.entry: row for row in snapshot.entries},
         documents={one.row.version: one for one in snapshot.documents},
         in_force=snapshot.in_force,
--- a/src/galenareel/_state/state.py
+++ b/src/galenareel/_state/state.py
@@ -130,6 +130,11 @@
         """Time at which each move in progress began."""
         return MappingProxyType(self._tables.drains)
 
+    @property
+    def absent(self) -> Mapping[str, float]:
+        """Time since which each lost or left instance is away."""
+        return MappingProxyType(self._tables.absent)
+
     @property
     def cut_zones(self) -> frozenset[str]:
         return frozenset(self._tables.cut_zones)
--- a/src/galenareel/_state/tables.py
+++ b/src/galenareel/_state/tables.py
@@ -77,6 +77,7 @@
     :param time: latest time that a command carried.
     :param services: the service that each instance announced.
     :param drains: time at which each move in progress began.
+    :param absent: time at which each lost instance was lost, or left.
     :param cut_zones: zones without a fresh session.
     :param epoch_floor: highest epoch of a removed row, so that epochs grow
         even for an instance that was forgotten and comes back.
@@ -91,6 +92,7 @@
     services: dict[str, str] = field(default_factory=dict)
     reboots: dict[str, Reboot] = field(default_factory=dict)
     drains: dict[str, float] = field(default_factory=dict)
+    absent: dict[str, float] = field(default_factory=dict)
     entries: dict[str, EntryRow] = field(default_factory=dict)
     documents: dict[int, StoredDocument] = field(default_factory=dict)
     in_force: int = 0
@@ -119,7 +121,10 @@
         self.phases.setdefault(row.phase, set()).add(row.instance)
         if row.phase is not Phase.DRAINING:
             self.drains.pop(row.instance, None)
-        if row.phase not in ABSENT:
+        if row.phase in ABSENT:
+            self.absent.setdefault(row.instance, self.time)
+        else:
+            self.absent.pop(row.instance, None)
             self.addresses[row.address] = row.instance
         self.instances[row.instance] = row
         self.changed.removed.discard(row.instance)
@@ -130,6 +135,7 @@
         self.epoch_floor = floor
         self._unlist(row)
         self.drains.pop(row.instance, None)
+        self.absent.pop(row.instance, None)
         del self.instances[row.instance]
         self.services.pop(row.instance, None)
         self.reboots.pop(row.instance, None)
--- a/testing/control/test_zones_and_homes.py
+++ b/testing/control/test_zones_and_homes.py
@@ -147,6 +147,17 @@
     assert (row.phase, row.epoch) == (Phase.SERVING, 3)
 
 
+def test_instance_that_stays_away_is_forgotten(cluster: Cluster) -> None:
+    """Guards against rows of replaced instances that fill the memory."""
+    cluster.servers[INSTANCE].alive = False
+    cluster.run(30)
+    assert INSTANCE in cluster.state.instances
+    cluster.clock.now += 86400
+    cluster.run(30)
+    assert INSTANCE not in cluster.state.instances
+    assert len(cluster.state.instances) == 7
+
+
 @pytest.mark.parametrize('busy_s', [0, 20])
 def test_instances_leave_a_removed_pool(busy_s: int) -> None:
     """Guards against instances in a pool that no document has.
