Count a new home's silence from when it became the home

Change: silence counts from the later of the last announcement and the time the home began. Whether a former home is silent takes the time as an argument.

Conclusion: test_new_home_has_not_waited_yet guards it.

--- a/src/galenareel/_entry/homes.py
+++ b/src/galenareel/_entry/homes.py
@@ -46,7 +46,7 @@
         self.taken: dict[str, int] = {}  # taken over here: home_epoch then
         self.lost: dict[str, tuple[str, int]] = {}  # taken by a peer
         self.by_pool: dict[str, list[Server]] = {}
-        self.is_silent: Callable[[str], bool] = lambda _entry: True
+        self.is_silent: Callable[[str, float], bool] = lambda _e, _now: True
         self.min_available: dict[str, int] = {}
         self._serving: dict[str, int] = {}  # in all zones, by pool
         self._draining = False
@@ -96,12 +96,13 @@
                 server,
                 self._effective_home(row),
                 before.home if before is not None else row.home,
+                now,
             )
             by_pool.setdefault(row.pool, []).append(server)
         for name, server in list(self.servers.items()):
             if name not in rows:
                 server.row = None
-                self._assign(server, '', '')
+                self._assign(server, '', '', now)
         self._draining = any(
             one.mine and one.row is not None and drains(one.row)
             for one in self.servers.values()
@@ -314,13 +315,16 @@
         if lost is not None and row.home_epoch > lost[1]:
             del self.lost[row.instance]
 
-    def _assign(self, server: Server, home: str, before: str) -> None:
+    def _assign(
+        self, server: Server, home: str, before: str, now: float
+    ) -> None:
         mine = home == self.entry and not self.released
         if mine and not server.mine:
             server.mine = True
+            server.home_since = now
             # A former home that still runs may have sent work after the
             # latest announcement, so this home waits for the next one.
-            handed_over = bool(before) and not self.is_silent(before)
+            handed_over = bool(before) and not self.is_silent(before, now)
             server.counted = False
             if server.announcement is not None and not handed_over:
                 self._begin_home(server)
--- a/src/galenareel/_entry/peers.py
+++ b/src/galenareel/_entry/peers.py
@@ -4,7 +4,6 @@
 
 from dataclasses import dataclass
 from dataclasses import field
-import time
 
 from galenareel._common.messages import PeerHeartbeat
 from galenareel._common.rows import EntryRow
@@ -114,14 +113,12 @@
             if peer.zone == self.zone and peer.silent_s(now) > TAKEOVER_AFTER_S
         )
 
-    def is_silent(self, name: str) -> bool:
+    def is_silent(self, name: str, now: float) -> bool:
         """Whether an entry is known to send no work any more."""
         if name == self.entry:
             return True
         peer = self.all.get(name)
-        return peer is None or peer.silent_s(time.monotonic()) > (
-            TAKEOVER_AFTER_S
-        )
+        return peer is None or peer.silent_s(now) > TAKEOVER_AFTER_S
 
     def live_in_zone(self, *, now: float) -> list[str]:
         """Entries of the zone that may get homes, with this one."""
--- a/src/galenareel/_entry/servers.py
+++ b/src/galenareel/_entry/servers.py
@@ -31,6 +31,7 @@
     announcement: Announcement | None = None
     heard_at: float = NEVER
     mine: bool = False
+    home_since: float = NEVER
     counted: bool = False  # the home has begun with an in-use count
     in_flight: int = 0
     foreign: int = 0
@@ -43,7 +44,8 @@
     started: dict[int, float] = field(default_factory=dict)
 
     def silent_s(self, now: float) -> float:
-        return now - self.heard_at
+        """Time without an announcement, at most since it has this home."""
+        return now - max(self.heard_at, self.home_since)
 
     def free(self) -> int:
         said = self.announcement
@@ -81,7 +83,7 @@
             instance=self.instance,
             in_use=self.in_flight + self.foreign,
             work_left_s=round(left, 3),
-            silent_s=round(min(self.silent_s(now), 1e6), 1),
+            silent_s=round(self.silent_s(now), 1),
             finished=self.finished,
             failed=self.failed,
             suspect=self.health.impaired(),
--- a/testing/entry/test_zone.py
+++ b/testing/entry/test_zone.py
@@ -211,6 +211,17 @@
     )
 
 
+def test_new_home_has_not_waited_yet(cluster: Cluster) -> None:
+    """Guards against a loss reported before an announcement could come."""
+    cluster.add_entry('a1')
+    cluster.silent.add('a/lots-1')
+    cluster.add_backend(FakeBackend())
+    cluster.start()
+    wait_for(lambda: cluster.control.reports)
+    (load,) = cluster.control.reports[0].instances
+    assert 0.0 <= load.silent_s < 1.0
+
+
 def test_new_incarnation_starts_afresh(cluster: Cluster) -> None:
     """Guards against counters and connections of a former process."""
     entry = cluster.add_entry('a1')
