Add core tests and random faults over the fakes

Cause: the core's rules were tested only through the matrix.

Change: a test for each rule (lease, restart, one vote, former identity, late messages, commit of the own term, membership, starvation of a silent member), a hypothesis machine of random faults and changes, and one seed of the matrix without pairs. The starvation test fails on the code before its fix; the random faults find a leader that commits on one copy.

--- /dev/null
+++ b/testing/consensus/test_raft.py
@@ -0,0 +1,300 @@
+"""The core by itself, and random faults over the fakes."""
+
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import Phase
+from hypothesis import settings
+from hypothesis.stateful import initialize
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import run_state_machine_as_test
+from hypothesis.strategies import integers
+from hypothesis.strategies import sampled_from
+import pytest
+
+from bench.fault_matrix import Column
+from bench.fault_matrix import columns
+from bench.fault_matrix import run_cell
+from bench.faults import FAULTS
+from bench.group import Group
+from bench.history import Violation
+from bench.steps import STEPS
+from galenareel._common.sentinels import Refused
+from galenareel._consensus.effects import SaveState
+from galenareel._consensus.messages import Append
+from galenareel._consensus.messages import AppendReply
+from galenareel._consensus.messages import Body
+from galenareel._consensus.messages import Envelope
+from galenareel._consensus.messages import PreVote
+from galenareel._consensus.messages import PreVoteReply
+from galenareel._consensus.messages import Vote
+from galenareel._consensus.messages import VoteReply
+from galenareel._consensus.raft import Raft
+from galenareel._consensus.records import Entry
+from galenareel._consensus.records import EntryKind
+from galenareel._consensus.records import MemberInfo
+from galenareel._consensus.records import members_entry
+from galenareel._consensus.records import Membership
+from galenareel._consensus.storage import Loaded
+from galenareel._consensus.storage import MemberFile
+
+NAMES = ('a', 'b', 'c')
+MEMBERS = tuple(MemberInfo(i + 1, name, name) for i, name in enumerate(NAMES))
+FIRST = members_entry(1, 1, Membership(MEMBERS))
+
+
+def make_raft(now: float = 100.0) -> Raft:
+    member = MemberFile(1, cluster=9, founders=MEMBERS)
+    loaded = Loaded(member, term=1, entries=[FIRST])
+    return Raft(loaded, rng=Random(1), now=now)
+
+
+def envelope(body: Body, *, sender: int = 2, term: int = 1) -> Envelope:
+    return Envelope(9, sender, 1, term, body)
+
+
+def noop(index: int, term: int) -> Entry:
+    return Entry(index, term, EntryKind.NOOP)
+
+
+def make_leader(now: float = 100.0) -> tuple[Raft, float]:
+    """A leader of term 2 whose first entry is committed."""
+    raft = make_raft(now)
+    now += 2.1
+    raft.tick(now)
+    raft.step(envelope(PreVoteReply(2, True)), now)
+    raft.step(envelope(VoteReply(True), term=2), now)
+    raft.synced(2, 2, now)
+    stamp = int(now * 1000)
+    raft.step(envelope(AppendReply(True, 2, stamp), term=2), now)
+    assert raft.read_index(now) == 2
+    return raft, now
+
+
+def test_no_vote_within_a_lease() -> None:
+    """Guards against a second leader while the first one's reads count."""
+    raft = make_raft()
+    raft.step(envelope(Append(1, 1, 1, 0)), 101.0)
+    raft.step(envelope(AppendReply(False, 0, 0), term=5), 101.1)
+    assert raft.state.term == 5
+    vote = envelope(Vote(9, 9), sender=3, term=5)
+    assert raft.step(vote, 101.9).replies == []
+    (reply,) = raft.step(vote, 102.1).replies
+    assert reply.body == VoteReply(True)
+
+
+def test_no_vote_right_after_a_restart() -> None:
+    """Guards against a lease that the restarted member has forgotten."""
+    raft = make_raft(now=100.0)
+    vote = envelope(Vote(9, 9), term=2)
+    assert raft.step(vote, 100.9).replies == []
+    assert raft.state.term == 1
+
+
+def test_one_vote_a_term() -> None:
+    raft = make_raft()
+    first = raft.step(envelope(Vote(1, 1), sender=2, term=2), 102.0)
+    assert SaveState(2, 2) in first.writes
+    second = raft.step(envelope(Vote(1, 1), sender=3, term=2), 102.0)
+    assert [one.body for one in second.replies] == [VoteReply(False)]
+
+
+def test_pre_vote_changes_nothing_and_needs_a_current_log() -> None:
+    raft = make_raft()
+    raft.step(envelope(Append(1, 1, 1, 0, (noop(2, 1),))), 100.0)
+    for last, granted in ((1, False), (2, True)):
+        asked = envelope(PreVote(7, last, 1), term=6)
+        effects = raft.step(asked, 102.0)
+        assert effects.replies[0].body == PreVoteReply(7, granted)
+        assert effects.writes == []
+
+
+def test_message_for_a_former_identity_is_ignored() -> None:
+    """Guards against a vote in the name of the member that lost its disk."""
+    raft = make_raft()
+    former = Envelope(9, 2, 77, 2, Vote(9, 9))
+    assert raft.step(former, 105.0).replies == []
+    other_cluster = Envelope(8, 2, 1, 2, Vote(9, 9))
+    assert raft.step(other_cluster, 105.0).replies == []
+
+
+def test_late_append_keeps_what_came_after_it() -> None:
+    raft = make_raft()
+    both = Append(1, 1, 1, 0, (noop(2, 1), noop(3, 1)))
+    raft.step(envelope(both), 100.0)
+    raft.step(envelope(Append(1, 1, 1, 0, (noop(2, 1),))), 100.1)
+    assert raft.state.log.last_index == 3
+
+
+def test_entry_of_an_earlier_term_is_not_committed_by_count() -> None:
+    """Guards against a committed entry that a later leader replaces."""
+    raft = make_raft()
+    raft.step(envelope(Append(1, 1, 1, 0, (noop(2, 1),))), 100.0)
+    raft.synced(2, 1, 100.0)
+    raft.tick(102.1)
+    raft.step(envelope(PreVoteReply(2, True)), 102.1)
+    raft.step(envelope(VoteReply(True), term=2), 102.1)
+    raft.step(envelope(AppendReply(True, 2, 0), term=2), 102.1)
+    assert raft.state.commit == 1
+    raft.synced(3, 2, 102.1)
+    raft.step(envelope(AppendReply(True, 3, 0), term=2), 102.1)
+    assert raft.state.commit == 3
+
+
+def test_leader_reads_only_within_its_lease_and_steps_down() -> None:
+    raft, now = make_leader()
+    assert raft.read_index(now + 0.89) == 2
+    assert raft.read_index(now + 0.91) is None
+    raft.tick(now + 1.9)
+    assert raft.state.is_leader()
+    raft.tick(now + 2.1)
+    assert not raft.state.is_leader()
+
+
+def test_late_rejection_does_not_send_again() -> None:
+    raft, now = make_leader()
+    late = AppendReply(False, 2, 0, hint=1)
+    assert raft.step(envelope(late, term=2), now).sends == []
+    assert raft.state.progress[2].next == 3
+
+
+def test_heartbeats_go_on_while_callers_write() -> None:
+    """Guards against a silent member that is starved by constant writes."""
+    raft, now = make_leader()
+    for _ in range(20):
+        raft.propose([b'x'], now)
+    for tenth in range(1, 4):
+        _, effects = raft.propose([b'x'], now + tenth / 10)
+        effects = raft.tick(now + tenth / 10)
+    assert 3 in [one.to for one in effects.sends]
+
+
+def test_one_membership_change_at_a_time() -> None:
+    raft, now = make_leader()
+    stamp = int(now * 1000)
+    raft.step(envelope(AppendReply(True, 2, stamp), sender=3, term=2), now)
+    first, _ = raft.add_member(MemberInfo(4, 'd', 'd'), now)
+    assert first == 3
+    second, _ = raft.remove_member('c', now)
+    assert isinstance(second, Refused)
+    assert second.reason == 'change_in_progress'
+
+
+def test_learner_gets_its_vote_only_after_it_caught_up() -> None:
+    raft, now = make_leader()
+    raft.add_member(MemberInfo(4, 'd', 'd'), now)
+    raft.synced(3, 2, now)
+    raft.step(envelope(AppendReply(True, 3, 0), term=2), now)
+    raft.tick(now + 0.3)
+    assert not raft.state.membership.is_voter(4)
+    reply = AppendReply(True, 3, 0)
+    raft.step(envelope(reply, sender=4, term=2), now + 0.4)
+    raft.step(envelope(reply, sender=2, term=2), now + 0.5)
+    raft.tick(now + 0.6)
+    assert raft.state.membership.is_voter(4)
+
+
+# --- random faults over the fakes -------------------------------------------
+
+
+class RandomFaults(RuleBasedStateMachine):
+    """Any order of faults and changes; then all must heal and agree."""
+
+    @initialize(seed=integers(0, 2**32))
+    def begin(self, seed: int) -> None:
+        self.group = Group(seed)
+        self.group.add_node('new').start()
+
+    @rule(seconds=sampled_from((0.05, 0.4, 3.0)))
+    def wait(self, seconds: float) -> None:
+        self.group.run(seconds)
+
+    @rule(name=sampled_from(tuple(FAULTS)), stop_after=integers(1, 40))
+    def fault(self, name: str, stop_after: int) -> None:
+        found = FAULTS[name](self.group)
+        found.start()
+        self.group.run(stop_after / 10)
+        found.stop()
+
+    @rule(sender=sampled_from(NAMES), receiver=sampled_from(NAMES))
+    def cut(self, sender: str, receiver: str) -> None:
+        self.group.network.cut.add((sender, receiver))
+
+    @rule()
+    def mend(self) -> None:
+        self.group.network.cut.clear()
+
+    @rule(name=sampled_from((*NAMES, 'new')))
+    def add(self, name: str) -> None:
+        for node in self.group.nodes.values():
+            identity = self.group.nodes[name].identity
+            node.change(add=MemberInfo(identity, name, name))
+
+    @rule(name=sampled_from((*NAMES, 'new')))
+    def remove(self, name: str) -> None:
+        for node in self.group.nodes.values():
+            node.change(remove=name)
+
+    def teardown(self) -> None:
+        group = self.group
+        group.network.cut.clear()
+        for node in group.nodes.values():
+            node.start()
+        assert group.run_until(lambda: bool(group.leader()), limit_s=30)
+        group.calls_on = False
+        assert group.run_until(group.has_converged, limit_s=30)
+        group.check()
+
+
+def run_faults_machine(phases: tuple[Phase, ...] = tuple(Phase)) -> None:
+    run_state_machine_as_test(
+        RandomFaults,
+        settings=settings(
+            max_examples=40,
+            stateful_step_count=25,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            report_multiple_bugs=False,
+            phases=phases,
+        ),
+    )
+
+
+def test_random_faults() -> None:
+    run_faults_machine()
+
+
+def test_random_faults_find_a_broken_rule(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Votes that are not remembered must lead to two leaders of a term."""
+    monkeypatch.setattr(Raft, 'synced', commit_at_once)
+    with pytest.raises(Violation):
+        run_faults_machine((Phase.generate,))
+
+
+def commit_at_once(raft: Raft, index: int, term: int, now: float) -> object:
+    """Count an entry as committed once the leader alone has synced it."""
+    st = raft.state
+    for peer in st.progress.values():
+        peer.match = max(peer.match, st.log.last_index)
+    return ORIGINAL_SYNCED(raft, index, term, now)
+
+
+ORIGINAL_SYNCED = Raft.synced
+
+
+@pytest.mark.parametrize('step', STEPS)
+def test_each_step_with_each_fault(step: str) -> None:
+    """One seed of the matrix, without the pairs."""
+    cells = [run_cell(step, one, 1) for one in columns(pairs=False)]
+    assert [one for one in cells if one.problem] == []
+
+
+def test_a_new_fault_adds_its_columns() -> None:
+    """Guards against a fault or step that is declared but never run."""
+    assert len(list(columns())) == len(FAULTS) * (len(FAULTS) + 3) // 2
+    assert Column(('lost',), times=2) in columns()
