Keep the leader's loop alive over a failing decision

Cause: an exception in a decision would have ended the leader's only loop. Change: a failing pass is logged once and the next one runs; the fake cluster fails a test if any pass fails.

--- a/src/galenareel/_control/leader.py
+++ b/src/galenareel/_control/leader.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+import traceback
 
 import gevent
 from gevent.event import Event
 from gevent.greenlet import Greenlet
 
 from galenareel._common.clock import Clock
+from galenareel._common.log import Log
 from galenareel._consensus.interface import Replicator
 from galenareel._control.decision_adapter import DecisionAdapter
 from galenareel._control.decision_adapter import plan_removed_waves
@@ -55,6 +57,7 @@
         adapter: DecisionAdapter,
         journal: Journal,
         clock: Clock,
+        log: Log,
     ) -> None:
         self._address = address
         self._state = state
@@ -65,6 +68,8 @@
         self._adapter = adapter
         self._journal = journal
         self._clock = clock
+        self._log = log
+        self._failure = ''
         self._wake = Event()
         self._loop: Greenlet | None = None
         self._led_since: float | None = None
@@ -86,7 +91,19 @@
         while True:
             self._wake.wait(timeout=TICK_S)
             self._wake.clear()
-            self.step(self._clock.monotonic())
+            self.guarded_step(self._clock.monotonic())
+
+    def guarded_step(self, now: float) -> None:
+        """One pass; a failure in it must not end the loop of the leader."""
+        failure = ''
+        try:
+            self.step(now)
+        except Exception as exc:
+            failure = repr(exc)
+            if failure != self._failure:
+                trace = traceback.format_exc(limit=-3)
+                self._log.error('pass_failed', error=failure, trace=trace)
+        self._failure = failure
 
     def step(self, now: float) -> None:
         """One pass of the loop."""
--- a/src/galenareel/_control/program.py
+++ b/src/galenareel/_control/program.py
@@ -77,6 +77,7 @@
             adapter=adapter,
             journal=self.journal,
             clock=clock,
+            log=log,
         )
         operations = Operations(
             name=member.name,
--- a/testing/control/cluster.py
+++ b/testing/control/cluster.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from io import StringIO
 from random import Random
 from typing import Any
 
@@ -17,6 +18,7 @@
 from galenareel._common.clock import Clock
 from galenareel._common.events import HybridClock
 from galenareel._common.events import Timeline
+from galenareel._common.log import Log
 from galenareel._common.messages import Announcement
 from galenareel._common.messages import Drained
 from galenareel._common.messages import EntryReport
@@ -180,6 +182,7 @@
             adapter=adapter,
             journal=self.journal,
             clock=clock,
+            log=Log(name, stream=cluster.lines),
         )
 
 
@@ -215,6 +218,7 @@
     """All of it; ``adapter`` makes the decision adapter of a state."""
 
     platform_set: bool = True
+    may_fail: bool = False
     adapter: Callable[[State], Any] | None = None
     clock: FakeClock = field(default_factory=FakeClock)
     index: int = 0
@@ -226,6 +230,7 @@
     servers: dict[str, Server] = field(default_factory=dict)
     restart_at: dict[str, float] = field(default_factory=dict)
     platform: Any = None
+    lines: StringIO = field(default_factory=StringIO)
 
     def __post_init__(self) -> None:
         self.platform = FakePlatform(self) if self.platform_set else None
@@ -270,6 +275,7 @@
         return self.commit(encode(command))
 
     def run(self, seconds: float) -> None:
+        """Let time pass; a pass of a leader that fails ends the test."""
         for _ in range(round(seconds / STEP_S)):
             self.clock.now += STEP_S
             self._serve()
@@ -277,8 +283,9 @@
                 if entry.connected and entry.alive:
                     self._report(entry)
             for member in self.members.values():
-                member.loop.step(self.clock.now)
+                member.loop.guarded_step(self.clock.now)
             gevent.sleep(0)
+            assert self.may_fail or not self.lines.getvalue()
 
     def run_until(self, condition: Callable[[], bool], limit_s: float) -> None:
         end = self.clock.now + limit_s
--- a/testing/control/test_decision_adapter.py
+++ b/testing/control/test_decision_adapter.py
@@ -210,6 +210,25 @@
     assert set(cluster.state.waves['w1'].done) == set(cluster.servers)
 
 
+class FailingDecisions:
+    def clear(self) -> None:
+        pass
+
+    def decide(self, *_args: object, **_times: float) -> list[Any]:
+        raise ValueError('a fault in a decision')
+
+
+def test_failing_decision_does_not_stop_the_leader() -> None:
+    """Guards against one fault that ends homes, moves and losses."""
+    cluster = started(adapter=lambda _: FailingDecisions(), may_fail=True)
+    cluster.servers[ONE].alive = False
+    cluster.run(15)
+    assert cluster.state.instances[ONE].phase is Phase.LOST
+    lines = cluster.lines.getvalue().splitlines()
+    assert len(lines) == 1, 'it is logged once, not at each tick'
+    assert 'a fault in a decision' in lines[0]
+
+
 def lots(cluster: Cluster) -> int:
     rows = cluster.state.instances.values()
     return sum(one.pool == 'lots' for one in rows)
--- a/testing/control/test_process.py
+++ b/testing/control/test_process.py
@@ -9,13 +9,19 @@
 import subprocess
 import sys
 import time
+from typing import Any
 
 import gevent
 import pytest
 
 from galenareel._common.messages import Announcement
+from galenareel._common.messages import Claim
+from galenareel._common.messages import ClaimReply
+from galenareel._common.messages import Done
 from galenareel._common.messages import Problem
 from galenareel._common.messages import SessionOpened
+from galenareel._common.messages import SettleClaim
+from galenareel._common.rows import StoredAnswer
 from galenareel._common.sentinels import Unreachable
 from testing.control.harness import FakeEntry
 from testing.control.harness import SECRET
@@ -131,3 +137,31 @@
     reply = entry.report()
     assert isinstance(reply, Problem)
     assert reply.reason == 'no_session'
+
+
+def test_claim_is_granted_once_over_frames(
+    process: tuple[str, subprocess.Popen[bytes]],
+) -> None:
+    """Guards against keyed requests that run at two entries."""
+    address, _ = process
+    entries = [FakeEntry(name, 'a') for name in ('e1', 'e2')]
+    for entry in entries:
+        open_session(entry, address)
+    replies = [
+        entry.request(
+            Claim(key='k', caller='c', digest='d', holder=entry.name)
+        )
+        for entry in entries
+    ]
+    assert [one.state for one in replies] == ['granted', 'running']
+    answer = StoredAnswer(status=200, body=b'sold')
+    settle: dict[str, Any] = {'key': 'k', 'caller': 'c', 'state': 'answered'}
+    wrong = SettleClaim(holder='e2', answer=answer, **settle)
+    reply = entries[1].request(wrong)
+    assert isinstance(reply, Problem)
+    assert reply.reason == 'not_holder'
+    right = SettleClaim(holder='e1', answer=answer, **settle)
+    assert isinstance(entries[0].request(right), Done)
+    again = Claim(key='k', caller='c', digest='d', holder='e2')
+    expected = ClaimReply(state='answered', answer=answer)
+    assert entries[1].request(again) == expected
