Measure documents, failover and the cost of control with real processes

Cause: the state's promises under kills, freezes and cuts need figures that are counted outside the system.

One entry of a zone that was cut off answered nothing for 4 s.

--- /dev/null
+++ b/bench/probes.py
@@ -0,0 +1,94 @@
+"""Probing callers: which document version each entry serves under."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from itertools import count
+import time
+
+import gevent
+
+from demo.topology import EntryPlace
+from galenareel._document.model import Service
+from testing.standins.http import ask
+from testing.standins.work import Work
+
+INTERVAL_S = 0.05
+TIMEOUT_S = 2.0
+
+# Entries of a stopped process answer nothing; probing them slowly keeps the
+# probes of the others on time.
+DOWN_INTERVAL_S = 0.2
+
+
+@dataclass(slots=True)
+class EntryLog:
+    """Versions that probes saw at one entry, with the time of the answer.
+
+    :param reverts: answers under an older version than one that an earlier
+        answer, ended before the probe was sent, had shown.
+    """
+
+    seen: list[tuple[float, int]] = field(default_factory=list)
+    answered: int = 0
+    wrong: int = 0
+    reverts: int = 0
+
+    def latest(self) -> int:
+        return self.seen[-1][1] if self.seen else 0
+
+    def first_seen(self, version: int) -> float | None:
+        """Time of the first answer under this version or a later one."""
+        return next((at for at, one in self.seen if one >= version), None)
+
+
+class Probes:
+    """One caller per entry that asks again and again."""
+
+    def __init__(
+        self, entries: Sequence[EntryPlace], services: Sequence[Service]
+    ) -> None:
+        self.logs = {one.name: EntryLog() for one in entries}
+        self.paused = False
+        self._entries = entries
+        self._services = services
+        self._numbers = count()
+        self._greenlets: list[gevent.Greenlet[..., None]] = []
+
+    def start(self) -> None:
+        self._greenlets = [
+            gevent.spawn(self._run, entry) for entry in self._entries
+        ]
+
+    def close(self) -> None:
+        gevent.killall(self._greenlets)
+
+    def _run(self, entry: EntryPlace) -> None:
+        while True:
+            ok = self.paused or self._probe(entry)
+            gevent.sleep(INTERVAL_S if ok else DOWN_INTERVAL_S)
+
+    def _probe(self, entry: EntryPlace) -> bool:
+        number = next(self._numbers)
+        service = self._services[number % len(self._services)]
+        work = Work(token=f'probe-{number}', service=service.name, size=32)
+        log = self.logs[entry.name]
+        before = log.latest()
+        answer = ask(
+            entry.callers,
+            'GET',
+            work.path(service.path),
+            timeout_s=TIMEOUT_S,
+        )
+        version = answer.header('Galenareel-Document-Version')
+        if not version.isdigit():
+            return False
+        log.reverts += int(version) < before
+        if int(version) > log.latest():
+            log.seen.append((time.monotonic(), int(version)))
+        if answer.status == 200:
+            log.answered += 1
+            log.wrong += answer.body != work.answer()
+        return answer.status == 200
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -56,6 +56,7 @@
             *('--announcements', place.announcements),
             *('--operators', place.operators),
             *('--frames', place.frames),
+            *(('--advertise', place.advertise) if place.advertise else ()),
             *('--control', self._topology.control_addresses()),
             *('--cluster-secret-file', str(self._secret('cluster'))),
             *('--announce-secret-file', str(self._secret('announce'))),
@@ -66,7 +67,8 @@
         self._start(name, module, str(plan))
 
     def _start(self, name: str, module: str, *argv: str) -> None:
-        with self._log(name).open('wb') as log:
+        with self._log(name).open('ab') as log:
+            self._expected.discard(name)
             self._children[name] = subprocess.Popen(
                 [sys.executable, '-m', module, *argv],
                 cwd=ROOT,
@@ -84,6 +86,12 @@
         self._expected.add(name)
         self._children[name].send_signal(signal.SIGTERM)
 
+    def pid(self, name: str) -> int:
+        return self._children[name].pid
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        self._children[name].send_signal(number)
+
     def kill(self, name: str) -> None:
         self._expected.add(name)
         self._children[name].kill()
--- a/demo/topology.py
+++ b/demo/topology.py
@@ -45,6 +45,7 @@
     announcements: str
     operators: str
     frames: str
+    advertise: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/galenareel/_common/settings.py
+++ b/src/galenareel/_common/settings.py
@@ -135,6 +135,12 @@
     announcements: str = _address('address of the HTTP for backend servers')
     operators: str = _address('address of the HTTP for operators')
     frames: str = _address('address of the frames')
+    advertise: str = setting(
+        'address at which other entries reach the frames, if it is another',
+        reader=read_address,
+        shape='HOST:PORT',
+        default='',
+    )
     control: tuple[str, ...] = setting(
         'frame addresses of the control members',
         reader=read_addresses,
--- a/src/galenareel/_entry/process.py
+++ b/src/galenareel/_entry/process.py
@@ -194,7 +194,7 @@
             opening=OpenSession(
                 entry=settings.name,
                 zone=settings.zone,
-                frames=settings.frames,
+                frames=settings.advertise or settings.frames,
                 incarnation=self.incarnation,
             ),
             secret=settings.cluster_secret,
--- a/src/galenareel/_entry/settings.py
+++ b/src/galenareel/_entry/settings.py
@@ -49,6 +49,7 @@
     cluster_secret: str
     announce_secret: str
     operator_secret: str
+    advertise: str = ''
     limits: Limits = msgspec.field(default_factory=Limits)
 
 
@@ -70,5 +71,6 @@
         cluster_secret=settings.cluster_secret.reveal(),
         announce_secret=settings.announce_secret.reveal(),
         operator_secret=settings.operator_secret.reveal(),
+        advertise=settings.advertise,
         limits=Limits(**limits),
     )
