--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -96,7 +96,6 @@
         self._applied = 0
         self._hail_due = 0.0
         self._reopen_due = 0.0
-        self._busy = False
         self._work = Event()
         self._changed = Event()
         self._proposals: list[tuple[bytes, AsyncResult[Any]]] = []
@@ -120,6 +119,7 @@
         self._fail_waiting('closed')
         self._peers.close()
         self._pool.join()
+        self._pool.kill()
         if self._disk is not None:
             self._disk.close()
             self._disk = None
@@ -136,7 +136,7 @@
             return self._not_leader()
         fut: AsyncResult[Any] = AsyncResult()
         self._proposals.append((command, fut))
-        self._flush_proposals()
+        self._work.set()
         return _wait(fut, timeout_s)
 
     def read_barrier(
@@ -288,27 +288,34 @@
         while True:
             self._work.wait()
             self._work.clear()
-            member = self._member
-            while member is not None and member is self._member:
-                batch = member.take_batch()
-                if batch is None:
-                    break
-                self._store(member, batch)
-
-    def _store(self, member: Member, batch: Batch) -> None:
-        self._busy = True
+            while self._store_one():
+                pass
+
+    def _store_one(self) -> bool:
+        """Sync what has gathered; false if there was nothing."""
+        self._propose_gathered()
+        member = self._member
+        batch = member.take_batch() if member is not None else None
+        if member is None or batch is None:
+            return False
         try:
             self._pool.apply(member.store, (batch,))
         except StorageError as exc:
-            self._busy = False
             if member is self._member:
                 self._fail(str(exc))
+            return False
+        self._absorb_stored(member, batch)
+        return True
+
+    def _absorb_stored(self, member: Member, batch: Batch) -> None:
+        if member is not self._member:
             return
-        self._busy = False
-        if member is self._member:
+
+        def stored(_member: Member) -> Effects:
             member.stored(batch, self._now())
-            self._flush_proposals()
-            self._after_step()
+            return Effects()
+
+        self._absorb(stored)
 
     def _absorb(self, call: Callable[[Member], Effects]) -> None:
         member = self._member
@@ -334,9 +341,9 @@
 
     # --- proposals ----------------------------------------------------------
 
-    def _flush_proposals(self) -> None:
-        """Propose what has gathered, once no sync is under way."""
-        if self._busy or not self._proposals or self._member is None:
+    def _propose_gathered(self) -> None:
+        """Propose together what came during the last sync."""
+        if not self._proposals or self._member is None:
             return
         proposals = self._proposals
         self._proposals = []
@@ -350,8 +357,7 @@
         term = member.raft.state.term
         for position, (_, fut) in enumerate(proposals):
             self._waiting[first + position] = (term, fut)
-        member.absorb(effects)
-        self._after_step()
+        self._absorb(lambda _member: effects)
 
     def _on_applied(self, entry: Entry, result: Any) -> None:
         term, fut = self._waiting.pop(entry.index, (0, None))
@@ -416,8 +422,7 @@
             self._waiting[result] = (term, fut)
         else:
             fut.set(result)
-        member.absorb(effects)
-        self._after_step()
+        self._absorb(lambda _member: effects)
         answer: int | Refused | NotLeader | Unreachable
         answer = _wait(fut, CHANGE_TIMEOUT_S)
         return answer
--- a/src/galenareel/_consensus/election.py
+++ b/src/galenareel/_consensus/election.py
@@ -20,7 +20,7 @@
     """No leader was heard for an election timeout."""
     st.reset_election(now)
     st.leader = 0
-    if not st.membership.is_voter(st.identity):
+    if not st.may_campaign():
         return
     st.role = Role.PRE_CANDIDATE
     st.votes = {st.identity}
--- a/src/galenareel/_consensus/state.py
+++ b/src/galenareel/_consensus/state.py
@@ -159,6 +159,17 @@
         """Whether a leader may still hold a lease that rests on us."""
         return self.is_leader() or now - self.contact < ELECTION_MIN_S
 
+    def may_campaign(self) -> bool:
+        """Whether this member votes now, or did before an open removal.
+
+        A member whose own removal is not committed may hold the longest log
+        of too few voters; without it nobody could be elected.
+        """
+        if self.membership.is_voter(self.identity):
+            return True
+        is_open = len(self.history) > 1 and self.history[-1][0] > self.commit
+        return is_open and self.history[-2][1].is_voter(self.identity)
+
     def membership_at(self, index: int) -> Membership:
         found = self.history[0][1]
         for at, membership in self.history:
--- a/testing/consensus/test_driver.py
+++ b/testing/consensus/test_driver.py
@@ -3,15 +3,28 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+import errno
+import os
 from pathlib import Path
 import shutil
+import time
 
 import gevent
 import pytest
 
+from galenareel._common.clock import SystemClock
+from galenareel._common.events import HybridClock
+from galenareel._common.frames import FrameServer
+from galenareel._common.frames import Link
+from galenareel._common.messages import AnyMessage
+from galenareel._common.messages import Hello
+from galenareel._common.messages import Welcome
 from galenareel._common.sentinels import NotLeader
 from galenareel._common.sentinels import Refused
+from galenareel._common.sentinels import Unreachable
+from galenareel._consensus.disk import FolderDisk
 from galenareel._consensus.errors import StorageError
+from galenareel._consensus.peers import Peers
 from testing.consensus.processes import find_leader
 from testing.consensus.processes import free_address
 from testing.consensus.processes import Process
@@ -128,3 +141,112 @@
     """Guards against two processes that write the same log."""
     with pytest.raises(StorageError, match='in use by another process'):
         Process('a', members, tmp_path).driver.start()
+
+
+def test_full_disk_steps_down_and_comes_back(
+    cluster: list[Process], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a leader that acknowledges what it can't store."""
+    monkeypatch.setattr('galenareel._consensus.driver.REOPEN_S', 0.3)
+    leader = leader_of(cluster)
+    assert leader.driver.propose(b'kept', timeout_s=5) == 1
+    full = {leader.name}
+    append = FolderDisk.append
+
+    def refuse(disk: FolderDisk, name: str, data: bytes) -> None:
+        if os.path.basename(disk._path) in full:
+            raise OSError(errno.ENOSPC, 'No space left on device')
+        append(disk, name, data)
+
+    monkeypatch.setattr(FolderDisk, 'append', refuse)
+    assert isinstance(leader.driver.propose(b'x', timeout_s=5), Unreachable)
+    assert not leader.driver.is_leader()
+    rest = [one for one in cluster if one is not leader]
+    second = leader_of(rest)
+    second.driver.propose(b'next', timeout_s=5)
+    full.clear()
+    wait_for(
+        lambda: (
+            leader.journal.commands == second.journal.commands
+            and leader.journal.commands[-1] == b'next'
+        )
+    )
+
+
+def test_leader_that_hears_nobody_gives_no_answer_and_steps_down(
+    cluster: list[Process],
+) -> None:
+    leader = leader_of(cluster)
+    leader.cut = True
+    job = gevent.spawn(leader.driver.propose, b'x', timeout_s=10)
+    assert isinstance(job.get(timeout=5), Unreachable)
+    assert isinstance(leader.driver.propose(b'y', timeout_s=1), NotLeader)
+    assert isinstance(leader.driver.read_barrier(timeout_s=1), NotLeader)
+
+
+def test_slow_sync_holds_up_no_heartbeat(
+    cluster: list[Process], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a disk that blocks the event loop; needs real time."""
+    leader = leader_of(cluster)
+    sync = FolderDisk.sync
+
+    def slow(disk: FolderDisk, name: str) -> None:
+        if os.path.basename(disk._path) == leader.name:
+            time.sleep(2.5)
+        sync(disk, name)
+
+    monkeypatch.setattr(FolderDisk, 'sync', slow)
+    assert leader.driver.propose(b'x', timeout_s=6) == 1
+    assert leader.driver.is_leader()
+
+
+def test_restart_from_a_snapshot(
+    cluster: list[Process], members: dict[str, str], tmp_path: Path
+) -> None:
+    """Guards against a member that missed more than the log still holds."""
+    leader = leader_of(cluster)
+    late = next(one for one in cluster if one is not leader)
+    late.close()
+    for _ in range(3):
+        jobs = [
+            gevent.spawn(leader.driver.propose, bytes(100), timeout_s=5)
+            for _ in range(800)
+        ]
+        gevent.joinall(jobs)
+    names = [one.name for one in (tmp_path / leader.name).iterdir()]
+    assert any(one.startswith('snapshot-') for one in names)
+    again = Process(late.name, members, tmp_path)
+    cluster[cluster.index(late)] = again
+    again.start()
+    wait_for(lambda: len(again.journal.commands) == 2400)
+    leader.close()
+    alone = Process(leader.name, members, tmp_path)
+    cluster[cluster.index(leader)] = alone
+    alone.start()
+    wait_for(lambda: len(alone.journal.commands) == 2400)
+
+
+def test_silent_connection_is_replaced(members: dict[str, str]) -> None:
+    """Guards against a link that TCP retries for minutes after a cut."""
+    links: list[Link] = []
+    received: list[AnyMessage] = []
+
+    def handle(link: Link, msg: AnyMessage) -> AnyMessage | None:
+        if isinstance(msg, Hello):
+            links.append(link)
+            return Welcome(process='b')
+        received.append(msg)
+        return None
+
+    clock = HybridClock(SystemClock())
+    server = FrameServer(members['b'], clock=clock, handler=handle)
+    server.start()
+    peers = Peers(members['a'], process='a', secret='', clock=clock)
+    for now in (100.0, 102.0, 102.5, 106.0):
+        peers.send(members['b'], b'', now)
+        gevent.sleep(0.05)
+    peers.close()
+    server.close()
+    assert len(links) == 2
+    assert len(received) == 4
--- a/testing/consensus/test_raft.py
+++ b/testing/consensus/test_raft.py
@@ -196,6 +196,23 @@
     assert raft.state.membership.is_voter(4)
 
 
+def test_leader_with_open_removal_of_itself_can_be_elected() -> None:
+    """Guards against two members of which neither can win an election."""
+    group = Group(1, size=2)
+    assert group.run_until(lambda: bool(group.leader()), limit_s=10)
+    leader = group.leader()
+    assert leader is not None
+    group.network.cut |= {('a', 'b'), ('b', 'a')}
+    leader.change(remove=leader.name)
+    group.run(4.0)
+    assert group.leader() is None
+    group.network.cut.clear()
+    assert group.run_until(lambda: bool(group.members()), limit_s=10)
+    assert group.run_until(
+        lambda: leader.name not in group.members(), limit_s=10
+    )
+
+
 # --- random faults over the fakes -------------------------------------------
 
 
