--- a/src/galenareel/_decisions/placement.py
+++ b/src/galenareel/_decisions/placement.py
@@ -107,8 +107,13 @@
         return self._fits_waves(job, name)
 
     def _fits_waves(self, job: Job, name: str) -> bool:
-        """Long jobs that can't be saved stay off instances of a wave."""
-        if job.checkpointable:
+        """Long jobs that can't be saved stay off instances of a wave.
+
+        One that has waited long goes there all the same; the wave comes to
+        that instance last.
+        """
+        waited = self.census.now - job.submitted_at
+        if job.checkpointable or waited > RESERVE_AFTER_S:
             return True
         rest = rest_of_job(self.census, job)
         for wave in self.census.tables.waves.values():
--- /dev/null
+++ b/testing/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decision functions."""
--- /dev/null
+++ b/testing/decisions/building.py
@@ -0,0 +1,93 @@
+"""Small tables for tests of single failures."""
+
+from __future__ import annotations
+
+from random import Random
+
+from galenareel._decisions.decisions import Decision
+from galenareel._decisions.tables import Instance
+from galenareel._decisions.tables import Job
+from galenareel._decisions.tables import JobState
+from galenareel._decisions.tables import Lease
+from galenareel._decisions.tables import Load
+from galenareel._decisions.tables import Pool
+from galenareel._decisions.tables import Service
+from galenareel._decisions.tables import Tables
+from galenareel._decisions.tables import Team
+from galenareel._decisions.tables import Zone
+from galenareel._decisions.ticking import tick
+
+
+def fleet(*, survive_rack: bool = True) -> Tables:
+    """Three pools of six; four of each share a rack."""
+    tables = Tables()
+    for zone in ('z0', 'z1', 'z2'):
+        tables.zones[zone] = Zone(name=zone)
+    for number, name in enumerate(('lots', 'tasting', 'office')):
+        tables.pools[name] = Pool(
+            name=name,
+            min_available=2,
+            survive_rack=survive_rack,
+            spare=name == 'office',
+        )
+        tables.services[name] = Service(name=name, pool=name)
+        for index in range(6):
+            zone = f'z{(number + index // 4) % 3}'
+            instance = f'{zone}/{name}-{index}'
+            rack = f'{zone}/{name}-{"a" if index < 4 else "b"}'
+            tables.instances[instance] = Instance(
+                name=instance,
+                zone=zone,
+                rack=rack,
+                pool=name,
+                maintained_at=float('-inf'),
+            )
+    tables.teams['team'] = Team(name='team', slots=1000)
+    return tables
+
+
+def add_job(tables: Tables, name: str, **fields: object) -> Job:
+    values = {'service': 'lots', 'team': 'team'} | fields
+    job = Job(name=name, **values)  # type: ignore[arg-type]
+    tables.jobs[name] = job
+    return job
+
+
+def run_job(tables: Tables, name: str, instance: str, **fields: object) -> Job:
+    """A job that holds a lease and runs."""
+    job = add_job(tables, name, state=JobState.RUNNING, **fields)
+    tables.leases[name] = Lease(job=name, instance=instance, since=0.0)
+    return job
+
+
+def set_load(
+    tables: Tables, pool: str, rate: float, queued: int, now: float
+) -> None:
+    tables.pools[pool].load = Load(
+        arrival_rate=rate,
+        queued=queued,
+        oldest_wait_s=2.0 if queued else 0.0,
+        service_s=1.0,
+        reported_at=now,
+    )
+
+
+def peak(tables: Tables, pool: str, *, rate: float = 100.0) -> list[Decision]:
+    """Decisions of three ticks in which a pool's peak begins.
+
+    The rows stay as they are, as if every commit were still on its way.
+    """
+    decisions: list[Decision] = []
+    for turn in range(3):
+        now = 100.0 + turn / 2
+        set_load(tables, pool, rate, 50 * (turn + 1), now)
+        decisions += run_tick(tables, now)
+    return decisions
+
+
+def run_tick(tables: Tables, now: float = 100.0) -> list[Decision]:
+    return tick(tables, now=now, rng=Random(1))
+
+
+def of_type(decisions: list[Decision], kind: type) -> list[Decision]:
+    return [one for one in decisions if isinstance(one, kind)]
