Free a wave that a rack reserve holds up; try failed instances again

Causes, found by tests: two of six instances beside four in one rack could never be maintained without a move; an instance that failed and could not be ejected got no work for ever. A longer trial of the state machine still finds a budget violation, which is looked at next.

--- a/src/galenareel/_decisions/ejection.py
+++ b/src/galenareel/_decisions/ejection.py
@@ -18,6 +18,9 @@
     from galenareel._decisions.tables import Tables
 
 HALF_LIFE_S = 10.0
+# One that can't be ejected gets no jobs; without urgent requests either, it
+# is tried again after this long.
+FORGET_S = 30.0
 # With this share of a pool's work failing, the work is at fault and taking
 # instances out would only add load to the others.
 POOL_RATIO = 0.5
@@ -65,7 +68,10 @@
     known.finished = known.finished * factor + instance.finished
     known.failed = known.failed * factor + instance.failed
     # A home that suspects an instance saw its failures last.
-    if instance.finished and not instance.suspect:
+    if instance.failed:
+        known.failed_at = now
+    quiet = now - known.failed_at > FORGET_S
+    if quiet or (instance.finished and not instance.suspect):
         known.in_a_row = 0
     else:
         known.in_a_row += instance.failed
--- a/src/galenareel/_decisions/lending.py
+++ b/src/galenareel/_decisions/lending.py
@@ -36,10 +36,22 @@
             instance = _choose(census, needs, target)
             if instance is None:
                 break
-            decisions += _lend_one(census, instance, target, needs[target])
+            decisions += _lend_one(
+                census, instance, target, needs[target].reason
+            )
     return decisions
 
 
+def lend_one_more(
+    census: Census, needs: dict[str, Need], target: str, reason: str
+) -> list[Decision]:
+    """Lend one instance beyond what a pool's load needs, if one is free."""
+    instance = _choose(census, needs, target)
+    if instance is None:
+        return []
+    return _lend_one(census, instance, target, reason)
+
+
 def needs_of_pools(census: Census) -> dict[str, Need]:
     needs = {}
     for pool in census.tables.pools.values():
@@ -136,7 +148,7 @@
 
 
 def _lend_one(
-    census: Census, instance: Instance, target: str, need: Need
+    census: Census, instance: Instance, target: str, reason: str
 ) -> list[Decision]:
     wait = drain_s(census, instance)
     move = LendInstance(
@@ -145,7 +157,7 @@
         source=instance.pool,
         target=target,
         reason=(
-            f'{need.reason}; {instance.pool} can spare it and it is '
+            f'{reason}; {instance.pool} can spare it and it is '
             f'free in about {wait:.1f} s'
         ),
     )
--- a/src/galenareel/_decisions/waves.py
+++ b/src/galenareel/_decisions/waves.py
@@ -19,6 +19,7 @@
 from galenareel._decisions.decisions import StopWave
 from galenareel._decisions.drains import drain_s
 from galenareel._decisions.drains import empty_instance
+from galenareel._decisions.lending import lend_one_more
 from galenareel._decisions.lending import needs_of_pools
 from galenareel._decisions.lending import shortage
 from galenareel._decisions.wave_failures import correlated
@@ -140,9 +141,33 @@
         started = _start_one(census, wave, instance, needs, size)
         room -= bool(started)
         decisions += started
+    if not decisions and not running:
+        decisions += _unblock(census, wave, unvisited, needs)
     return decisions
 
 
+def _unblock(
+    census: Census,
+    wave: Wave,
+    unvisited: list[Instance],
+    needs: dict[str, Need],
+) -> list[Decision]:
+    """Lend an instance to a pool whose budget holds the wave up.
+
+    A pool with four of six in one rack can never spare one of the other two:
+    the loss of that rack would leave a single instance.
+    """
+    for instance in unvisited:
+        pool = instance.pool
+        if instance.phase is not Phase.SERVING or needs[pool].peak:
+            continue
+        if not census.refusal(instance) or census.budgets[pool].inbound:
+            continue
+        reason = f'{wave.name} is held up because {census.refusal(instance)}'
+        return lend_one_more(census, needs, pool, reason)
+    return []
+
+
 def _members(census: Census, wave: Wave) -> list[Instance]:
     """Instances that are in its pools or on their way to one."""
     return [
--- a/testing/decisions/building.py
+++ b/testing/decisions/building.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from random import Random
+from typing import TypeVar
 
 from galenareel._decisions.decisions import Decision
 from galenareel._decisions.tables import Instance
@@ -17,6 +18,8 @@
 from galenareel._decisions.tables import Zone
 from galenareel._decisions.ticking import tick
 
+Kind = TypeVar('Kind')
+
 
 def fleet(*, survive_rack: bool = True) -> Tables:
     """Three pools of six; four of each share a rack."""
@@ -89,5 +92,6 @@
     return tick(tables, now=now, rng=Random(1))
 
 
-def of_type(decisions: list[Decision], kind: type) -> list[Decision]:
+def of_type(decisions: list[Decision], kind: type[Kind]) -> list[Kind]:
+    """Decisions of one class."""
     return [one for one in decisions if isinstance(one, kind)]
