Judge a cut-off zone by the pools that it has instances of

Cause: one entry was counted as not serving because its probes waited for pools without an instance in its zone.

Change: bench/state.py asks the entries of the zone only for services whose pool has an instance there.

--- a/bench/probes.py
+++ b/bench/probes.py
@@ -52,8 +52,8 @@
     ) -> None:
         self.logs = {one.name: EntryLog() for one in entries}
         self.paused = False
+        self.services = {one.name: list(services) for one in entries}
         self._entries = entries
-        self._services = services
         self._numbers = count()
         self._greenlets: list[gevent.Greenlet[..., None]] = []
 
@@ -72,7 +72,8 @@
 
     def _probe(self, entry: EntryPlace) -> bool:
         number = next(self._numbers)
-        service = self._services[number % len(self._services)]
+        services = self.services[entry.name]
+        service = services[number % len(services)]
         work = Work(token=f'probe-{number}', service=service.name, size=32)
         log = self.logs[entry.name]
         before = log.latest()
--- a/bench/state.py
+++ b/bench/state.py
@@ -386,6 +386,7 @@
         inside = [one for one in self._cluster.entries if one.zone == zone]
         print(f'cutting off {zone}', flush=True)
         self._down |= {one.name for one in inside}
+        self._probe_locally(zone)
         before = {one.name: self._answered(one) for one in inside}
         self._cluster.cut_zone(zone, cut=True)
         gevent.sleep(CUT_S / 2)
@@ -404,6 +405,17 @@
         rejoined = self._await_everywhere(self._version, healed_at)
         self._measured.figures['rejoin_s'] = round(rejoined, 3)
 
+    def _probe_locally(self, zone: str) -> None:
+        """Ask a zone's entries only for what the zone can serve alone."""
+        rows = self._status()['instances']
+        pools = {row['pool'] for row in rows if row['zone'] == zone}
+        for entry in self._cluster.entries:
+            if entry.zone == zone:
+                all_services = self._probes.services[entry.name]
+                self._probes.services[entry.name] = [
+                    one for one in all_services if one.pool in pools
+                ]
+
     def _answered(self, entry: EntryPlace) -> int:
         return self._probes.logs[entry.name].answered
 
