Test the limit of a drain over a change of leader

Cause: the limit of 60 s was only tested within the decisions. Change: a wave skips an instance that stays busy, at its limit although the leader changed half-way, and takes it at the end.

--- a/testing/control/test_decision_adapter.py
+++ b/testing/control/test_decision_adapter.py
@@ -23,9 +23,11 @@
 from testing.control.cluster import FakeLink
 from testing.control.cluster import make_adapter
 from testing.control.test_changes_of_leader import started
+from testing.state.builders import environment
 from testing.state.builders import Log
 from testing.state.builders import ready_log
 from testing.state.builders import register
+from testing.state.builders import submit
 
 ONE = 'a/lots-1'
 SAME: dict[str, Any] = {'instance': ONE, 'epoch': 1, 'reason': 'r'}
@@ -251,3 +253,23 @@
     records = cluster.lead.journal.about(moved[0].instance)
     kinds = [one.action for one in records]
     assert kinds[-2:] == ['move.begun', 'move.finished']
+
+
+def test_drain_limit_holds_over_a_change_of_leader() -> None:
+    """Guards against a wave that waits for ever, or again from the start."""
+    cluster = started(wave=False, adapter=make_adapter)
+    cluster.servers[ONE].busy = True
+    cluster.propose(submit(environment(2, replaces=1, budget=1)))
+    cluster.propose(c.PromoteDocument(now=1.0, version=2, digest='d'))
+    cluster.run_until(lambda: ONE in cluster.state.reboots, 60)
+    begun = cluster.clock.now
+    cluster.run(30)
+    cluster.change_leader()
+    cluster.run_until(lambda: ONE not in cluster.state.reboots, 60)
+    assert 58 <= cluster.clock.now - begun <= 66
+    assert cluster.state.waves['w1'].skipped == (ONE,)
+    cluster.servers[ONE].busy = False
+    cluster.run_until(lambda: not cluster.state.waves['w1'].skipped, 60)
+    cluster.run(10)
+    assert cluster.state.waves['w1'].state is WaveState.DONE
+    assert cluster.platform.reboots == dict.fromkeys(cluster.servers, 1)
