Count the wait after a reboot request from the platform's answer

Cause: a platform that took over 10 s to accept let an instance that had restarted by itself serve again before its reboot: the wait was counted from the request. Change: it counts from the pass that sees the answer. Conclusion: no instance serves while its reboot is still to come, except for a restart in the moment between acceptance and reboot.

--- a/src/galenareel/_control/reboots.py
+++ b/src/galenareel/_control/reboots.py
@@ -37,14 +37,16 @@
 class Call:
     """What this leader knows of one token at the platform.
 
-    :param incarnation: of the instance when the platform accepted.
+    :param incarnation: of the instance when the platform answered.
+    :param at: pass of the leader that first saw the answer; a platform may
+        take long to answer, and a reboot begins only then.
     """
 
     running: bool = True
     accepted: bool = False
     refused: bool = False
     incarnation: str = ''
-    at: float = 0.0
+    at: float | None = None
 
 
 class Reboots:
@@ -109,10 +111,14 @@
     def _reboot(self, row: InstanceRow, now: float) -> Iterator[AnyCommand]:
         reboot = self._state.reboots[row.instance]
         call = self._calls.get(reboot.token)
+        if call is not None and call.at is None and not call.running:
+            call.at = now
         if call is None or self._is_due(call, now):
             if not self._pool.full():
                 self._calls[reboot.token] = Call()
-                self._pool.spawn(self._ask, row.instance, reboot.token, now)
+                self._pool.spawn(self._ask, row.instance, reboot.token)
+            return
+        if call.at is None:
             return
         if call.refused:
             yield FailMaintenance(
@@ -131,16 +137,16 @@
 
     def _is_due(self, call: Call, now: float) -> bool:
         pending = call.running or call.accepted or call.refused
-        return not pending and now - call.at >= RETRY_S
+        waited = call.at is not None and now - call.at >= RETRY_S
+        return not pending and waited
 
-    def _ask(self, instance: str, token: str, now: float) -> None:
+    def _ask(self, instance: str, token: str) -> None:
         result = self._platform.reboot(instance, token=token)
         call = self._calls.get(token)
         row = self._state.instances.get(instance)
         if call is None or row is None:
             return
         call.running = False
-        call.at = now
         call.incarnation = row.incarnation
         if not isinstance(result, Unreachable):
             call.accepted = result
--- a/testing/control/cluster.py
+++ b/testing/control/cluster.py
@@ -123,8 +123,11 @@
         self.reboots: dict[str, int] = {}
         self.saved: set[str] = set()
         self.answer: bool | Unreachable = True
+        self.is_slow = False
 
     def reboot(self, instance: str, *, token: str) -> bool | Unreachable:
+        while self.is_slow:
+            gevent.sleep(0)
         if self.answer is True and token not in self.tokens:
             self.tokens[token] = instance
             count = self.reboots.get(instance, 0)
--- a/testing/control/test_changes_of_leader.py
+++ b/testing/control/test_changes_of_leader.py
@@ -126,15 +126,22 @@
     assert cluster.platform.reboots == {INSTANCE: 1}
 
 
+@pytest.mark.parametrize('is_slow', [False, True])
 def test_restart_before_the_reboot_is_not_taken_for_it(
-    cluster: Cluster,
+    cluster: Cluster, is_slow: bool
 ) -> None:
-    """Guards against work given to an instance that will still reboot."""
-    cluster.platform.answer = Unreachable(reason='timeout')
+    """Guards against work given to an instance that will still reboot.
+
+    A platform that is slow to accept is as dangerous as one that fails first.
+    """
+    cluster.platform.is_slow = is_slow
+    if not is_slow:
+        cluster.platform.answer = Unreachable(reason='timeout')
     begin_maintenance(cluster)
     cluster.run(3)
     cluster.servers[INSTANCE].incarnation += 1
-    cluster.run(2)
+    cluster.run(12)
+    cluster.platform.is_slow = False
     cluster.platform.answer = True
     cluster.run_until(lambda: bool(cluster.state.waves['w1'].done), 40)
     assert not cluster.restart_at, 'it serves and will still reboot'
