--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import gevent
-from gevent.event import AsyncResult
 from gevent.event import Event
 from gevent.threadpool import ThreadPool
 from logbook import Logger
@@ -18,16 +17,13 @@
 from galenareel._common.clock import SystemClock
 from galenareel._common.events import HybridClock
 from galenareel._common.messages import PeerMessage
-from galenareel._common.sentinels import Absent
 from galenareel._common.sentinels import NotLeader
 from galenareel._common.sentinels import Refused
 from galenareel._common.sentinels import Unreachable
 from galenareel._consensus.disk import FolderDisk
 from galenareel._consensus.effects import Effects
 from galenareel._consensus.errors import StorageError
-from galenareel._consensus.founding import answer_hail
-from galenareel._consensus.founding import Founding
-from galenareel._consensus.founding import HAIL_S
+from galenareel._consensus.greeter import Greeter
 from galenareel._consensus.interface import Replicator
 from galenareel._consensus.interface import StateMachine
 from galenareel._consensus.member import Batch
@@ -39,6 +35,8 @@
 from galenareel._consensus.messages import Foundation
 from galenareel._consensus.messages import Hail
 from galenareel._consensus.peers import Peers
+from galenareel._consensus.proposals import Proposals
+from galenareel._consensus.proposals import wait
 from galenareel._consensus.records import Entry
 from galenareel._consensus.records import MemberInfo
 from galenareel._consensus.storage import Loaded
@@ -48,7 +46,6 @@
 REOPEN_S = 5.0
 CHANGE_TIMEOUT_S = 5.0
 MAX_COMMAND_BYTES = 1024 * 1024
-IDENTITY_BITS = 32  # five bytes in a message; members are few
 
 log = Logger('consensus')
 
@@ -76,11 +73,9 @@
     ) -> None:
         self._name = name
         self._address = members[name]
-        self._members = members
         self._data_dir = data_dir
         self._machine = machine
         self._clock = clock
-        self._joins = joins
         self._time = time or SystemClock()
         self._rng = rng or SystemRandom()
         self._peers = Peers(
@@ -90,17 +85,21 @@
         self._pool = ThreadPool(1)
         self._disk: FolderDisk | None = None
         self._storage: Storage | None = None
-        self._loaded: Loaded | None = None
-        self._founding: Founding | None = None
+        self._loaded: Loaded | None = None  # until the member runs
+        self._identity = 0
+        self._greeter = Greeter(
+            name,
+            members,
+            joins=joins,
+            rng=self._rng,
+            send=self._send_unaddressed,
+        )
         self._member: Member | None = None
         self._applied = 0
-        self._hail_due = 0.0
         self._reopen_due = 0.0
         self._work = Event()
         self._changed = Event()
-        self._proposals: list[tuple[bytes, AsyncResult[Any]]] = []
-        self._waiting: dict[int, tuple[int, AsyncResult[Any]]] = {}
-        self._hails: dict[str, AsyncResult[Any]] = {}
+        self._proposals = Proposals()
         self._greenlets: list[Any] = []
 
     # --- Replicator ---------------------------------------------------------
@@ -116,7 +115,7 @@
         gevent.killall(self._greenlets)
         self._greenlets = []
         self._member = None
-        self._fail_waiting('closed')
+        self._proposals.fail('closed')
         self._peers.close()
         self._pool.join()
         self._pool.kill()
@@ -134,10 +133,9 @@
             )
         if not self._leads():
             return self._not_leader()
-        fut: AsyncResult[Any] = AsyncResult()
-        self._proposals.append((command, fut))
+        fut = self._proposals.add(command)
         self._work.set()
-        return _wait(fut, timeout_s)
+        return wait(fut, timeout_s)
 
     def read_barrier(
         self, *, timeout_s: float
@@ -220,36 +218,13 @@
     def _open(self) -> None:
         if self._disk is not None:
             self._disk.close()
+            self._disk = None
         self._disk = FolderDisk(self._data_dir)
         self._storage = Storage(self._disk)
-        identity = self._rng.getrandbits(IDENTITY_BITS) or 1
-        self._loaded = self._storage.open(identity)
-        member = self._loaded.member
-        self._founding = None
-        if member.cluster == 0:
-            self._founding = Founding(
-                self._name,
-                self._members,
-                identity=member.identity,
-                joins=self._joins,
-            )
-            self._compose()
-        if self._founding is None or self._founding.waits:
-            self._run_member()
-
-    def _run_member(self) -> None:
-        assert self._storage is not None, 'the storage is open'
-        assert self._loaded is not None, 'the storage is open'
-        self._member = Member(
-            self._storage,
-            self._loaded,
-            self._machine,
-            send=self._send,
-            on_applied=self._on_applied,
-            rng=self._rng,
-            now=self._now(),
-            applied=self._applied,
-        )
+        self._loaded = self._storage.open(self._greeter.new_identity())
+        self._identity = self._loaded.member.identity
+        self._greeter.open(self._storage, self._loaded)
+        self._run_if_ready()
 
     def _fail(self, problem: str) -> None:
         """Take no further part until the data folder works again."""
@@ -259,8 +234,10 @@
         if self._member is not None:
             self._applied = self._member.applied
         self._member = None
+        self._loaded = None
+        self._greeter.close()
         self._reopen_due = self._now() + REOPEN_S
-        self._fail_waiting('storage_failed')
+        self._proposals.fail('storage_failed')
         self._changed.set()
 
     def _reopen(self) -> None:
@@ -279,8 +256,7 @@
             now = self._now()
             if self._reopen_due and now >= self._reopen_due:
                 self._reopen()
-            if self._founding is not None and now >= self._hail_due:
-                self._hail(now)
+            self._greeter.tick(now)
             self._absorb(lambda member: member.raft.tick(now))
             gevent.sleep(TICK_S)
 
@@ -328,7 +304,7 @@
             # make the members differ.
             log.critical('the member stops for good: {!r}', exc)
             self._member = None
-            self._fail_waiting('member_stopped')
+            self._proposals.fail('member_stopped')
             raise
         self._after_step()
 
@@ -336,46 +312,26 @@
         self._work.set()
         self._changed.set()
         self._changed.clear()
-        if self._waiting and not self._leads():
-            self._fail_waiting('leader_changed')
+        if self._proposals.has_waiting() and not self._leads():
+            self._proposals.fail('leader_changed')
 
     # --- proposals ----------------------------------------------------------
 
     def _propose_gathered(self) -> None:
         """Propose together what came during the last sync."""
-        if not self._proposals or self._member is None:
-            return
-        proposals = self._proposals
-        self._proposals = []
         member = self._member
-        commands = [command for command, _ in proposals]
+        if member is None or not self._proposals.has_gathered():
+            return
+        commands = self._proposals.commands()
         first, effects = member.raft.propose(commands, self._now())
         if isinstance(first, NotLeader):
-            for _, fut in proposals:
-                fut.set(self._not_leader())
+            self._proposals.refused(self._not_leader())
             return
-        term = member.raft.state.term
-        for position, (_, fut) in enumerate(proposals):
-            self._waiting[first + position] = (term, fut)
+        self._proposals.placed(first, member.raft.state.term)
         self._absorb(lambda _member: effects)
 
     def _on_applied(self, entry: Entry, result: Any) -> None:
-        term, fut = self._waiting.pop(entry.index, (0, None))
-        if fut is None:
-            return
-        if term == entry.term:
-            fut.set(entry.index if result is None else result)
-        else:
-            fut.set(self._not_leader())
-
-    def _fail_waiting(self, reason: str) -> None:
-        unknown = Unreachable(reason=reason, retry_after_s=1.0)
-        waiting = [fut for _, fut in self._waiting.values()]
-        waiting.extend(fut for _, fut in self._proposals)
-        self._waiting.clear()
-        self._proposals.clear()
-        for fut in waiting:
-            fut.set(unknown)
+        self._proposals.applied(entry, result, self._not_leader)
 
     # --- members ------------------------------------------------------------
 
@@ -390,8 +346,9 @@
             return Refused(
                 reason='bad_request', detail=f'{add!r} is not name=host:port'
             )
-        identity = self._ask_identity(name, address)
-        if isinstance(identity, Absent):
+        fut = self._greeter.ask(name, address)
+        identity: int | Unreachable = wait(fut, CHANGE_TIMEOUT_S)
+        if isinstance(identity, Unreachable):
             return identity
         if self._member is None:
             return self._not_leader()
@@ -399,106 +356,51 @@
         result, effects = self._member.raft.add_member(info, self._now())
         return self._await_change(result, effects)
 
-    def _ask_identity(self, name: str, address: str) -> int | Unreachable:
-        fut: AsyncResult[Any] = AsyncResult()
-        self._hails[name] = fut
-        assert self._loaded is not None, 'a leader has an open log'
-        identity = self._loaded.member.identity
-        hail = Hail(self._name, self._address, identity, True, True)
-        self._send_unaddressed(address, hail)
-        answer: int | Unreachable = _wait(fut, CHANGE_TIMEOUT_S)
-        self._hails.pop(name, None)
-        return answer
-
     def _await_change(
         self, result: Any, effects: Any
     ) -> int | Refused | NotLeader | Unreachable:
         member = self._member
         if isinstance(result, NotLeader) or member is None:
             return self._not_leader()
-        fut: AsyncResult[Any] = AsyncResult()
+        answer: int | Refused | NotLeader | Unreachable = result
         if isinstance(result, int) and result > member.applied:
-            term = member.raft.state.term
-            self._waiting[result] = (term, fut)
-        else:
-            fut.set(result)
-        self._absorb(lambda _member: effects)
-        answer: int | Refused | NotLeader | Unreachable
-        answer = _wait(fut, CHANGE_TIMEOUT_S)
+            fut = self._proposals.expect(result, member.raft.state.term)
+            self._absorb(lambda _member: effects)
+            answer = wait(fut, CHANGE_TIMEOUT_S)
         return answer
 
     # --- founding -----------------------------------------------------------
 
-    def _hail(self, now: float) -> None:
-        self._hail_due = now + HAIL_S
-        if self._founding is None:
-            return
-        for address in self._founding.addresses():
-            self._send_unaddressed(address, self._founding.hail(answer=True))
-
     def _receive_founding(self, body: Hail | Foundation) -> None:
-        if isinstance(body, Foundation):
-            self._receive_foundation(body)
-            return
-        fut = self._hails.get(body.name)
-        if fut is not None:
-            fut.set(body.identity)
-        if self._founding is not None and not self._belongs():
-            self._receive_hail(self._founding, body)
-        elif body.answer and self._loaded is not None:
-            answer = answer_hail(
-                body, self._loaded.member, self._name, self._address
-            )
-            self._send_unaddressed(body.address, answer)
-
-    def _belongs(self) -> bool:
-        """Whether a member that joins has been taken into a cluster."""
-        if self._member is None:
-            return False
-        return self._member.raft.state.cluster != 0
-
-    def _receive_hail(self, founding: Founding, hail: Hail) -> None:
-        waited = founding.waits
-        founding.on_hail(hail)
-        if hail.answer:
-            answer = founding.hail(answer=False)
-            self._send_unaddressed(hail.address, answer)
-        if founding.waits and not waited:
-            log.warning(
-                'the data folder of {} is new but its cluster exists; remove '
-                'it from the members and add it again to replace it',
-                self._name,
-            )
-            self._run_member()
-        self._compose()
-
-    def _compose(self) -> None:
-        if self._founding is None:
-            return
-        cluster = self._rng.getrandbits(IDENTITY_BITS) or 1
-        foundation = self._founding.compose(cluster)
-        if foundation is None:
-            return
-        self._receive_foundation(foundation)
-        for address in self._members.values():
-            if address != self._address:
-                self._send_unaddressed(address, foundation)
-
-    def _receive_foundation(self, foundation: Foundation) -> None:
-        founding = self._founding
-        if founding is None or not founding.accepts(foundation):
-            return
-        assert self._storage is not None, 'the storage is open'
-        assert self._loaded is not None, 'the storage is open'
+        member = self._member
+        joined = member is not None and member.raft.state.cluster != 0
         try:
-            self._loaded.member = self._storage.found(
-                foundation.cluster, foundation.members
-            )
-            self._founding = None
-            self._run_member()
+            self._greeter.receive(body, joined=joined)
+            self._run_if_ready()
         except StorageError as exc:
             self._fail(str(exc))
 
+    def _run_if_ready(self) -> None:
+        """Start to take part, once there is something to take part in."""
+        if self._loaded is None or not self._greeter.is_ready():
+            return
+        assert self._storage is not None, 'the storage is open'
+        loaded = self._loaded
+        self._loaded = None
+        self._member = Member(
+            self._storage,
+            loaded,
+            self._machine,
+            send=self._send,
+            on_applied=self._on_applied,
+            rng=self._rng,
+            now=self._now(),
+            applied=self._applied,
+        )
+        # The state machine holds this now.
+        loaded.snapshot = None
+        loaded.entries.clear()
+
     # --- sending ------------------------------------------------------------
 
     def _send(self, env: Envelope) -> None:
@@ -507,8 +409,7 @@
             self._peers.send(address, encode(env), self._now())
 
     def _send_unaddressed(self, address: str, body: Body) -> None:
-        identity = self._loaded.member.identity if self._loaded else 0
-        env = Envelope(0, identity, 0, 0, body)
+        env = Envelope(0, self._identity, 0, 0, body)
         self._peers.send(address, encode(env), self._now())
 
     def _address_of(self, identity: int) -> str | None:
@@ -530,10 +431,3 @@
         return NotLeader(
             reason='not_leader', leader=self.leader(), retry_after_s=0.5
         )
-
-
-def _wait(fut: AsyncResult[Any], timeout_s: float) -> Any:
-    try:
-        return fut.get(timeout=timeout_s)
-    except gevent.Timeout:
-        return Unreachable(reason='timeout')
--- /dev/null
+++ b/src/galenareel/_consensus/proposals.py
@@ -0,0 +1,82 @@
+"""Commands that callers wait for."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.event import AsyncResult
+
+from galenareel._common.sentinels import Absent
+from galenareel._common.sentinels import Unreachable
+from galenareel._consensus.records import Entry
+
+
+def wait(fut: AsyncResult[Any], timeout_s: float) -> Any:
+    """What a caller gets, at the latest after the timeout."""
+    try:
+        return fut.get(timeout=timeout_s)
+    except gevent.Timeout:
+        return Unreachable(reason='timeout')
+
+
+class Proposals:
+    """Commands that gather during a sync, and entries that have a caller."""
+
+    def __init__(self) -> None:
+        self._gathered: list[tuple[bytes, AsyncResult[Any]]] = []
+        self._waiting: dict[int, tuple[int, AsyncResult[Any]]] = {}
+
+    def add(self, command: bytes) -> AsyncResult[Any]:
+        fut: AsyncResult[Any] = AsyncResult()
+        self._gathered.append((command, fut))
+        return fut
+
+    def has_gathered(self) -> bool:
+        return bool(self._gathered)
+
+    def has_waiting(self) -> bool:
+        return bool(self._waiting)
+
+    def commands(self) -> list[bytes]:
+        return [command for command, _ in self._gathered]
+
+    def placed(self, first: int, term: int) -> None:
+        """The gathered commands are in the log from an index on."""
+        for position, (_, fut) in enumerate(self._gathered):
+            self._waiting[first + position] = (term, fut)
+        self._gathered.clear()
+
+    def refused(self, answer: Absent) -> None:
+        """The gathered commands did not get into the log."""
+        for _, fut in self._gathered:
+            fut.set(answer)
+        self._gathered.clear()
+
+    def expect(self, index: int, term: int) -> AsyncResult[Any]:
+        """Wait for an entry that is already in the log."""
+        fut: AsyncResult[Any] = AsyncResult()
+        self._waiting[index] = (term, fut)
+        return fut
+
+    def applied(
+        self, entry: Entry, result: Any, lost: Callable[[], Absent]
+    ) -> None:
+        """Answer the caller of an entry; ``lost`` if another replaced it."""
+        term, fut = self._waiting.pop(entry.index, (0, None))
+        if fut is None:
+            return
+        if term == entry.term:
+            fut.set(entry.index if result is None else result)
+        else:
+            fut.set(lost())
+
+    def fail(self, reason: str) -> None:
+        """Whether the open commands are committed is not known."""
+        unknown = Unreachable(reason=reason, retry_after_s=1.0)
+        waiting = [fut for _, fut in self._waiting.values()]
+        self._waiting.clear()
+        self.refused(unknown)
+        for fut in waiting:
+            fut.set(unknown)
