--- a/bench/fault_matrix.py
+++ b/bench/fault_matrix.py
@@ -66,14 +66,13 @@
     problem: str
 
 
-def columns(*, pairs: bool = True) -> Iterator[Column]:
+def columns() -> Iterator[Column]:
     for name in FAULTS:
         yield Column((name,))
     for name in FAULTS:
         yield Column((name,), times=2)
-    if pairs:
-        for two in combinations(FAULTS, 2):
-            yield Column(two)
+    for two in combinations(FAULTS, 2):
+        yield Column(two)
 
 
 def run_cell(step: str, column: Column, seed: int) -> Cell:
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -11,8 +11,8 @@
 from abc import abstractmethod
 
 from bench.group import Group
-from bench.group import Node
-from bench.group import SYNC_S
+from bench.node import Node
+from bench.node import SYNC_S
 
 FAULTS: dict[str, type[Fault]] = {}
 
--- /dev/null
+++ b/bench/node.py
@@ -0,0 +1,248 @@
+"""State machine and machine of one member of a group."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from galenareel._common.events import HybridClock
+from galenareel._common.sentinels import NotLeader
+from galenareel._consensus.errors import StorageError
+from galenareel._consensus.interface import StateMachine
+from galenareel._consensus.member import Member
+from galenareel._consensus.messages import decode
+from galenareel._consensus.messages import encode
+from galenareel._consensus.messages import Envelope
+from galenareel._consensus.records import Entry
+from galenareel._consensus.records import MemberInfo
+from galenareel._consensus.storage import Storage
+from testing.consensus.fakes import FakeClock
+from testing.consensus.fakes import FakeDisk
+
+if TYPE_CHECKING:
+    from bench.group import Group
+
+TICK_S = 0.05
+REOPEN_S = 1.0
+SYNC_S = 0.002
+SNAPSHOT_ENTRIES = 60
+# Makes a snapshot of three chunks.
+PADDING_BYTES = 150_000
+
+
+class Registers(StateMachine):
+    """Registers, and every command for the checks.
+
+    A subclass can take commands of its own in ``apply`` and pass the others
+    on; give it to the group as ``machine``.
+    """
+
+    def __init__(self) -> None:
+        self.values: dict[str, int] = {}
+        self.applied: list[tuple[int, bytes]] = []
+
+    def apply(self, index: int, command: bytes) -> Any:
+        key, value = msgspec.msgpack.decode(command, type=tuple[str, int])
+        self.values[key] = value
+        self.applied.append((index, command))
+        return value
+
+    def snapshot(self) -> bytes:
+        padding = bytes(PADDING_BYTES)
+        return msgspec.msgpack.encode((self.values, self.applied, padding))
+
+    def restore(self, index: int, data: bytes) -> None:
+        self.values, applied, _ = msgspec.msgpack.decode(data)
+        self.applied = [(at, command) for at, command in applied]
+
+
+class Node:
+    """One machine: disk and clock outlive its process."""
+
+    def __init__(self, group: Group, name: str) -> None:
+        self.name = name
+        self.disk = FakeDisk()
+        self.clock = FakeClock(lambda: group.now)
+        self.hybrid = HybridClock(self.clock)
+        self.machine = group.machine()
+        self.member: Member | None = None
+        self.identity = 0
+        self.frozen_until = 0.0
+        self.sync_s = SYNC_S
+        self.crash_at_sync = ''  # 'before' or 'after' arms a crash
+        self.retired = False  # its machine is gone for good
+        self._group = group
+        self._storage: Storage | None = None
+        self._life = 0
+
+    # --- process ------------------------------------------------------------
+
+    def start(self, founders: tuple[MemberInfo, ...] = ()) -> None:
+        """Start the process with an empty state machine."""
+        if self.retired or self.member is not None:
+            return
+        self._life += 1
+        self.machine = self._group.machine()
+        self._open(founders, applied=0)
+
+    def _open(self, founders: tuple[MemberInfo, ...], applied: int) -> None:
+        self._storage = Storage(self.disk)
+        try:
+            loaded = self._storage.open(self._group.rng.getrandbits(32) or 1)
+            if founders:
+                loaded.member = self._storage.found(1, founders)
+            self.identity = loaded.member.identity
+            self._group.names[self.identity] = self.name
+            self.member = Member(
+                self._storage,
+                loaded,
+                self.machine,
+                send=self._send,
+                on_applied=self._on_applied,
+                rng=self._group.rng,
+                now=self.clock.monotonic(),
+                applied=applied,
+                snapshot_entries=SNAPSHOT_ENTRIES,
+            )
+        except StorageError:
+            if not (self.disk.full or self.disk.fail_sync):
+                raise  # the disk works, so the folder was found damaged
+            self._fail(applied)
+        else:
+            self._after(self._life, TICK_S, self._tick)
+
+    def crash(self) -> None:
+        """Power loss."""
+        self._life += 1
+        self.member = None
+        self.crash_at_sync = ''
+        self.disk.crash(self._group.rng)
+        self._group.node_lost_calls(self)
+
+    def lose_disk(self) -> None:
+        self.crash()
+        self.disk = FakeDisk()
+
+    def _fail(self, applied: int) -> None:
+        """Step down, as the driver does, and try again later."""
+        self._life += 1
+        self.member = None
+        self._group.node_lost_calls(self)
+        self._after(self._life, REOPEN_S, lambda: self._open((), applied))
+
+    def _after(
+        self, life: int, delay: float, call: Callable[[], None]
+    ) -> None:
+        """Run a call later, unless the process has ended by then."""
+
+        def run() -> None:
+            if life != self._life:
+                return
+            if self._group.now < self.frozen_until:
+                wait = self.frozen_until - self._group.now
+                self._after(life, wait + 0.001, call)
+                return
+            call()
+
+        self._group.after(delay, run)
+
+    # --- member -------------------------------------------------------------
+
+    def is_leader(self) -> bool:
+        return self.member is not None and self.member.raft.state.is_leader()
+
+    def receive(self, time: int, data: bytes) -> None:
+        def step() -> None:
+            if self.member is not None:
+                self.hybrid.observe(time)
+                assert self.hybrid.tick() > time, 'the hybrid clock went back'
+                env = decode(data)
+                raft = self.member.raft
+                self._absorb(raft.step(env, self.clock.monotonic()))
+
+        self._after(self._life, 0.0, step)
+
+    def propose(self, command: bytes) -> tuple[int, int] | None:
+        """Index and term of the proposed entry, at a leader."""
+        if self.member is None:
+            return None
+        raft = self.member.raft
+        first, effects = raft.propose([command], self.clock.monotonic())
+        if isinstance(first, NotLeader):
+            return None
+        term = raft.state.term
+        self._absorb(effects)
+        return first, term
+
+    def change(
+        self, *, add: MemberInfo | None = None, remove: str = ''
+    ) -> None:
+        """Ask for a change of the members; a refusal is not an error."""
+        if self.member is None:
+            return
+        raft = self.member.raft
+        now = self.clock.monotonic()
+        if add is not None:
+            _, effects = raft.add_member(add, now)
+        else:
+            _, effects = raft.remove_member(remove, now)
+        self._absorb(effects)
+
+    def read_index(self) -> int | None:
+        if self.member is None or self._group.now < self.frozen_until:
+            return None
+        index = self.member.raft.read_index(self.clock.monotonic())
+        if index is None or self.member.applied < index:
+            return None
+        return index
+
+    def _tick(self) -> None:
+        if self.member is None:
+            return
+        self._absorb(self.member.raft.tick(self.clock.monotonic()))
+        self._after(self._life, TICK_S, self._tick)
+
+    def _absorb(self, effects: Any) -> None:
+        member = self.member
+        assert member is not None, 'only a running member has effects'
+        member.absorb(effects)
+        st = member.raft.state
+        if st.is_leader():
+            self._group.history.note_leader(st.term, self.identity)
+        self._store()
+
+    def _store(self) -> None:
+        member = self.member
+        batch = member.take_batch() if member is not None else None
+        if batch is None or member is None:
+            return
+
+        def sync() -> None:
+            if self.crash_at_sync == 'before':
+                self.crash()
+                return
+            try:
+                member.store(batch)
+            except StorageError:
+                self._fail(member.applied)
+                return
+            if self.crash_at_sync == 'after':
+                self.crash()
+                return
+            member.stored(batch, self.clock.monotonic())
+            self._store()
+
+        self._after(self._life, self.sync_s, sync)
+
+    def _send(self, env: Envelope) -> None:
+        receiver = self._group.names.get(env.to)
+        if receiver is not None:
+            time = self.hybrid.tick()
+            self._group.deliver(self.name, receiver, time, encode(env))
+
+    def _on_applied(self, entry: Entry, result: Any) -> None:
+        self._group.history.note_committed(entry.index, entry.term, entry.data)
+        self._group.call_applied(self, entry)
--- a/bench/steps.py
+++ b/bench/steps.py
@@ -8,7 +8,7 @@
 fault is over.
 
 A step of another module, such as an ownership move, sets ``machine`` to a
-subclass of :class:`bench.group.Registers` that holds its state machine, and
+subclass of :class:`bench.node.Registers` that holds its state machine, and
 proposes its commands with ``Node.propose`` in ``attempt``. A check of its own
 goes into ``check``, which runs after every cell.
 """
@@ -19,9 +19,9 @@
 from abc import abstractmethod
 
 from bench.group import Group
-from bench.group import Node
-from bench.group import Registers
-from bench.group import SNAPSHOT_ENTRIES
+from bench.node import Node
+from bench.node import Registers
+from bench.node import SNAPSHOT_ENTRIES
 from galenareel._consensus.records import MemberInfo
 
 STEPS: dict[str, type[Step]] = {}
--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -326,8 +326,8 @@
         first, effects = member.raft.propose(commands, self._now())
         if isinstance(first, NotLeader):
             self._proposals.refused(self._not_leader())
-            return
-        self._proposals.placed(first, member.raft.state.term)
+        else:
+            self._proposals.placed(first, member.raft.state.term)
         self._absorb(lambda _member: effects)
 
     def _on_applied(self, entry: Entry, result: Any) -> None:
@@ -360,13 +360,15 @@
         self, result: Any, effects: Any
     ) -> int | Refused | NotLeader | Unreachable:
         member = self._member
-        if isinstance(result, NotLeader) or member is None:
-            return self._not_leader()
         answer: int | Refused | NotLeader | Unreachable = result
-        if isinstance(result, int) and result > member.applied:
+        fut = None
+        if isinstance(result, int) and member and result > member.applied:
             fut = self._proposals.expect(result, member.raft.state.term)
-            self._absorb(lambda _member: effects)
+        self._absorb(lambda _member: effects)
+        if fut is not None:
             answer = wait(fut, CHANGE_TIMEOUT_S)
+        if isinstance(answer, NotLeader):
+            return self._not_leader()
         return answer
 
     # --- founding -----------------------------------------------------------
