Test group commit and the size of idle traffic

Cause: nothing failed if commands were synced one by one, or if a new field pushed heartbeats over 2 KB a second.

Change: a test for each; the limits of the lease and of the storage are stated where they apply.

--- a/src/galenareel/_consensus/state.py
+++ b/src/galenareel/_consensus/state.py
@@ -2,7 +2,8 @@
 
 Times are seconds of the member's monotonic clock; wall time plays no part.
 The lease assumes that the monotonic clocks of two members run at rates that
-differ by at most ``MAX_DRIFT``.
+differ by at most ``MAX_DRIFT``, and that they go on while a member is frozen
+(on Linux they stop while the whole machine is suspended).
 """
 
 from __future__ import annotations
--- a/src/galenareel/_consensus/storage.py
+++ b/src/galenareel/_consensus/storage.py
@@ -10,6 +10,10 @@
 A first write that fails ends the use of the storage: after a failed sync
 nobody knows what the disk holds. The next start copies the last segment to a
 new file, so that nothing counts that only the page cache held.
+
+A folder that is restored from an older copy is not detected: it would forget
+votes and records that were acknowledged. Such a member must start with an
+empty folder and be added again.
 """
 
 from __future__ import annotations
--- a/testing/consensus/test_driver.py
+++ b/testing/consensus/test_driver.py
@@ -67,6 +67,29 @@
     assert leader.driver.read_barrier(timeout_s=1)
 
 
+def test_proposals_during_a_sync_share_the_next_one(
+    cluster: list[Process], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against one sync a command."""
+    leader = leader_of(cluster)
+    syncs: list[str] = []
+    sync = FolderDisk.sync
+
+    def count(disk: FolderDisk, name: str) -> None:
+        if os.path.basename(disk._path) == leader.name:
+            syncs.append(name)
+        sync(disk, name)
+
+    monkeypatch.setattr(FolderDisk, 'sync', count)
+    jobs = [
+        gevent.spawn(leader.driver.propose, b'x', timeout_s=5)
+        for _ in range(200)
+    ]
+    gevent.joinall(jobs)
+    assert all(isinstance(job.value, int) for job in jobs)
+    assert len(syncs) <= 20
+
+
 def test_follower_names_the_leader(
     cluster: list[Process], members: dict[str, str]
 ) -> None:
--- a/testing/consensus/test_raft.py
+++ b/testing/consensus/test_raft.py
@@ -12,6 +12,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 from hypothesis.strategies import integers
 from hypothesis.strategies import sampled_from
+import msgspec
 import pytest
 
 from bench.fault_matrix import Column
@@ -21,11 +22,13 @@
 from bench.group import Group
 from bench.history import Violation
 from bench.steps import STEPS
+from galenareel._common.messages import PeerMessage
 from galenareel._common.sentinels import Refused
 from galenareel._consensus.effects import SaveState
 from galenareel._consensus.messages import Append
 from galenareel._consensus.messages import AppendReply
 from galenareel._consensus.messages import Body
+from galenareel._consensus.messages import encode
 from galenareel._consensus.messages import Envelope
 from galenareel._consensus.messages import PreVote
 from galenareel._consensus.messages import PreVoteReply
@@ -37,6 +40,7 @@
 from galenareel._consensus.records import MemberInfo
 from galenareel._consensus.records import members_entry
 from galenareel._consensus.records import Membership
+from galenareel._consensus.state import HEARTBEAT_S
 from galenareel._consensus.storage import Loaded
 from galenareel._consensus.storage import MemberFile
 
@@ -171,6 +175,20 @@
     assert 3 in [one.to for one in effects.sends]
 
 
+def test_idle_traffic_fits_its_limit() -> None:
+    """Guards against fields that push a heartbeat over 2 KB a second.
+
+    The leader of three sends two heartbeats each period and gets as many
+    answers of at most that size; 24 bytes are the frame around the message.
+    """
+    large = 2**32 - 1
+    append = Append(large, large, large, large)
+    env = Envelope(large, large, large, large, append)
+    msg = PeerMessage(sender='255.255.255.255:65535', body=encode(env))
+    size = len(msgspec.msgpack.encode(msg)) + 24
+    assert 4 * size / HEARTBEAT_S < 2048
+
+
 def test_one_membership_change_at_a_time() -> None:
     raft, now = make_leader()
     stamp = int(now * 1000)
