Keep granted slots, and queues that recover after a stall

Cause: a new test with two real processes, one of them frozen for 3 s, showed an entry that refused every request after it resumed: the runs that spanned the freeze had raised the mean run time above every deadline, and nothing ran that would bring it down. Reading the same code showed a slot that was lost when a wait ended in the turn of the loop in which the slot was granted, a request given up after 50 short waits at a busy home although it had time left, and requests of other entries that went ahead of a home's own callers.

Change: a request is let in when nothing of its queue runs; a place granted as the wait ends is used; only quick refusals are counted; a forwarded request carries its caller and urgency, and counts in the home's shares. Servers that fall silent are on the time line.

Conclusion: each fault has a test; those of the lost slot and of the short waits were seen to fail on the former code.

--- a/bench/entry_cost.py
+++ b/bench/entry_cost.py
@@ -130,7 +130,9 @@
     return total
 
 
-def start_entry(name: str, control: FakeControl) -> tuple[Any, ...]:
+def start_entry(
+    name: str, control: FakeControl, *more: str
+) -> tuple[Any, ...]:
     ports = [free_address() for _ in range(4)]
     flags = ('callers', 'announcements', 'operators', 'frames')
     args = [
@@ -138,7 +140,12 @@
     ]
     process = subprocess.Popen(
         [sys.executable, '-m', 'galenareel._entry.main', *args]
-        + [f'--name={name}', '--zone=a', f'--control={control.address}'],
+        + [
+            f'--name={name}',
+            '--zone=a',
+            f'--control={control.address}',
+            *more,
+        ],
         env=os.environ | SECRET_VARIABLES,
     )
     return process, *ports
--- a/src/galenareel/_common/messages.py
+++ b/src/galenareel/_common/messages.py
@@ -281,6 +281,7 @@
     """A caller's request passed on to the home; first on a fresh link.
 
     :param deadline_s: time left when it was sent.
+    :param caller: for the home's fairness between callers.
     """
 
     request_id: str
@@ -292,6 +293,8 @@
     deadline_s: float
     idempotent: bool
     body: bytes = b''
+    urgent: bool = True
+    caller: str = ''
 
 
 class ForwardRefused(Message, frozen=True):
--- a/src/galenareel/_entry/capacity.py
+++ b/src/galenareel/_entry/capacity.py
@@ -8,8 +8,11 @@
 from galenareel._common.rows import EntryState
 from galenareel._common.rows import Phase
 from galenareel._entry.homes import Homes
+from galenareel._entry.queue import QueueMemory
 from galenareel._entry.queue import RequestQueue
+from galenareel._entry.queue import Shares
 from galenareel._entry.retries import RetryBudget
+from galenareel._entry.settings import Limits
 from galenareel._entry.view import ViewStore
 
 
@@ -23,6 +26,13 @@
     refused: int = 0
 
 
+def new_pool(limits: Limits, memory: QueueMemory, shares: Shares) -> PoolState:
+    queue = RequestQueue(
+        max_length=limits.max_queue, memory=memory, shares=shares
+    )
+    return PoolState(queue)
+
+
 class Capacity:
     """Slots of each pool that fall to this entry; kept per view."""
 
--- a/src/galenareel/_entry/forward.py
+++ b/src/galenareel/_entry/forward.py
@@ -91,6 +91,8 @@
             deadline_s=call.deadline - time.monotonic(),
             idempotent=call.idempotent,
             body=call.body,
+            urgent=call.urgent,
+            caller=call.caller,
         )
         try:
             link.notify(msg)
@@ -314,4 +316,6 @@
         body=msg.body,
         deadline=time.monotonic() + msg.deadline_s,
         idempotent=msg.idempotent,
+        urgent=msg.urgent,
+        caller=msg.caller,
     )
--- a/src/galenareel/_entry/outcomes.py
+++ b/src/galenareel/_entry/outcomes.py
@@ -75,6 +75,11 @@
     free: int = 0
 
 
+def no_free_slot(free: int) -> Failed:
+    """A home can't take the request now; nothing ran."""
+    return Failed(reason='no_free_slot', sent=False, routing=True, free=free)
+
+
 class Next(Enum):
     """What follows a failed attempt."""
 
--- a/src/galenareel/_entry/queue.py
+++ b/src/galenareel/_entry/queue.py
@@ -95,6 +95,7 @@
         self._deferrable: dict[str, list[Waiting]] = {}
         self._length = 0
         self.urgent = 0
+        self.running = 0  # requests of this queue that have a place now
         self.mean_run_s = 0.0
         self.spread_s = 0.0  # mean deviation of the run times
 
@@ -145,7 +146,10 @@
             return 'queue_full'
         if self._memory.used + one.size > self._memory.limit:
             return 'queue_memory'
-        if now + self._expected_s(one, slots=slots) > one.deadline:
+        ahead = self.urgent if one.urgent else self._length
+        wait_s = self.wait_s(ahead, slots=slots)
+        late = now + wait_s + self.mean_run_s > one.deadline
+        if late and self._is_estimate_kept(ahead):
             return 'deadline_not_met'
         return None
 
@@ -190,7 +194,11 @@
         for one in sorted(self, key=lambda w: (not w.urgent, *_order(w))):
             needed = self.wait_s(ahead, slots=slots)
             # Half the mean leaves room for runs shorter than the mean.
-            if now + needed + self.mean_run_s / 2 > one.deadline:
+            late = now + needed + self.mean_run_s / 2 > one.deadline
+            if late and (
+                self._is_estimate_kept(ahead)
+                or self.too_late(one, now=now, once=False)
+            ):
                 given_up.append(one)
             else:
                 ahead += 1
@@ -200,9 +208,13 @@
         arrived = [one.arrived for one in self if one.urgent]
         return now - min(arrived) if arrived else 0.0
 
-    def _expected_s(self, one: Waiting, *, slots: int) -> float:
-        ahead = self.urgent if one.urgent else self._length
-        return self.wait_s(ahead, slots=slots) + self.mean_run_s
+    def _is_estimate_kept(self, ahead: int) -> bool:
+        """Whether the mean run time may refuse a request.
+
+        If long runs had raised the mean above every deadline and nothing
+        ran, no run would bring it down again; one request is let in then.
+        """
+        return ahead > 0 or self.running > 0
 
     def _first(self, lane: dict[str, list[Waiting]]) -> Waiting | None:
         best: Waiting | None = None
--- a/src/galenareel/_entry/retries.py
+++ b/src/galenareel/_entry/retries.py
@@ -9,6 +9,8 @@
 RETRY_BURST = 10.0
 BACKOFF_BASE_S = 0.02
 BACKOFF_CAP_S = 0.5
+RETRY_AFTER_LEAST_S = 0.5
+RETRY_AFTER_MOST_S = 30.0
 
 
 class RetryBudget:
@@ -40,3 +42,9 @@
     """Full jitter: uniform between zero and a doubling bound."""
     bound = min(BACKOFF_CAP_S, BACKOFF_BASE_S * 2 ** min(attempt, 10))
     return rng.uniform(0.0, bound)
+
+
+def retry_after_s(mean_run_s: float, *, rng: Random) -> float:
+    """Hint for a caller; spread out, so that callers don't return together."""
+    base = max(RETRY_AFTER_LEAST_S, 2 * mean_run_s)
+    return round(min(RETRY_AFTER_MOST_S, base * (1 + rng.random())), 2)
--- a/src/galenareel/_entry/router.py
+++ b/src/galenareel/_entry/router.py
@@ -20,6 +20,7 @@
 from galenareel._common.sentinels import OutcomeUnknown
 from galenareel._entry.calls import Call
 from galenareel._entry.capacity import Capacity
+from galenareel._entry.capacity import new_pool
 from galenareel._entry.capacity import PoolState
 from galenareel._entry.forward import ForwardClient
 from galenareel._entry.homes import Homes
@@ -29,6 +30,7 @@
 from galenareel._entry.outcomes import Failed
 from galenareel._entry.outcomes import given_up
 from galenareel._entry.outcomes import Next
+from galenareel._entry.outcomes import no_free_slot
 from galenareel._entry.outcomes import RETRIED_STATUSES
 from galenareel._entry.outcomes import with_first_part
 from galenareel._entry.peers import Fence
@@ -42,6 +44,7 @@
 from galenareel._entry.queue import Shares
 from galenareel._entry.queue import Waiting
 from galenareel._entry.retries import backoff_s
+from galenareel._entry.retries import retry_after_s
 from galenareel._entry.servers import Lease
 from galenareel._entry.settings import Limits
 from galenareel._entry.view import ViewStore
@@ -52,7 +55,7 @@
 
 
 class Router:
-    """Routes requests; one per entry."""
+    """Routes requests."""
 
     def __init__(
         self,
@@ -77,7 +80,7 @@
         self._capacity = Capacity(view=view, homes=homes)
         self.shares = Shares()
         self.pools: dict[str, PoolState] = {}
-        self.local: LocalHomes  # set by the owner; it calls back here
+        self.local: LocalHomes  # set by the owner, as is count
         self.count: Callable[[str], None] = lambda _name: None
 
     def route(self, call: Call) -> Answer | NotRun | OutcomeUnknown:
@@ -92,25 +95,23 @@
 
     def serve_forwarded(self, call: Call) -> Answer | Failed:
         """Run another entry's request on a home here."""
-        place: object = self._own(call)
+        place: object = self._place(call, forwarded=True)
         if place is None:
             place = self._park(call)
         if isinstance(place, Lease):
-            return self.local.run(call, place)
-        free = self._homes.free(call.pool, now=time.monotonic())
-        return Failed(
-            reason='no_free_slot', sent=False, routing=True, free=free
-        )
+            try:
+                return self.local.run(call, place)
+            finally:
+                self.shares.end(call.caller, call.team)
+        now = time.monotonic()
+        return no_free_slot(self._homes.free(call.pool, now=now))
 
     def pool(self, name: str) -> PoolState:
         state = self.pools.get(name)
         if state is None:
-            queue = RequestQueue(
-                max_length=self._limits.max_queue,
-                memory=self._memory,
-                shares=self.shares,
+            state = self.pools[name] = new_pool(
+                self._limits, self._memory, self.shares
             )
-            state = self.pools[name] = PoolState(queue)
         return state
 
     def pump(self, name: str) -> None:
@@ -144,8 +145,6 @@
         """Answer at once the requests whose deadline can't be met."""
         now = time.monotonic()
         for name, state in self.pools.items():
-            if not len(state.queue):
-                continue
             slots = self._capacity.slots(name, now=now)
             for one in state.queue.hopeless(now=now, slots=slots):
                 state.queue.remove(one)
@@ -163,8 +162,13 @@
                     maybe_ran=call.maybe_ran,
                     reason=place.reason,
                     detail=place.detail,
-                    retry_after_s=self._retry_after_s(state),
+                    retry_after_s=retry_after_s(
+                        state.queue.mean_run_s, rng=self._rng
+                    ),
                 )
+            # Waiting at a home is bounded by the deadline alone.
+            parked = isinstance(place, Remote) and place.parked
+            progress.reroutes += not parked
             result = self._run(call, state, place)
             final = self._judge(call, state, progress, result)
             if final is not None:
@@ -175,6 +179,7 @@
     ) -> Answer | Failed:
         began = time.monotonic()
         ran_before, call.maybe_ran = call.maybe_ran, True
+        state.queue.running += 1
         if call.on_send is not None:
             call.on_send()
         try:
@@ -185,14 +190,19 @@
             if isinstance(result, Answer):
                 result = with_first_part(result)
         finally:
+            state.queue.running -= 1
             self.shares.end(call.caller, call.team)
         # An exception leaves it set: the request may have been sent.
         call.maybe_ran = ran_before
         parked = isinstance(place, Remote) and place.parked
         # A run cut at its deadline took at least as long.
         whole = isinstance(result, Answer) or result.reason == 'timeout'
-        if whole and not parked:
-            state.queue.ran(time.monotonic() - began)
+        if whole:
+            run_s = time.monotonic() - began
+            if parked:
+                # It has also waited there, so it can only lower the mean.
+                run_s = min(run_s, state.queue.mean_run_s)
+            state.queue.ran(run_s)
         return result
 
     def _run_remote(self, call: Call, place: Remote) -> Answer | Failed:
@@ -239,9 +249,6 @@
             self._back_off(call, progress)
             return None
         if result.routing:
-            # A request that waited at a home spent its time there, so only
-            # quick refusals count towards the limit.
-            progress.reroutes += 1
             if progress.reroutes < MAX_REROUTES:
                 return None
             return given_up(maybe_ran=call.maybe_ran, reason=result.reason)
@@ -262,16 +269,15 @@
         self, call: Call, state: PoolState, progress: Progress
     ) -> bool:
         progress.attempts += 1
-        return (
-            progress.attempts < MAX_ATTEMPTS
-            and time.monotonic() < call.deadline
-            and state.budget.take()
-        )
+        late = time.monotonic() >= call.deadline
+        if late or progress.attempts >= MAX_ATTEMPTS:
+            return False
+        return state.budget.take()
 
     def _back_off(self, call: Call, progress: Progress) -> None:
         self.count('retries')
-        left_s = max(0.0, call.deadline - time.monotonic())
-        gevent.sleep(min(backoff_s(progress.attempts, rng=self._rng), left_s))
+        pause_s = backoff_s(progress.attempts, rng=self._rng)
+        gevent.sleep(min(pause_s, max(0.0, call.deadline - time.monotonic())))
 
     # --- places -------------------------------------------------------------
 
@@ -287,9 +293,9 @@
 
     def _place(self, call: Call, *, forwarded: bool = False) -> Place | None:
         lease = self._own(call)
+        if lease is not None:
+            self.shares.begin(call.caller, call.team)
         if lease is not None or forwarded:
-            if not forwarded:
-                self.shares.begin(call.caller, call.team)
             return lease
         now = time.monotonic()
         peer = self._peers.best(
@@ -364,34 +370,30 @@
     def _wait_in(
         self, queue: RequestQueue, one: Waiting, call: Call, wait_s: float
     ) -> Place | NotRun:
-        fut: AsyncResult = AsyncResult()
+        fut: AsyncResult[Any] = AsyncResult()
         one.place = Waker(call, fut)
         queue.put(one)
         self.pump(call.pool)
         try:
             place: Any = fut.get(timeout=wait_s)
         except gevent.Timeout:
-            queue.remove(one)
-            return NotRun(reason='deadline')
+            if not fut.ready():
+                queue.remove(one)
+                return NotRun(reason='deadline')
+            # A place was granted in the same turn of the loop.
+            place = fut.value
         except BaseException:
             queue.remove(one)
             if fut.ready():
-                self._undo(fut.value, call, forwarded=one.forwarded)
+                self._undo(fut.value, call)
             raise
-        granted: Place | NotRun = place
-        return granted
+        return place
 
-    def _undo(self, place: object, call: Call, *, forwarded: bool) -> None:
+    def _undo(self, place: object, call: Call) -> None:
         """Free a place that was given to a caller that has gone."""
         if isinstance(place, NotRun):
             return
-        if not forwarded:
-            self.shares.end(call.caller, call.team)
+        self.shares.end(call.caller, call.team)
         if isinstance(place, Lease):
             self._homes.finished(place, ok=None, now=time.monotonic())
         self.pump(call.pool)
-
-    def _retry_after_s(self, state: PoolState) -> float:
-        """Hint that grows with the queue, so that callers spread out."""
-        base = max(0.5, state.queue.mean_run_s * 2)
-        return round(min(30.0, base * (1 + self._rng.random())), 2)
--- a/src/galenareel/_entry/zone.py
+++ b/src/galenareel/_entry/zone.py
@@ -20,6 +20,7 @@
 from galenareel._entry.router import Router
 from galenareel._entry.session import ControlSession
 from galenareel._entry.settings import HEARTBEAT_S
+from galenareel._entry.settings import SILENT_AFTER_S
 from galenareel._entry.view import ViewStore
 
 BEATS_PER_SECOND = round(1 / HEARTBEAT_S)
@@ -62,6 +63,7 @@
         self._beats = 0
         self._last = time.monotonic()
         self._silent: tuple[str, ...] = ()
+        self._silent_servers: set[str] = set()
         self._asking: set[str] = set()
         self._job: gevent.Greenlet | None = None
         self.each_second: list[Callable[[], None]] = []
@@ -118,6 +120,7 @@
         self._links.dial()
         self._send_beats(now)
         self._watch_silence(now)
+        self._watch_servers(now)
         self._router.give_up_hopeless()
         self._router.pump_all()
         self._beats += 1
@@ -187,6 +190,19 @@
         if gone and self._view.ready:
             self._take_over(frozenset(gone), now)
 
+    def _watch_servers(self, now: float) -> None:
+        """Record the servers here that fall silent or are heard again."""
+        silent = {
+            server.instance
+            for server in self._homes
+            if server.mine and server.silent_s(now) > SILENT_AFTER_S
+        }
+        for instance in silent - self._silent_servers:
+            self._record('instance.silent', instance=instance)
+        for instance in self._silent_servers - silent:
+            self._record('instance.heard', instance=instance)
+        self._silent_servers = silent
+
     def _take_over(self, gone: frozenset[str], now: float) -> None:
         live = self._peers.live_in_zone(now=now)
         taken = self._homes.take_over(gone, live)
--- a/testing/entry/test_callers.py
+++ b/testing/entry/test_callers.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import gevent
 from gevent.socket import create_connection
 import pytest
 
+from galenareel._entry.calls import Call
 from galenareel._entry.process import Entry
+from galenareel._entry.servers import Lease
 from testing.entry.fakes import answers
 from testing.entry.fakes import call
 from testing.entry.fakes import Cluster
@@ -301,6 +304,72 @@
     wait_for(lambda: home.homes.in_flight() == 0)
 
 
+def test_long_wait_for_a_busy_home(
+    cluster: Cluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against giving up a request that has time left to wait."""
+    monkeypatch.setattr('galenareel._entry.router.PARK_S', 0.02)
+    monkeypatch.setattr('galenareel._entry.router.MAX_REROUTES', 5)
+    cluster.add_entry('a1')
+    other = cluster.add_entry('a2')
+    backend = cluster.add_backend(FakeBackend(slots=1))
+    backend.react = answers(after_s=0.8)
+    cluster.start()
+    wait_for(lambda: other.peers.best('lots', now=0, other_zones=False))
+    first = gevent.spawn(call, cluster.entries['a1'].settings.callers)
+    wait_for(lambda: backend.running == 1)
+    got = call(other.settings.callers, headers={'Galenareel-Deadline-S': '5'})
+    assert (got.status, first.get().status) == (200, 200)
+
+
+@pytest.mark.parametrize('name', ['a1', 'a2'])
+@pytest.mark.parametrize('leaves', [True, False], ids=['leaves', 'stalls'])
+def test_caller_ends_a_long_answer(
+    cluster: Cluster, name: str, leaves: bool
+) -> None:
+    """Guards against slots held by callers that stop reading."""
+    home = cluster.add_entry('a1', send_timeout_s=0.3)
+    other = cluster.add_entry('a2', send_timeout_s=0.3)
+    backend = cluster.add_backend(FakeBackend())
+    backend.react = answers(b'x' * 50_000_000)
+    cluster.start()
+    wait_for(lambda: other.peers.best('lots', now=0, other_zones=False))
+    entry = cluster.entries[name]
+    with connect(entry) as sock:
+        sock.sendall(
+            b'GET /lots HTTP/1.1\r\nHost: x\r\n'
+            b'Galenareel-Deadline-S: 30\r\n\r\n'
+        )
+        wait_for(lambda: home.homes.in_flight() == 1)
+        sock.recv(1000)
+        if leaves:
+            sock.close()
+        wait_for(lambda: home.homes.in_flight() == 0, what='for the slot')
+        wait_for(lambda: backend.running == 0)
+    assert not home.forward_server.busy()
+
+
+def test_busy_home_is_fair_to_other_entries(cluster: Cluster) -> None:
+    """Guards against an entry without homes whose callers starve."""
+    home = cluster.add_entry('a1')
+    other = cluster.add_entry('a2')
+    backend = cluster.add_backend(FakeBackend(slots=2))
+    backend.react = answers(after_s=0.02)
+    cluster.start()
+    wait_for(lambda: other.peers.best('lots', now=0, other_zones=False))
+    done = {'a1': 0, 'a2': 0}
+
+    def load(entry: Entry) -> None:
+        while True:
+            got = call(entry.settings.callers)
+            done[entry.settings.name] += got.status == 200
+
+    jobs = [gevent.spawn(load, one) for one in (home, other) * 8]
+    gevent.sleep(0.8)
+    gevent.killall(jobs)
+    assert min(done.values()) * 4 > max(done.values()) > 20, done
+
+
 def test_deferrable_and_late_requests(cluster: Cluster) -> None:
     """Guards against answers held back for requests that can't be served."""
     entry = cluster.add_entry('a1')
@@ -317,3 +386,46 @@
     assert (got.status, got.outcome) == (503, 'not_run')
     assert 'retry-after' in got.headers
     assert holder.get().status == 200
+
+
+def test_slot_granted_as_the_wait_ends(
+    cluster: Cluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a slot that is granted to a request just given up."""
+    entry = cluster.add_entry('a1')
+    cluster.add_backend(FakeBackend(slots=1))
+    cluster.start()
+    router, homes = entry.router, entry.homes
+    monkeypatch.setattr('galenareel._entry.router.PARK_S', 0.1)
+
+    def pick() -> Any:
+        now = time.monotonic()
+        return homes.pick('lots', 'lots', idempotent=True, now=now)
+
+    held = pick()
+    waiting = gevent.spawn(router._park, call_of(5.0))
+
+    def finish() -> None:
+        gevent.sleep(0.05)
+        homes.finished(held, ok=None, now=time.monotonic())
+        router.pump('lots')
+
+    gevent.spawn(finish)
+    gevent.sleep(0.01)
+    time.sleep(0.2)  # both timers are due in one turn of the loop
+    place = waiting.get()
+    assert isinstance(place, Lease) == (homes.in_flight() == 1)
+
+
+def call_of(seconds: float) -> Call:
+    return Call(
+        request_id='r',
+        service='lots',
+        pool='lots',
+        method='GET',
+        path='/lots',
+        headers=(),
+        body=b'',
+        deadline=time.monotonic() + seconds,
+        idempotent=True,
+    )
--- a/testing/entry/test_machines.py
+++ b/testing/entry/test_machines.py
@@ -354,6 +354,28 @@
 del case  # pytest would collect it again
 
 
+def test_queue_recovers_from_long_runs() -> None:
+    """Guards against refusing all after a stall raised the mean run time."""
+    queue = RequestQueue(
+        max_length=9, memory=QueueMemory(100), shares=Shares()
+    )
+    queue.ran(100.0)
+    one = Waiting(
+        seq=1,
+        deadline=2.0,
+        arrived=0.0,
+        urgent=True,
+        caller='a',
+        team='',
+        size=1,
+    )
+    assert queue.refuse_reason(one, now=0.0, slots=2) is None
+    queue.put(one)
+    assert not queue.hopeless(now=0.9, slots=2)
+    assert not queue.too_late(one, now=0.9, once=True)
+    assert queue.hopeless(now=1.1, slots=2) == [one]
+
+
 @given(attempt=st.integers(0, 100), seed=st.integers(0, 1000))
 def test_backoff_is_bounded(attempt: int, seed: int) -> None:
     assert 0.0 <= backoff_s(attempt, rng=Random(seed)) <= BACKOFF_CAP_S
