Probe failing instances that must stay, and lend settled ones only

Cause: the state machine showed that forgetting failures after 30 s let a bad instance count in a budget. Change: such an instance is probed where it serves.

--- a/experiment/control.py
+++ b/experiment/control.py
@@ -290,7 +290,7 @@
 
     def _probed(self, name: str) -> None:
         row, worker = self.tables.instances[name], self.world.workers[name]
-        if row.phase is Phase.EJECTED:
+        if worker.state in ('serving', 'ejected'):
             row.failed += worker.bad
             row.finished += not worker.bad
 
--- a/src/galenareel/_decisions/decisions.py
+++ b/src/galenareel/_decisions/decisions.py
@@ -74,7 +74,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ProbeInstance:
-    """Give an ejected instance one idempotent probe."""
+    """Give an instance one idempotent probe.
+
+    It is ejected, or it fails its work and its pool can't do without it. The
+    result counts as ``finished`` or ``failed`` of its row.
+    """
 
     instance: str
     epoch: int
--- a/src/galenareel/_decisions/ejection.py
+++ b/src/galenareel/_decisions/ejection.py
@@ -18,9 +18,6 @@
     from galenareel._decisions.tables import Tables
 
 HALF_LIFE_S = 10.0
-# One that can't be ejected gets no jobs; without urgent requests either, it
-# is tried again after this long.
-FORGET_S = 30.0
 # With this share of a pool's work failing, the work is at fault and taking
 # instances out would only add load to the others.
 POOL_RATIO = 0.5
@@ -54,8 +51,12 @@
             continue
         if instance.phase is Phase.EJECTED:
             decisions += _probe(census, instance, returned)
-        elif _fails(census, instance) and instance.pool not in blamed:
-            decisions += _eject_one(census, instance)
+        elif _fails(census, instance):
+            found: list[Decision] = []
+            if instance.pool not in blamed:
+                found = _eject_one(census, instance)
+            # One that must stay gets no jobs, so only a probe can clear it.
+            decisions += found or _due_probe(census, instance)
     return decisions
 
 
@@ -68,10 +69,7 @@
     known.finished = known.finished * factor + instance.finished
     known.failed = known.failed * factor + instance.failed
     # A home that suspects an instance saw its failures last.
-    if instance.failed:
-        known.failed_at = now
-    quiet = now - known.failed_at > FORGET_S
-    if quiet or (instance.finished and not instance.suspect):
+    if instance.finished and not instance.suspect:
         known.in_a_row = 0
     else:
         known.in_a_row += instance.failed
@@ -165,6 +163,11 @@
                 reason=f'{passed} probes in a row succeeded',
             )
         ]
+    return _due_probe(census, instance)
+
+
+def _due_probe(census: Census, instance: Instance) -> list[Decision]:
+    known = census.tables.memory.health[instance.name]
     if census.now < known.next_probe:
         return []
     known.next_probe = census.now + PROBE_EVERY_S
@@ -172,6 +175,9 @@
         ProbeInstance(
             instance=instance.name,
             epoch=instance.epoch,
-            reason=f'{passed} of {PROBES_TO_RETURN} probes succeeded so far',
+            reason=(
+                f'{known.probes_passed} of {PROBES_TO_RETURN} probes '
+                f'succeeded so far'
+            ),
         )
     ]
--- a/src/galenareel/_decisions/lending.py
+++ b/src/galenareel/_decisions/lending.py
@@ -9,7 +9,6 @@
 import math
 from typing import TYPE_CHECKING
 
-from galenareel._common.rows import Phase
 from galenareel._decisions.decisions import Decision
 from galenareel._decisions.decisions import LendInstance
 from galenareel._decisions.demand import need_of
@@ -134,9 +133,7 @@
     best: tuple[float, str] = (math.inf, '')
     chosen = None
     for instance in census.budgets[pool].serving:
-        if instance.phase is not Phase.SERVING:
-            continue
-        if instance.name in census.taken:
+        if instance.name in census.taken or not census.is_settled(instance):
             continue
         wait = drain_s(census, instance)
         if wait > LONGEST_DRAIN_S or (wait, instance.name) >= best:
--- a/src/galenareel/_decisions/memory.py
+++ b/src/galenareel/_decisions/memory.py
@@ -42,7 +42,6 @@
     finished: float = 0.0
     failed: float = 0.0
     in_a_row: int = 0  # failures since the last success
-    failed_at: float = 0.0
     probes_passed: int = 0
     next_probe: float = 0.0
     seen_at: float = 0.0
--- a/testing/decisions/test_jobs.py
+++ b/testing/decisions/test_jobs.py
@@ -170,16 +170,18 @@
     assert not of_type(run_tick(tables), EjectInstance)
 
 
-def test_an_instance_that_can_not_be_ejected_is_tried_again() -> None:
+def test_an_instance_that_can_not_be_ejected_is_probed() -> None:
     """Found by the state machine: it got no work for ever."""
     tables = fleet()
     for name, row in tables.instances.items():
-        row.failed = 5 if '/lots-' in name else 0
+        row.failed = 3 if '/lots-' in name else 0
     add_job(tables, 'job')
-    assert not of_type(run_tick(tables, 100.0), StartJob)
-    for row in tables.instances.values():
-        row.failed = 0
-    assert of_type(run_tick(tables, 140.0), StartJob)
+    decisions = run_tick(tables, 100.0)
+    assert not of_type(decisions, StartJob)
+    assert len(of_type(decisions, ProbeInstance)) == 6
+    for name, row in tables.instances.items():
+        row.failed, row.finished = 0, int('/lots-' in name)
+    assert of_type(run_tick(tables, 101.0), StartJob)
 
 
 def test_a_job_that_failed_on_bad_workers_is_not_refused() -> None:
