--- a/experiment/reports.py
+++ b/experiment/reports.py
@@ -78,6 +78,8 @@
             task = self.world.tasks[name]
             if task.failed_on:
                 job.failed_on = frozenset(task.failed_on)
+            if job.state is JobState.CANCELLED and task.worker is None:
+                self.world.stop(task, 'cancelled')
             waits = task.state == 'waiting' and job.state is JobState.WAITING
             if waits and name not in tables.leases:
                 continue
