--- a/demo/story.py
+++ b/demo/story.py
@@ -238,6 +238,8 @@
         measured = self._operator.run('measure')
         self._tell('galenareel measure (what the system says of itself)')
         self._tell(measured.output.rstrip())
+        whole = self._operator.run('timeline', '--json')
+        (self._folder / 'timeline.jsonl').write_text(whole.output)
         moved = self._a_moved_instance()
         if not moved:
             return
--- a/src/galenareel/_operator/measures.py
+++ b/src/galenareel/_operator/measures.py
@@ -18,8 +18,8 @@
 from galenareel._common.rows import Phase
 from galenareel._common.rows import WaveState
 
-MOVE_BEGUN = 'control.BeginMove'
-MOVE_FINISHED = 'control.FinishMove'
+MOVE_BEGUN = 'move.begun'
+MOVE_FINISHED = 'move.finished'
 COMMITTED = 'committed'  # ends the detail of a command that took effect
 DOCUMENT_IN_FORCE = 'document.in_force'
 
--- a/testing/operator/test_main.py
+++ b/testing/operator/test_main.py
@@ -189,7 +189,7 @@
         'time': wall_ms << 16,
         'process': process,
         'seq': seq,
-        'kind': 'control.BeginMove',
+        'kind': 'move.begun',
         'subjects': subjects,
         'detail': 'by \x1b[31mplan; committed',
     }
@@ -239,7 +239,7 @@
     begun = event('c1', 1, 2000, pool='lots', instance='a/w1')
     done = event('c1', 2, 2100, instance='a/w1')
     refused = event('c1', 3, 2200, instance='a/w1')
-    done['kind'] = refused['kind'] = 'control.FinishMove'
+    done['kind'] = refused['kind'] = 'move.finished'
     refused['detail'] = 'refused: stale_epoch: at epoch 4'
     events = [begun, done, refused, in_force, again]
     entry.answers['events'] = [('200 OK', {'events': events})]
--- a/testing/programs/test_bad_input.py
+++ b/testing/programs/test_bad_input.py
@@ -314,6 +314,32 @@
     assert taken.rsplit(':', 1)[1] in output
 
 
+def test_control_names_the_port_in_use(
+    topology: Topology, tmp_path: Path, taken: str
+) -> None:
+    argv = control_argv(
+        topology, tmp_path, listen=taken, members=f'c1={taken}'
+    )
+    status, output = start('control', argv)
+    assert status not in (0, 2), output
+    assert 'in use' in output and 'Traceback' not in output
+    assert taken.rsplit(':', 1)[1] in output
+
+
+def test_control_names_the_data_folder_that_it_can_not_use(
+    topology: Topology, tmp_path: Path
+) -> None:
+    """A file in its place fails for every user, even for root."""
+    blocked = tmp_path / 'file'
+    blocked.write_text('')
+    argv = control_argv(
+        topology, tmp_path, **{'data-dir': str(blocked / 'data')}
+    )
+    status, output = start('control', argv)
+    assert status not in (0, 2), output
+    assert str(blocked) in output and 'Traceback' not in output
+
+
 @pytest.mark.parametrize('program', ['control', 'entry'])
 def test_unknown_flag_starts_nothing(
     topology: Topology, tmp_path: Path, program: str
