--- a/src/galenareel/_operator/show.py
+++ b/src/galenareel/_operator/show.py
@@ -3,10 +3,38 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from datetime import datetime
+from datetime import timezone
 from typing import Any
 
 MAX_CELL = 60
 INDENT = '  '
+TIME_SUFFIX = '_at'  # of fields that hold seconds since the epoch
+
+# Columns of the wide tables of ``status``; --json has all of them.
+COLUMNS = {
+    'instances': (
+        'instance',
+        'rack',
+        'pool',
+        'phase',
+        'target_pool',
+        'home',
+        'in_use',
+        'reason',
+    ),
+    'documents': ('version', 'stage', 'submitted_at', 'promoted_at'),
+    'waves': (
+        'wave',
+        'pools',
+        'state',
+        'done',
+        'failed',
+        'started_at',
+        'ended_at',
+        'reason',
+    ),
+}
 
 
 def show(body: Any) -> str:
@@ -24,7 +52,7 @@
     if isinstance(value, dict):
         yield from _mapping(value, indent)
     elif _is_table(value):
-        yield from _table(value, indent)
+        yield from _table(value, indent, ())
     elif isinstance(value, list):
         for item in value:
             yield f'{indent}- {_cell(item, limit=0)}'
@@ -35,11 +63,14 @@
 def _mapping(value: dict[str, Any], indent: str) -> Iterator[str]:
     width = max((len(name) for name in value), default=0)
     for name, item in value.items():
-        if isinstance(item, (dict, list)) and item:
+        if _is_table(item):
+            yield f'{indent}{name}:'
+            yield from _table(item, indent + INDENT, COLUMNS.get(name, ()))
+        elif isinstance(item, (dict, list)) and item:
             yield f'{indent}{name}:'
             yield from _lines(item, indent + INDENT)
         else:
-            yield f'{indent}{name:<{width}}  {_cell(item, limit=0)}'
+            yield f'{indent}{name:<{width}}  {_field(name, item, limit=0)}'
 
 
 def _is_table(value: Any) -> bool:
@@ -50,9 +81,14 @@
     )
 
 
-def _table(rows: list[dict[str, Any]], indent: str) -> Iterator[str]:
-    names = list(dict.fromkeys(name for row in rows for name in row))
-    cells = [[_cell(row.get(name, '')) for name in names] for row in rows]
+def _table(
+    rows: list[dict[str, Any]], indent: str, columns: tuple[str, ...]
+) -> Iterator[str]:
+    present = list(dict.fromkeys(name for row in rows for name in row))
+    names = [name for name in columns if name in present] or present
+    cells = [
+        [_field(name, row.get(name, '')) for name in names] for row in rows
+    ]
     widths = [
         max(len(line[i]) for line in [names, *cells])
         for i in range(len(names))
@@ -63,6 +99,16 @@
         yield (indent + text).rstrip()
 
 
+def _field(name: str, value: Any, *, limit: int = MAX_CELL) -> str:
+    """A value by the name of its field; times are shown in UTC."""
+    if name.endswith(TIME_SUFFIX) and isinstance(value, (int, float)):
+        if not value:
+            return '-'
+        when = datetime.fromtimestamp(value, timezone.utc)
+        return when.isoformat(sep=' ', timespec='seconds')
+    return _cell(value, limit=limit)
+
+
 def _cell(value: Any, *, limit: int = MAX_CELL) -> str:
     """One value on one line; ``limit`` 0 shows it whole."""
     if isinstance(value, (list, tuple)):
--- a/testing/operator/test_main.py
+++ b/testing/operator/test_main.py
@@ -133,6 +133,19 @@
     assert len(entry.asked) == 1
 
 
+def test_status_shows_times_and_chosen_columns(
+    entry: Entry, call: Callable[..., Any]
+) -> None:
+    row = {'instance': 'a/w1', 'pool': 'lots', 'incarnation': 'i7'}
+    document = {'version': 1, 'promoted_at': 86400.5, 'text': 'long'}
+    body = {'instances': [row], 'documents': [document], 'cut_zones': []}
+    entry.answers['status'] = [('200 OK', body)]
+    code, out, _ = call('status')
+    assert code == 0 and 'a/w1' in out and 'i7' not in out
+    assert '1970-01-02 00:00:00+00:00' in out and 'long' not in out
+    assert json.loads(call('status', '--json')[1]) == body
+
+
 def test_no_entry_answers(call: Callable[..., Any]) -> None:
     code, _, err = call('status', at=free_address())
     assert code == 1 and 'safe to run the command again' in err
