--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from dataclasses import replace
 import json
@@ -36,18 +37,31 @@
 
 
 class Cluster:
-    """Three control members and six entries, each behind a relay."""
+    """Three control members and six entries, each behind a relay.
 
-    def __init__(self, cfg: Environment, folder: Path, *, seed: int) -> None:
+    :param relayed: without relays nothing is counted or cut, and requests
+        that are forwarded don't pass through this process.
+    """
+
+    def __init__(
+        self,
+        cfg: Environment,
+        folder: Path,
+        *,
+        seed: int,
+        relayed: bool = True,
+    ) -> None:
         self.cfg = cfg
         self.inner = make_topology(cfg)
-        self.outer = _advertised(self.inner)
+        self.outer = _advertised(self.inner) if relayed else self.inner
         self.records = folder / 'backend-servers.jsonl'
         plan = fleet_plan(cfg, self.inner, self.records, seed=seed)
         self.fleet = Fleet(plan)
         self.processes = Processes(folder, self.outer)
         self.relays: dict[str, Relay] = {}
-        for inside, outside in _pairs(self.inner, self.outer):
+        pairs: Iterable[Any]
+        pairs = _pairs(self.inner, self.outer) if relayed else ()
+        for inside, outside in pairs:
             name, near, far = inside.name, _frames(outside), _frames(inside)
             self.relays[name] = Relay(name, near, far)
 
--- a/bench/state.py
+++ b/bench/state.py
@@ -105,10 +105,14 @@
         idempotent = [one for one in cluster.cfg.services if one.idempotent]
         self._probes = Probes(cluster.entries, idempotent)
 
-    def run(self) -> dict[str, Any]:
+    def prepare(self) -> None:
+        """Start everything, with a first document in force."""
         self._cluster.start()
-        self._change()
+        self.change()
         self._wait_until_ready()
+
+    def run(self) -> dict[str, Any]:
+        self.prepare()
         for step in (
             self._measure_idle,
             self._measure_changing,
@@ -134,7 +138,7 @@
         ]
         return self._rng.choice(live)
 
-    def _change(self) -> float:
+    def change(self) -> float:
         """Submit and promote the next version; time of the acceptance."""
         version = self._version + 1
         text = self._text.replace(
@@ -204,7 +208,7 @@
             for number in range(int(CHANGING_S * CHANGES_PER_S / 2)):
                 due = began + number * 2 / CHANGES_PER_S
                 gevent.sleep(max(0.0, due - time.monotonic()))
-                self._change()
+                self.change()
             gevent.sleep(max(0.0, began + CHANGING_S - time.monotonic()))
 
         cost = self._cost(CHANGING_S, change_steadily)
@@ -291,7 +295,7 @@
         for number in range(PROMOTIONS):
             if number in failing:
                 failing[number]()
-            accepted_at = self._change()
+            accepted_at = self.change()
             took = self._await_everywhere(self._version, accepted_at)
             self._measured.in_force_s.append(took)
         values = self._measured.in_force_s
@@ -306,7 +310,7 @@
         print(f'killing the leader {leader}', flush=True)
         killed_at = time.monotonic()
         self._cluster.processes.kill(leader)
-        accepted_at = self._change()
+        accepted_at = self.change()
         self._measured.figures['failover_s'] = round(
             accepted_at - killed_at, 3
         )
@@ -317,7 +321,7 @@
         print(f'freezing the leader {leader}', flush=True)
         frozen_at = time.monotonic()
         self._cluster.processes.signal(leader, signal.SIGSTOP)
-        accepted_at = self._change()
+        accepted_at = self.change()
         self._measured.figures['frozen_failover_s'] = round(
             accepted_at - frozen_at, 3
         )
@@ -327,7 +331,7 @@
         name = self._rng.choice(self._followers())
         print(f'freezing the follower {name}', flush=True)
         self._cluster.processes.signal(name, signal.SIGSTOP)
-        self._change()
+        self.change()
         gevent.sleep(1.0)
         self._cluster.processes.signal(name, signal.SIGCONT)
 
@@ -336,7 +340,7 @@
         print(f'killing the entry {entry.name}', flush=True)
         self._down.add(entry.name)
         self._cluster.processes.kill(entry.name)
-        self._change()
+        self.change()
         self._cluster.restart_entry(entry.name)
         self._down.discard(entry.name)
 
@@ -352,11 +356,11 @@
         processes = self._cluster.processes
         processes.kill(first)
         for _ in range(MISSED_CHANGES // 2):
-            self._change()
+            self.change()
         processes.signal(second, signal.SIGSTOP)
         began = time.monotonic()
         self._cluster.restart_control(first)
-        accepted_at = self._change()
+        accepted_at = self.change()
         self._measured.figures['restart_catch_up_s'] = round(
             accepted_at - began, 3
         )
@@ -391,7 +395,7 @@
         self._cluster.cut_zone(zone, cut=True)
         gevent.sleep(CUT_S / 2)
         half = {one.name: self._answered(one) for one in inside}
-        self._change()
+        self.change()
         gevent.sleep(CUT_S / 2)
         unserved = sum(
             self._answered(one) <= half[one.name]
@@ -452,6 +456,13 @@
         )
 
 
+def ready_cluster(cluster: Cluster, text: str, *, seed: int) -> StateBench:
+    """Start a cluster and wait until it serves."""
+    bench = StateBench(text, cluster, seed=seed)
+    bench.prepare()
+    return bench
+
+
 def main() -> int:
     cfg = read_settings(
         'bench.state',
--- a/testing/standins/backend.py
+++ b/testing/standins/backend.py
@@ -15,8 +15,9 @@
 from typing import Any
 
 import gevent
-from gevent.select import select
 from gevent.server import StreamServer
+from gevent.socket import timeout as SocketTimeout
+from gevent.socket import wait_read
 
 from testing.standins.records import Seen
 from testing.standins.records import What
@@ -251,8 +252,10 @@
         left_s = ends - time.monotonic()
         if left_s <= 0:
             return False
-        ready, _, _ = select([sock], [], [], left_s)
-        if not ready:
+        try:
+            # Unlike select, this takes descriptors over 1,023.
+            wait_read(sock.fileno(), timeout=left_s)
+        except SocketTimeout:
             return False
         try:
             if not sock.recv(1, socket.MSG_PEEK):
