Tell zone peers only what they don't know yet

Cause: an entry spent 3.5 KB a second on control while idle; two thirds of it were heartbeats that repeat the free slots, and relayed announcements that repeat everything but the in-use count.

Change: _entry/told.py remembers what each peer process was told. A heartbeat carries the loads when they change and every 5 s, an announcement is relayed in full when it changes and every 10 s, otherwise as its in-use count.

--- a/src/galenareel/_common/messages.py
+++ b/src/galenareel/_common/messages.py
@@ -258,6 +258,8 @@
 
     As a request it is answered by the receiver's own heartbeat.
 
+    :param pools: free slots of its homes; ``None`` if they are the same as
+        in its last heartbeat to this receiver.
     :param taken: homes that the sender has got from another entry, with the
         home epoch that this ended.
     """
@@ -265,7 +267,7 @@
     entry: str
     incarnation: str
     index: int
-    pools: tuple[HomeLoad, ...] = ()
+    pools: tuple[HomeLoad, ...] | None = ()
     fenced: bool = False
     stopping: bool = False
     taken: tuple[tuple[str, int], ...] = ()
@@ -277,6 +279,16 @@
     announcement: Announcement
 
 
+class ServerHeard(Message, frozen=True):
+    """A server announced itself to another entry of the zone, unchanged.
+
+    Stands for the last relayed announcement with another in-use count.
+    """
+
+    instance: str
+    in_use: int
+
+
 class Forward(Message, frozen=True):
     """A caller's request passed on to the home; first on a fresh link.
 
@@ -378,6 +390,7 @@
     | HomeLoad
     | PeerHeartbeat
     | RelayAnnouncement
+    | ServerHeard
     | Forward
     | ForwardRefused
     | ForwardFailed
--- a/src/galenareel/_entry/homes.py
+++ b/src/galenareel/_entry/homes.py
@@ -267,6 +267,11 @@
             one.load(now) for one in self.servers.values() if one.mine
         )
 
+    def announcement_of(self, instance: str) -> Announcement | None:
+        """The latest announcement of one backend server."""
+        server = self.servers.get(instance)
+        return server.announcement if server is not None else None
+
     def announcements(self) -> tuple[Announcement, ...]:
         return tuple(
             one.announcement
--- a/src/galenareel/_entry/peers.py
+++ b/src/galenareel/_entry/peers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from galenareel._common.messages import HomeLoad
 from galenareel._common.messages import PeerHeartbeat
 from galenareel._common.rows import EntryRow
 from galenareel._common.rows import EntryState
@@ -23,6 +24,7 @@
 class Peer:
     """Another entry.
 
+    :param loads: of its last heartbeat.
     :param free: free slots by pool, counted down with each request sent
         between two heartbeats.
     """
@@ -36,6 +38,7 @@
     state: EntryState = EntryState.LIVE
     fenced: bool = False
     stopping: bool = False
+    loads: dict[str, HomeLoad] = field(default_factory=dict)
     free: dict[str, int] = field(default_factory=dict)
     queued: dict[str, int] = field(default_factory=dict)
     parked: dict[str, int] = field(default_factory=dict)
@@ -76,8 +79,10 @@
         peer.incarnation = beat.incarnation
         peer.fenced = beat.fenced
         peer.stopping = beat.stopping
-        peer.free = {load.pool: load.free for load in beat.pools}
-        peer.queued = {load.pool: load.queued for load in beat.pools}
+        if beat.pools is not None:
+            peer.loads = {load.pool: load for load in beat.pools}
+        peer.free = {name: load.free for name, load in peer.loads.items()}
+        peer.queued = {name: load.queued for name, load in peer.loads.items()}
         return peer
 
     def best(self, pool: str, *, now: float, other_zones: bool) -> Peer | None:
--- a/src/galenareel/_entry/process.py
+++ b/src/galenareel/_entry/process.py
@@ -9,6 +9,7 @@
 import traceback
 
 import gevent
+from msgspec.structs import replace
 
 from galenareel._common.clock import SystemClock
 from galenareel._common.events import HybridClock
@@ -27,6 +28,7 @@
 from galenareel._common.messages import PeerHeartbeat
 from galenareel._common.messages import ReadEvents
 from galenareel._common.messages import RelayAnnouncement
+from galenareel._common.messages import ServerHeard
 from galenareel._common.messages import Welcome
 from galenareel._common.metrics import Metrics
 from galenareel._entry.announcements import Announcements
@@ -295,10 +297,17 @@
             return self.zone.heard(link, msg)
         elif isinstance(msg, RelayAnnouncement):
             self.take(msg.announcement, relayed=True)
+        elif isinstance(msg, ServerHeard):
+            self._take_again(msg)
         elif isinstance(msg, ReadEvents):
             return self.events.own(msg.since)
         return None
 
+    def _take_again(self, msg: ServerHeard) -> None:
+        said = self.homes.announcement_of(msg.instance)
+        if said is not None:
+            self.take(replace(said, in_use=msg.in_use), relayed=True)
+
     def _welcome(self, link: Link, msg: Hello) -> AnyMessage | None:
         wanted = self.settings.cluster_secret.encode()
         if not hmac.compare_digest(msg.secret.encode(), wanted):
--- a/src/galenareel/_entry/zone.py
+++ b/src/galenareel/_entry/zone.py
@@ -12,7 +12,6 @@
 from galenareel._common.messages import AnyMessage
 from galenareel._common.messages import HomeLoad
 from galenareel._common.messages import PeerHeartbeat
-from galenareel._common.messages import RelayAnnouncement
 from galenareel._entry.homes import Homes
 from galenareel._entry.links import PeerLinks
 from galenareel._entry.peers import Fence
@@ -21,6 +20,7 @@
 from galenareel._entry.session import ControlSession
 from galenareel._entry.settings import HEARTBEAT_S
 from galenareel._entry.settings import SILENT_AFTER_S
+from galenareel._entry.told import Told
 from galenareel._entry.view import ViewStore
 
 BEATS_PER_SECOND = round(1 / HEARTBEAT_S)
@@ -60,6 +60,7 @@
         self._session = session
         self._record = record
         self._is_stopping = is_stopping
+        self._told = Told()
         self._beats = 0
         self._last = time.monotonic()
         self._silent: tuple[str, ...] = ()
@@ -79,9 +80,12 @@
 
     def relay(self, said: Announcement) -> None:
         """Pass an announcement to the peers of the zone."""
-        msg = RelayAnnouncement(announcement=said)
+        now = time.monotonic()
         for peer in self._peers.all.values():
             if peer.zone == self._homes.zone:
+                msg = self._told.announcement(
+                    peer.name, peer.incarnation, said, now=now
+                )
                 self._links.send(peer.name, msg)
 
     def heard(self, link: Link, beat: PeerHeartbeat) -> PeerHeartbeat | None:
@@ -143,7 +147,10 @@
         second = self._beats % BEATS_PER_SECOND == 0
         for peer in list(self._peers.all.values()):
             if second or peer.zone == self._homes.zone:
-                self._links.send(peer.name, beat)
+                short = self._told.heartbeat(
+                    peer.name, peer.incarnation, beat, now=now
+                )
+                self._links.send(peer.name, short)
 
     def _beat(self, now: float) -> PeerHeartbeat:
         pools = []
--- /dev/null
+++ b/testing/entry/test_told.py
@@ -0,0 +1,84 @@
+"""Messages to peers that leave out what the peer knows."""
+
+from __future__ import annotations
+
+import pytest
+
+from galenareel._common.messages import Announcement
+from galenareel._common.messages import HomeLoad
+from galenareel._common.messages import PeerHeartbeat
+from galenareel._common.messages import RelayAnnouncement
+from galenareel._common.messages import ServerHeard
+from galenareel._entry.told import ANNOUNCEMENT_REPEAT_S
+from galenareel._entry.told import LOADS_REPEAT_S
+from galenareel._entry.told import Told
+
+
+def beat(free: int) -> PeerHeartbeat:
+    pools = (HomeLoad(pool='lots', free=free),)
+    return PeerHeartbeat(entry='e1', incarnation='1', index=1, pools=pools)
+
+
+def said(*, in_use: int = 0, leaving: bool = False) -> Announcement:
+    return Announcement(
+        instance='a/w1',
+        address='10.0.0.1:80',
+        zone='a',
+        rack='r',
+        service='lots',
+        incarnation='1',
+        in_use=in_use,
+        leaving=leaving,
+    )
+
+
+@pytest.fixture
+def told() -> Told:
+    told = Told()
+    told.heartbeat('e2', 'x', beat(8), now=100.0)
+    told.announcement('e2', 'x', said(), now=100.0)
+    return told
+
+
+def test_unchanged_loads_are_left_out(told: Told) -> None:
+    assert told.heartbeat('e2', 'x', beat(8), now=100.2).pools is None
+
+
+@pytest.mark.parametrize(
+    ('peer', 'incarnation', 'free', 'now'),
+    [
+        ('e2', 'x', 7, 100.2),
+        ('e2', 'y', 8, 100.2),
+        ('e3', 'x', 8, 100.2),
+        ('e2', 'x', 8, 100.0 + LOADS_REPEAT_S),
+    ],
+    ids=['changed', 'restarted peer', 'other peer', 'long ago'],
+)
+def test_loads_are_sent_to_who_lacks_them(
+    told: Told, peer: str, incarnation: str, free: int, now: float
+) -> None:
+    """Guards against a peer that routes by loads it never got."""
+    sent = told.heartbeat(peer, incarnation, beat(free), now=now)
+    assert sent.pools == beat(free).pools
+
+
+def test_unchanged_announcement_is_shortened(told: Told) -> None:
+    sent = told.announcement('e2', 'x', said(in_use=3), now=101.0)
+    assert sent == ServerHeard(instance='a/w1', in_use=3)
+
+
+@pytest.mark.parametrize(
+    ('incarnation', 'one', 'now'),
+    [
+        ('x', said(leaving=True), 101.0),
+        ('y', said(), 101.0),
+        ('x', said(), 100.0 + ANNOUNCEMENT_REPEAT_S),
+    ],
+    ids=['leaving', 'restarted peer', 'long ago'],
+)
+def test_announcement_is_sent_in_full(
+    told: Told, incarnation: str, one: Announcement, now: float
+) -> None:
+    """Guards against a home that doesn't learn that a server leaves."""
+    sent = told.announcement('e2', incarnation, one, now=now)
+    assert sent == RelayAnnouncement(announcement=one)
