Log changes of the leader and refused links

Cause: a wrong cluster secret looked like a network failure to operators.

Change: one log line when a link is refused for its greeting, and one when the known leader changes.

--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -97,6 +97,7 @@
         self._member: Member | None = None
         self._applied = 0
         self._reopen_due = 0.0
+        self._logged_leader: str | None = None
         self._work = Event()
         self._changed = Event()
         self._proposals = Proposals()
@@ -258,8 +259,16 @@
                 self._reopen()
             self._greeter.tick(now)
             self._absorb(lambda member: member.raft.tick(now))
+            self._log_leader()
             gevent.sleep(TICK_S)
 
+    def _log_leader(self) -> None:
+        """Log a change of the leader, once a tick at most."""
+        leader = self.leader()
+        if leader != self._logged_leader:
+            log.info('the leader is now {}', leader or 'not known')
+            self._logged_leader = leader
+
     def _store_loop(self) -> None:
         while True:
             self._work.wait()
--- a/src/galenareel/_consensus/peers.py
+++ b/src/galenareel/_consensus/peers.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent.event import Event
+from logbook import Logger
 
 from galenareel._common.events import HybridClock
 from galenareel._common.frames import connect
@@ -23,6 +24,8 @@
 # What a frozen member can hold up in memory; raft sends lost messages again.
 QUEUE_MESSAGES = 64
 
+log = Logger('consensus')
+
 
 class Peer:
     """Sends to one address, in order, dropping what can't be sent."""
@@ -47,6 +50,7 @@
         self._wake = Event()
         self._link: Link | None = None
         self._link_since = 0.0
+        self._refused = False
         self._greenlet = gevent.spawn(self._run)
 
     def send(self, body: bytes, now: float) -> None:
@@ -99,11 +103,23 @@
         reply = link.request(hello, timeout_s=HELLO_TIMEOUT_S)
         if not isinstance(reply, Welcome):
             link.close()
+            self._note_refusal()
             return None
+        self._refused = False
         self._link = link
         self._link_since = 0.0
         return link
 
+    def _note_refusal(self) -> None:
+        """Log it once until a link is accepted again."""
+        if not self._refused:
+            log.warning(
+                'the member at {} does not answer the greeting; check that '
+                'both have the same cluster secret',
+                self._address,
+            )
+        self._refused = True
+
 
 def _ignore(_link: Link, _msg: AnyMessage) -> None:
     """Members answer on links of their own."""
