--- a/testing/programs/test_bad_input.py
+++ b/testing/programs/test_bad_input.py
@@ -2,112 +2,40 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from collections.abc import Iterator
-from dataclasses import replace
 from pathlib import Path
 import signal
 import socket
 import subprocess
 import sys
 import time
-from typing import Any
 
 import msgspec
 import pytest
 
-from demo.operating import Operator
 from demo.processes import clean_environ
-from demo.processes import Processes
-from demo.topology import fleet_plan
 from demo.topology import make_topology
 from demo.topology import Topology
 from galenareel._common.frames import parse_address
 from galenareel._document.reading import read_environment
-from testing.standins.http import Answer
+from testing.programs.running import EXAMPLE
+from testing.programs.running import run_system
+from testing.programs.running import Running
+from testing.programs.running import WORK
 from testing.standins.http import ask
 from testing.standins.records import read_records
 from testing.standins.records import Seen
 from testing.standins.records import What
 from testing.standins.work import Work
 
-EXAMPLE = Path(__file__).parents[2] / 'examples' / 'abay.yaml'
-START_LIMIT_S = 15.0
 END_LIMIT_S = 10.0
 BODY_LIMIT = 1 << 20
 
-WORK = Work(token='good', service='lots', run_s=0.01)
-
-
-class Running:
-    """One control member, one entry and the backend servers of its zone."""
-
-    def __init__(self, topology: Topology, folder: Path) -> None:
-        self.topology = topology
-        self.folder = folder
-        self.entry = topology.entries[0]
-        self.operator = Operator(topology)
-
-    def status(self) -> Any:
-        result = self.operator.run('status', '--json')
-        assert result.status == 0, result.output
-        return result.json()
-
-    def post(self, path: str, body: bytes = b'x') -> Answer:
-        headers = {'Galenareel-Caller': 'broker-1'}
-        return ask(
-            self.entry.callers, 'POST', path, headers=headers, body=body
-        )
-
-    def announce(self, body: bytes, *, secret: str = '') -> Answer:
-        shown = secret or self.topology.secrets['announce']
-        return ask(
-            self.entry.announcements,
-            'POST',
-            '/v1/announcements',
-            headers={'Authorization': f'Bearer {shown}'},
-            body=body,
-        )
-
-
-def wait_until(is_true: Callable[[], bool], what: str) -> None:
-    ends = time.monotonic() + START_LIMIT_S
-    while not is_true():
-        assert time.monotonic() < ends, f'no {what}'
-        time.sleep(0.1)
-
 
 @pytest.fixture(scope='module')
 def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Running]:
-    folder = tmp_path_factory.mktemp('running')
-    cfg = read_environment(EXAMPLE.read_text())
-    whole = make_topology(cfg)
-    topology = replace(
-        whole, entries=whole.entries[:1], controls=whole.controls[:1]
-    )
-    plan = fleet_plan(cfg, topology, folder / 'seen', seed=1)
-    plan.servers = [
-        one for one in plan.servers if one.zone == topology.entries[0].zone
-    ]
-    path = folder / 'fleet.json'
-    path.write_bytes(msgspec.json.encode(plan))
-    processes = Processes(folder, topology)
-    try:
-        processes.start_control(topology.controls[0])
-        processes.start_entry(topology.entries[0])
-        processes.start_standin('fleet', 'testing.standins.fleet', path)
-        found = Running(topology, folder)
-        run = found.operator.run
-        wait_until(
-            lambda: run('submit', str(EXAMPLE)).status == 0, 'submission'
-        )
-        assert run('promote', '1').status == 0
-        wait_until(
-            lambda: found.post(WORK.path('/lots')).status == 200, 'answer'
-        )
+    with run_system(tmp_path_factory.mktemp('running'), zones=1) as found:
         yield found
-    finally:
-        assert processes.stop() == []
 
 
 @pytest.mark.parametrize(
