Don't count an instance whose last result failed

Cause: the state machine lent an instance while another of its pool had just failed once, which left one sound instance after the loss of a rack.

--- a/src/galenareel/_decisions/census.py
+++ b/src/galenareel/_decisions/census.py
@@ -171,6 +171,10 @@
         return not cut_off and not instance.suspect
 
     def is_settled(self, instance: Instance) -> bool:
+        """Whether it has served for a while and its last result was good."""
+        health = self.tables.memory.health.get(instance.name)
+        if health is not None and health.in_a_row:
+            return False
         since = instance.phase_since
         return since <= 0.0 or self.now - since >= SETTLE_S
 
--- a/src/galenareel/_decisions/ejection.py
+++ b/src/galenareel/_decisions/ejection.py
@@ -57,6 +57,8 @@
                 found = _eject_one(census, instance)
             # One that must stay gets no jobs, so only a probe can clear it.
             decisions += found or _due_probe(census, instance)
+        elif _last_failed(census, instance):
+            decisions += _due_probe(census, instance)
     return decisions
 
 
@@ -87,6 +89,12 @@
     return known is not None and serving and known.fails
 
 
+def _last_failed(census: Census, instance: Instance) -> bool:
+    """Whether it has failed, though not often enough to be blamed."""
+    known = census.tables.memory.health[instance.name]
+    return instance.phase is Phase.SERVING and known.in_a_row > 0
+
+
 def _pools_with_bad_work(census: Census) -> set[str]:
     """Pools in which most instances that were given work fail."""
     failing: dict[str, int] = {}
--- a/testing/decisions/test_budgets.py
+++ b/testing/decisions/test_budgets.py
@@ -7,6 +7,7 @@
 from galenareel._decisions.census import Census
 from galenareel._decisions.decisions import EjectInstance
 from galenareel._decisions.decisions import LendInstance
+from galenareel._decisions.decisions import ProbeInstance
 from galenareel._decisions.decisions import StartMaintenance
 from galenareel._decisions.memory import HealthEstimate
 from galenareel._decisions.tables import Tables
@@ -103,6 +104,19 @@
     assert census.refusal(tables.instances['z1/tasting-0'])
 
 
+def test_an_instance_whose_last_result_failed_is_not_counted() -> None:
+    """Found by the state machine: one failure had not been enough."""
+    tables = fleet()
+    tables.instances['z2/tasting-4'].failed = 1
+    decisions = run_tick(tables)
+    assert len(of_type(decisions, ProbeInstance)) == 1
+    assert Census(tables, 100.0).budgets['tasting'].available == 5
+    tables.instances['z2/tasting-4'].failed = 0
+    tables.instances['z2/tasting-4'].finished = 1
+    run_tick(tables, 101.0)
+    assert Census(tables, 101.0).budgets['tasting'].available == 6
+
+
 def test_ejection_keeps_the_minimum() -> None:
     tables = fleet(survive_rack=False)
     for name in list(tables.instances):
