--- a/src/galenareel/_decisions/placement.py
+++ b/src/galenareel/_decisions/placement.py
@@ -27,6 +27,7 @@
     from galenareel._decisions.tables import Instance
     from galenareel._decisions.tables import Job
 
+URGENT_START_S = 8.7  # deadline of an urgent job that names none
 # A job that fits nowhere for this long gets an instance kept free for it.
 RESERVE_AFTER_S = 30.0
 
@@ -163,7 +164,11 @@
 
 
 def _rank(job: Job) -> tuple[bool, float, str]:
-    return (job.urgency is not Urgency.URGENT, job.submitted_at, job.name)
+    deferrable = job.urgency is not Urgency.URGENT
+    due = job.submitted_at
+    if not deferrable:
+        due = job.deadline or job.submitted_at + URGENT_START_S
+    return (deferrable, due, job.name)
 
 
 def _waiting_jobs(census: Census) -> dict[str, list[Job]]:
--- a/src/galenareel/_decisions/tables.py
+++ b/src/galenareel/_decisions/tables.py
@@ -52,11 +52,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class Rack:
-    """A rack; ``down_until`` holds work back from a rack under repair."""
+    """A rack; what is lost together when its switch or power fails."""
 
     name: str
     zone: str
-    down_until: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -134,8 +133,8 @@
 class Service:
     """A service; its jobs run on the instances of ``pool``.
 
-    :param observed: run times and sizes of finished jobs relative to what
-        was declared are learned from :class:`Job` rows that turn ``done``.
+    Run times and sizes relative to what was declared are learned from its
+    :class:`Job` rows that turn ``done``.
     """
 
     name: str
@@ -160,8 +159,9 @@
     :param declared_s: declared run time.
     :param run_s: run time so far, as last reported; survives a checkpoint.
     :param used_slots: slots it really uses, as last reported; 0 if unknown.
-    :param deadline: absolute time by which it must have started, or 0.
-    :param failures: how often it has failed on an instance.
+    :param deadline: time by which it must have started, or 0; orders urgent
+        jobs.
+    :param failures: how often it has failed; for operators only.
     :param failed_on: instances on which it has failed.
     """
 
--- a/testing/decisions/test_jobs.py
+++ b/testing/decisions/test_jobs.py
@@ -76,6 +76,14 @@
     assert starts(tables)[0] == 'now'
 
 
+def test_urgent_jobs_start_in_the_order_of_their_deadlines() -> None:
+    tables = fleet()
+    fields = {'urgency': Urgency.URGENT}
+    add_job(tables, 'early', submitted_at=1.0, deadline=300.0, **fields)
+    add_job(tables, 'late', submitted_at=2.0, deadline=200.0, **fields)
+    assert starts(tables) == ['late', 'early']
+
+
 def test_a_team_at_its_quota_holds_up_nobody_else() -> None:
     tables = fleet()
     tables.teams['few'] = Team(name='few', slots=2)
