--- a/src/galenareel/_decisions/placement.py
+++ b/src/galenareel/_decisions/placement.py
@@ -103,10 +103,18 @@
         return found
 
     def _allowed(self, job: Job, name: str) -> bool:
-        if name in self.reserved or name in job.failed_on:
+        if name in self.reserved:
+            return False
+        if name in job.failed_on and not self._may_retry(job, name):
             return False
         return self._fits_waves(job, name)
 
+    def _may_retry(self, job: Job, name: str) -> bool:
+        """An instance on which a job failed may have recovered since."""
+        waited = self.census.now - job.submitted_at
+        instance = self.census.tables.instances[name]
+        return waited > RESERVE_AFTER_S and self.census.is_settled(instance)
+
     def _fits_waves(self, job: Job, name: str) -> bool:
         """Long jobs that can't be saved stay off instances of a wave.
 
--- a/testing/decisions/test_jobs.py
+++ b/testing/decisions/test_jobs.py
@@ -205,6 +205,18 @@
     assert of_type(run_tick(tables, 110.0), RefuseJob)
 
 
+def test_a_job_goes_back_to_an_instance_that_has_recovered() -> None:
+    """Found by the state machine: the only free instance was ruled out."""
+    tables = fleet()
+    for name, row in tables.instances.items():
+        if '/lots-' in name and name != 'z0/lots-0':
+            row.phase = Phase.LOST
+    add_job(tables, 'job', failed_on=frozenset({'z0/lots-0'}))
+    tables.jobs['job'].submitted_at = 90.0
+    assert starts(tables, 100.0) == []
+    assert starts(tables, 130.0) == ['job']
+
+
 def test_long_jobs_that_cannot_be_saved_avoid_a_wave() -> None:
     tables = fleet()
     tables.waves['wave'] = Wave(name='wave', pools=('lots',))
