--- a/src/galenareel/_decisions/placement.py
+++ b/src/galenareel/_decisions/placement.py
@@ -27,6 +27,7 @@
     from galenareel._decisions.tables import Instance
     from galenareel._decisions.tables import Job
 
+URGENT_START_S = 8.7  # deadline of an urgent job that names none
 # A job that fits nowhere for this long gets an instance kept free for it.
 RESERVE_AFTER_S = 30.0
 
@@ -102,10 +103,18 @@
         return found
 
     def _allowed(self, job: Job, name: str) -> bool:
-        if name in self.reserved or name in job.failed_on:
+        if name in self.reserved:
+            return False
+        if name in job.failed_on and not self._may_retry(job, name):
             return False
         return self._fits_waves(job, name)
 
+    def _may_retry(self, job: Job, name: str) -> bool:
+        """An instance on which a job failed may have recovered since."""
+        waited = self.census.now - job.submitted_at
+        instance = self.census.tables.instances[name]
+        return waited > RESERVE_AFTER_S and self.census.is_settled(instance)
+
     def _fits_waves(self, job: Job, name: str) -> bool:
         """Long jobs that can't be saved stay off instances of a wave.
 
@@ -163,7 +172,11 @@
 
 
 def _rank(job: Job) -> tuple[bool, float, str]:
-    return (job.urgency is not Urgency.URGENT, job.submitted_at, job.name)
+    deferrable = job.urgency is not Urgency.URGENT
+    due = job.submitted_at
+    if not deferrable:
+        due = job.deadline or job.submitted_at + URGENT_START_S
+    return (deferrable, due, job.name)
 
 
 def _waiting_jobs(census: Census) -> dict[str, list[Job]]:
