Let a wave keep its targets and survive the leaving of its own reboots

Cause: a backend server that announced that it leaves for its planned reboot was marked left, which ended its maintenance as failed; after that was mended the wave of a pool of 6 rebooted 10 instances, since lending brought others into the pool while it ran.

Change: mark_left keeps an instance that is being rebooted. A wave records the instances of its pools when it begins; only these are maintained, wherever they are lent meanwhile. The monotonic clock goes on while a machine is suspended, so that leases run out.

Conclusion: a wave maintains what it was declared for, once.

--- a/src/galenareel/_common/clock.py
+++ b/src/galenareel/_common/clock.py
@@ -27,7 +27,9 @@
     """The clocks of this machine."""
 
     def monotonic(self) -> float:
-        return time.monotonic()
+        # CLOCK_MONOTONIC stands still while the machine is suspended, and a
+        # lease has to run out meanwhile.
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         return time.time()
--- a/src/galenareel/_common/rows.py
+++ b/src/galenareel/_common/rows.py
@@ -120,6 +120,8 @@
     :param failed: did not come back, or failed its work afterwards.
     :param skipped: drained for too long; may be tried again.
     :param acknowledged: failures that an operator has looked at.
+    :param targets: the instances of its pools when it began; lending doesn't
+        add others to it or take one out of it.
     """
 
     wave: str
@@ -133,6 +135,7 @@
     reason: str = ''
     skipped: tuple[str, ...] = ()
     acknowledged: tuple[str, ...] = ()
+    targets: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/galenareel/_control/decision_adapter.py
+++ b/src/galenareel/_control/decision_adapter.py
@@ -237,6 +237,7 @@
         wave.failed = set(row.failed)
         wave.skipped = set(row.skipped)
         wave.acknowledged = set(row.acknowledged)
+        wave.targets = frozenset(row.targets)
         wave.reason = row.reason
     return wave
 
--- a/src/galenareel/_control/planning.py
+++ b/src/galenareel/_control/planning.py
@@ -28,10 +28,10 @@
 from galenareel._state.commands import SetEntryState
 from galenareel._state.commands import SetZoneCut
 from galenareel._state.commands import StartReboot
-from galenareel._state.maintenance import DRAINING
-from galenareel._state.maintenance import REBOOTING
 from galenareel._state.state import State
 from galenareel._state.tables import ABSENT
+from galenareel._state.tables import DRAINING
+from galenareel._state.tables import REBOOTING
 
 # At 1,800 replaced instances a day this bounds the rows of absent ones, and
 # an operator can still ask on the next day why one has gone.
@@ -135,7 +135,7 @@
             if msg.zone != session.zone or _is_shown(state, row, msg):
                 del session.pending[name]
             elif msg.leaving:
-                if row is None or row.incarnation != msg.incarnation:
+                if not _can_leave(row, msg):
                     del session.pending[name]
                     continue
                 yield MarkLeft(
@@ -157,6 +157,13 @@
                 )
 
 
+def _can_leave(row: InstanceRow | None, msg: Announcement) -> bool:
+    """Whether leaving changes the row; a reboot is expected to end it."""
+    if row is None or row.incarnation != msg.incarnation:
+        return False
+    return row.maintenance_step != REBOOTING
+
+
 def _is_shown(
     state: State, row: InstanceRow | None, msg: Announcement
 ) -> bool:
--- a/src/galenareel/_control/reboots.py
+++ b/src/galenareel/_control/reboots.py
@@ -20,9 +20,9 @@
 from galenareel._state.commands import FailMaintenance
 from galenareel._state.commands import FinishMaintenance
 from galenareel._state.commands import SetWaveState
-from galenareel._state.maintenance import DRAINING
-from galenareel._state.maintenance import REBOOTING
 from galenareel._state.state import State
+from galenareel._state.tables import DRAINING
+from galenareel._state.tables import REBOOTING
 
 # A process may have restarted by itself between its drain and the platform's
 # acceptance. A new incarnation that was there at acceptance counts as
--- a/src/galenareel/_decisions/tables.py
+++ b/src/galenareel/_decisions/tables.py
@@ -204,6 +204,8 @@
     :param skipped: instances whose drain timed out; tried again at the end.
     :param acknowledged: failures that an operator has looked at; they no
         longer count towards ``stop_after``.
+    :param targets: the instances to maintain; if empty, those that are in
+        its pools while it runs.
     """
 
     name: str
@@ -217,6 +219,7 @@
     failed: set[str] = field(default_factory=set)
     skipped: set[str] = field(default_factory=set)
     acknowledged: set[str] = field(default_factory=set)
+    targets: frozenset[str] = frozenset()
     reason: str = ''
 
 
--- a/src/galenareel/_decisions/waves.py
+++ b/src/galenareel/_decisions/waves.py
@@ -169,16 +169,22 @@
 
 
 def _members(census: Census, wave: Wave) -> list[Instance]:
-    """Instances that are in its pools or on their way to one."""
+    """Instances that it maintains, wherever they were lent meanwhile."""
     return [
         one
         for one in census.tables.instances.values()
-        if (one.pool in wave.pools or one.target_pool in wave.pools)
+        if _belongs(wave, one)
         and one.phase is not Phase.LEFT
         and not _gone(census, one)
     ]
 
 
+def _belongs(wave: Wave, instance: Instance) -> bool:
+    if wave.targets:
+        return instance.name in wave.targets
+    return instance.pool in wave.pools or instance.target_pool in wave.pools
+
+
 def _gone(census: Census, instance: Instance) -> bool:
     lost = instance.phase is Phase.LOST
     return lost and census.now - instance.phase_since > LOST_S
--- a/src/galenareel/_state/instances.py
+++ b/src/galenareel/_state/instances.py
@@ -20,6 +20,7 @@
 from galenareel._state.commands import ReturnInstance
 from galenareel._state.tables import ABSENT
 from galenareel._state.tables import Handlers
+from galenareel._state.tables import REBOOTING
 from galenareel._state.tables import Tables
 
 
@@ -184,7 +185,8 @@
             reason='unknown_instance',
             detail=f'no {command.instance} of this incarnation',
         )
-    if row.phase is Phase.LEFT:
+    if row.phase is Phase.LEFT or row.maintenance_step == REBOOTING:
+        # A backend server that leaves for its reboot is expected back.
         return Done(index=tables.index)
     tables.advance_time(command.now)
     return take_away(tables, row, Phase.LEFT, 'said that it is leaving')
--- a/src/galenareel/_state/maintenance.py
+++ b/src/galenareel/_state/maintenance.py
@@ -23,12 +23,12 @@
 from galenareel._state.instances import take_away
 from galenareel._state.instances import wrong_phase
 from galenareel._state.moves import stale_home
+from galenareel._state.tables import DRAINING
 from galenareel._state.tables import Handlers
 from galenareel._state.tables import Reboot
+from galenareel._state.tables import REBOOTING
 from galenareel._state.tables import Tables
 
-DRAINING = 'draining'
-REBOOTING = 'rebooting'
 ENDED = (WaveState.STOPPED, WaveState.DONE)
 
 
@@ -187,11 +187,22 @@
         state=WaveState.RUNNING,
         started_at=tables.advance_time(command.now),
         reason=command.reason,
+        targets=_targets(tables, command.pools),
     )
     tables.put_wave(row)
     return Done(index=tables.index)
 
 
+def _targets(tables: Tables, pools: tuple[str, ...]) -> tuple[str, ...]:
+    found = (
+        row.instance
+        for row in tables.instances.values()
+        if row.phase is not Phase.LEFT
+        and (row.pool in pools or row.target_pool in pools)
+    )
+    return tuple(sorted(found))
+
+
 def set_wave_state(tables: Tables, command: SetWaveState) -> Done | Refused:
     row = tables.waves.get(command.wave)
     if row is None:
--- a/src/galenareel/_state/tables.py
+++ b/src/galenareel/_state/tables.py
@@ -24,6 +24,10 @@
 # Phases of an instance that nobody can reach.
 ABSENT = (Phase.LOST, Phase.LEFT)
 
+# Steps of a maintenance.
+DRAINING = 'draining'
+REBOOTING = 'rebooting'
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoredDocument:
--- a/testing/state/test_commands.py
+++ b/testing/state/test_commands.py
@@ -90,6 +90,19 @@
     assert reason(log.run(finish)) == 'not_rebooted'
 
 
+def test_leaving_for_the_reboot_does_not_end_maintenance() -> None:
+    """Guards against a wave that takes its own reboots for failures."""
+    log = ready_log()
+    log.done(
+        maintain(),
+        c.StartReboot(now=2.0, instance=ONE, epoch=1, home_epoch=0),
+        c.MarkLeft(now=2.5, instance=ONE, incarnation='i1'),
+        register(ONE, incarnation='i2'),
+        c.FinishMaintenance(now=3.0, instance=ONE, epoch=2),
+    )
+    assert log.state.waves['w1'].done == (ONE,)
+
+
 def test_instance_is_maintained_once_a_wave() -> None:
     log = ready_log()
     log.done(
