Measure announcements and connections of whole processes

Change: bench/capacity_fleet.py, part of make measure-capacity, with one entry and one control member and 30, 100 and 300 announcing backend servers.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,7 +12,11 @@
 import os
 import sys
 
-from bench import capacity_parts
+from bench.capacity_fleet import CONNECTIONS
+from bench.capacity_fleet import measure_connections
+from bench.capacity_fleet import measure_fleet
+from bench.capacity_fleet import SIZES
+import bench.capacity_parts as parts
 from bench.slopes import fit
 
 ROWS = (1000, 5000, 20000)
@@ -49,7 +53,7 @@
 
 
 def run_once(name: str, size: int) -> float:
-    value: float = getattr(capacity_parts, name)(size)
+    value: float = getattr(parts, name)(size)
     return value
 
 
@@ -64,11 +68,30 @@
     return {'unit': part.unit, **fit(part.sizes, values).as_dict()}
 
 
+def fleet_slopes() -> dict[str, dict[str, object]]:
+    """Slopes of whole processes, over announcing backend servers."""
+    measured = [measure_fleet(size) for size in SIZES]
+    found: dict[str, dict[str, object]] = {}
+    for name in measured[0]:
+        values = [one[name] for one in measured]
+        unit = f'{name} a backend server that announces once a second'
+        found[name] = {'unit': unit, **fit(SIZES, values).as_dict()}
+    memory = [measure_connections(one) for one in CONNECTIONS]
+    found['connection_kb'] = {
+        'unit': 'KB/connection',
+        **fit(CONNECTIONS, memory).as_dict(),
+    }
+    return found
+
+
 def main() -> int:
     result: dict[str, object] = {}
     for part in PARTS:
         result[part.name] = figures = measure(part)
         print(part.name, json.dumps(figures), flush=True)
+    for name, figures in fleet_slopes().items():
+        result[name] = figures
+        print(name, json.dumps(figures), flush=True)
     result['load_average'] = round(os.getloadavg()[0], 1)
     print(json.dumps(result))
     return 0
--- /dev/null
+++ b/bench/capacity_fleet.py
@@ -0,0 +1,154 @@
+"""Cost of announcements and connections, with one entry and one control.
+
+Real processes on loopback; the backend servers announce themselves from this
+process once a second.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+import tempfile
+import time
+from typing import Any
+
+import gevent
+from gevent.socket import create_connection
+
+from bench.usage import cpu_s
+from bench.usage import resident_mb
+from demo.processes import Processes
+from demo.topology import ControlPlace
+from demo.topology import EntryPlace
+from demo.topology import Topology
+from galenareel._common.frames import parse_address
+from testing.ports import free_address
+from testing.standins.backend import Identity
+from testing.standins.fleet import Fleet
+from testing.standins.fleet import FleetPlan
+from testing.standins.http import ask
+
+SIZES = (30, 100, 300)
+CONNECTIONS = (0, 25, 50)
+SETTLE_S = 4.0
+MEASURE_S = 8.0
+ZONE = 'z'
+
+
+def measure_fleet(count: int) -> dict[str, float]:
+    """CPU in ms a second and memory in MB of both processes."""
+    with tempfile.TemporaryDirectory(prefix='galenareel-') as folder:
+        topology = _topology()
+        processes = Processes(Path(folder), topology)
+        fleet = Fleet(_plan(topology, Path(folder), count))
+        try:
+            processes.start_control(topology.controls[0])
+            processes.start_entry(topology.entries[0])
+            fleet.start()
+            _await_homes(topology, count)
+            gevent.sleep(SETTLE_S)
+            entry, control = (processes.pid(one) for one in ('e1', 'c1'))
+            before = cpu_s(entry), cpu_s(control)
+            gevent.sleep(MEASURE_S)
+            return {
+                'entry_ms_per_s': (cpu_s(entry) - before[0]) / MEASURE_S * 1e3,
+                'control_ms_per_s': (cpu_s(control) - before[1])
+                / MEASURE_S
+                * 1e3,
+                'entry_mb': resident_mb(entry),
+                'control_mb': resident_mb(control),
+            }
+        finally:
+            processes.stop()
+            fleet.close()
+
+
+def measure_connections(count: int) -> float:
+    """Resident memory in KB of an entry with idle caller connections."""
+    with tempfile.TemporaryDirectory(prefix='galenareel-') as folder:
+        topology = _topology()
+        processes = Processes(Path(folder), topology)
+        entry = topology.entries[0]
+        held: list[Any] = []
+        try:
+            processes.start_control(topology.controls[0])
+            processes.start_entry(entry)
+            _await_entry(entry)
+            for _ in range(count):
+                sock = create_connection(parse_address(entry.callers))
+                sock.sendall(b'GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n')
+                sock.recv(4096)
+                held.append(sock)
+            gevent.sleep(0.5)
+            return resident_mb(processes.pid('e1')) * 1e3
+        finally:
+            for sock in held:
+                sock.close()
+            processes.stop()
+
+
+def _topology() -> Topology:
+    entry = EntryPlace(
+        name='e1',
+        zone=ZONE,
+        callers=free_address(),
+        announcements=free_address(),
+        operators=free_address(),
+        frames=free_address(),
+    )
+    control = ControlPlace(name='c1', zone=ZONE, listen=free_address())
+    return Topology(
+        entries=(entry,),
+        controls=(control,),
+        platform=free_address(),
+        secrets=dict.fromkeys(
+            ('cluster', 'announce', 'operator'), 'capacity-secret'
+        ),
+    )
+
+
+def _plan(topology: Topology, folder: Path, count: int) -> FleetPlan:
+    servers = [
+        Identity(
+            instance=f'{ZONE}/w{number}',
+            zone=ZONE,
+            rack=f'r{number // 4}',
+            service=f'service-{number % 5}',
+            slots=8,
+        )
+        for number in range(count)
+    ]
+    return FleetPlan(
+        servers=servers,
+        announcements={ZONE: [topology.entries[0].announcements]},
+        secret=topology.secrets['announce'],
+        records=str(folder / 'seen.jsonl'),
+        platform=topology.platform,
+    )
+
+
+def _await_entry(entry: EntryPlace) -> None:
+    ends = time.monotonic() + 20.0
+    while time.monotonic() < ends:
+        answer = ask(entry.callers, 'GET', '/-/ready', timeout_s=1.0)
+        if answer.status:
+            return
+        gevent.sleep(0.1)
+    raise RuntimeError('the entry does not listen')
+
+
+def _await_homes(topology: Topology, count: int) -> None:
+    entry = topology.entries[0]
+    headers = {'Authorization': f'Bearer {topology.secrets["operator"]}'}
+    ends = time.monotonic() + 30.0
+    while time.monotonic() < ends:
+        answer = ask(
+            entry.operators,
+            'POST',
+            '/v1/operations/status',
+            headers=headers,
+            body=b'{}',
+        )
+        if answer.body.count(b'"home":"e1"') == count:
+            return
+        gevent.sleep(0.2)
+    raise RuntimeError(f'{count} backend servers did not get a home')
