Test that the measures count the moves that control records

The measures already use the kinds move.begun and move.finished, but their test wrote the events itself, so that a renamed kind would again show 0 moves unnoticed.

--- /dev/null
+++ b/testing/operator/test_measures.py
@@ -0,0 +1,36 @@
+"""Measures from the events that control records."""
+
+from __future__ import annotations
+
+from galenareel._common.clock import SystemClock
+from galenareel._common.events import HybridClock
+from galenareel._common.events import Timeline
+from galenareel._common.messages import Done
+from galenareel._common.sentinels import Refused
+from galenareel._control.journal import Journal
+from galenareel._operator.measures import measure
+from galenareel._state.commands import BeginMove
+from galenareel._state.commands import FinishMove
+from galenareel._state.state import State
+
+
+def test_moves_of_control_are_counted() -> None:
+    """Guards against event kinds that differ from those of control.
+
+    With other kinds, ``galenareel measure`` showed 0 moves.
+    """
+    clock = SystemClock()
+    timeline = Timeline('c1', HybridClock(clock))
+    journal = Journal(timeline, State(), clock)
+    begin = BeginMove(instance='a/l', epoch=1, target='office', reason='peak')
+    finish = FinishMove(instance='a/l', epoch=1, home_epoch=1)
+    journal.command(begin, Done())
+    journal.command(finish, Refused(reason='stale_epoch', detail='at 4'))
+    journal.command(finish, Done())
+    found = measure(
+        {'instances': [], 'waves': []},
+        None,
+        timeline.since(0),
+        now=1.0,
+    )
+    assert (found.moves, found.moves_to) == (1, {'office': 1})
