Test that an outdated takeover of a home is not recorded

Control already records the homes that an entry reports as taken when its zone joins again, and a test covers that. The new test covers the precondition: a report that names a former home epoch changes nothing, one that names the present epoch does.

--- a/testing/control/test_zones_and_homes.py
+++ b/testing/control/test_zones_and_homes.py
@@ -122,6 +122,28 @@
     assert (row.home, row.home_epoch) == (other, 2)
 
 
+def test_outdated_takeover_is_not_recorded(cluster: Cluster) -> None:
+    """Guards against a late report that takes a home from its successor."""
+    row = cluster.state.instances[INSTANCE]
+    first, other = row.home, {'ea1': 'ea2', 'ea2': 'ea1'}[row.home]
+    cut(cluster, 'a')
+    cluster.run(10)
+    cluster.entries[other].taken = ((INSTANCE, row.home_epoch),)
+    cut(cluster, 'a', connected=True)
+    cluster.run(2)
+    assert cluster.state.instances[INSTANCE].home == other
+    cluster.entries[other].taken = ()
+    for outdated in (row.home_epoch, row.home_epoch - 1):
+        cluster.entries[first].taken = ((INSTANCE, outdated),)
+        cluster.run(2)
+        now = cluster.state.instances[INSTANCE]
+        assert (now.home, now.home_epoch) == (other, row.home_epoch + 1)
+    cluster.entries[first].taken = ((INSTANCE, now.home_epoch),)
+    cluster.run(2)
+    now = cluster.state.instances[INSTANCE]
+    assert (now.home, now.home_epoch) == (first, row.home_epoch + 2)
+
+
 def test_stopping_entry_hands_its_homes_over(cluster: Cluster) -> None:
     cluster.entries['ea1'].stopping = True
     cluster.run(1)
