Add flags for the remaining limits of an entry

Cause: idle_timeout_s, send_timeout_s, connect_timeout_s, max_headers, max_answer_head_bytes and max_deadline_s were limits that operators could not set, and the help of max_queue spoke of all queues.

Change: each is a flag with the default that it had. The help of max_queue says that it bounds each pool, that of max_queue_bytes that it is over all pools.

--- a/src/galenareel/_common/settings.py
+++ b/src/galenareel/_common/settings.py
@@ -154,17 +154,37 @@
     )
     operator_secret: Secret = secret_setting('secret that operators call with')
     max_header_bytes: int = _count('size of the headers of a request', 16384)
+    max_headers: int = _count('headers of a request', 100)
     max_body_bytes: int = _count('size of the body of a request', 1 << 20)
     max_answer_bytes: int = _count('size of the body of an answer', 8 << 20)
+    max_answer_head_bytes: int = _count(
+        'size of the status and headers of an answer', 64 << 10
+    )
     header_timeout_s: float = _seconds('time for the headers to arrive', 5.0)
     body_timeout_s: float = _seconds('time for the body to arrive', 20.0)
+    idle_timeout_s: float = _seconds(
+        'time that a caller connection stays open without a request', 75.0
+    )
+    send_timeout_s: float = _seconds(
+        'time for a caller to take a part of an answer', 20.0
+    )
+    connect_timeout_s: float = _seconds(
+        'time to connect to a backend server', 1.0
+    )
+    max_deadline_s: float = _seconds(
+        'longest deadline that a caller may name', 3600.0, high=86400.0
+    )
     max_connections: int = _count('caller connections in all', 2000)
     max_connections_per_address: int = _count(
         'caller connections from one address; a load balancer may be one',
         1000,
     )
-    max_queue: int = _count('requests that wait in the queues', 1000)
-    max_queue_bytes: int = _count('size of the requests that wait', 16 << 20)
+    max_queue: int = _count(
+        'requests that wait in the queue of each pool', 1000
+    )
+    max_queue_bytes: int = _count(
+        'size of the requests that wait, over all pools', 16 << 20
+    )
     stop_grace_s: float = _seconds(
         'time between not ready and the end of new work at a planned stop',
         3.0,
