Hand homes back to an entry that has returned

Cause: the homes of a killed entry went to its zone peers and stayed there until another entry went.

BeginHandover names the next home; the present home gives the instance no new work and reports the home, with its epoch, when nothing is in flight; AssignHome needs that report. A handover that ends otherwise (next home gone, instance not serving) raises the home epoch, so that a late release is refused.

Limits: nothing ends a handover that waits for work which takes longer than its home expected, and an instance whose zone is cut off after its release gets no work until the zone joins again.

Checks: with the new-work check, the in-flight check or the check of the release removed, the tests of the entry or of the state fail.

--- a/src/galenareel/_common/messages.py
+++ b/src/galenareel/_common/messages.py
@@ -125,6 +125,8 @@
 
     :param taken: homes that the entry took over while it was cut off, with
         the home epoch that this ended.
+    :param released: homes with a next home that have nothing in flight and
+        get no new work, with their home epoch.
     """
 
     entry: str
@@ -137,6 +139,7 @@
     silent_peers: tuple[str, ...] = ()  # of its own zone, over 2 s
     stopping: bool = False
     taken: tuple[tuple[str, int], ...] = ()
+    released: tuple[tuple[str, int], ...] = ()
 
 
 class OpenSession(Message, frozen=True):
--- a/src/galenareel/_common/rows.py
+++ b/src/galenareel/_common/rows.py
@@ -56,6 +56,8 @@
     :param epoch: grows with each change of owner.
     :param home: entry that alone sends work to it.
     :param home_epoch: grows with each change of home.
+    :param next_home: entry that becomes the home when the present one, which
+        gives it no new work, has released it; empty without a handover.
     :param incarnation: changes when another process announces itself here.
     :param reason: why it is in this phase or pool, for ``explain``.
     :param maintained_at: wall time of the last finished maintenance, or 0.
@@ -79,6 +81,7 @@
     maintained_at: float = 0.0
     maintenance_step: str = ''
     wave: str = ''
+    next_home: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/galenareel/_control/journal.py
+++ b/src/galenareel/_control/journal.py
@@ -24,6 +24,7 @@
     c.MarkLeft: 'instance.left',
     c.ForgetInstance: 'instance.forgotten',
     c.AssignHome: 'home.assigned',
+    c.BeginHandover: 'home.handover',
     c.BeginMove: 'move.begun',
     c.FinishMove: 'move.finished',
     c.AbortMove: 'move.aborted',
--- a/src/galenareel/_control/planning.py
+++ b/src/galenareel/_control/planning.py
@@ -15,6 +15,7 @@
 from galenareel._common.rows import EntryState
 from galenareel._common.rows import InstanceRow
 from galenareel._common.rows import Phase
+from galenareel._control.handovers import plan_handovers
 from galenareel._control.sessions import Session
 from galenareel._control.trial import destination
 from galenareel._state.commands import AnyCommand
@@ -49,6 +50,7 @@
     yield from plan_entries(state, sessions, now)
     yield from plan_announcements(state, sessions, now)
     yield from plan_homes(state, sessions, now)
+    yield from plan_handovers(state, sessions, now)
     yield from plan_drained(state, sessions, now)
     yield from plan_silence(state, sessions, now)
 
--- a/src/galenareel/_control/server.py
+++ b/src/galenareel/_control/server.py
@@ -199,7 +199,8 @@
                 reason='no_session', detail='open a session with the leader'
             )
         session.renew(msg, self._clock.monotonic())
-        if msg.announcements or msg.drained or msg.taken or msg.stopping:
+        news = (msg.announcements, msg.drained, msg.taken, msg.released)
+        if msg.stopping or any(news):
             self._loop.wake()
         return Renewed(index=self._state.view_index, lease_s=LEASE_S)
 
--- a/src/galenareel/_control/sessions.py
+++ b/src/galenareel/_control/sessions.py
@@ -33,6 +33,7 @@
 
     :param fresh_until: monotonic time at which the lease runs out.
     :param sent: index of the view that the entry was sent last.
+    :param opened_at: monotonic time of the request that opened it.
     :param reported_at: monotonic time of the latest report.
     :param interval_s: time that the latest report covers.
     :param results: finished and failed requests of each instance that no
@@ -47,6 +48,7 @@
     link: Link
     fresh_until: float
     sent: int
+    opened_at: float = 0.0
     report: EntryReport | None = None
     reported_at: float = 0.0
     interval_s: float = REPORT_INTERVAL_S
@@ -125,6 +127,7 @@
             link=link,
             fresh_until=now + LEASE_S,
             sent=self._state.view_index,
+            opened_at=now,
         )
         self._by_entry[msg.entry] = session
         session.pusher = gevent.spawn(self._push, session)
--- a/src/galenareel/_entry/homes.py
+++ b/src/galenareel/_entry/homes.py
@@ -93,8 +93,11 @@
             if name not in rows:
                 server.row = None
                 self._assign(server, '', '', now)
+        for server in self.servers.values():
+            server.releasing = self._releases(server)
         self._draining = any(
-            one.mine and one.row is not None and drains(one.row)
+            one.releasing
+            or (one.mine and one.row is not None and drains(one.row))
             for one in self.servers.values()
         )
         self.by_pool = {
@@ -233,7 +236,7 @@
 
     @property
     def draining(self) -> bool:
-        """Whether any home here has an instance to drain."""
+        """Whether any home here waits for an instance to have no work."""
         return self._draining
 
     def drained(self) -> tuple[Drained, ...]:
@@ -252,6 +255,22 @@
             and server.foreign == 0
         )
 
+    def released_homes(self) -> tuple[tuple[str, int], ...]:
+        """Homes with nothing in flight that another entry gets, with epoch.
+
+        They get no new work until a committed row says otherwise, so control
+        may rely on the report at any later time.
+        """
+        return tuple(
+            (server.instance, server.row.home_epoch)
+            for server in self.servers.values()
+            if server.releasing
+            and server.row is not None
+            and server.counted
+            and server.in_flight == 0
+            and server.foreign == 0
+        )
+
     def loads(self, *, now: float) -> tuple[InstanceLoad, ...]:
         return tuple(
             one.load(now) for one in self.servers.values() if one.mine
@@ -275,6 +294,16 @@
 
     # --- inside -------------------------------------------------------------
 
+    def _releases(self, server: Server) -> bool:
+        # An entry that took the home over is not the one that is asked.
+        row = server.row
+        return (
+            row is not None
+            and bool(row.next_home)
+            and row.home == self.entry
+            and server.mine
+        )
+
     def _effective_home(self, row: InstanceRow) -> str:
         if row.instance in self.taken:
             return self.entry
--- a/src/galenareel/_entry/process.py
+++ b/src/galenareel/_entry/process.py
@@ -330,7 +330,9 @@
 
     def _freed(self, pool: str) -> None:
         self.router.pump(pool)
-        if self.homes.draining and self.homes.drained():
+        if not self.homes.draining:
+            return
+        if self.homes.drained() or self.homes.released_homes():
             self.session.report_soon()
 
     def _log_error(self, exc: Exception) -> None:
--- a/src/galenareel/_entry/reports.py
+++ b/src/galenareel/_entry/reports.py
@@ -49,6 +49,7 @@
             silent_peers=silent_peers,
             stopping=stopping,
             taken=tuple(self._homes.taken.items()),
+            released=self._homes.released_homes(),
         )
 
     def changed(self, instance: str) -> None:
--- a/src/galenareel/_entry/servers.py
+++ b/src/galenareel/_entry/servers.py
@@ -20,6 +20,7 @@
 class Server:
     """One backend server of the zone.
 
+    :param releasing: gets no new work, as another entry becomes its home.
     :param foreign: requests that may still run and hold no lease: those of
         the former home, and those that were given up.
     :param generation: grows when another process takes over the address, so
@@ -31,6 +32,7 @@
     announcement: Announcement | None = None
     heard_at: float = NEVER
     mine: bool = False
+    releasing: bool = False
     home_since: float = NEVER
     counted: bool = False  # the home has begun with an in-use count
     in_flight: int = 0
@@ -58,6 +60,7 @@
         said = self.announcement
         return (
             self.mine
+            and not self.releasing
             and said is not None
             and not said.leaving
             and not self.down
--- a/src/galenareel/_state/commands.py
+++ b/src/galenareel/_state/commands.py
@@ -89,14 +89,27 @@
 class AssignHome(Command, frozen=True):
     """Give an instance a home; ``home_epoch`` is the one it replaces.
 
+    The present home ends a handover; its epoch grows, so that a release
+    that it reported before does not count.
+
     :param taken: the new home took it over from a silent one already, while
         the zone was cut off.
+    :param released: the present home has released it to the next one.
     """
 
     instance: str
     home_epoch: int
     home: str
     taken: bool = False
+    released: bool = False
+
+
+class BeginHandover(Command, frozen=True):
+    """Ask the live home of an instance to release it to another entry."""
+
+    instance: str
+    home_epoch: int
+    home: str
 
 
 class BeginMove(Command, frozen=True):
@@ -273,6 +286,7 @@
     | MarkLeft
     | ForgetInstance
     | AssignHome
+    | BeginHandover
     | BeginMove
     | FinishMove
     | AbortMove
--- a/src/galenareel/_state/instances.py
+++ b/src/galenareel/_state/instances.py
@@ -12,6 +12,7 @@
 from galenareel._document.model import Environment
 from galenareel._state.budgets import refuse_removal
 from galenareel._state.commands import AssignHome
+from galenareel._state.commands import BeginHandover
 from galenareel._state.commands import EjectInstance
 from galenareel._state.commands import ForgetInstance
 from galenareel._state.commands import MarkLeft
@@ -201,6 +202,60 @@
 
 
 def assign_home(tables: Tables, command: AssignHome) -> Done | Refused:
+    row = _row_for_home(tables, command)
+    if not isinstance(row, InstanceRow):
+        return row
+    old = tables.entries.get(row.home)
+    live = old is not None and old.state is EntryState.LIVE
+    if live and not command.taken and not _ends_handover(row, command):
+        # Two homes at once would count the same slots twice.
+        return Refused(
+            reason='home_not_released',
+            detail=f'{row.instance} still has its home {row.home}',
+        )
+    tables.put_instance(
+        replace(
+            row,
+            home=command.home,
+            home_epoch=row.home_epoch + 1,
+            next_home='',
+        )
+    )
+    return Done(index=tables.index)
+
+
+def _ends_handover(row: InstanceRow, command: AssignHome) -> bool:
+    if not row.next_home:
+        return False
+    if command.released:
+        return command.home == row.next_home
+    return command.home == row.home
+
+
+def begin_handover(tables: Tables, command: BeginHandover) -> Done | Refused:
+    row = _row_for_home(tables, command)
+    if not isinstance(row, InstanceRow):
+        return row
+    if row.next_home == command.home:
+        return Done(index=tables.index)
+    if row.phase is not Phase.SERVING:
+        return wrong_phase(row, 'serving')
+    if row.next_home or row.home in ('', command.home):
+        return Refused(
+            reason='no_handover',
+            detail=(
+                f'{row.instance} has the home {row.home!r} and the next home '
+                f'{row.next_home!r}'
+            ),
+        )
+    tables.put_instance(replace(row, next_home=command.home))
+    return Done(index=tables.index)
+
+
+def _row_for_home(
+    tables: Tables, command: AssignHome | BeginHandover
+) -> InstanceRow | Refused:
+    """The row, if the home that the command names may have it."""
     row = tables.instances.get(command.instance)
     if row is None or row.home_epoch != command.home_epoch:
         return Refused(
@@ -222,18 +277,7 @@
             reason='not_eligible',
             detail=f'{command.home} is no live entry of zone {row.zone}',
         )
-    old = tables.entries.get(row.home)
-    live = old is not None and old.state is EntryState.LIVE
-    if live and not command.taken:
-        # Two homes at once would count the same slots twice.
-        return Refused(
-            reason='home_not_released',
-            detail=f'{row.instance} still has its home {row.home}',
-        )
-    tables.put_instance(
-        replace(row, home=command.home, home_epoch=row.home_epoch + 1)
-    )
-    return Done(index=tables.index)
+    return row
 
 
 def eject(tables: Tables, command: EjectInstance) -> Done | Refused:
@@ -276,6 +320,7 @@
     MarkLeft: mark_left,
     ForgetInstance: forget,
     AssignHome: assign_home,
+    BeginHandover: begin_handover,
     EjectInstance: eject,
     ReturnInstance: return_instance,
 }
--- a/src/galenareel/_state/tables.py
+++ b/src/galenareel/_state/tables.py
@@ -105,6 +105,7 @@
     homes: dict[str, set[str]] = field(default_factory=dict)
     phases: dict[Phase, set[str]] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
+    handovers: set[str] = field(default_factory=set)
     changed: Changed = field(default_factory=Changed)
 
     def advance_time(self, now: float) -> float:
@@ -119,6 +120,8 @@
         self.pools.setdefault(row.pool, set()).add(row.instance)
         self.homes.setdefault(row.home, set()).add(row.instance)
         self.phases.setdefault(row.phase, set()).add(row.instance)
+        if row.next_home:
+            self.handovers.add(row.instance)
         if row.phase is not Phase.DRAINING:
             self.drains.pop(row.instance, None)
         if row.phase in ABSENT:
@@ -146,6 +149,7 @@
         self.pools[row.pool].discard(row.instance)
         self.homes[row.home].discard(row.instance)
         self.phases[row.phase].discard(row.instance)
+        self.handovers.discard(row.instance)
         if self.addresses.get(row.address) == row.instance:
             del self.addresses[row.address]
 
--- a/testing/control/cluster.py
+++ b/testing/control/cluster.py
@@ -363,6 +363,11 @@
             silent_peers=tuple(peers),
             stopping=entry.stopping,
             taken=entry.taken,
+            released=tuple(
+                (row.instance, row.home_epoch)
+                for row in homed
+                if row.next_home and not self.servers[row.instance].busy
+            ),
             pools=entry.pools,
         )
 
--- a/testing/control/test_zones_and_homes.py
+++ b/testing/control/test_zones_and_homes.py
@@ -144,6 +144,68 @@
     assert (now.home, now.home_epoch) == (first, row.home_epoch + 2)
 
 
+def homes_of(cluster: Cluster, entry: str) -> set[str]:
+    rows = cluster.state.instances.values()
+    return {row.instance for row in rows if row.home == entry}
+
+
+def restart_entry(cluster: Cluster, name: str) -> set[str]:
+    """Kill an entry until its homes are gone; returns its former homes."""
+    before = homes_of(cluster, name)
+    assert before
+    cluster.entries[name].alive = False
+    cluster.run(6)
+    assert not homes_of(cluster, name)
+    cluster.entries[name].alive = True
+    cluster.entries[name].incarnation = '2'
+    return before
+
+
+def test_returned_entry_gets_its_homes_back(cluster: Cluster) -> None:
+    """Guards against an entry that stays without homes after a restart."""
+    before = restart_entry(cluster, 'ea1')
+    cluster.run(8)
+    assert not homes_of(cluster, 'ea1'), 'it may restart again'
+    cluster.run(6)
+    assert homes_of(cluster, 'ea1') == before
+    assert not cluster.state.tables.handovers
+    count = len(cluster.commands)
+    cluster.run(20)
+    assert len(cluster.commands) == count
+
+
+def test_handover_waits_for_work_in_flight(cluster: Cluster) -> None:
+    """Guards against two homes that count the same slots."""
+    before = restart_entry(cluster, 'ea1')
+    for name in before:
+        cluster.servers[name].busy = True
+    cluster.run(20)
+    assert not homes_of(cluster, 'ea1')
+    assert len(cluster.state.tables.handovers) == 1
+    cluster.change_leader()
+    cluster.run(20)
+    assert not homes_of(cluster, 'ea1')
+    for name in before:
+        cluster.servers[name].busy = False
+    cluster.run(5)
+    assert homes_of(cluster, 'ea1') == before
+
+
+def test_handover_ends_with_its_next_home(cluster: Cluster) -> None:
+    """Guards against an instance that nobody gives work."""
+    before = restart_entry(cluster, 'ea1')
+    for name in before:
+        cluster.servers[name].busy = True
+    cluster.run(20)
+    [name] = cluster.state.tables.handovers
+    epoch = cluster.state.instances[name].home_epoch
+    cluster.entries['ea1'].alive = False
+    cluster.run(6)
+    row = cluster.state.instances[name]
+    assert (row.home, row.next_home) == ('ea2', '')
+    assert row.home_epoch == epoch + 1
+
+
 def test_stopping_entry_hands_its_homes_over(cluster: Cluster) -> None:
     cluster.entries['ea1'].stopping = True
     cluster.run(1)
--- a/testing/entry/test_machines.py
+++ b/testing/entry/test_machines.py
@@ -177,6 +177,8 @@
         super().__init__()
         self.now = 100.0
         self.homes = Homes('e1', 'a')
+        # By instance and home epoch; a release must hold for its epoch.
+        self.released: set[tuple[str, int]] = set()
         self.leases: list[Lease] = []
         self.rows = {
             name: InstanceRow(
@@ -238,6 +240,23 @@
         epoch = self.rows[name].home_epoch + 1
         self.change(name, home=home, home_epoch=epoch)
 
+    @rule(name=names, next_home=st.sampled_from(['', 'e2']))
+    def hand_over(self, name: str, next_home: str) -> None:
+        epoch = self.rows[name].home_epoch + (not next_home)
+        self.change(name, next_home=next_home, home_epoch=epoch)
+
+    @rule(name=names)
+    def hand_over_at_work(self, name: str) -> None:
+        """Steps that random rules seldom take in this order."""
+        self.homes.fenced = False
+        self.announce(name, in_use=0, incarnation='x', leaving=False)
+        epoch = self.rows[name].home_epoch + 1
+        serving = {'phase': Phase.SERVING, 'home': 'e1', 'next_home': ''}
+        self.change(name, home_epoch=epoch, **serving)
+        self.pick(False)
+        self.hand_over(name, 'e2')
+        self.pick(False)
+
     @rule()
     def peer_falls_silent(self) -> None:
         self.homes.take_over(frozenset(['e2']), ['e1'])
@@ -265,7 +284,9 @@
         server = lease.server
         row, said = server.row, server.announcement
         assert row is not None and said is not None
+        name = server.instance
         assert not self.homes.fenced and server.mine and not said.leaving
+        assert (name, row.home_epoch) not in self.released
         assert self.now - server.heard_at <= SILENT_AFTER_S
         if row.phase is not Phase.SERVING:
             assert row.phase is Phase.EJECTED and lease.probe and idempotent
@@ -298,6 +319,16 @@
             assert server.row is not None
             assert server.row.phase is Phase.DRAINING
 
+    @invariant()
+    def released_means_empty(self) -> None:
+        for name, epoch in self.homes.released_homes():
+            server = self.homes.servers[name]
+            assert server.mine and server.in_flight == server.foreign == 0
+            row = self.rows[name]
+            assert row.next_home and row.home == 'e1'
+            assert row.home_epoch == epoch
+            self.released.add((name, epoch))
+
     @invariant()
     def one_home(self) -> None:
         for name, (holder, _epoch) in self.homes.lost.items():
--- a/testing/state/test_commands.py
+++ b/testing/state/test_commands.py
@@ -115,6 +115,41 @@
     assert reason(log.run(take)) == 'home_not_released'
 
 
+def handover_log() -> Log:
+    log = ready_log()
+    log.done(
+        c.RegisterEntry(entry='ea2', zone='a', frames='x:1', incarnation='1'),
+        c.AssignHome(instance=ONE, home_epoch=0, home='ea'),
+        c.BeginHandover(instance=ONE, home_epoch=1, home='ea2'),
+    )
+    return log
+
+
+def test_home_is_handed_over_when_it_is_released() -> None:
+    """Guards against a next home that is given work too early."""
+    log = handover_log()
+    early = c.AssignHome(instance=ONE, home_epoch=1, home='ea2')
+    assert reason(log.run(early)) == 'home_not_released'
+    log.done(
+        c.AssignHome(instance=ONE, home_epoch=1, home='ea2', released=True)
+    )
+    row = log.state.instances[ONE]
+    assert (row.home, row.home_epoch, row.next_home) == ('ea2', 2, '')
+
+
+def test_release_of_an_ended_handover_does_not_count() -> None:
+    """Guards against two homes after a late release."""
+    log = handover_log()
+    log.done(c.AssignHome(instance=ONE, home_epoch=1, home='ea'))
+    assert log.state.instances[ONE].next_home == ''
+    late = c.AssignHome(instance=ONE, home_epoch=1, home='ea2', released=True)
+    assert reason(log.run(late)) == 'stale_epoch'
+    without = c.AssignHome(
+        instance=ONE, home_epoch=2, home='ea2', released=True
+    )
+    assert reason(log.run(without)) == 'home_not_released'
+
+
 def test_rack_reserve_is_part_of_the_budget() -> None:
     """Guards against budgets that the first lost rack breaks."""
     log = Log()
