--- a/src/galenareel/_control/main.py
+++ b/src/galenareel/_control/main.py
@@ -20,7 +20,6 @@
 from galenareel._control.platform import Platform
 from galenareel._control.program import Control
 from galenareel._control.program import Member
-from galenareel._document.model import Environment
 from galenareel._state.state import State
 
 PROGRAM = 'galenareel-control'
@@ -64,13 +63,13 @@
         clock=hybrid,
         secret=secret,
         joins=cfg.join,
+        log=log,
     )
     return Control(
         Member(name=cfg.name, listen=cfg.listen, secret=secret),
         state=state,
         replicator=driver,
         receive=driver.receive,
-        read_document=_read_document,
         members=driver.members,
         platform=_platform(cfg.platform_url),
         clock=clock,
@@ -88,12 +87,5 @@
     return HttpPlatform(url)
 
 
-def _read_document(text: str) -> Environment:
-    # The YAML parser is loaded when the first document is submitted.
-    from galenareel._document.reading import read_environment
-
-    return read_environment(text)
-
-
 if __name__ == '__main__':
     sys.exit(main())
--- a/src/galenareel/_entry/homes.py
+++ b/src/galenareel/_entry/homes.py
@@ -9,11 +9,11 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-import hashlib
 
 from galenareel._common.messages import Announcement
 from galenareel._common.messages import Drained
 from galenareel._common.messages import InstanceLoad
+from galenareel._common.rendezvous import rendezvous
 from galenareel._common.rows import InstanceRow
 from galenareel._common.rows import Phase
 from galenareel._entry.health import Health
@@ -26,16 +26,6 @@
 SMOOTHING = 0.2  # weight of the latest run time in the mean
 
 
-def rendezvous(instance: str, entries: list[str]) -> str:
-    """Home of an instance among some entries; stable as they change."""
-    return max(entries, key=lambda one: (_weight(instance, one), one))
-
-
-def _weight(instance: str, entry: str) -> bytes:
-    text = f'{instance}\0{entry}'.encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
-
-
 class Homes:
     """All backend servers of the zone."""
 
@@ -103,8 +93,11 @@
             if name not in rows:
                 server.row = None
                 self._assign(server, '', '', now)
+        for server in self.servers.values():
+            server.releasing = self._releases(server)
         self._draining = any(
-            one.mine and one.row is not None and drains(one.row)
+            one.releasing
+            or (one.mine and one.row is not None and drains(one.row))
             for one in self.servers.values()
         )
         self.by_pool = {
@@ -243,7 +236,7 @@
 
     @property
     def draining(self) -> bool:
-        """Whether any home here has an instance to drain."""
+        """Whether any home here waits for an instance to have no work."""
         return self._draining
 
     def drained(self) -> tuple[Drained, ...]:
@@ -262,6 +255,22 @@
             and server.foreign == 0
         )
 
+    def released_homes(self) -> tuple[tuple[str, int], ...]:
+        """Homes with nothing in flight that another entry gets, with epoch.
+
+        They get no new work until a committed row says otherwise, so control
+        may rely on the report at any later time.
+        """
+        return tuple(
+            (server.instance, server.row.home_epoch)
+            for server in self.servers.values()
+            if server.releasing
+            and server.row is not None
+            and server.counted
+            and server.in_flight == 0
+            and server.foreign == 0
+        )
+
     def loads(self, *, now: float) -> tuple[InstanceLoad, ...]:
         return tuple(
             one.load(now) for one in self.servers.values() if one.mine
@@ -290,6 +299,16 @@
 
     # --- inside -------------------------------------------------------------
 
+    def _releases(self, server: Server) -> bool:
+        # An entry that took the home over is not the one that is asked.
+        row = server.row
+        return (
+            row is not None
+            and bool(row.next_home)
+            and row.home == self.entry
+            and server.mine
+        )
+
     def _effective_home(self, row: InstanceRow) -> str:
         if row.instance in self.taken:
             return self.entry
