Cross the steps of the replicated state with all faults

Cause: the fault matrix ran only the steps of the log itself. Moves, promotions, maintenance, homes and claims were tested without its faults.

Change: bench/state_steps.py registers six steps that run the package's commands and State on the same fakes. Each member that takes itself for the leader proposes from its own state, and earlier commands arrive again. bench/state_checks.py checks each member after each command, and at the end against a replay of the log and what callers were told. The search for a linearizable order took exponential time with many open writes; it is replaced by the exact interval test for unique values, compared with all orders in a test. The checkers of the state now name what they found.

Each check has a seeded violation that makes it fail.

--- a/bench/fault_matrix.py
+++ b/bench/fault_matrix.py
@@ -4,8 +4,8 @@
 from ``FAULTS`` of :mod:`bench.faults`: each fault alone, each fault twice,
 and each pair of faults together. A new step or fault needs only its class
 with the decorator; the docstrings of the two modules say what it provides.
-Other modules add steps (ownership moves, promotions, drains) by registering
-them in a module that ``MORE_STEPS`` names.
+``MORE_STEPS`` names the modules that register further steps, such as those
+of the replicated state in :mod:`bench.state_steps`.
 
 A cell runs a group of members on fakes of network, disk and clock, with
 callers that read and write all the time. It passes if, after the fault ends,
@@ -36,7 +36,7 @@
 from bench.steps import Step
 from bench.steps import STEPS
 
-MORE_STEPS: tuple[str, ...] = ()
+MORE_STEPS: tuple[str, ...] = ('bench.state_steps',)
 ELECTION_LIMIT_S = 10.0
 FINISH_LIMIT_S = 40.0
 ATTEMPT_S = 0.3
--- a/bench/history.py
+++ b/bench/history.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import pairwise
 from math import inf
 
 
@@ -88,43 +89,36 @@
 
     The register starts at 0. A write of unknown outcome may have happened
     at any time after its call; if nobody read it, it can be left out.
+
+    Written values are unique, so that each value with its reads takes one
+    interval of the order (Gibbons and Korach, 1997). A search through the
+    orders takes exponential time when many writes are open.
     """
-    read = {one.value for one in operations if one.kind == 'read'}
-    ops = [
-        one
-        for one in operations
-        if one.returned < inf or (one.kind == 'write' and one.value in read)
-    ]
-    ops.sort(key=lambda one: one.called)
-    required = sum(1 << i for i, one in enumerate(ops) if one.returned < inf)
-    seen: set[tuple[int, int]] = set()
-    stack = [(0, 0)]
-    while stack:
-        done, value = stack.pop()
-        if done & required == required:
-            return True
-        if (done, value) in seen:
-            continue
-        seen.add((done, value))
-        stack.extend(_next_states(ops, done, value))
-    return False
-
-
-def _next_states(
-    ops: Sequence[Operation], done: int, value: int
-) -> list[tuple[int, int]]:
-    """States after each operation that may come next."""
-    limit = inf
-    found: list[tuple[int, int]] = []
-    for i, op in enumerate(ops):
-        if done >> i & 1:
+    groups: dict[int, list[Operation]] = {
+        0: [
+            Operation(
+                kind='write', key='', value=0, called=-inf, returned=-inf
+            )
+        ]
+    }
+    for op in operations:
+        if op.kind == 'write' or op.returned < inf:
+            groups.setdefault(op.value, []).append(op)
+    zones: list[tuple[float, float]] = []
+    for ops in groups.values():
+        done = min(op.returned for op in ops)
+        if done == inf:
             continue
-        if op.called > limit:
-            # An operation that is still open returned before this call.
-            break
-        limit = min(limit, op.returned)
-        if op.kind == 'write':
-            found.append((done | 1 << i, op.value))
-        elif op.value == value:
-            found.append((done | 1 << i, value))
-    return found
+        writes = [op.called for op in ops if op.kind == 'write']
+        if not writes or done < writes[0]:
+            return False  # read before it was written
+        zones.append((done, max(op.called for op in ops)))
+    held = sorted(one for one in zones if one[0] < one[1])
+    if any(b[0] < a[1] for a, b in pairwise(held)):
+        return False
+    return not any(
+        start < called and done < end
+        for done, called in zones
+        if called <= done
+        for start, end in held
+    )
--- /dev/null
+++ b/bench/state_checks.py
@@ -0,0 +1,164 @@
+"""Checks of the replicated state for the fault matrix.
+
+A :class:`Watch` follows the state of one member from command to command. The
+other checks compare what callers were told with what the members hold.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+
+from bench.history import Violation
+from galenareel._common.messages import ClaimReply
+from galenareel._common.messages import Done
+from galenareel._common.rows import Stage
+from galenareel._state import commands as c
+from galenareel._state.state import State
+from galenareel._state.tables import Result
+from testing.state.checkers import check_budgets
+from testing.state.checkers import check_document
+from testing.state.checkers import check_one_pool
+from testing.state.checkers import EpochChecker
+from testing.state.checkers import Picture
+from testing.state.checkers import WaveChecker
+
+ClaimPlace = tuple[str, str]
+
+
+def picture(state: State) -> Picture:
+    tables = state.tables
+    return Picture(
+        instances=dict(state.instances),
+        in_force=tables.in_force,
+        environment=state.environment,
+        cut_zones=state.cut_zones,
+        pools={pool: set(names) for pool, names in tables.pools.items()},
+    )
+
+
+class Grants:
+    """Who holds each claim; a second holder is a violation."""
+
+    def __init__(self) -> None:
+        self._holders: dict[ClaimPlace, str] = {}
+
+    def restore(self, holders: Mapping[ClaimPlace, str]) -> None:
+        self._holders = dict(holders)
+
+    def granted(self, place: ClaimPlace, holder: str) -> None:
+        """:raises Violation: if the claim was granted before."""
+        first = self._holders.setdefault(place, holder)
+        if first != holder:
+            raise Violation(f'claim {place} granted to {first} and {holder}')
+
+    def released(self, place: ClaimPlace, holder: str) -> None:
+        if self._holders.get(place) == holder:
+            del self._holders[place]
+
+
+class Watch:
+    """Checks the state of one member after each command."""
+
+    def __init__(self) -> None:
+        self._last: Picture | None = None
+        self._epochs = EpochChecker()
+        self._waves = WaveChecker()
+        self._grants = Grants()
+        self._homes: dict[tuple[str, int], str] = {}
+        self._home_epochs: dict[str, int] = {}
+
+    def applied(
+        self, state: State, command: c.AnyCommand, result: Result
+    ) -> None:
+        """:raises AssertionError: if the command broke an invariant."""
+        last = self._last
+        seen = self._look(state)
+        if last is not None:
+            check_budgets(last, seen, type(command).__name__)
+            self._check_drained(last, command, result)
+        if isinstance(command, c.FinishMaintenance) and isinstance(
+            result, Done
+        ):
+            row = seen.instances[command.instance]
+            self._waves.finish(row.wave, row.instance)
+        if isinstance(command, c.ClaimKey):
+            if isinstance(result, ClaimReply) and result.state == 'granted':
+                place = (command.caller, command.key)
+                self._grants.granted(place, command.holder)
+        if isinstance(command, c.SettleKey) and command.state == 'released':
+            if isinstance(result, Done):
+                place = (command.caller, command.key)
+                self._grants.released(place, command.holder)
+
+    def restored(self, state: State) -> None:
+        """A snapshot replaced the state; it may not be an older one."""
+        self._look(state)
+        self._grants.restore(
+            {place: row.holder for place, row in state.claims.items()}
+        )
+
+    def _look(self, state: State) -> Picture:
+        seen = picture(state)
+        check_one_pool(seen)
+        self._epochs.check(seen)
+        self._check_homes(seen)
+        if self._last is not None:
+            check_document(self._last, seen)
+        self._last = seen
+        return seen
+
+    def _check_homes(self, seen: Picture) -> None:
+        for name, row in seen.instances.items():
+            if row.home_epoch < self._home_epochs.get(name, 0):
+                raise Violation(f'home epoch of {name} fell')
+            self._home_epochs[name] = row.home_epoch
+            first = self._homes.setdefault((name, row.home_epoch), row.home)
+            if first != row.home:
+                raise Violation(
+                    f'{name} has homes {first} and {row.home} at home epoch '
+                    f'{row.home_epoch}'
+                )
+
+    def _check_drained(
+        self, last: Picture, command: c.AnyCommand, result: Result
+    ) -> None:
+        """Only the present home can say that an instance is drained."""
+        if not isinstance(command, c.FinishMove | c.StartReboot):
+            return
+        row = last.instances.get(command.instance)
+        if isinstance(result, Done) and row is not None:
+            if row.home_epoch != command.home_epoch:
+                raise Violation(f'former home drained {row.instance}')
+
+
+@dataclass(slots=True)
+class Promotions:
+    """Digest of each version whose promotion was acknowledged."""
+
+    acknowledged: dict[int, str] = field(default_factory=dict)
+
+    def promoted(self, version: int, digest: str) -> None:
+        """:raises Violation: if two texts of a version were promoted."""
+        first = self.acknowledged.setdefault(version, digest)
+        if first != digest:
+            raise Violation(f'version {version} promoted twice')
+
+    def check(self, member: str, state: State) -> None:
+        """:raises Violation: if a promotion was lost or reverted."""
+        for version, digest in self.acknowledged.items():
+            stored = state.documents.get(version)
+            if stored is None or stored.row.digest != digest:
+                raise Violation(f'{member} lost promoted version {version}')
+            if stored.row.stage is Stage.TRIAL:
+                raise Violation(f'{member} lost promotion of {version}')
+            if state.tables.in_force < version:
+                raise Violation(f'{member} reverted version {version}')
+
+
+def check_same(member: str, state: State, expected: State) -> None:
+    """:raises Violation: if a member holds other rows than the log gives."""
+    for table in ('instances', 'entries', 'documents', 'waves', 'claims'):
+        if dict(getattr(state, table)) != dict(getattr(expected, table)):
+            raise Violation(f'{member} holds other {table} than the log')
--- a/testing/consensus/test_history.py
+++ b/testing/consensus/test_history.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
+from itertools import permutations
 from math import inf
+from random import Random
 from typing import Any
 
 import pytest
@@ -57,6 +60,49 @@
     assert is_linearizable(operations) is expected
 
 
+def test_linearizability_against_all_orders() -> None:
+    """Guards against a check that misses an order, or finds a wrong one."""
+    rng = Random(1)
+    verdicts = set()
+    for _ in range(1500):
+        ops = [
+            op('write', value, at, at + rng.randint(0, 4))
+            for value, at in enumerate(rng.choices(range(7), k=3), 1)
+        ]
+        ops[0].returned = rng.choice((ops[0].returned, inf))
+        for _ in range(2):
+            at = rng.randint(0, 9)
+            value = rng.randint(0, 3)
+            ops.append(op('read', value, at, at + rng.randint(0, 2)))
+        expected = any(explains(order) for order in permutations(ops))
+        assert is_linearizable(ops) is expected, ops
+        verdicts.add(expected)
+    assert verdicts == {True, False}
+
+
+def explains(order: Sequence[Operation]) -> bool:
+    """Whether this order respects time and gives each read its value."""
+    value = 0
+    for position, one in enumerate(order):
+        if any(other.returned < one.called for other in order[position:]):
+            return False
+        if one.kind == 'write':
+            value = one.value
+        elif one.value != value:
+            return False
+    return True
+
+
+def test_linearizability_with_many_open_writes() -> None:
+    """Guards against a check whose time grows exponentially."""
+    ops = [op('write', value, value / 100, inf) for value in range(1, 200)]
+    ops += [
+        op('read', value, 10 + value, 10 + value) for value in range(1, 200)
+    ]
+    ops.append(op('read', 7, 500, 500))
+    assert not is_linearizable(ops)
+
+
 def two_leaders(history: History) -> None:
     history.note_leader(3, 1)
     history.note_leader(3, 2)
--- /dev/null
+++ b/testing/consensus/test_state_matrix.py
@@ -0,0 +1,231 @@
+"""The matrix's checks of the replicated state find seeded violations."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from bench.fault_matrix import Column
+from bench.fault_matrix import run_cell
+from bench.state_checks import check_same
+from bench.state_checks import Grants
+from bench.state_checks import Promotions
+from bench.state_checks import Watch
+import bench.state_steps  # noqa: F401  registers the steps
+from galenareel._common.messages import ClaimReply
+from galenareel._common.messages import Done
+from galenareel._common.rows import DocumentRow
+from galenareel._state import claims
+from galenareel._state import commands as c
+from galenareel._state import documents
+from galenareel._state import moves
+from galenareel._state.tables import StoredDocument
+from galenareel._state.tables import Tables
+from testing.state.builders import ready_log
+
+STEPS = (
+    'move',
+    'move aborted',
+    'maintenance',
+    'change of home',
+    'promotion',
+    'claim',
+)
+
+
+@pytest.mark.parametrize('step', STEPS)
+def test_steps_of_the_state(step: str) -> None:
+    """Guards each step against the loss of the leader's network."""
+    cell = run_cell(step, Column(('two-way',)), 1)
+    assert not cell.problem
+
+
+def ignore_budget(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(moves, 'refuse_removal', lambda *_args: None)
+
+
+def keep_epoch(patch: pytest.MonkeyPatch) -> None:
+    def serve(tables: Tables, row: Any, *, pool: str, reason: str) -> Done:
+        tables.put_instance(
+            replace(row, phase='serving', pool=pool, target_pool='')
+        )
+        return Done(index=tables.index)
+
+    patch.setattr(moves, '_serve', serve)
+
+
+def list_in_two_pools(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Tables, '_unlist', lambda *_args: None)
+
+
+def believe_former_home(patch: pytest.MonkeyPatch) -> None:
+    def finish(tables: Tables, command: c.FinishMove) -> Any:
+        row = tables.instances[command.instance]
+        if row.phase != 'draining':
+            return moves.wrong_phase(row, 'draining')
+        return moves._serve(tables, row, pool=row.target_pool, reason='')
+
+    patch.setitem(handlers(), c.FinishMove, finish)
+
+
+def grant_again(patch: pytest.MonkeyPatch) -> None:
+    granted = ClaimReply(state='granted')
+    patch.setattr(claims, '_reply', lambda *_args: granted)
+
+
+def replace_submitted(patch: pytest.MonkeyPatch) -> None:
+    """The later of two texts of a version wins."""
+
+    def submit(tables: Tables, command: c.SubmitDocument) -> Done:
+        stored = tables.documents.get(command.version)
+        if stored is not None and stored.row.digest != command.digest:
+            row = replace(stored.row, digest=command.digest)
+            new = replace(stored, row=row)
+            tables.documents[command.version] = new
+            return Done(index=tables.index)
+        return documents.submit(tables, command)  # type: ignore[return-value]
+
+    patch.setitem(handlers(), c.SubmitDocument, submit)
+
+
+def revert(patch: pytest.MonkeyPatch) -> None:
+    """A resent promotion puts an older version in force."""
+
+    def promote(tables: Tables, command: c.PromoteDocument) -> Any:
+        stored = tables.documents.get(command.version)
+        if stored is not None and stored.promoted_index:
+            tables.in_force = command.version
+        return documents.promote(tables, command)
+
+    patch.setitem(handlers(), c.PromoteDocument, promote)
+
+
+def handlers() -> dict[Any, Any]:
+    from galenareel._state import state
+
+    return state._HANDLERS
+
+
+@pytest.mark.parametrize(
+    ('break_rule', 'step', 'problem'),
+    [
+        (ignore_budget, 'move', 'leaves lots with 2'),
+        (keep_epoch, 'move', 'two owners of'),
+        (list_in_two_pools, 'move', 'not in one pool each'),
+        (believe_former_home, 'change of home', 'former home drained'),
+        (grant_again, 'claim', 'granted to'),
+        (replace_submitted, 'promotion', 'submission was replaced'),
+        (revert, 'promotion', 'was reverted'),
+    ],
+)
+def test_matrix_finds_a_broken_rule_of_the_state(
+    monkeypatch: pytest.MonkeyPatch,
+    break_rule: Callable[[pytest.MonkeyPatch], None],
+    step: str,
+    problem: str,
+) -> None:
+    break_rule(monkeypatch)
+    cells = [run_cell(step, Column(('two-way',)), seed) for seed in (1, 2, 3)]
+    problems = [one.problem for one in cells if one.problem]
+    assert any(problem in one for one in problems), problems
+
+
+def two_holders() -> None:
+    grants = Grants()
+    grants.granted(('desk', 'key'), 'one')
+    grants.granted(('desk', 'key'), 'other')
+
+
+def two_homes() -> None:
+    log = ready_log()
+    watch = Watch()
+    watch.restored(log.state)
+    row = log.state.instances['a/lots-1']
+    log.state.tables.put_instance(replace(row, home='ea'))
+    watch.restored(log.state)
+
+
+def home_epoch_fell() -> None:
+    log = ready_log()
+    watch = Watch()
+    row = log.state.instances['a/lots-1']
+    log.state.tables.put_instance(replace(row, home_epoch=2))
+    watch.restored(log.state)
+    log.state.tables.put_instance(row)
+    watch.restored(log.state)
+
+
+def lost_promotion() -> None:
+    log = ready_log()
+    del log.state.tables.documents[1]
+    Promotions({1: 'd'}).check('a', log.state)
+
+
+def undone_promotion() -> None:
+    log = ready_log()
+    row = DocumentRow(version=1, replaces=0, digest='d', text='')
+    log.state.tables.documents[1] = StoredDocument(
+        row=row, environment=None, submitted_index=1
+    )
+    Promotions({1: 'd'}).check('a', log.state)
+
+
+def reverted_version() -> None:
+    log = ready_log()
+    log.state.tables.in_force = 0
+    Promotions({1: 'd'}).check('a', log.state)
+
+
+def two_texts() -> None:
+    promotions = Promotions({1: 'd'})
+    promotions.promoted(1, 'other')
+
+
+def maintained_twice() -> None:
+    log = ready_log()
+    watch = Watch()
+    finish = c.FinishMaintenance(now=1.0, instance='a/lots-1', epoch=1)
+    for _ in range(2):
+        watch.applied(log.state, finish, Done(index=1))
+
+
+def epoch_fell() -> None:
+    log = ready_log()
+    watch = Watch()
+    row = log.state.instances['a/lots-1']
+    log.state.tables.put_instance(replace(row, epoch=row.epoch + 1))
+    watch.restored(log.state)
+    log.state.tables.put_instance(row)
+    watch.restored(log.state)
+
+
+def other_rows() -> None:
+    log, other = ready_log(), ready_log()
+    row = log.state.instances['a/lots-1']
+    log.state.tables.put_instance(replace(row, reason='other'))
+    check_same('a', log.state, other.state)
+
+
+@pytest.mark.parametrize(
+    'violate',
+    [
+        two_holders,
+        two_homes,
+        home_epoch_fell,
+        lost_promotion,
+        undone_promotion,
+        reverted_version,
+        two_texts,
+        maintained_twice,
+        epoch_fell,
+        other_rows,
+    ],
+)
+def test_each_promise_of_the_state_is_checked(
+    violate: Callable[[], None],
+) -> None:
+    with pytest.raises(AssertionError):
+        violate()
--- a/testing/state/checkers.py
+++ b/testing/state/checkers.py
@@ -30,7 +30,7 @@
     seen = Counter(
         one for members in picture.pools.values() for one in members
     )
-    assert seen == Counter(picture.instances.keys())
+    assert seen == Counter(picture.instances.keys()), 'not in one pool each'
     for name, row in picture.instances.items():
         assert name in picture.pools[row.pool]
 
@@ -44,15 +44,17 @@
 
     def check(self, picture: Picture) -> None:
         for name, row in picture.instances.items():
-            assert row.epoch >= self.highest.get(name, 0)
+            assert row.epoch >= self.highest.get(name, 0), (
+                f'epoch of {name} fell'
+            )
             self.highest[name] = row.epoch
             owner = self.owners.setdefault((name, row.epoch), row.pool)
-            assert owner == row.pool
+            assert owner == row.pool, f'two owners of {name} at one epoch'
 
 
 def check_document(before: Picture, after: Picture) -> None:
     """H8: the version in force never goes down."""
-    assert after.in_force >= before.in_force
+    assert after.in_force >= before.in_force, 'the document was reverted'
 
 
 def usable(picture: Picture, pool: str) -> list[InstanceRow]:
