--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -79,7 +79,11 @@
         self._rng = rng or SystemRandom()
         self._log = log or Log(name)
         self._peers = Peers(
-            self._address, process=name, secret=secret, clock=clock
+            self._address,
+            process=name,
+            secret=secret,
+            clock=clock,
+            log=self._log,
         )
         self._senders: dict[int, str] = {}
         self._pool = ThreadPool(1)
--- a/src/galenareel/_consensus/peers.py
+++ b/src/galenareel/_consensus/peers.py
@@ -6,11 +6,11 @@
 
 import gevent
 from gevent.event import Event
-from logbook import Logger
 
 from galenareel._common.events import HybridClock
 from galenareel._common.frames import connect
 from galenareel._common.frames import Link
+from galenareel._common.log import Log
 from galenareel._common.messages import AnyMessage
 from galenareel._common.messages import Hello
 from galenareel._common.messages import PeerMessage
@@ -24,8 +24,6 @@
 # What a frozen member can hold up in memory; raft sends lost messages again.
 QUEUE_MESSAGES = 64
 
-log = Logger('consensus')
-
 
 class Peer:
     """Sends to one address, in order, dropping what can't be sent."""
@@ -38,6 +36,7 @@
         process: str,
         secret: str,
         clock: HybridClock,
+        log: Log,
     ) -> None:
         self.heard = 0.0  # monotonic time of the latest message from there
         self.bytes_out = 0
@@ -46,6 +45,7 @@
         self._process = process
         self._secret = secret
         self._clock = clock
+        self._log = log
         self._queue: deque[bytes] = deque()
         self._wake = Event()
         self._link: Link | None = None
@@ -113,10 +113,11 @@
     def _note_refusal(self) -> None:
         """Log it once until a link is accepted again."""
         if not self._refused:
-            log.warning(
-                'the member at {} does not answer the greeting; check that '
-                'both have the same cluster secret',
-                self._address,
+            self._log.warning(
+                'member_refused',
+                address=self._address,
+                detail='no answer to the greeting; check that both have the '
+                'same cluster secret',
             )
         self._refused = True
 
@@ -129,12 +130,19 @@
     """The peers that have been written to."""
 
     def __init__(
-        self, address: str, *, process: str, secret: str, clock: HybridClock
+        self,
+        address: str,
+        *,
+        process: str,
+        secret: str,
+        clock: HybridClock,
+        log: Log,
     ) -> None:
         self._address = address
         self._process = process
         self._secret = secret
         self._clock = clock
+        self._log = log
         self._peers: dict[str, Peer] = {}
 
     def send(self, address: str, body: bytes, now: float) -> None:
@@ -145,6 +153,7 @@
                 process=self._process,
                 secret=self._secret,
                 clock=self._clock,
+                log=self._log,
             )
         self._peers[address].send(body, now)
 
--- a/testing/consensus/test_driver.py
+++ b/testing/consensus/test_driver.py
@@ -16,6 +16,7 @@
 from galenareel._common.events import HybridClock
 from galenareel._common.frames import FrameServer
 from galenareel._common.frames import Link
+from galenareel._common.log import Log
 from galenareel._common.messages import AnyMessage
 from galenareel._common.messages import Hello
 from galenareel._common.messages import Welcome
@@ -270,7 +271,9 @@
     clock = HybridClock(SystemClock())
     server = FrameServer(members['b'], clock=clock, handler=handle)
     server.start()
-    peers = Peers(members['a'], process='a', secret='', clock=clock)
+    peers = Peers(
+        members['a'], process='a', secret='', clock=clock, log=Log('a')
+    )
     for now in (100.0, 102.0, 102.5, 106.0):
         peers.send(members['b'], b'', now)
         gevent.sleep(0.05)
