--- a/bench/group.py
+++ b/bench/group.py
@@ -55,16 +55,16 @@
 
     def _found(self, names: str) -> None:
         """Give each member its identity, then start all with the list."""
-        founders: list[MemberInfo] = []
+        initial_members: list[MemberInfo] = []
         for name in names:
             node = self.add_node(name)
             identity = self.rng.getrandbits(32) or 1
             Storage(node.disk).open(identity)
-            founders.append(MemberInfo(identity, name, name))
-        for one in founders:
+            initial_members.append(MemberInfo(identity, name, name))
+        for one in initial_members:
             self.names[one.identity] = one.name
         for name in names:
-            self.nodes[name].start(tuple(founders))
+            self.nodes[name].start(tuple(initial_members))
 
     def add_node(self, name: str) -> Node:
         self.nodes[name] = Node(self, name)
--- a/bench/node.py
+++ b/bench/node.py
@@ -80,20 +80,24 @@
 
     # --- process ------------------------------------------------------------
 
-    def start(self, founders: tuple[MemberInfo, ...] = ()) -> None:
+    def start(self, initial_members: tuple[MemberInfo, ...] = ()) -> None:
         """Start the process with an empty state machine."""
         if self.retired or self.member is not None:
             return
         self._life += 1
         self.machine = self._group.machine()
-        self._open(founders, applied=0)
+        self._open(initial_members, applied=0)
 
-    def _open(self, founders: tuple[MemberInfo, ...], applied: int) -> None:
+    def _open(
+        self, initial_members: tuple[MemberInfo, ...], applied: int
+    ) -> None:
         self._storage = Storage(self.disk)
         try:
             loaded = self._storage.open(self._group.rng.getrandbits(32) or 1)
-            if founders:
-                loaded.member = self._storage.found(1, founders)
+            if initial_members:
+                loaded.member = self._storage.set_initial_members(
+                    1, initial_members
+                )
             self.identity = loaded.member.identity
             self._group.names[self.identity] = self.name
             self.member = Member(
--- a/src/galenareel/_consensus/greeter.py
+++ b/src/galenareel/_consensus/bootstrap_service.py
@@ -9,20 +9,20 @@
 from gevent.event import AsyncResult
 
 from galenareel._common.log import Log
-from galenareel._consensus.founding import answer_hail
-from galenareel._consensus.founding import Founding
-from galenareel._consensus.founding import HAIL_S
+from galenareel._consensus.bootstrap import answer_probe
+from galenareel._consensus.bootstrap import Bootstrap
+from galenareel._consensus.bootstrap import PROBE_S
 from galenareel._consensus.messages import Body
-from galenareel._consensus.messages import Foundation
-from galenareel._consensus.messages import Hail
+from galenareel._consensus.messages import InitialMembership
+from galenareel._consensus.messages import Probe
 from galenareel._consensus.storage import Loaded
 from galenareel._consensus.storage import Storage
 
 IDENTITY_BITS = 32  # five bytes in a message; members are few
 
 
-class Greeter:
-    """Founds a cluster, or answers for a member that belongs to one.
+class BootstrapService:
+    """Bootstraps a cluster, or answers for a member that belongs to one.
 
     :param send: sends a message to an address.
     """
@@ -46,17 +46,17 @@
         self._log = log
         self._storage: Storage | None = None
         self._loaded: Loaded | None = None
-        self._founding: Founding | None = None
-        self._hail_due = 0.0
+        self._bootstrap: Bootstrap | None = None
+        self._probe_due = 0.0
         self._asked: dict[str, AsyncResult[Any]] = {}
 
     def open(self, storage: Storage, loaded: Loaded) -> None:
         """Begin with what the data folder holds."""
         self._storage = storage
         self._loaded = loaded
-        self._founding = None
+        self._bootstrap = None
         if loaded.member.cluster == 0:
-            self._founding = Founding(
+            self._bootstrap = Bootstrap(
                 self._name,
                 self._members,
                 identity=loaded.member.identity,
@@ -68,55 +68,57 @@
         """The storage can't be used any more."""
         self._storage = None
         self._loaded = None
-        self._founding = None
+        self._bootstrap = None
 
     def new_identity(self) -> int:
         return self._rng.getrandbits(IDENTITY_BITS) or 1
 
     def is_ready(self) -> bool:
-        """Whether the member can run: founded, or waiting to be added."""
-        return self._founding is None or self._founding.waits
+        """Whether the member can run: bootstrapped, or waiting to be added."""
+        return self._bootstrap is None or self._bootstrap.waits
 
     def tick(self, now: float) -> None:
-        if self._founding is None or now < self._hail_due:
+        if self._bootstrap is None or now < self._probe_due:
             return
-        self._hail_due = now + HAIL_S
-        for address in self._founding.addresses():
-            self._send(address, self._founding.hail(answer=True))
+        self._probe_due = now + PROBE_S
+        for address in self._bootstrap.addresses():
+            self._send(address, self._bootstrap.probe(answer=True))
 
     def ask(self, name: str, address: str) -> AsyncResult[Any]:
         """Ask a new member for its identity."""
         fut: AsyncResult[Any] = AsyncResult()
         self._asked[name] = fut
-        self._send(address, Hail(self._name, self._address, 0, True, True))
+        self._send(address, Probe(self._name, self._address, 0, True, True))
         return fut
 
-    def receive(self, body: Hail | Foundation, *, joined: bool) -> None:
+    def receive(
+        self, body: Probe | InitialMembership, *, joined: bool
+    ) -> None:
         """Take a message.
 
         :param joined: this member has been added to a cluster.
-        :raises DiskError: if a foundation can't be stored.
+        :raises DiskError: if the members can't be stored.
         """
-        if isinstance(body, Foundation):
-            self._receive_foundation(body)
+        if isinstance(body, InitialMembership):
+            self._receive_initial(body)
             return
         fut = self._asked.pop(body.name, None)
         if fut is not None:
             fut.set(body.identity)
-        if self._founding is not None and not joined:
-            self._receive_hail(self._founding, body)
+        if self._bootstrap is not None and not joined:
+            self._receive_probe(self._bootstrap, body)
         elif body.answer and self._loaded is not None:
-            answer = answer_hail(
+            answer = answer_probe(
                 body, self._loaded.member, self._name, self._address
             )
             self._send(body.address, answer)
 
-    def _receive_hail(self, founding: Founding, hail: Hail) -> None:
-        waited = founding.waits
-        founding.on_hail(hail)
-        if hail.answer:
-            self._send(hail.address, founding.hail(answer=False))
-        if founding.waits and not waited:
+    def _receive_probe(self, bootstrap: Bootstrap, probe: Probe) -> None:
+        waited = bootstrap.waits
+        bootstrap.on_probe(probe)
+        if probe.answer:
+            self._send(probe.address, bootstrap.probe(answer=False))
+        if bootstrap.waits and not waited:
             self._log.warning(
                 'data_folder_is_new',
                 member=self._name,
@@ -125,23 +127,23 @@
         self._compose()
 
     def _compose(self) -> None:
-        if self._founding is None:
+        if self._bootstrap is None:
             return
-        foundation = self._founding.compose(self.new_identity())
-        if foundation is None:
+        initial = self._bootstrap.compose(self.new_identity())
+        if initial is None:
             return
-        self._receive_foundation(foundation)
+        self._receive_initial(initial)
         for address in self._members.values():
             if address != self._address:
-                self._send(address, foundation)
+                self._send(address, initial)
 
-    def _receive_foundation(self, foundation: Foundation) -> None:
-        founding = self._founding
-        if founding is None or not founding.accepts(foundation):
+    def _receive_initial(self, initial: InitialMembership) -> None:
+        bootstrap = self._bootstrap
+        if bootstrap is None or not bootstrap.accepts(initial):
             return
         assert self._storage is not None, 'open() comes first'
         assert self._loaded is not None, 'open() comes first'
-        self._loaded.member = self._storage.found(
-            foundation.cluster, foundation.members
+        self._loaded.member = self._storage.set_initial_members(
+            initial.cluster, initial.members
         )
-        self._founding = None
+        self._bootstrap = None
--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -20,10 +20,10 @@
 from galenareel._common.sentinels import NotLeader
 from galenareel._common.sentinels import Refused
 from galenareel._common.sentinels import Unreachable
+from galenareel._consensus.bootstrap_service import BootstrapService
 from galenareel._consensus.disk import FolderDisk
 from galenareel._consensus.effects import Effects
 from galenareel._consensus.errors import StorageError
-from galenareel._consensus.greeter import Greeter
 from galenareel._consensus.interface import Replicator
 from galenareel._consensus.interface import StateMachine
 from galenareel._consensus.member import Batch
@@ -32,8 +32,8 @@
 from galenareel._consensus.messages import decode
 from galenareel._consensus.messages import encode
 from galenareel._consensus.messages import Envelope
-from galenareel._consensus.messages import Foundation
-from galenareel._consensus.messages import Hail
+from galenareel._consensus.messages import InitialMembership
+from galenareel._consensus.messages import Probe
 from galenareel._consensus.peers import Peers
 from galenareel._consensus.proposals import Proposals
 from galenareel._consensus.proposals import wait
@@ -91,7 +91,7 @@
         self._storage: Storage | None = None
         self._loaded: Loaded | None = None  # until the member runs
         self._identity = 0
-        self._greeter = Greeter(
+        self._bootstrapping = BootstrapService(
             name,
             members,
             joins=joins,
@@ -207,8 +207,8 @@
             return
         now = self._now()
         self._peers.hear(msg.sender, now)
-        if isinstance(env.body, (Hail, Foundation)):
-            self._receive_founding(env.body)
+        if isinstance(env.body, (Probe, InitialMembership)):
+            self._receive_bootstrap(env.body)
         elif self._member is not None:
             self._senders[env.sender] = msg.sender
             self._absorb(lambda member: member.raft.step(env, now))
@@ -231,9 +231,9 @@
             self._disk = None
         self._disk = FolderDisk(self._data_dir)
         self._storage = Storage(self._disk)
-        self._loaded = self._storage.open(self._greeter.new_identity())
+        self._loaded = self._storage.open(self._bootstrapping.new_identity())
         self._identity = self._loaded.member.identity
-        self._greeter.open(self._storage, self._loaded)
+        self._bootstrapping.open(self._storage, self._loaded)
         self._run_if_ready()
 
     def _fail(self, problem: str) -> None:
@@ -245,7 +245,7 @@
             self._applied = self._member.applied
         self._member = None
         self._loaded = None
-        self._greeter.close()
+        self._bootstrapping.close()
         self._reopen_due = self._now() + REOPEN_S
         self._proposals.fail('storage_failed')
         self._changed.set()
@@ -266,7 +266,7 @@
             now = self._now()
             if self._reopen_due and now >= self._reopen_due:
                 self._reopen()
-            self._greeter.tick(now)
+            self._bootstrapping.tick(now)
             self._absorb(lambda member: member.raft.tick(now))
             self._log_leader()
             gevent.sleep(TICK_S)
@@ -364,7 +364,7 @@
             return Refused(
                 reason='bad_request', detail=f'{add!r} is not name=host:port'
             )
-        fut = self._greeter.ask(name, address)
+        fut = self._bootstrapping.ask(name, address)
         identity: int | Unreachable = wait(fut, CHANGE_TIMEOUT_S)
         if isinstance(identity, Unreachable):
             return identity
@@ -389,20 +389,20 @@
             return self._not_leader()
         return answer
 
-    # --- founding -----------------------------------------------------------
+    # --- bootstrap -----------------------------------------------------------
 
-    def _receive_founding(self, body: Hail | Foundation) -> None:
+    def _receive_bootstrap(self, body: Probe | InitialMembership) -> None:
         member = self._member
         joined = member is not None and member.raft.state.cluster != 0
         try:
-            self._greeter.receive(body, joined=joined)
+            self._bootstrapping.receive(body, joined=joined)
             self._run_if_ready()
         except StorageError as exc:
             self._fail(str(exc))
 
     def _run_if_ready(self) -> None:
         """Start to take part, once there is something to take part in."""
-        if self._loaded is None or not self._greeter.is_ready():
+        if self._loaded is None or not self._bootstrapping.is_ready():
             return
         assert self._storage is not None, 'the storage is open'
         loaded = self._loaded
--- a/src/galenareel/_consensus/member.py
+++ b/src/galenareel/_consensus/member.py
@@ -14,13 +14,13 @@
 
 import msgspec
 
+from galenareel._consensus.bootstrap import BOOTSTRAP_TERM
+from galenareel._consensus.bootstrap import first_entry
 from galenareel._consensus.effects import Effects
 from galenareel._consensus.effects import SaveEntries
 from galenareel._consensus.effects import SaveSnapshot
 from galenareel._consensus.effects import SaveState
 from galenareel._consensus.effects import Write
-from galenareel._consensus.founding import first_entry
-from galenareel._consensus.founding import FOUNDING_TERM
 from galenareel._consensus.interface import StateMachine
 from galenareel._consensus.messages import Chunk
 from galenareel._consensus.messages import Envelope
@@ -76,7 +76,7 @@
         self._batch = Batch()
         self._storing = False
         self._snapshot_pending = False
-        self._found(loaded)
+        self._begin_log(loaded)
         if loaded.snapshot is not None:
             self._restore(loaded.snapshot)
         self.raft = Raft(loaded, rng=rng, now=now, commit=self.applied)
@@ -135,14 +135,14 @@
             for env in replies:
                 self._send(env)
 
-    def _found(self, loaded: Loaded) -> None:
+    def _begin_log(self, loaded: Loaded) -> None:
         """Begin the log of a new cluster."""
-        founders = loaded.member.founders
-        if not founders or loaded.entries or loaded.snapshot:
+        initial_members = loaded.member.initial_members
+        if not initial_members or loaded.entries or loaded.snapshot:
             return
-        entry = first_entry(founders)
+        entry = first_entry(initial_members)
         if loaded.term == 0:
-            loaded.term = FOUNDING_TERM
+            loaded.term = BOOTSTRAP_TERM
         loaded.entries.append(entry)
         self._storage.write(
             [SaveState(loaded.term, loaded.vote), SaveEntries((entry,))]
--- a/src/galenareel/_consensus/messages.py
+++ b/src/galenareel/_consensus/messages.py
@@ -78,22 +78,22 @@
     offset: int
 
 
-class Hail(msgspec.Struct, frozen=True, array_like=True, tag=9):
+class Probe(msgspec.Struct, frozen=True, array_like=True, tag=9):
     """A member names itself, before it belongs to a cluster or to be added.
 
-    :param founded: whether it already belongs to a cluster.
+    :param belongs: whether it already belongs to a cluster.
     :param answer: whether the receiver should name itself in return.
     """
 
     name: str
     address: str
     identity: int
-    founded: bool
+    belongs: bool
     answer: bool
 
 
-class Foundation(msgspec.Struct, frozen=True, array_like=True, tag=10):
-    """First members of a new cluster, sent by the founder to each."""
+class InitialMembership(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """First members of a new cluster, from the one that bootstraps it."""
 
     cluster: int
     members: tuple[MemberInfo, ...]
@@ -108,8 +108,8 @@
     | AppendReply
     | Chunk
     | ChunkReply
-    | Hail
-    | Foundation
+    | Probe
+    | InitialMembership
 )
 
 
--- a/src/galenareel/_consensus/peers.py
+++ b/src/galenareel/_consensus/peers.py
@@ -116,7 +116,7 @@
             self._log.warning(
                 'member_refused',
                 address=self._address,
-                detail='no answer to the greeting; check that both have the '
+                detail='no answer to the hello; check that both have the '
                 'same cluster secret',
             )
         self._refused = True
--- a/src/galenareel/_consensus/storage.py
+++ b/src/galenareel/_consensus/storage.py
@@ -54,12 +54,12 @@
     """Who this member is.
 
     :param cluster: 0 until it belongs to one.
-    :param founders: first members of the cluster; empty at one that joined.
+    :param initial_members: of the cluster; empty at one that joined it.
     """
 
     identity: int
     cluster: int = 0
-    founders: tuple[MemberInfo, ...] = ()
+    initial_members: tuple[MemberInfo, ...] = ()
 
 
 @dataclass(slots=True)
@@ -111,15 +111,15 @@
                 f'a write or sync failed: {exc}; free space or repair the disk'
             ) from exc
 
-    def found(
-        self, cluster: int, founders: tuple[MemberInfo, ...]
+    def set_initial_members(
+        self, cluster: int, initial_members: tuple[MemberInfo, ...]
     ) -> MemberFile:
         """Store the cluster's first members.
 
         :raises DiskError: if that failed.
         """
         assert self._member is not None, 'open() comes first'
-        member = MemberFile(self._member.identity, cluster, founders)
+        member = MemberFile(self._member.identity, cluster, initial_members)
         try:
             self._save_member(member)
         except OSError as exc:
--- a/src/galenareel/_control/operations.py
+++ b/src/galenareel/_control/operations.py
@@ -13,6 +13,8 @@
 from galenareel._common.messages import Done
 from galenareel._common.messages import OperatorAnswer
 from galenareel._common.messages import OperatorCall
+from galenareel._common.rows import DocumentRow
+from galenareel._common.rows import Stage
 from galenareel._common.sentinels import NotLeader
 from galenareel._common.sentinels import Refused
 from galenareel._common.sentinels import Unreachable
@@ -217,20 +219,33 @@
             'wave': self._state.waves.get(body.subject),
             'entry': self._state.entries.get(body.subject),
         }
-        present = {kind: row for kind, row in rows.items() if row}
-        decisions = self._journal.about(body.subject)
+        present: dict[str, Any] = {
+            kind: row for kind, row in rows.items() if row
+        }
+        document = self._find_document(body.subject)
+        if document is not None:
+            present['document'] = describe_document(document)
+            sentences = _explain_document(document)
+        else:
+            sentences = self._adapter.explain(
+                body.subject, now=self._clock.monotonic()
+            )
         return answer(
             OK,
             {
                 'subject': body.subject,
                 'present': present,
-                'sentences': self._adapter.explain(
-                    body.subject, now=self._clock.monotonic()
-                ),
-                'decisions': decisions,
+                'sentences': sentences,
+                'decisions': self._journal.about(body.subject),
             },
         )
 
+    def _find_document(self, subject: str) -> DocumentRow | None:
+        if not (subject.isascii() and subject.isdigit()):
+            return None
+        stored = self._state.documents.get(int(subject))
+        return stored.row if stored is not None else None
+
     def _document(self, body: Document) -> OperatorAnswer:
         if body.version is not None:
             stored = self._state.documents.get(body.version)
@@ -279,3 +294,14 @@
         if not isinstance(result, Done):
             return self._refusal(result)
         return answer(OK, {'wave': self._state.waves[body.wave]})
+
+
+def _explain_document(row: DocumentRow) -> tuple[str, ...]:
+    """Why a version is or isn't in force."""
+    stands = {
+        Stage.TRIAL: 'is on trial and changes nothing until it is promoted',
+        Stage.IN_FORCE: 'is in force',
+        Stage.SUPERSEDED: 'was in force and has been replaced',
+    }
+    first = f'version {row.version} {stands[row.stage]}'
+    return (f'{first}; it replaces version {row.replaces}', *row.trial)
--- /dev/null
+++ b/testing/consensus/test_bootstrap.py
@@ -0,0 +1,64 @@
+"""How first members find each other, and lost disks are told apart."""
+
+from __future__ import annotations
+
+from galenareel._consensus.bootstrap import answer_probe
+from galenareel._consensus.bootstrap import Bootstrap
+from galenareel._consensus.messages import InitialMembership
+from galenareel._consensus.messages import Probe
+from galenareel._consensus.records import MemberInfo
+from galenareel._consensus.storage import MemberFile
+
+MEMBERS = {'a': 'a:1', 'b': 'b:1', 'c': 'c:1'}
+
+
+def bootstrap(name: str, identity: int) -> Bootstrap:
+    return Bootstrap(name, MEMBERS, identity=identity, joins=False)
+
+
+def probe(name: str, identity: int, *, belongs: bool = False) -> Probe:
+    return Probe(name, MEMBERS[name], identity, belongs, False)
+
+
+def test_bootstrap_waits_for_every_member() -> None:
+    first = bootstrap('a', 1)
+    first.on_probe(probe('b', 2))
+    assert first.compose(9) is None
+    first.on_probe(probe('c', 3))
+    initial = first.compose(9)
+    assert initial is not None
+    assert [one.identity for one in initial.members] == [1, 2, 3]
+    assert bootstrap('c', 3).accepts(initial)
+
+
+def test_only_the_first_name_bootstraps() -> None:
+    """Guards against two clusters of the same members."""
+    other = bootstrap('b', 2)
+    other.on_probe(probe('a', 1))
+    other.on_probe(probe('c', 3))
+    assert other.compose(9) is None
+
+
+def test_initial_member_that_lost_its_disk_makes_no_second_cluster() -> None:
+    first = bootstrap('a', 11)
+    first.on_probe(probe('b', 2, belongs=True))
+    first.on_probe(probe('c', 3))
+    assert first.compose(9) is None
+    assert first.waits
+
+
+def test_initial_membership_with_a_former_identity_is_refused() -> None:
+    """Guards against a late membership that lists the lost disk."""
+    late = InitialMembership(9, (MemberInfo(2, 'b', 'b:1'),))
+    assert not bootstrap('b', 22).accepts(late)
+    assert bootstrap('b', 2).accepts(late)
+
+
+def test_only_an_initial_member_that_missed_the_bootstrap_gets_it() -> None:
+    members = (MemberInfo(1, 'a', 'a:1'), MemberInfo(2, 'b', 'b:1'))
+    file = MemberFile(1, 9, members)
+    missed = answer_probe(probe('b', 2), file, 'a', 'a:1')
+    assert missed == InitialMembership(9, members)
+    fresh = answer_probe(probe('b', 22), file, 'a', 'a:1')
+    assert isinstance(fresh, Probe)
+    assert fresh.belongs
--- a/testing/consensus/test_raft.py
+++ b/testing/consensus/test_raft.py
@@ -50,7 +50,7 @@
 
 
 def make_raft(now: float = 100.0) -> Raft:
-    member = MemberFile(1, cluster=9, founders=MEMBERS)
+    member = MemberFile(1, cluster=9, initial_members=MEMBERS)
     loaded = Loaded(member, term=1, entries=[FIRST])
     return Raft(loaded, rng=Random(1), now=now)
 
--- a/testing/control/test_operations.py
+++ b/testing/control/test_operations.py
@@ -146,3 +146,5 @@
     assert told['present']['instance']['pool'] == 'lots'
     kinds = [one['action'] for one in told['decisions']]
     assert kinds == ['instance.registered', 'home.assigned']
+    _, told = call('explain', subject='1')
+    assert told['sentences'][0].startswith('version 1 is in force')
