Let a wave maintain what belongs to its pools, also what is lent

Cause: in the demo the wave of the spare pool ended after 2 of 6 instances; the other 4 were lent to a pool at its peak when it began.

Change: the targets of a wave are the instances that the document or their service puts in its pools, wherever they are lent.

--- a/src/galenareel/_common/rows.py
+++ b/src/galenareel/_common/rows.py
@@ -123,8 +123,8 @@
     :param failed: did not come back, or failed its work afterwards.
     :param skipped: drained for too long; may be tried again.
     :param acknowledged: failures that an operator has looked at.
-    :param targets: the instances of its pools when it began; lending doesn't
-        add others to it or take one out of it.
+    :param targets: the instances that belonged to its pools when it began,
+        also those that were lent to others.
     """
 
     wave: str
--- a/src/galenareel/_state/maintenance.py
+++ b/src/galenareel/_state/maintenance.py
@@ -20,6 +20,7 @@
 from galenareel._state.commands import SetWaveState
 from galenareel._state.commands import StartReboot
 from galenareel._state.instances import find_reachable
+from galenareel._state.instances import first_pool
 from galenareel._state.instances import take_away
 from galenareel._state.instances import wrong_phase
 from galenareel._state.moves import stale_home
@@ -194,12 +195,18 @@
 
 
 def _targets(tables: Tables, pools: tuple[str, ...]) -> tuple[str, ...]:
-    found = (
-        row.instance
-        for row in tables.instances.values()
-        if row.phase is not Phase.LEFT
-        and (row.pool in pools or row.target_pool in pools)
-    )
+    """Instances that belong to the pools, wherever they are lent now.
+
+    The document or the announced service says where an instance belongs, so
+    that waves over all pools visit each instance once.
+    """
+    environment = tables.environment()
+    found = []
+    for row in tables.instances.values():
+        service = tables.services.get(row.instance, '')
+        pool = first_pool(environment, row.instance, service) or row.pool
+        if pool in pools and row.phase is not Phase.LEFT:
+            found.append(row.instance)
     return tuple(sorted(found))
 
 
--- a/testing/state/test_commands.py
+++ b/testing/state/test_commands.py
@@ -103,6 +103,18 @@
     assert log.state.waves['w1'].done == (ONE,)
 
 
+def test_wave_includes_what_its_pools_have_lent() -> None:
+    """Guards against instances that no wave ever maintains."""
+    log = ready_log()
+    log.done(
+        move(),
+        c.FinishMove(instance=ONE, epoch=1, home_epoch=0),
+        c.BeginWave(now=2.0, wave='w2', pools=('lots',)),
+    )
+    assert log.state.instances[ONE].pool != 'lots'
+    assert ONE in log.state.waves['w2'].targets
+
+
 def test_instance_is_maintained_once_a_wave() -> None:
     log = ready_log()
     log.done(
