Name the cache of sent messages and the demo's scenario by usual terms

Cause: the read-through found names that need explaining.

Change: told.py becomes sent_cache.py, story.py scenario.py; no behaviour changes.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -12,8 +12,8 @@
 from typing import Any
 
 from demo.processes import ROOT
-from demo.story import DemoError
-from demo.story import Story
+from demo.scenario import DemoError
+from demo.scenario import Scenario
 from demo.topology import make_topology
 from galenareel._common.declaring import setting
 from galenareel._common.readers import one_of
@@ -69,7 +69,7 @@
 def _run(cfg: DemoSettings, folder: Path, began: float) -> int:
     text = (ROOT / 'examples' / f'{cfg.deployment}.yaml').read_text()
     environment = read_environment(text)
-    story = Story(
+    scenario = Scenario(
         text,
         environment,
         make_topology(environment),
@@ -78,7 +78,7 @@
         tell=_tell,
     )
     try:
-        figures = story.run()
+        figures = scenario.run()
     except DemoError as exc:
         _tell(f'demo failed: {exc}')
         print(json.dumps({'failed': str(exc)}))
@@ -86,7 +86,7 @@
     except KeyboardInterrupt:
         return 130
     finally:
-        stuck = story.processes.stop()
+        stuck = scenario.processes.stop()
     problems = figures.problems()
     problems += [f'{name} did not stop when asked' for name in stuck]
     for one in [*problems, *figures.verdict.details]:
--- a/demo/figures.py
+++ b/demo/figures.py
@@ -20,7 +20,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Act:
+class Actions:
     """What the demo did, with monotonic times.
 
     :param entries: caller addresses of the entries that were in service
@@ -80,12 +80,12 @@
     seen: Sequence[Seen],
     attempts: Sequence[Attempt],
     document: Environment,
-    act: Act,
+    actions: Actions,
     *,
     slots: int,
 ) -> Figures:
     """Count everything after a run."""
-    verdict = check(seen, attempts, document, slots=slots, kills=act.kills)
+    verdict = check(seen, attempts, document, slots=slots, kills=actions.kills)
     reboots = _reboots(seen)
     waits = sorted(
         one.ended_at - one.sent_at
@@ -94,8 +94,10 @@
     )
     return Figures(
         verdict=verdict,
-        document_in_force_s=_document_in_force(attempts, act),
-        wave_s=_rounded(max(reboots.values(), default=None), act.promoted_at),
+        document_in_force_s=_document_in_force(attempts, actions),
+        wave_s=_rounded(
+            max(reboots.values(), default=None), actions.promoted_at
+        ),
         wave_instances=len(reboots),
         urgent_p50_s=_quantile(waits, 0.5),
         urgent_p99_s=_quantile(waits, 0.99),
@@ -124,13 +126,15 @@
     return ready
 
 
-def _document_in_force(attempts: Sequence[Attempt], act: Act) -> float | None:
+def _document_in_force(
+    attempts: Sequence[Attempt], actions: Actions
+) -> float | None:
     """Until callers had seen the version at each entry in service."""
     first: dict[str, float] = {}
     for one in sorted(attempts, key=lambda one: one.ended_at):
-        if one.version == str(act.version):
+        if one.version == str(actions.version):
             first.setdefault(one.entry, one.ended_at)
-    if not act.entries or not set(act.entries) <= first.keys():
+    if not actions.entries or not set(actions.entries) <= first.keys():
         return None
-    last = max(first[entry] for entry in act.entries)
-    return round(last - act.promoted_at, 3)
+    last = max(first[entry] for entry in actions.entries)
+    return round(last - actions.promoted_at, 3)
--- a/demo/story.py
+++ b/demo/scenario.py
@@ -10,7 +10,7 @@
 import gevent
 import msgspec
 
-from demo.figures import Act
+from demo.figures import Actions
 from demo.figures import Figures
 from demo.figures import make_figures
 from demo.operating import Operator
@@ -45,7 +45,7 @@
     """The demo can't go on; says what the processes wrote last."""
 
 
-class Story:
+class Scenario:
     """Runs the demo on a topology."""
 
     def __init__(
@@ -77,7 +77,7 @@
         self._serve()
         self._wait_for_the_wave()
         self._show()
-        act = Act(
+        actions = Actions(
             version=2,
             promoted_at=self._promoted_at,
             entries=tuple(one.callers for one in self._topology.entries),
@@ -87,7 +87,7 @@
             read_records(self._seen, Seen),
             read_records(self._sent, Attempt),
             self._cfg,
-            act,
+            actions,
             slots=SLOTS,
         )
 
--- a/src/galenareel/_entry/claims.py
+++ b/src/galenareel/_entry/claims.py
@@ -136,7 +136,7 @@
         if reply.state == 'granted':
             return None
         del self._unsettled[place]
-        return _told(reply)
+        return _sent_cache(reply)
 
     def _run_claimed(
         self,
@@ -206,7 +206,7 @@
     )
 
 
-def _told(reply: ClaimReply) -> Outcome:
+def _sent_cache(reply: ClaimReply) -> Outcome:
     """What a resend is told."""
     if reply.state == 'answered' and reply.answer is not None:
         kept = reply.answer
--- a/src/galenareel/_entry/told.py
+++ b/src/galenareel/_entry/sent_cache.py
@@ -32,7 +32,7 @@
     said: dict[str, tuple[float, Announcement]] = field(default_factory=dict)
 
 
-class Told:
+class SentCache:
     """Shortens messages to peers by what they were told before."""
 
     def __init__(self) -> None:
--- a/src/galenareel/_entry/zone.py
+++ b/src/galenareel/_entry/zone.py
@@ -17,10 +17,10 @@
 from galenareel._entry.peers import Fence
 from galenareel._entry.peers import Peers
 from galenareel._entry.router import Router
+from galenareel._entry.sent_cache import SentCache
 from galenareel._entry.session import ControlSession
 from galenareel._entry.settings import HEARTBEAT_S
 from galenareel._entry.settings import SILENT_AFTER_S
-from galenareel._entry.told import Told
 from galenareel._entry.view import ViewStore
 
 BEATS_PER_SECOND = round(1 / HEARTBEAT_S)
@@ -60,7 +60,7 @@
         self._session = session
         self._record = record
         self._is_stopping = is_stopping
-        self._told = Told()
+        self._sent_cache = SentCache()
         self._beats = 0
         self._last = time.monotonic()
         self._silent: tuple[str, ...] = ()
@@ -83,7 +83,7 @@
         now = time.monotonic()
         for peer in self._peers.all.values():
             if peer.zone == self._homes.zone:
-                msg = self._told.announcement(
+                msg = self._sent_cache.announcement(
                     peer.name, peer.incarnation, said, now=now
                 )
                 self._links.send(peer.name, msg)
@@ -147,7 +147,7 @@
         second = self._beats % BEATS_PER_SECOND == 0
         for peer in list(self._peers.all.values()):
             if second or peer.zone == self._homes.zone:
-                short = self._told.heartbeat(
+                short = self._sent_cache.heartbeat(
                     peer.name, peer.incarnation, beat, now=now
                 )
                 self._links.send(peer.name, short)
--- a/testing/entry/test_told.py
+++ b/testing/entry/test_sent_cache.py
@@ -9,9 +9,9 @@
 from galenareel._common.messages import PeerHeartbeat
 from galenareel._common.messages import RelayAnnouncement
 from galenareel._common.messages import ServerHeard
-from galenareel._entry.told import ANNOUNCEMENT_REPEAT_S
-from galenareel._entry.told import LOADS_REPEAT_S
-from galenareel._entry.told import Told
+from galenareel._entry.sent_cache import ANNOUNCEMENT_REPEAT_S
+from galenareel._entry.sent_cache import LOADS_REPEAT_S
+from galenareel._entry.sent_cache import SentCache
 
 
 def beat(free: int) -> PeerHeartbeat:
@@ -33,15 +33,15 @@
 
 
 @pytest.fixture
-def told() -> Told:
-    told = Told()
-    told.heartbeat('e2', 'x', beat(8), now=100.0)
-    told.announcement('e2', 'x', said(), now=100.0)
-    return told
+def cache() -> SentCache:
+    cache = SentCache()
+    cache.heartbeat('e2', 'x', beat(8), now=100.0)
+    cache.announcement('e2', 'x', said(), now=100.0)
+    return cache
 
 
-def test_unchanged_loads_are_left_out(told: Told) -> None:
-    assert told.heartbeat('e2', 'x', beat(8), now=100.2).pools is None
+def test_unchanged_loads_are_left_out(cache: SentCache) -> None:
+    assert cache.heartbeat('e2', 'x', beat(8), now=100.2).pools is None
 
 
 @pytest.mark.parametrize(
@@ -55,15 +55,15 @@
     ids=['changed', 'restarted peer', 'other peer', 'long ago'],
 )
 def test_loads_are_sent_to_who_lacks_them(
-    told: Told, peer: str, incarnation: str, free: int, now: float
+    cache: SentCache, peer: str, incarnation: str, free: int, now: float
 ) -> None:
     """Guards against a peer that routes by loads it never got."""
-    sent = told.heartbeat(peer, incarnation, beat(free), now=now)
+    sent = cache.heartbeat(peer, incarnation, beat(free), now=now)
     assert sent.pools == beat(free).pools
 
 
-def test_unchanged_announcement_is_shortened(told: Told) -> None:
-    sent = told.announcement('e2', 'x', said(in_use=3), now=101.0)
+def test_unchanged_announcement_is_shortened(cache: SentCache) -> None:
+    sent = cache.announcement('e2', 'x', said(in_use=3), now=101.0)
     assert sent == ServerHeard(instance='a/w1', in_use=3)
 
 
@@ -77,8 +77,8 @@
     ids=['leaving', 'restarted peer', 'long ago'],
 )
 def test_announcement_is_sent_in_full(
-    told: Told, incarnation: str, one: Announcement, now: float
+    cache: SentCache, incarnation: str, one: Announcement, now: float
 ) -> None:
     """Guards against a home that doesn't learn that a server leaves."""
-    sent = told.announcement('e2', incarnation, one, now=now)
+    sent = cache.announcement('e2', incarnation, one, now=now)
     assert sent == RelayAnnouncement(announcement=one)
