--- a/bench/requests.py
+++ b/bench/requests.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 import json
 import os
 from pathlib import Path
@@ -37,9 +36,7 @@
 from bench.usage import resident_mb
 from demo.processes import clean_environ
 from demo.processes import ROOT
-from galenareel._common.declaring import setting
-from galenareel._common.readers import one_of
-from galenareel._common.readers import whole
+from demo.settings import RunSettings
 from galenareel._common.settings import read_settings
 from galenareel._document.model import Environment
 from galenareel._document.reading import read_environment
@@ -80,24 +77,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RequestSettings:
-    """Settings of the measurement."""
-
-    deployment: str = setting(
-        'which example to run',
-        reader=one_of('abay', 'trilha'),
-        shape='NAME',
-        default='abay',
-    )
-    seed: int = setting(
-        'seed of the demand and of the faults',
-        reader=whole(low=0, high=2**31),
-        shape='N',
-        default=1,
-    )
-
-
 def measure_calm(
     cfg: Environment, text: str, folder: Path, *, seed: int
 ) -> dict[str, Any]:
@@ -338,7 +317,7 @@
 def main() -> int:
     cfg = read_settings(
         'bench.requests',
-        RequestSettings,
+        RunSettings,
         summary=SUMMARY,
         argv=sys.argv[1:],
         environ={},
--- a/bench/state.py
+++ b/bench/state.py
@@ -30,10 +30,8 @@
 from bench.usage import cpu_s
 from bench.usage import resident_mb
 from demo.processes import ROOT
+from demo.settings import RunSettings
 from demo.topology import EntryPlace
-from galenareel._common.declaring import setting
-from galenareel._common.readers import one_of
-from galenareel._common.readers import whole
 from galenareel._common.settings import read_settings
 from galenareel._document.reading import read_environment
 from testing.standins.checker import check
@@ -61,24 +59,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StateSettings:
-    """Settings of the measurement."""
-
-    deployment: str = setting(
-        'which example to run',
-        reader=one_of('abay', 'trilha'),
-        shape='NAME',
-        default='abay',
-    )
-    seed: int = setting(
-        'decides which process fails when',
-        reader=whole(low=0, high=2**31),
-        shape='N',
-        default=1,
-    )
-
-
 @dataclass(slots=True)
 class Measured:
     """What was seen so far.
@@ -466,7 +446,7 @@
 def main() -> int:
     cfg = read_settings(
         'bench.state',
-        StateSettings,
+        RunSettings,
         summary=SUMMARY,
         argv=sys.argv[1:],
         environ={},
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -14,10 +14,9 @@
 from demo.processes import ROOT
 from demo.scenario import DemoError
 from demo.scenario import Scenario
+from demo.settings import RunSettings
 from demo.topology import make_topology
 from galenareel._common.declaring import setting
-from galenareel._common.readers import one_of
-from galenareel._common.readers import whole
 from galenareel._common.settings import read_settings
 from galenareel._document.reading import read_environment
 
@@ -25,21 +24,9 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class DemoSettings:
+class DemoSettings(RunSettings):
     """Settings of the demo."""
 
-    deployment: str = setting(
-        'which example to run',
-        reader=one_of('abay', 'trilha'),
-        shape='NAME',
-        default='abay',
-    )
-    seed: int = setting(
-        'seed of the demand',
-        reader=whole(low=0, high=2**31),
-        shape='N',
-        default=1,
-    )
     keep: str = setting(
         'keep the records and logs in this folder, which must be empty',
         reader=str,
