Name requests that can't meet their deadline unmeetable

Cause: the read-through found a figurative name.

Change: hopeless becomes unmeetable in the queue and the router; no behaviour changes.

--- a/src/galenareel/_entry/queue.py
+++ b/src/galenareel/_entry/queue.py
@@ -185,7 +185,7 @@
         """Next request to run; None if all wait for their team's quota."""
         return self._first(self._urgent) or self._first(self._deferrable)
 
-    def hopeless(self, *, now: float, slots: int) -> list[Waiting]:
+    def unmeetable(self, *, now: float, slots: int) -> list[Waiting]:
         """Requests whose deadline can't be met any more."""
         given_up: list[Waiting] = []
         if not self._length:
--- a/src/galenareel/_entry/router.py
+++ b/src/galenareel/_entry/router.py
@@ -141,12 +141,12 @@
         for name in self.pools:
             self.pump(name)
 
-    def give_up_hopeless(self) -> None:
+    def refuse_unmeetable(self) -> None:
         """Answer at once the requests whose deadline can't be met."""
         now = time.monotonic()
         for name, state in self.pools.items():
             slots = self._capacity.slots(name, now=now)
-            for one in state.queue.hopeless(now=now, slots=slots):
+            for one in state.queue.unmeetable(now=now, slots=slots):
                 state.queue.remove(one)
                 one.place.fut.set(NotRun(reason='deadline_not_met'))
 
--- a/src/galenareel/_entry/zone.py
+++ b/src/galenareel/_entry/zone.py
@@ -125,7 +125,7 @@
         self._send_beats(now)
         self._watch_silence(now)
         self._watch_servers(now)
-        self._router.give_up_hopeless()
+        self._router.refuse_unmeetable()
         self._router.pump_all()
         self._beats += 1
         if self._beats % BEATS_PER_SECOND == 0:
--- a/testing/entry/test_machines.py
+++ b/testing/entry/test_machines.py
@@ -131,7 +131,7 @@
 
     @rule(now=st.floats(0, 12), slots=st.integers(0, 3))
     def give_up(self, now: float, slots: int) -> None:
-        for one in self.queue.hopeless(now=now, slots=slots):
+        for one in self.queue.unmeetable(now=now, slots=slots):
             assert self.queue.remove(one)
             self.waiting.remove(one)
         assert all(w.deadline >= now for w in self.waiting)
@@ -402,9 +402,9 @@
     )
     assert queue.refuse_reason(one, now=0.0, slots=2) is None
     queue.put(one)
-    assert not queue.hopeless(now=0.9, slots=2)
+    assert not queue.unmeetable(now=0.9, slots=2)
     assert not queue.too_late(one, now=0.9, once=True)
-    assert queue.hopeless(now=1.1, slots=2) == [one]
+    assert queue.unmeetable(now=1.1, slots=2) == [one]
 
 
 @given(attempt=st.integers(0, 100), seed=st.integers(0, 1000))
