Remove dead code and a last copy of free_address

Change: Findings.raise_if_any and RELEASE_S go; bench/transport.py calls testing.ports. No behaviour changes.

--- a/bench/transport.py
+++ b/bench/transport.py
@@ -20,6 +20,7 @@
 from galenareel._common.messages import InstanceLoad
 from galenareel._common.messages import PoolLoad
 from galenareel._common.messages import Renewed
+from testing.ports import free_address
 
 CALLS = 2000
 IMPORTS = {
@@ -178,14 +179,6 @@
     )
 
 
-def free_address() -> str:
-    import socket
-
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{sock.getsockname()[1]}'
-
-
 def run_pair(kind: str) -> dict[str, float]:
     """One server and one client process; the client's figures."""
     command = [sys.executable, '-m', 'bench.transport']
--- a/src/galenareel/_common/findings.py
+++ b/src/galenareel/_common/findings.py
@@ -40,8 +40,3 @@
     def add(self, *, place: str, problem: str, remedy: str) -> None:
         finding = Finding(place=place, problem=problem, remedy=remedy)
         self.items.append(finding)
-
-    def raise_if_any(self) -> None:
-        """:raises FindingsError: if anything was collected."""
-        if self.items:
-            raise FindingsError(tuple(self.items))
--- a/src/galenareel/_entry/lifecycle.py
+++ b/src/galenareel/_entry/lifecycle.py
@@ -10,7 +10,6 @@
 from galenareel._entry.process import Entry
 
 POLL_S = 0.05
-RELEASE_S = 1.0  # for control to name the new homes
 
 
 class Lifecycle:
