--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY = $(VENV)/bin/python
 DEPLOYMENT ?= abay
 SEED ?= 1
-SOURCES = src testing demo experiment bench
+SOURCES = src platform testing demo experiment bench
 
 .PHONY: test lint types unit format demo fault-matrix measure-state \
 	measure-decisions measure-requests measure-capacity
--- a/src/galenareel/_common/messages.py
+++ b/src/galenareel/_common/messages.py
@@ -369,6 +369,63 @@
     body: bytes
 
 
+# --- jobs --------------------------------------------------------------------
+
+
+class JobCall(Message, frozen=True):
+    """A caller's request about a job or a queue, for the leader.
+
+    :param operation: ``submit``, ``status``, ``cancel`` or ``count``.
+    :param path: path of the request; its queue is the longest prefix.
+    :param request: encoded ``JobRequest`` of a submission.
+    """
+
+    operation: str
+    host: str
+    path: str
+    request: bytes = b''
+    caller_zone: str = ''
+
+
+class JobAnswer(Message, frozen=True):
+    """What became of a :class:`JobCall`.
+
+    :param outcome: ``accepted``, ``found``, ``cancelled``, ``counted``,
+        ``no_queue``, ``no_job``, ``refused``, ``invalid``, ``not_ready`` or
+        ``unknown``.
+    :param phase: state of the job that was found.
+    :param count: jobs that wait in the queue.
+    """
+
+    outcome: str
+    phase: str = ''
+    count: int = 0
+    detail: str = ''
+    retry_after_s: float | None = None
+
+
+class ClusterQuery(Message, frozen=True):
+    """Who leads, and who belongs to the cluster?"""
+
+
+class ClusterView(Message, frozen=True):
+    """:param leader: frame address of the leader, or empty.
+    :param leads: the answering member leads and its lease holds.
+    :param members: frame addresses of all members.
+    """
+
+    leader: str = ''
+    leads: bool = False
+    members: tuple[str, ...] = ()
+
+
+class JoinCluster(Message, frozen=True):
+    """A member without a cluster asks the leader to be added."""
+
+    name: str
+    address: str
+
+
 AnyMessage = (
     Hello
     | Welcome
@@ -401,4 +458,9 @@
     | ForwardChunk
     | ForwardEnd
     | PeerMessage
+    | JobCall
+    | JobAnswer
+    | ClusterQuery
+    | ClusterView
+    | JoinCluster
 )
--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -219,6 +219,10 @@
             return ()
         return self._member.raft.state.membership.members
 
+    def belongs(self) -> bool:
+        """Whether this member is one of a cluster's members."""
+        return any(one.identity == self._identity for one in self.members())
+
     def bytes_out(self) -> int:
         """Bytes sent to other members."""
         return self._peers.bytes_out()
--- /dev/null
+++ b/src/galenareel/_jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: durable state, scheduling and leases on workers."""
--- /dev/null
+++ b/src/galenareel/_jobs/leader.py
@@ -0,0 +1,528 @@
+"""Carries out the engine's orders while this member leads.
+
+Each worker has one greenlet that renews its lease and reads its lists, and
+up to ``ORDER_LANES`` that send orders. Before each call the right to lead is
+checked against a clock that goes on while the machine is suspended.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections import deque
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from galenareel._common.clock import Clock
+from galenareel._common.log import Log
+from galenareel._common.sentinels import NotLeader
+from galenareel._common.sentinels import Unreachable
+from galenareel._consensus.interface import Replicator
+from galenareel._jobs.clients import Advisor
+from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import FleetClient
+from galenareel._jobs.clients import Listing
+from galenareel._jobs.clients import Outcome
+from galenareel._jobs.clients import WorkerClient
+from galenareel._jobs.clients import WorkerDialer
+from galenareel._jobs.commands import AcceptJob
+from galenareel._jobs.commands import AdmitWorker
+from galenareel._jobs.commands import AnyCommand
+from galenareel._jobs.commands import CancelJob
+from galenareel._jobs.commands import Configure
+from galenareel._jobs.commands import encode
+from galenareel._jobs.commands import ForgetJobs
+from galenareel._jobs.commands import RecordEnds
+from galenareel._jobs.commands import RetireWorker
+from galenareel._jobs.commands import TakeOver
+from galenareel._jobs.engine import Engine
+from galenareel._jobs.fleet import Fleet
+from galenareel._jobs.state import JobState
+from galenareel._scheduling.tables import AskAdvice
+from galenareel._scheduling.tables import Order
+from galenareel._scheduling.tables import PaceTask
+from galenareel._scheduling.tables import Run
+from galenareel._scheduling.tables import RunState
+from galenareel._scheduling.tables import StartTask
+from galenareel._scheduling.tables import StopTask
+from galenareel._scheduling.tables import Worker
+
+PROPOSE_TIMEOUT_S = 2.5
+POLL_S = 0.02  # between looks at whether this member leads
+HOUSEKEEPING_S = 0.1
+ORDER_LANES = 3  # orders on their way to one worker at once
+START_TRIES = 2  # of an order that got no answer
+LOOK_WAIT_MS = 700  # a look waits this long for an end
+SHARED_WAIT_MS = 350  # where filling tasks run beside serving ones
+LOOK_PAUSE_S = 0.15  # after a look that failed
+FORGET_AFTER_S = 180.0  # callers ask for a job for two minutes
+FORGET_EVERY_S = 10.0
+GONE_AFTER_S = 8.0  # without lease and heartbeat a worker is forgotten
+
+
+class Leader:
+    """Leads while the replicated log says so.
+
+    :param name: of this member, named with orders to the platform.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        replicator: Replicator,
+        state: JobState,
+        dialer: WorkerDialer,
+        fleet: FleetClient,
+        advisor: Advisor,
+        clock: Clock,
+        log: Log,
+    ) -> None:
+        self._name = name
+        self._replicator = replicator
+        self._state = state
+        self._dialer = dialer
+        self._fleet_client = fleet
+        self._advisor = advisor
+        self._clock = clock
+        self._log = log
+        self._term: Term | None = None
+        self._job: gevent.Greenlet | None = None
+        state.set_listener(self._applied)
+
+    def start(self) -> None:
+        self._job = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        if self._job is not None:
+            self._job.kill()
+        self._end_term()
+
+    @property
+    def engine(self) -> Engine | None:
+        """The engine, if this member has the right to lead now."""
+        term = self._term
+        if term is None or not self._replicator.is_leader():
+            return None
+        return term.engine
+
+    def propose(self, command: AnyCommand) -> Any | NotLeader | Unreachable:
+        return self._replicator.propose(
+            encode(command), timeout_s=PROPOSE_TIMEOUT_S
+        )
+
+    def wall_ms(self) -> int:
+        return int(self._clock.wall() * 1000)
+
+    def heard_from(self, worker: str) -> None:
+        """A heartbeat of a worker has come."""
+        if self._term is not None:
+            self._term.beats[worker] = self._clock.monotonic()
+
+    def wake(self) -> None:
+        if self._term is not None:
+            self._term.wake()
+
+    def _run(self) -> None:
+        while True:
+            if self._replicator.is_leader():
+                self._lead()
+            gevent.sleep(POLL_S)
+
+    def _lead(self) -> None:
+        epoch = self.propose(TakeOver(node=self._name))
+        if not isinstance(epoch, int) or not self._replicator.is_leader():
+            return
+        now = self._clock.monotonic()
+        engine = Engine(self._state, epoch=epoch, log=self._log, now=now)
+        self._log.info(
+            'leading',
+            epoch=epoch,
+            jobs=len(engine.jobs),
+            workers=len(engine.workers),
+        )
+        self._term = Term(
+            engine=engine,
+            name=self._name,
+            state=self._state,
+            propose=self.propose,
+            leads=self._replicator.is_leader,
+            dialer=self._dialer,
+            fleet=self._fleet_client,
+            advisor=self._advisor,
+            clock=self._clock,
+            log=self._log,
+        )
+        try:
+            self._term.run()
+        finally:
+            why = 'fenced' if engine.fenced else 'not_leader'
+            self._log.info('leading_ended', epoch=epoch, why=why)
+            self._end_term()
+
+    def _end_term(self) -> None:
+        term, self._term = self._term, None
+        if term is not None:
+            term.close()
+
+    def _applied(self, command: AnyCommand, changed: bool) -> None:
+        if self._term is not None and changed:
+            self._term.applied(command)
+
+
+class Term:
+    """Greenlets and clients of one epoch."""
+
+    def __init__(
+        self,
+        *,
+        engine: Engine,
+        name: str,
+        state: JobState,
+        propose: Callable[[AnyCommand], Any],
+        leads: Callable[[], bool],
+        dialer: WorkerDialer,
+        fleet: FleetClient,
+        advisor: Advisor,
+        clock: Clock,
+        log: Log,
+    ) -> None:
+        self.engine = engine
+        self.beats: dict[str, float] = {}
+        self._state = state
+        self._propose = propose
+        self._leads = leads
+        self._dialer = dialer
+        self._advisor = advisor
+        self._clock = clock
+        self._log = log
+        self._open = True
+        self._wake = Event()
+        self._ends_ready = Event()
+        self._links: dict[str, _WorkerLink] = {}
+        self._greenlets: list[gevent.Greenlet] = []
+        self._forget_due = 0.0
+        self._fleet = Fleet(
+            engine=engine,
+            state=state,
+            client=fleet,
+            propose=propose,
+            may_order=self.may_order,
+            holder=name,
+            clock=clock,
+            log=log,
+        )
+
+    def run(self) -> None:
+        """Lead until the right to do so has ended."""
+        self._greenlets = [
+            gevent.spawn(self._store_ends),
+            gevent.spawn(self._housekeep),
+        ]
+        self._fleet.start()
+        self._follow_workers()
+        while self.may_order():
+            now = self._clock.monotonic()
+            self.engine.place(now)
+            self._dispatch()
+            self._wake.wait(HOUSEKEEPING_S)
+            self._wake.clear()
+
+    def close(self) -> None:
+        self._open = False
+        self._fleet.close()
+        gevent.killall(self._greenlets, block=False)
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+
+    def wake(self) -> None:
+        self._wake.set()
+
+    def may_order(self) -> bool:
+        return self._open and not self.engine.fenced and self._leads()
+
+    def applied(self, command: AnyCommand) -> None:
+        """Follow a committed command; called inside ``apply``."""
+        now = self._clock.monotonic()
+        engine = self.engine
+        if isinstance(command, AcceptJob):
+            engine.add_job(self._state.jobs[command.name], now)
+        elif isinstance(command, CancelJob):
+            engine.end_job(command.name, now, 'cancelled')
+        elif isinstance(command, RecordEnds):
+            self._close_jobs(command, now)
+        elif isinstance(command, AdmitWorker):
+            engine.admit(command.worker, now)
+            self._follow_workers()
+        elif isinstance(command, RetireWorker):
+            engine.retire(command.name, command.born, now)
+            self._follow_workers()
+        elif isinstance(command, Configure):
+            engine.follow_config(now)
+        self._wake.set()
+
+    def _close_jobs(self, command: RecordEnds, now: float) -> None:
+        names = {one.job for one in command.done}
+        names.update(task.job for task, _run in command.failed)
+        for name in names:
+            job = self._state.jobs.get(name)
+            if job is not None and job.over:
+                why = 'failed' if job.failed else 'completed'
+                self.engine.end_job(name, now, why)
+                self._log.info('job_ended', job=name, outcome=why)
+
+    # --- workers ------------------------------------------------------------
+
+    def _follow_workers(self) -> None:
+        workers = self.engine.workers
+        for name, link in list(self._links.items()):
+            worker = workers.get(name)
+            if worker is not link.worker or link.is_stale():
+                link.close()
+                del self._links[name]
+        for name, worker in workers.items():
+            if name not in self._links:
+                self._links[name] = _WorkerLink(
+                    worker, self._dialer.open(worker.record), self
+                )
+
+    def looked(
+        self, link: _WorkerLink, got: Listing | Answer, sent_at: float
+    ) -> None:
+        """Take the answer to a look."""
+        now = self._clock.monotonic()
+        worker = link.worker
+        if isinstance(got, Listing):
+            self.engine.listed(worker, got, sent_at=sent_at, now=now)
+            self._ends_ready.set()
+            self._wake.set()
+            return
+        self.engine.look_failed(worker, got, now)
+        if got.outcome is Outcome.OTHER_LIFE:
+            self._retire(worker, 'another worker answers at its address')
+
+    def _retire(self, worker: Worker, why: str) -> None:
+        self._log.info('worker_retired', worker=worker.name, why=why)
+        self._propose(RetireWorker(name=worker.name, born=worker.record.born))
+
+    def now(self) -> float:
+        return self._clock.monotonic()
+
+    # --- orders -------------------------------------------------------------
+
+    def _dispatch(self) -> None:
+        for order in self.engine.take_orders():
+            if isinstance(order, AskAdvice):
+                gevent.spawn(self._ask, order)
+                continue
+            worker = _worker_of(order)
+            link = self._links.get(worker.name) if worker else None
+            if link is not None:
+                link.put(order)
+            elif isinstance(order, StartTask):
+                self.engine.start_answered(
+                    order.run, Answer(outcome=Outcome.NOT_SENT), self.now()
+                )
+
+    def carry_out(self, order: Order, client: WorkerClient) -> None:
+        """Send one order and hand its answer to the engine."""
+        if not self.may_order():
+            return
+        if isinstance(order, StartTask):
+            self._start(order, client)
+        elif isinstance(order, StopTask):
+            answer = client.stop(
+                task=order.task, number=order.number, token=self.engine.epoch
+            )
+            self._log.info(
+                'task_stopped',
+                task=str(order.task),
+                run=order.number,
+                worker=order.worker.name,
+                why=order.why,
+                outcome=answer.outcome.value,
+            )
+            self.engine.stop_answered(order, answer, self.now())
+        elif isinstance(order, PaceTask):
+            run = order.run
+            answer = client.pace(
+                task=run.task,
+                number=run.number,
+                percent=order.percent,
+                token=self.engine.epoch,
+            )
+            self.engine.pace_answered(order, answer)
+        self._wake.set()
+
+    def _start(self, order: StartTask, client: WorkerClient) -> None:
+        run = order.run
+        tries = 0
+        while _is_wanted(run) and self.may_order():
+            tries += 1
+            until = self.engine.grant(run.worker, self.now())
+            if until is None:
+                answer = Answer(outcome=Outcome.NOT_SENT)
+            else:
+                run.until_ms = until
+                answer = client.start(
+                    task=run.task,
+                    number=run.number,
+                    specification=order.specification,
+                    until_ms=until,
+                    token=self.engine.epoch,
+                    checkpoint=order.checkpoint,
+                    ticket=order.ticket,
+                )
+            self.engine.start_answered(run, answer, self.now())
+            if answer.outcome is not Outcome.NO_ANSWER or tries > START_TRIES:
+                return
+
+    def _ask(self, order: AskAdvice) -> None:
+        advice = order.work.job.queue.advice
+        if advice is None:
+            return
+        names = tuple(one.name for one in order.workers)
+        expected_ms = advice.decision_ms + advice.per_worker_ms * len(names)
+        got = self._advisor.advise(
+            order.work.task(0).step_name(),
+            names,
+            timeout_s=1.0 + expected_ms * 2 / 1000,
+        )
+        self.engine.advised(order, got, self.now())
+        self._wake.set()
+
+    # --- loops --------------------------------------------------------------
+
+    def _store_ends(self) -> None:
+        while self._open:
+            self._ends_ready.wait()
+            self._ends_ready.clear()
+            ends = self.engine.take_ends()
+            while ends is not None and ends.needs_record():
+                result = self._propose(
+                    RecordEnds(
+                        done=tuple(ends.done),
+                        failed=tuple(ends.failed),
+                        now_ms=int(self._clock.wall() * 1000),
+                    )
+                )
+                if result is True:
+                    break
+                if isinstance(result, NotLeader) or not self.may_order():
+                    return
+            if ends is not None:
+                self.engine.ends_stored(ends)
+
+    def _housekeep(self) -> None:
+        while self._open:
+            now = self._clock.monotonic()
+            wall_ms = int(self._clock.wall() * 1000)
+            self.engine.housekeep(now, wall_ms)
+            self._retire_lost(now)
+            self._forget(now, wall_ms)
+            self._wake.set()
+            gevent.sleep(HOUSEKEEPING_S)
+
+    def _retire_lost(self, now: float) -> None:
+        for worker in list(self.engine.workers.values()):
+            beat = self.beats.get(worker.name, worker.admitted_at)
+            if worker.lapsed and now - beat > GONE_AFTER_S:
+                self._retire(worker, 'no lease and no heartbeat')
+
+    def _forget(self, now: float, wall_ms: int) -> None:
+        if now < self._forget_due:
+            return
+        self._forget_due = now + FORGET_EVERY_S
+        limit = wall_ms - FORGET_AFTER_S * 1000
+        names = tuple(
+            job.name
+            for job in self._state.jobs.values()
+            if job.over and job.ended_ms < limit
+        )
+        if names:
+            gevent.spawn(self._propose, ForgetJobs(names=names))
+
+
+class _WorkerLink:
+    """Greenlets and client of one worker."""
+
+    def __init__(
+        self, worker: Worker, client: WorkerClient, term: Term
+    ) -> None:
+        self.worker = worker
+        self._address = worker.record.address
+        self._client = client
+        self._term = term
+        self._orders: deque[Order] = deque()
+        self._lanes = 0
+        self._open = True
+        self._job = gevent.spawn(self._look_loop)
+
+    def is_stale(self) -> bool:
+        """Whether the worker has another address now."""
+        return self.worker.record.address != self._address
+
+    def put(self, order: Order) -> None:
+        self._orders.append(order)
+        if self._lanes < ORDER_LANES:
+            self._lanes += 1
+            gevent.spawn(self._order_lane)
+
+    def close(self) -> None:
+        self._open = False
+        self._job.kill(block=False)
+        self._client.close()
+
+    def _order_lane(self) -> None:
+        try:
+            while self._orders and self._open:
+                self._term.carry_out(self._orders.popleft(), self._client)
+        finally:
+            self._lanes -= 1
+
+    def _look_loop(self) -> None:
+        while self._open:
+            if not self._term.may_order():
+                return
+            worker = self.worker
+            sent_at = self._term.now()
+            got = self._client.look(
+                until_ms=self._term.engine.grant(worker, sent_at),
+                noted=worker.noted,
+                wait_ms=_wait_ms(worker),
+                token=self._term.engine.epoch,
+            )
+            if not self._open:
+                return
+            self._term.looked(self, got, sent_at)
+            if not isinstance(got, Listing):
+                gevent.sleep(LOOK_PAUSE_S)
+
+
+def _wait_ms(worker: Worker) -> int:
+    if not worker.read or worker.silent_since is not None:
+        return 0
+    if worker.noted < worker.processed:
+        # An end that is not stored yet is listed again at once.
+        return 0
+    serves = fills = False
+    for run in worker.runs.values():
+        if run.step is not None:
+            serves = serves or run.step.step.target_ms > 0
+            fills = fills or run.step.step.fills
+    return SHARED_WAIT_MS if serves and fills else LOOK_WAIT_MS
+
+
+def _worker_of(order: Order) -> Worker | None:
+    if isinstance(order, StopTask):
+        return order.worker
+    if isinstance(order, StartTask | PaceTask):
+        return order.run.worker
+    return None
+
+
+def _is_wanted(run: Run) -> bool:
+    started = run.state in (RunState.ORDERED, RunState.UNSURE)
+    return started and run.worker.runs.get(run.task) is run
--- /dev/null
+++ b/src/galenareel/_jobs/server.py
@@ -0,0 +1,101 @@
+"""Frame handler of a control member that runs jobs."""
+
+from __future__ import annotations
+
+import traceback
+
+from galenareel._common.frames import Link
+from galenareel._common.log import Log
+from galenareel._common.messages import AnyMessage
+from galenareel._common.messages import ClusterQuery
+from galenareel._common.messages import ClusterView
+from galenareel._common.messages import Done
+from galenareel._common.messages import Hello
+from galenareel._common.messages import JobCall
+from galenareel._common.messages import JoinCluster
+from galenareel._common.messages import PeerMessage
+from galenareel._common.messages import Problem
+from galenareel._common.messages import Welcome
+from galenareel._common.secret_match import secrets_match
+from galenareel._common.sentinels import Absent
+from galenareel._consensus.driver import Driver
+from galenareel._jobs.service import JobService
+
+
+class JobServer:
+    """Answers other members and the gateways."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        secret: str,
+        driver: Driver,
+        service: JobService,
+        log: Log,
+    ) -> None:
+        self._name = name
+        self._secret = secret.encode()
+        self._driver = driver
+        self._service = service
+        self._log = log
+
+    def handle(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
+        """Answer one message; nothing is answered before the hello."""
+        if isinstance(msg, Hello):
+            return self._hello(link, msg)
+        if not link.peer:
+            link.close()
+            return None
+        try:
+            return self._answer(msg)
+        except Exception as exc:
+            # The other requests of this process must go on.
+            self._log.error(
+                'request_failed',
+                request=type(msg).__name__,
+                peer=link.peer,
+                error=repr(exc),
+                trace=traceback.format_exc(limit=-3),
+            )
+            return Problem(reason='internal', detail='see the log of control')
+
+    def _hello(self, link: Link, msg: Hello) -> AnyMessage | None:
+        if not secrets_match(msg.secret.encode(), self._secret):
+            self._log.warning('wrong_cluster_secret', peer=msg.process)
+            link.close()
+            return None
+        link.peer = msg.process
+        return Welcome(process=self._name)
+
+    def _answer(self, msg: AnyMessage) -> AnyMessage | None:
+        if isinstance(msg, PeerMessage):
+            self._driver.receive(msg)
+            return None
+        if isinstance(msg, JobCall):
+            return self._service.call(msg)
+        if isinstance(msg, ClusterQuery):
+            return self._view()
+        if isinstance(msg, JoinCluster):
+            return self._join(msg)
+        return Problem(
+            reason='unexpected', detail=f'control takes no {type(msg)}'
+        )
+
+    def _view(self) -> ClusterView:
+        return ClusterView(
+            leader=self._driver.leader() or '',
+            leads=self._service.leads(),
+            members=tuple(one.address for one in self._driver.members()),
+        )
+
+    def _join(self, msg: JoinCluster) -> AnyMessage:
+        result = self._driver.change_members(add=f'{msg.name}={msg.address}')
+        if isinstance(result, Absent):
+            return Problem(
+                reason=result.reason,
+                detail=result.detail,
+                leader=self._driver.leader() or '',
+            )
+        self._log.info('member_added', member=msg.name, address=msg.address)
+        return Done(index=result)
--- /dev/null
+++ b/src/galenareel/_scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about tasks on workers: no I/O, the time is an argument."""
--- /dev/null
+++ b/src/galenareel/_scheduling/availability.py
@@ -0,0 +1,40 @@
+"""Whether planned work may take tasks of lasting steps away."""
+
+from __future__ import annotations
+
+from galenareel._scheduling.tables import Run
+from galenareel._scheduling.tables import RunState
+from galenareel._scheduling.tables import StepWork
+from galenareel._scheduling.tables import Worker
+
+AT_WORK = 100  # percent of a lasting task that works
+
+
+def is_at_work(run: Run) -> bool:
+    return run.state is RunState.RUNNING and run.percent >= AT_WORK
+
+
+def away(work: StepWork) -> int:
+    """Tasks of a lasting step that don't work now, for any reason."""
+    working = {
+        run.task.index
+        for runs in work.runs.values()
+        for run in runs
+        if is_at_work(run)
+    }
+    return work.step.count - len(working)
+
+
+def may_stop(run: Run) -> bool:
+    """Whether stopping a run keeps its step within its budget."""
+    work = run.step
+    if work is None or not work.step.lasting:
+        return True
+    if not is_at_work(run):
+        return True
+    return away(work) < work.step.may_miss or work.step.may_miss == 0
+
+
+def may_empty(worker: Worker) -> bool:
+    """Whether all lasting tasks of a worker may end at once."""
+    return all(may_stop(one) for one in worker.runs.values())
--- /dev/null
+++ b/src/galenareel/_scheduling/tables.py
@@ -0,0 +1,293 @@
+"""What the leader knows while it leads: workers, runs and waiting tasks.
+
+None of this is replicated. A new leader builds it from the replicated state
+and from what the workers list.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+import enum
+
+from galenareel._jobs.model import Queue
+from galenareel._jobs.model import Step
+from galenareel._jobs.model import TaskId
+from galenareel._jobs.model import WorkerRecord
+
+FULL_PACE = 100
+
+
+class RunState(enum.Enum):
+    """What is known of a run on its worker."""
+
+    ORDERED = 'ordered'  # the order has not been answered yet
+    UNSURE = 'unsure'  # the order got no answer and may be carried out late
+    RUNNING = 'running'
+    STOPPING = 'stopping'
+
+
+@dataclass(slots=True, kw_only=True)
+class Run:
+    """One run of a task on a worker.
+
+    :param number: grows with each run of the task.
+    :param step: the step whose task it is; ``None`` once its job is over.
+    :param until_ms: worker's clock up to which the order may be carried out.
+    :param confirmed_at: when the worker was first known to run it.
+    :param percent: progress, or share of its work that a lasting task does.
+    :param reading: tail latency in ms of a task that serves, processor use
+        of any other; ``None`` before the first one.
+    :param pace: share of its speed at which it was last told to work.
+    """
+
+    task: TaskId
+    number: int
+    worker: Worker
+    step: StepWork | None
+    ordered_at: float
+    until_ms: int = 0
+    state: RunState = RunState.ORDERED
+    confirmed_at: float | None = None
+    stop_asked_at: float | None = None
+    stop_answered_at: float | None = None
+    percent: int = 0
+    saved: str = ''
+    reading: float | None = None
+    pace: int = FULL_PACE
+    paced_at: float = 0.0
+    at_work_since: float | None = None
+    cpu: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class Health:
+    """What came of the runs on one worker, decaying with time."""
+
+    ended: float = 0.0
+    failed: float = 0.0
+    failed_in_row: int = 0
+    slowness: float = 1.0
+    suspect_until: float = 0.0
+    seen_at: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Worker:
+    """A worker and what it runs.
+
+    :param read: its lists have been read in this epoch.
+    :param over_at: local time at which every lease given has surely run out.
+    :param processed: number of the last listed end that was handled.
+    :param noted: number of the last listed end that is stored.
+    :param closing: why it gets no new tasks, or empty.
+    """
+
+    record: WorkerRecord
+    read: bool = False
+    lapsed: bool = False
+    heard_at: float = 0.0
+    silent_since: float | None = None
+    clock_ms: int = 0
+    clock_at: float = 0.0
+    granted_ms: int = 0
+    over_at: float = 0.0
+    processed: int = 0
+    noted: int = 0
+    runs: dict[TaskId, Run] = field(default_factory=dict)
+    cpu_used: int = 0
+    memory_used: int = 0
+    gpus_used: int = 0
+    instance: str = ''
+    draining: bool = False
+    leaves_at: float | None = None
+    cold_until: float = 0.0
+    admitted_at: float = 0.0
+    closing: str = ''
+    health: Health = field(default_factory=Health)
+
+    @property
+    def name(self) -> str:
+        return self.record.name
+
+    @property
+    def pool(self) -> str:
+        return self.record.pool
+
+    def is_open(self) -> bool:
+        """Whether it may be given a new task."""
+        return (
+            self.read
+            and not self.lapsed
+            and not self.draining
+            and not self.closing
+            and self.silent_since is None
+        )
+
+    def has_room(self, step: Step) -> bool:
+        room = self.record.room
+        cpu = 0 if step.fills else step.cpu
+        return (
+            self.cpu_used + cpu <= room.cpu
+            and self.memory_used + step.memory_mb <= room.memory_mb
+            and self.gpus_used + step.gpus <= room.gpus
+        )
+
+    def fits_empty(self, step: Step) -> bool:
+        """Whether a task would fit if nothing else ran here."""
+        room = self.record.room
+        cpu = 0 if step.fills else step.cpu
+        return (
+            cpu <= room.cpu
+            and step.memory_mb <= room.memory_mb
+            and step.gpus <= room.gpus
+        )
+
+    def add(self, run: Run) -> None:
+        self.runs[run.task] = run
+        self.cpu_used += run.cpu
+        self.memory_used += run.memory_mb
+        self.gpus_used += run.gpus
+
+    def drop(self, run: Run) -> None:
+        del self.runs[run.task]
+        self.cpu_used -= run.cpu
+        self.memory_used -= run.memory_mb
+        self.gpus_used -= run.gpus
+
+
+@dataclass(slots=True, kw_only=True)
+class StepWork:
+    """A step of one occurrence whose turn has come.
+
+    :param waiting: tasks that run nowhere.
+    :param away_since: when each task of a lasting step stopped working.
+    :param avoid: workers on which a task has failed.
+    """
+
+    job: JobWork
+    occurrence: int
+    number: int
+    step: Step
+    waiting: set[int] = field(default_factory=set)
+    runs: dict[int, list[Run]] = field(default_factory=dict)
+    last_run: dict[int, int] = field(default_factory=dict)
+    saved: dict[int, str] = field(default_factory=dict)
+    avoid: dict[int, set[str]] = field(default_factory=dict)
+    failures: dict[int, int] = field(default_factory=dict)
+    not_before: dict[int, float] = field(default_factory=dict)
+    released_at: dict[int, float] = field(default_factory=dict)
+    tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
+    advice_asked: set[str] = field(default_factory=set)
+    racks: dict[str, int] = field(default_factory=dict)
+    per_worker: dict[str, int] = field(default_factory=dict)
+    ready_at: float = 0.0
+
+    def task(self, index: int) -> TaskId:
+        return TaskId(self.job.name, self.occurrence, self.number, index)
+
+    def rank(self) -> float:
+        return self.job.rank
+
+    def running(self) -> int:
+        return sum(len(one) for one in self.runs.values())
+
+
+@dataclass(slots=True, kw_only=True)
+class JobWork:
+    """An accepted job that is not over.
+
+    :param accepted_at: local time of its acceptance.
+    :param objective_s: time from acceptance within which it is on time.
+    :param doomed: a task has failed too often; nothing more is started.
+    :param prior: accepted before this epoch; another leader may have
+        started its tasks.
+    """
+
+    name: str
+    queue: Queue
+    accepted_at: float
+    objective_s: float = 0.0
+    work_core_s: float = 0.0
+    left_core_s: float = 0.0
+    chain_s: float = 0.0
+    rank: float = 0.0
+    lasting: bool = False
+    doomed: bool = False
+    prior: bool = False
+    started: bool = False
+    pools: tuple[str, ...] = ()
+    steps: dict[tuple[int, int], StepWork] = field(default_factory=dict)
+
+
+@dataclass(slots=True, kw_only=True)
+class PoolWork:
+    """Steps that wait for workers of one pool."""
+
+    name: str
+    dirty: bool = True
+    waiting: dict[tuple[str, int, int], StepWork] = field(default_factory=dict)
+
+
+# --- orders and findings that the leader carries out -------------------------
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StartTask:
+    run: Run
+    specification: str
+    checkpoint: str
+    ticket: str = ''
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StopTask:
+    """:param why: reason in the log, e.g. ``cancelled``."""
+
+    worker: Worker
+    task: TaskId
+    number: int
+    why: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PaceTask:
+    run: Run
+    percent: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AskAdvice:
+    """Ask which of some workers may run a step."""
+
+    work: StepWork
+    workers: tuple[Worker, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MaintainInstance:
+    """Begin the maintenance of an empty instance."""
+
+    instance: str
+    wave: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MoveInstance:
+    """Move an empty instance to another pool."""
+
+    instance: str
+    pool: str
+    why: str
+
+
+Order = (
+    StartTask
+    | StopTask
+    | PaceTask
+    | AskAdvice
+    | MaintainInstance
+    | MoveInstance
+)
