--- a/src/galenareel/_jobs/leader.py
+++ b/src/galenareel/_jobs/leader.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
-from collections import deque
 from typing import Any
 
 import gevent
@@ -455,7 +455,7 @@
         self._address = worker.record.address
         self._client = client
         self._term = term
-        self._orders: deque[Order] = deque()
+        self._orders: collections.deque[Order] = collections.deque()
         self._lanes = 0
         self._open = True
         self._job = gevent.spawn(self._look_loop)
