Maintain instances in waves and move them to where work waits

Cause: waves were stored and not carried out, and every pool kept all its instances while one queue at a time asks for more than its pool holds.

Change: _scheduling/fleet.py plans maintenance and moves; a pool keeps what its jobs' slack asks for. Looks wait until the ends they listed are stored.

--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -29,6 +29,7 @@
 from galenareel._jobs.model import WorkerRecord
 from galenareel._jobs.state import Job
 from galenareel._jobs.state import JobState
+from galenareel._scheduling.availability import may_stop
 from galenareel._scheduling.health import observe_end
 from galenareel._scheduling.health import observe_time
 from galenareel._scheduling.pacing import pace_worker
@@ -160,6 +161,8 @@
         }
         work.started = bool(job.progress)
         self.estimates.plan(work, job.request)
+        if not prior and not work.lasting and not job.request.repetitions:
+            self._pool(work).arrived(work)
         for occurrence in range(job.request.occurrences()):
             due = job.request.due_ms(occurrence)
             if due:
@@ -252,7 +255,10 @@
         return step.job.name, step.occurrence, step.number
 
     def _pool(self, work: JobWork) -> PoolWork:
-        name = work.queue.pool
+        return self.pool(work.queue.pool)
+
+    def pool(self, name: str) -> PoolWork:
+        """What waits for workers of a pool."""
         if name not in self.pools:
             self.pools[name] = PoolWork(name=name)
         return self.pools[name]
@@ -278,7 +284,7 @@
         if record.draining and not worker.draining:
             worker.draining = True
             self._log.info('worker_drains', worker=record.name)
-        self._wake_pool(record.pool)
+        self.wake_pool(record.pool)
         return worker
 
     def retire(self, name: str, born: int, now: float) -> None:
@@ -313,7 +319,7 @@
         worker.health = type(worker.health)()
         self._log.info('worker_restarted', worker=worker.name)
 
-    def _wake_pool(self, name: str) -> None:
+    def wake_pool(self, name: str) -> None:
         pool = self.pools.get(name)
         if pool is not None:
             pool.dirty = True
@@ -369,7 +375,7 @@
                 silent_s=round(now - worker.silent_since, 2),
             )
             worker.silent_since = None
-            self._wake_pool(worker.pool)
+            self.wake_pool(worker.pool)
         if clock_ms:
             worker.clock_ms = clock_ms
             worker.clock_at = now
@@ -439,7 +445,7 @@
             self._log.info(
                 'worker_read', worker=worker.name, runs=len(worker.runs)
             )
-            self._wake_pool(worker.pool)
+            self.wake_pool(worker.pool)
 
     def _mark(self, worker: Worker) -> None:
         if worker.processed > worker.noted:
@@ -595,7 +601,7 @@
             job = self._state.jobs[task.job]
             self._open_steps(job, task.occurrence, now)
             self.estimates.plan_left(step.job, job.request, self._done)
-        self._wake_pool(worker.pool)
+        self.wake_pool(worker.pool)
 
     def _task_failed(
         self,
@@ -675,7 +681,7 @@
 
     def _forget_run(self, run: Run) -> None:
         run.worker.drop(run)
-        self._wake_pool(run.worker.pool)
+        self.wake_pool(run.worker.pool)
         step = run.step
         if step is None:
             return
@@ -831,6 +837,17 @@
                 if self._outlasts(run, worker, now):
                     self._stop(run, now, 'worker_drains')
 
+    def vacate(self, worker: Worker, now: float) -> None:
+        """Stop the lasting tasks of a closing worker, within their budgets.
+
+        Others end by themselves.
+        """
+        for run in list(worker.runs.values()):
+            lasting = run.step is not None and run.step.step.lasting
+            running = run.state is RunState.RUNNING
+            if lasting and running and may_stop(run):
+                self._stop(run, now, 'worker_closes')
+
     def _outlasts(self, run: Run, worker: Worker, now: float) -> bool:
         assert run.step is not None, 'checked by the caller'
         step = run.step.step
--- a/src/galenareel/_jobs/estimates.py
+++ b/src/galenareel/_jobs/estimates.py
@@ -75,6 +75,7 @@
             ends.append(start + seconds)
             total += seconds * step.cpu / 1000 * step.count
         work.chain_s = max(ends, default=0.0)
+        work.planned_s = work.chain_s
         work.work_core_s = total
         work.left_core_s = total
         work.objective_s = (
--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -1,4 +1,9 @@
-"""Maintenance waves and moves of instances between pools."""
+"""Maintenance waves and moves of instances between pools.
+
+Every order names this member and its epoch, so that the platform refuses
+those of a former leader. A new leader waits until an order of the former one
+can't be on its way any more.
+"""
 
 from __future__ import annotations
 
@@ -9,10 +14,35 @@
 
 from galenareel._common.clock import Clock
 from galenareel._common.log import Log
+from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import FleetClient
+from galenareel._jobs.clients import InstanceRow
+from galenareel._jobs.clients import InstanceState
+from galenareel._jobs.clients import Outcome
 from galenareel._jobs.commands import AnyCommand
+from galenareel._jobs.commands import RecordMaintenance
+from galenareel._jobs.commands import RetireWorker
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.state import JobState
+from galenareel._scheduling.fleet import BUSY_RETRY_S
+from galenareel._scheduling.fleet import Demand
+from galenareel._scheduling.fleet import demand_of
+from galenareel._scheduling.fleet import FleetTables
+from galenareel._scheduling.fleet import Instance
+from galenareel._scheduling.fleet import Maintain
+from galenareel._scheduling.fleet import MOVE
+from galenareel._scheduling.fleet import Move
+from galenareel._scheduling.fleet import plan_maintenance
+from galenareel._scheduling.fleet import plan_moves
+from galenareel._scheduling.fleet import WAVE
+
+PLAN_S = 0.1
+TAKE_OVER_S = 3.2  # over the platform's lease of a holder
+READ_EVERY_S = 20.0  # the list, while nothing changes
+READ_SOON_S = 1.0  # while orders run or workers are not mapped
+MAINTENANCE_S = 2.0  # that the platform takes at least
+MOVE_S = 1.5
+OVERDUE_S = 4.0  # after which an instance counts as listed again
 
 
 class Fleet:
@@ -38,11 +68,277 @@
         self._holder = holder
         self._clock = clock
         self._log = log
+        self._tables = FleetTables()
+        self._read_at = 0.0
+        self._read_asked = 0.0
         self._job: gevent.Greenlet | None = None
+        self._calls: list[gevent.Greenlet] = []
 
     def start(self) -> None:
-        """Nothing yet."""
+        self._job = gevent.spawn(self._run)
 
     def close(self) -> None:
         if self._job is not None:
             self._job.kill(block=False)
+        gevent.killall(self._calls, block=False)
+
+    def _run(self) -> None:
+        began = self._clock.monotonic()
+        first_epoch = self._engine.epoch == 1
+        while True:
+            now = self._clock.monotonic()
+            self._read_if_due(now)
+            settled = first_epoch or now - began > TAKE_OVER_S
+            if self._tables.instances and settled and self._may_order():
+                self._plan(self._clock.monotonic())
+            self._calls = [one for one in self._calls if not one.dead]
+            gevent.sleep(PLAN_S)
+
+    # --- the list -----------------------------------------------------------
+
+    def _read_if_due(self, now: float) -> None:
+        soon = self._is_unsettled(now)
+        every = READ_SOON_S if soon else READ_EVERY_S
+        if self._read_asked and now - self._read_asked < every:
+            return
+        self._read_asked = now
+        rows = self._client.instances()
+        now = self._clock.monotonic()
+        if isinstance(rows, Answer):
+            self._log.warning(
+                'instances_not_read',
+                why=rows.outcome.value,
+                detail=rows.detail,
+                age_s=round(now - self._read_at, 1),
+            )
+            return
+        self._read_at = now
+        for row in rows:
+            self._note(row, asked_at=self._read_asked)
+        listed = {row.name for row in rows}
+        for name in list(self._tables.instances):
+            if name not in listed:
+                del self._tables.instances[name]
+        self._leave_waves(listed)
+
+    def _is_unsettled(self, now: float) -> bool:
+        if self._state.config is None:
+            return False
+        instances = self._tables.instances
+        mapped = {one.row.worker for one in instances.values()}
+        if any(name not in mapped for name in self._engine.workers):
+            return True
+        waves = any(
+            not one.is_complete() for one in self._state.waves.values()
+        )
+        return waves or any(
+            one.ordered or one.row.state is not InstanceState.UP
+            for one in instances.values()
+        )
+
+    def _note(self, row: InstanceRow, *, asked_at: float) -> None:
+        known = self._tables.instances.get(row.name)
+        if known is None:
+            self._tables.instances[row.name] = Instance(
+                row=row, listed_at=asked_at
+            )
+        else:
+            known.row = row
+            known.listed_at = asked_at
+            settled = asked_at >= known.down_until
+            if known.ordered and settled and row.state is InstanceState.UP:
+                known.ordered = ''
+        worker = self._engine.workers.get(row.worker)
+        if worker is not None:
+            worker.instance = row.name
+
+    def _leave_waves(self, listed: set[str]) -> None:
+        """Instances that are gone need no maintenance."""
+        for wave in self._state.waves.values():
+            gone = tuple(
+                one
+                for one in wave.instances
+                if one not in listed and one not in wave.done
+            )
+            if gone:
+                self._propose(
+                    RecordMaintenance(number=wave.number, instances=gone)
+                )
+
+    # --- planning -----------------------------------------------------------
+
+    def _plan(self, now: float) -> None:
+        engine = self._engine
+        tables = self._tables
+        waves = list(self._state.waves.values())
+        for order in plan_maintenance(tables, waves, engine.workers, now):
+            self._begin(order, now)
+        demands = self._demands(now)
+        for move in plan_moves(
+            tables, demands, self._standby(), engine.workers, now
+        ):
+            self._close_for_move(move, now)
+        self._close_workers(now)
+
+    def _demands(self, now: float) -> dict[str, Demand]:
+        demands = {}
+        config = self._state.config
+        for pool in config.pools if config is not None else ():
+            work = self._engine.pool(pool.name)
+            if pool.standby:
+                continue
+            members = [
+                one
+                for one in self._engine.workers.values()
+                if one.pool == pool.name and not one.lapsed
+            ]
+            demand = demand_of(work, members, now)
+            demand.coming = sum(
+                1
+                for one in self._tables.instances.values()
+                if one.row.pool == pool.name and self._is_coming(one)
+            )
+            demands[pool.name] = demand
+        return demands
+
+    def _is_coming(self, instance: Instance) -> bool:
+        """Whether an instance of a pool will have a worker soon."""
+        if instance.row.worker in self._engine.workers:
+            return False
+        return bool(instance.ordered) or instance.row.state in (
+            InstanceState.MOVING,
+            InstanceState.MAINTENANCE,
+        )
+
+    def _standby(self) -> str:
+        config = self._state.config
+        pools = config.pools if config is not None else ()
+        return next((one.name for one in pools if one.standby), '')
+
+    def _close_workers(self, now: float) -> None:
+        """Give closing instances no new tasks, and empty them."""
+        for instance in self._tables.instances.values():
+            worker = self._engine.workers.get(instance.row.worker)
+            if worker is None:
+                continue
+            closing = instance.closing_for
+            if worker.closing != closing:
+                worker.closing = closing
+                self._engine.wake_pool(worker.pool)
+            if closing == WAVE:
+                self._engine.vacate(worker, now)
+
+    def _close_for_move(self, move: Move, now: float) -> None:
+        instance = self._tables.instances[move.instance]
+        worker = self._engine.workers.get(instance.row.worker)
+        if worker is not None:
+            worker.closing = MOVE
+        instance.closing_for = MOVE
+        self._begin(move, now)
+
+    # --- orders -------------------------------------------------------------
+
+    def _begin(self, order: Maintain | Move, now: float) -> None:
+        instance = self._tables.instances[order.instance]
+        instance.ordered = WAVE if isinstance(order, Maintain) else MOVE
+        instance.ordered_at = now
+        instance.down_until = now + OVERDUE_S
+        self._calls.append(gevent.spawn(self._carry_out, order, instance))
+
+    def _carry_out(self, order: Maintain | Move, instance: Instance) -> None:
+        answer = self._call(order)
+        now = self._clock.monotonic()
+        self._log.info(
+            'instance_ordered',
+            instance=order.instance,
+            order=instance.ordered,
+            target=order.wave if isinstance(order, Maintain) else order.pool,
+            why='' if isinstance(order, Maintain) else order.why,
+            worker=instance.row.worker,
+            outcome=answer.outcome.value,
+            detail=answer.detail,
+        )
+        if answer.outcome is Outcome.FENCED:
+            self._engine.fenced = True
+        elif answer.outcome is Outcome.DONE:
+            self._done(order, instance, now)
+        elif answer.outcome in (Outcome.REFUSED, Outcome.WRONG_WAVE):
+            self._refused(order, instance)
+        else:
+            instance.ordered = ''
+            instance.down_until = 0.0
+            instance.not_before = now + BUSY_RETRY_S
+            if isinstance(order, Move):
+                instance.closing_for = ''
+
+    def _call(self, order: Maintain | Move) -> Answer:
+        """Send an order; one without an answer is repeated."""
+        answer = Answer(outcome=Outcome.NOT_SENT)
+        while self._may_order():
+            if isinstance(order, Maintain):
+                answer = self._client.maintain(
+                    order.instance,
+                    order.wave,
+                    holder=self._holder,
+                    token=self._engine.epoch,
+                )
+            else:
+                answer = self._client.move(
+                    order.instance,
+                    order.pool,
+                    holder=self._holder,
+                    token=self._engine.epoch,
+                )
+            if answer.outcome is not Outcome.NO_ANSWER:
+                break
+            gevent.sleep(BUSY_RETRY_S)
+        return answer
+
+    def _done(
+        self, order: Maintain | Move, instance: Instance, now: float
+    ) -> None:
+        worker = self._engine.workers.get(instance.row.worker)
+        instance.closing_for = ''
+        if isinstance(order, Maintain):
+            instance.down_until = now + MAINTENANCE_S
+            self._propose(
+                RecordMaintenance(
+                    number=order.wave, instances=(order.instance,)
+                )
+            )
+        else:
+            instance.down_until = now + MOVE_S
+            instance.row = _moved(instance.row, order.pool)
+        if worker is not None:
+            # Its life has ended with the order.
+            self._propose(
+                RetireWorker(name=worker.name, born=worker.record.born)
+            )
+
+    def _refused(self, order: Maintain | Move, instance: Instance) -> None:
+        instance.ordered = ''
+        instance.closing_for = ''
+        instance.down_until = 0.0
+        if isinstance(order, Maintain):
+            # Not of that wave, or gone: nothing is left to do there.
+            self._propose(
+                RecordMaintenance(
+                    number=order.wave, instances=(order.instance,)
+                )
+            )
+        else:
+            kind = instance.row.labels[0] if instance.row.labels else ''
+            self._tables.refused.add((kind, order.pool))
+
+
+def _moved(row: InstanceRow, pool: str) -> InstanceRow:
+    return InstanceRow(
+        name=row.name,
+        pool=pool,
+        state=InstanceState.MOVING,
+        zone=row.zone,
+        rack=row.rack,
+        labels=row.labels,
+        room=row.room,
+        worker='',
+    )
--- a/src/galenareel/_jobs/leader.py
+++ b/src/galenareel/_jobs/leader.py
@@ -55,6 +55,7 @@
 START_TRIES = 2  # of an order that got no answer
 LOOK_WAIT_MS = 700  # a look waits this long for an end
 SHARED_WAIT_MS = 350  # where filling tasks run beside serving ones
+STORE_WAIT_S = 0.1  # for ends to be stored, before the next look
 LOOK_PAUSE_S = 0.15  # after a look that failed
 FORGET_AFTER_S = 180.0  # callers ask for a job for two minutes
 FORGET_EVERY_S = 10.0
@@ -200,6 +201,7 @@
         self._open = True
         self._wake = Event()
         self._ends_ready = Event()
+        self._stored = Event()
         self._links: dict[str, _WorkerLink] = {}
         self._greenlets: list[gevent.Greenlet] = []
         self._forget_due = 0.0
@@ -298,6 +300,9 @@
             self.engine.listed(worker, got, sent_at=sent_at, now=now)
             self._ends_ready.set()
             self._wake.set()
+            if worker.noted < worker.processed:
+                # A look before they are stored would list them again.
+                self._stored.wait(STORE_WAIT_S)
             return
         self.engine.look_failed(worker, got, now)
         if got.outcome is Outcome.OTHER_LIFE:
@@ -414,6 +419,8 @@
                     return
             if ends is not None:
                 self.engine.ends_stored(ends)
+                self._stored.set()
+                self._stored.clear()
 
     def _housekeep(self) -> None:
         while self._open:
--- a/src/galenareel/_scheduling/availability.py
+++ b/src/galenareel/_scheduling/availability.py
@@ -5,7 +5,6 @@
 from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import RunState
 from galenareel._scheduling.tables import StepWork
-from galenareel._scheduling.tables import Worker
 
 AT_WORK = 100  # percent of a lasting task that works
 
@@ -33,8 +32,3 @@
     if not is_at_work(run):
         return True
     return away(work) < work.step.may_miss or work.step.may_miss == 0
-
-
-def may_empty(worker: Worker) -> bool:
-    """Whether all lasting tasks of a worker may end at once."""
-    return all(may_stop(one) for one in worker.runs.values())
--- /dev/null
+++ b/src/galenareel/_scheduling/fleet.py
@@ -0,0 +1,410 @@
+"""Which instances to maintain, and which to move between pools."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+import math
+
+from galenareel._jobs.clients import InstanceRow
+from galenareel._jobs.clients import InstanceState
+from galenareel._jobs.model import WaveRecord
+from galenareel._scheduling.tables import PoolWork
+from galenareel._scheduling.tables import StepWork
+from galenareel._scheduling.tables import Worker
+
+WAVE = 'wave'
+MOVE = 'move'
+
+POOL_SHARE = 3  # at most one in this many workers of a pool closes at once
+BUSY_RETRY_S = 0.5  # after the platform said that an instance is busy
+# A move takes this long to pay off; less waiting work than this goes away
+# by itself before a moved instance has arrived.
+WORTHWHILE_S = 0.6
+FILL = 0.85  # of its processors that a pool should have in use
+# From the first sign of a peak to the first task on a moved instance.
+MOVE_LATENCY_S = 2.0
+RESERVE = 0.5  # of the highest load, where jobs can't wait for a move
+PATIENT_RESERVE = 0.2  # where they can
+SEEN_PEAK = 0.5  # of a pool's first size; a lower load is no peak
+IDLE_S = 2.0  # a pool that could spare an instance for so long gives it up
+
+
+@dataclass(slots=True, kw_only=True)
+class Instance:
+    """An instance as last listed, and what was ordered since.
+
+    :param down_until: a maintenance or move that was ordered ends then.
+    :param listed_at: when the row was read.
+    """
+
+    row: InstanceRow
+    listed_at: float
+    ordered: str = ''
+    ordered_at: float = 0.0
+    down_until: float = 0.0
+    not_before: float = 0.0
+    closing_for: str = ''
+
+    def is_up(self, now: float) -> bool:
+        listed_up = self.row.state is InstanceState.UP
+        return listed_up and now >= self.down_until
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Maintain:
+    """Begin the maintenance of an instance that runs nothing."""
+
+    instance: str
+    wave: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Move:
+    """Move an instance that runs nothing.
+
+    :param why: for the log.
+    """
+
+    instance: str
+    pool: str
+    why: str
+
+
+@dataclass(slots=True, kw_only=True)
+class Demand:
+    """What a pool's work asks for, in instances."""
+
+    pool: str
+    have: int = 0
+    coming: int = 0
+    wanted: int = 0
+    least: int = 0
+    idle_since: float | None = None
+
+    def short(self) -> int:
+        return max(self.wanted - self.have - self.coming, 0)
+
+
+@dataclass(slots=True)
+class FleetTables:
+    """Instances by name, and their workers.
+
+    :param refused: kinds of instances that a pool doesn't take.
+    """
+
+    instances: dict[str, Instance] = field(default_factory=dict)
+    by_worker: dict[str, str] = field(default_factory=dict)
+    idle_since: dict[str, float] = field(default_factory=dict)
+    refused: set[tuple[str, str]] = field(default_factory=set)
+
+    def worker_of(
+        self, name: str, workers: Mapping[str, Worker]
+    ) -> Worker | None:
+        found = self.instances[name].row.worker
+        return workers.get(found)
+
+
+# --- maintenance ------------------------------------------------------------
+
+
+def plan_maintenance(
+    tables: FleetTables,
+    waves: Iterable[WaveRecord],
+    workers: Mapping[str, Worker],
+    now: float,
+) -> list[Maintain]:
+    """Orders for instances that are empty; closes those that come next.
+
+    Load pattern: a wave over half of the instances, with a limit and a
+    deadline, while pools peak in turn. Instances that run nothing go first.
+    """
+    orders: list[Maintain] = []
+    for wave in sorted(waves, key=lambda one: one.due_ms):
+        if not wave.is_complete():
+            orders += _advance(tables, wave, workers, now)
+    return orders
+
+
+def _advance(
+    tables: FleetTables,
+    wave: WaveRecord,
+    workers: Mapping[str, Worker],
+    now: float,
+) -> list[Maintain]:
+    left = [one for one in wave.instances if one not in wave.done]
+    known = [tables.instances[one] for one in left if one in tables.instances]
+    down = sum(
+        1
+        for name in wave.instances
+        if (found := tables.instances.get(name)) is not None
+        and _is_down_for(found, now)
+    )
+    closing = [one for one in known if one.closing_for == WAVE]
+    room = wave.limit - down - len(closing)
+    if room > 0:
+        for one in _next_to_close(tables, known, workers, now)[:room]:
+            one.closing_for = WAVE
+            closing.append(one)
+    orders: list[Maintain] = []
+    for one in closing:
+        ready = one.is_up(now) and now >= one.not_before
+        if down < wave.limit and ready and _is_empty(tables, one, workers):
+            orders.append(Maintain(instance=one.row.name, wave=wave.number))
+            down += 1
+    return orders
+
+
+def _is_down_for(instance: Instance, now: float) -> bool:
+    if instance.row.state is InstanceState.MAINTENANCE:
+        return True
+    return instance.ordered == WAVE and now < instance.down_until
+
+
+def _next_to_close(
+    tables: FleetTables,
+    known: list[Instance],
+    workers: Mapping[str, Worker],
+    now: float,
+) -> list[Instance]:
+    closing: dict[str, int] = {}
+    size: dict[str, int] = {}
+    for worker in workers.values():
+        size[worker.pool] = size.get(worker.pool, 0) + 1
+        if worker.closing:
+            closing[worker.pool] = closing.get(worker.pool, 0) + 1
+    chosen: list[Instance] = []
+    ready = [one for one in known if _may_close(one, now)]
+    ready.sort(key=lambda one: _closing_rank(tables, one, workers))
+    for one in ready:
+        found = workers.get(one.row.worker)
+        if found is not None:
+            pool = found.pool
+            limit = max(size[pool] // POOL_SHARE, 1)
+            if closing.get(pool, 0) >= limit or not found.is_open():
+                continue
+            closing[pool] = closing.get(pool, 0) + 1
+        chosen.append(one)
+    return chosen
+
+
+def _may_close(one: Instance, now: float) -> bool:
+    free = not one.closing_for and now >= one.not_before
+    return free and one.is_up(now)
+
+
+def _closing_rank(
+    tables: FleetTables, one: Instance, workers: Mapping[str, Worker]
+) -> tuple[int, int, str]:
+    worker = workers.get(one.row.worker)
+    if worker is None:
+        return 0, 0, one.row.name
+    lasting = sum(
+        1
+        for run in worker.runs.values()
+        if run.step is not None and run.step.step.lasting
+    )
+    return 1 + lasting, worker.cpu_used, one.row.name
+
+
+def _is_empty(
+    tables: FleetTables, one: Instance, workers: Mapping[str, Worker]
+) -> bool:
+    worker = workers.get(one.row.worker)
+    return worker is None or (worker.closing != '' and not worker.runs)
+
+
+# --- moves ------------------------------------------------------------------
+
+
+def demand_of(pool: PoolWork, workers: Iterable[Worker], now: float) -> Demand:
+    """How many instances the present work of a pool asks for.
+
+    Load pattern: each queue in turn asks several times its mean for some
+    seconds, more than its pool holds, while the others are nearly idle.
+    """
+    members = [one for one in workers if not one.draining]
+    demand = Demand(
+        pool=pool.name, have=sum(1 for one in members if not one.closing)
+    )
+    if not members:
+        demand.wanted = 1 if pool.waiting else 0
+        return demand
+    size = sum(one.record.room.cpu for one in members) / len(members)
+    memory = sum(one.record.room.memory_mb for one in members) / len(members)
+    steps: dict[int, StepWork] = {}
+    cpu = 0.0
+    used_memory = 0.0
+    for worker in members:
+        cpu += worker.cpu_used
+        used_memory += worker.memory_used
+        for run in worker.runs.values():
+            if run.step is not None:
+                steps[id(run.step)] = run.step
+    backlog_core_s = 0.0
+    waiting_cpu = 0.0
+    waiting_memory = 0.0
+    lasting_cpu = 0.0
+    lasting_memory = 0.0
+    for step in pool.waiting.values():
+        steps[id(step)] = step
+        count = len(step.waiting)
+        if step.job.doomed:
+            continue
+        if step.step.lasting:
+            lasting_memory += count * step.step.memory_mb
+            lasting_cpu += 0 if step.step.fills else count * step.step.cpu
+            continue
+        waiting_memory += count * step.step.memory_mb
+        if not step.step.fills:
+            waiting_cpu += count * step.step.cpu
+            seconds = step.step.estimate_ms / 1000
+            backlog_core_s += count * step.step.cpu / 1000 * seconds
+    memory = max(memory, 1.0)
+    pool.first_size = pool.first_size or len(members)
+    arriving = pool.arriving_cpu(now)
+    pool.peak_cpu = max(pool.peak_cpu, arriving)
+    demand.least = max(_least(steps.values()), _reserve(pool, size))
+    wanted = max(
+        (cpu + lasting_cpu) / size / FILL,
+        (used_memory + lasting_memory) / memory / FILL,
+        arriving / size / FILL,
+    )
+    wait_s = backlog_core_s / (size * len(members) / 1000)
+    if wait_s > WORTHWHILE_S:
+        wanted = max(
+            wanted,
+            (cpu + lasting_cpu + waiting_cpu) / size,
+            (used_memory + lasting_memory + waiting_memory) / memory,
+        )
+    demand.wanted = max(math.ceil(wanted), 1)
+    return demand
+
+
+def _reserve(pool: PoolWork, size: float) -> int:
+    """Instances that a pool keeps between its peaks.
+
+    A moved instance arrives too late for the first jobs of a peak unless
+    these can wait for it. A pool keeps what its jobs' slack asks for, and
+    its first size until a peak has shown what that is.
+    """
+    if pool.slack_s is None:
+        return pool.first_size
+    if pool.slack_s >= MOVE_LATENCY_S:
+        share = PATIENT_RESERVE
+    else:
+        share = RESERVE
+        if pool.peak_cpu < size * pool.first_size * SEEN_PEAK:
+            return pool.first_size
+    return math.ceil(share * pool.peak_cpu / size)
+
+
+def _least(steps: Iterable[StepWork]) -> int:
+    """Workers that the spreading of lasting steps asks for."""
+    least = 1
+    for step in steps:
+        if step.step.lasting and step.step.per_worker:
+            need = math.ceil(step.step.count / step.step.per_worker)
+            least = max(least, need)
+    return least
+
+
+def plan_moves(
+    tables: FleetTables,
+    demands: Mapping[str, Demand],
+    standby: str,
+    workers: Mapping[str, Worker],
+    now: float,
+) -> list[Move]:
+    """Move empty instances to where work waits.
+
+    An instance goes from the pool whose peak has ended straight to the one
+    whose peak begins; the standby pool, whose instances cost nothing, takes
+    what no pool needs.
+    """
+    moves: list[Move] = []
+    taken: set[str] = set()
+    short = sorted(
+        (one for one in demands.values() if one.short() > 0),
+        key=lambda one: -one.short(),
+    )
+    for need in short:
+        missing = need.short()
+        for name in _donors(tables, demands, standby, workers, now):
+            if missing <= 0:
+                break
+            row = tables.instances[name].row
+            kind = row.labels[0] if row.labels else ''
+            if name in taken or row.pool == need.pool:
+                continue
+            if (kind, need.pool) in tables.refused:
+                continue
+            taken.add(name)
+            missing -= 1
+            if row.pool in demands:
+                demands[row.pool].have -= 1
+            moves.append(
+                Move(
+                    instance=name,
+                    pool=need.pool,
+                    why=f'{need.pool} wants {need.wanted} of {need.have}',
+                )
+            )
+    if not short and standby:
+        moves += _release(tables, demands, standby, workers, now)
+    return moves
+
+
+def _donors(
+    tables: FleetTables,
+    demands: Mapping[str, Demand],
+    standby: str,
+    workers: Mapping[str, Worker],
+    now: float,
+) -> list[str]:
+    """Instances that may leave their pool, the cheapest first."""
+    found: list[tuple[int, str]] = []
+    spare: dict[str, int] = {
+        one.pool: one.have - max(one.wanted, one.least)
+        for one in demands.values()
+    }
+    for name, instance in sorted(tables.instances.items()):
+        if not _may_close(instance, now) or instance.ordered:
+            continue
+        pool = instance.row.pool
+        if pool == standby:
+            found.append((1, name))
+            continue
+        worker = workers.get(instance.row.worker)
+        if worker is None or worker.runs or not worker.is_open():
+            continue
+        if spare.get(pool, 0) > 0:
+            spare[pool] -= 1
+            found.append((0, name))
+    return [name for _rank, name in sorted(found)]
+
+
+def _release(
+    tables: FleetTables,
+    demands: Mapping[str, Demand],
+    standby: str,
+    workers: Mapping[str, Worker],
+    now: float,
+) -> list[Move]:
+    """Give instances back that a pool could have spared for a while."""
+    moves: list[Move] = []
+    for demand in demands.values():
+        if demand.have + demand.coming <= max(demand.wanted, demand.least):
+            tables.idle_since.pop(demand.pool, None)
+            continue
+        since = tables.idle_since.setdefault(demand.pool, now)
+        if now - since < IDLE_S:
+            continue
+        for name in _donors(tables, demands, standby, workers, now):
+            if tables.instances[name].row.pool == demand.pool:
+                why = f'{demand.pool} wants {demand.wanted} of {demand.have}'
+                moves.append(Move(instance=name, pool=standby, why=why))
+                break
+    return moves
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 import enum
@@ -16,6 +17,9 @@
 from galenareel._jobs.model import WorkerRecord
 
 FULL_PACE = 100
+ARRIVALS_S = 0.6  # shortest time over which arriving work is counted
+MAX_ARRIVALS = 2000
+SLACK_WEIGHT = 0.1  # of a new job in the mean slack
 
 
 class RunState(enum.Enum):
@@ -201,6 +205,7 @@
 
     :param accepted_at: local time of its acceptance.
     :param objective_s: time from acceptance within which it is on time.
+    :param planned_s: expected length of its chain when it was accepted.
     :param doomed: a task has failed too often; nothing more is started.
     :param prior: accepted before this epoch; another leader may have
         started its tasks.
@@ -213,6 +218,7 @@
     work_core_s: float = 0.0
     left_core_s: float = 0.0
     chain_s: float = 0.0
+    planned_s: float = 0.0
     rank: float = 0.0
     lasting: bool = False
     doomed: bool = False
@@ -224,11 +230,51 @@
 
 @dataclass(slots=True, kw_only=True)
 class PoolWork:
-    """Steps that wait for workers of one pool."""
+    """Steps that wait for workers of one pool, and its load.
+
+    :param first_size: workers that it had at first.
+    :param peak_cpu: highest processor use at which work has arrived.
+    :param slack_s: mean time that its jobs can wait and still be on time.
+    """
 
     name: str
     dirty: bool = True
     waiting: dict[tuple[str, int, int], StepWork] = field(default_factory=dict)
+    arrivals: deque[JobWork] = field(default_factory=deque)
+    first_size: int = 0
+    peak_cpu: float = 0.0
+    slack_s: float | None = None
+
+    def arrived(self, job: JobWork) -> None:
+        """A job was accepted."""
+        slack = job.objective_s - job.planned_s
+        if self.slack_s is None:
+            self.slack_s = slack
+        self.slack_s += SLACK_WEIGHT * (slack - self.slack_s)
+        self.arrivals.append(job)
+        if len(self.arrivals) > MAX_ARRIVALS:
+            self.arrivals.popleft()
+
+    def arriving_cpu(self, now: float) -> float:
+        """Processor use at which work arrives, in thousandths of a core.
+
+        Each job counts for as long as it is expected to take, so that a
+        single large one does not look like a rush.
+        """
+        while self.arrivals and self._is_past(self.arrivals[0], now):
+            self.arrivals.popleft()
+        return sum(
+            1000 * one.work_core_s / _window_s(one)
+            for one in self.arrivals
+            if not self._is_past(one, now)
+        )
+
+    def _is_past(self, job: JobWork, now: float) -> bool:
+        return now - job.accepted_at > _window_s(job)
+
+
+def _window_s(job: JobWork) -> float:
+    return max(job.planned_s, ARRIVALS_S)
 
 
 # --- orders and findings that the leader carries out -------------------------
