--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -893,7 +893,7 @@
         if step.job.queue.advice is not None:
             self._ask_advice(step, candidates, now)
         if step.step.gang:
-            self._place_gang(step, candidates, now)
+            self._place_gang(pool, step, candidates, now)
         else:
             for index in sorted(step.waiting):
                 if step.not_before.get(index, 0.0) > now:
@@ -979,7 +979,11 @@
         return True  # another index of the step may still find room
 
     def _place_gang(
-        self, step: StepWork, candidates: Candidates, now: float
+        self,
+        pool: PoolWork,
+        step: StepWork,
+        candidates: Candidates,
+        now: float,
     ) -> None:
         """Start all tasks of a gang in one go, or none."""
         if len(step.waiting) < step.step.count or step.running():
@@ -994,6 +998,9 @@
                 for run in placed:
                     self._forget_run(run)
                 candidates.taken()
+                # Members that failed somewhere may have to return there.
+                pool.dirty = bool(step.avoid)
+                step.avoid.clear()
                 return
             task = step.task(index)
             placed.append(self._new_run(worker, step, task, number, now))
--- /dev/null
+++ b/testing/jobs/harness.py
@@ -0,0 +1,222 @@
+"""The engine with stand-in workers and without I/O."""
+
+from __future__ import annotations
+
+import io
+
+from galenareel._common.log import Log
+from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import Listing
+from galenareel._jobs.clients import Outcome
+from galenareel._jobs.commands import AcceptJob
+from galenareel._jobs.commands import AdmitWorker
+from galenareel._jobs.commands import AnyCommand
+from galenareel._jobs.commands import CancelJob
+from galenareel._jobs.commands import Configure
+from galenareel._jobs.commands import RecordEnds
+from galenareel._jobs.commands import RetireWorker
+from galenareel._jobs.commands import TakeOver
+from galenareel._jobs.engine import Engine
+from galenareel._jobs.model import Configuration
+from galenareel._jobs.model import JobRequest
+from galenareel._jobs.model import Pool
+from galenareel._jobs.model import Queue
+from galenareel._jobs.model import Step
+from galenareel._jobs.state import JobState
+from galenareel._scheduling.tables import PaceTask
+from galenareel._scheduling.tables import StartTask
+from galenareel._scheduling.tables import StopTask
+from testing.standins.worker import FakeWorker
+
+WALL_MS = 1_000_000
+TASK = Step(count=1, cpu=1000, memory_mb=1024, estimate_ms=1000)
+
+
+def job(*steps: Step, specification: str = 'run') -> JobRequest:
+    return JobRequest(specification=specification, steps=steps or (TASK,))
+
+
+class Harness:
+    """A leader's engine, its replicated state and some workers.
+
+    :param max_attempts: of the queue ``view``.
+    """
+
+    def __init__(
+        self, *workers: FakeWorker, max_attempts: int = 3, priority: int = 0
+    ) -> None:
+        self.now = 100.0
+        self.state = JobState()
+        self.workers = {one.name: one for one in workers}
+        self.lost_answers: set[str] = set()
+        self.cut_off: set[str] = set()
+        self.log = Log('test', stream=io.StringIO())
+        self.apply(
+            Configure(
+                config=Configuration(
+                    version=1,
+                    queues=(
+                        Queue(
+                            name='view',
+                            host='h',
+                            prefix='/v/',
+                            pool='lots',
+                            max_attempts=max_attempts,
+                            priority=priority,
+                            stretch=1.6,
+                            target_ms=600,
+                        ),
+                    ),
+                    pools=(
+                        Pool(name='lots'),
+                        Pool(name='spare', standby=True),
+                    ),
+                )
+            )
+        )
+        for one in workers:
+            self.apply(AdmitWorker(worker=one.record()))
+        self.engine = self.take_over()
+
+    def apply(self, command: AnyCommand) -> object:
+        return self.state.run(command)
+
+    def take_over(self, node: str = 'c1') -> Engine:
+        """Begin a new epoch, as after a change of the leader."""
+        epoch = self.apply(TakeOver(node=node))
+        assert isinstance(epoch, int)
+        self.engine = Engine(
+            self.state, epoch=epoch, log=self.log, now=self.now
+        )
+        return self.engine
+
+    # --- callers --------------------------------------------------------------
+
+    def submit(self, name: str, req: JobRequest | None = None) -> None:
+        command = AcceptJob(
+            name=name, queue='view', request=req or job(), now_ms=WALL_MS
+        )
+        if self.apply(command) is True:
+            self.engine.add_job(self.state.jobs[name], self.now)
+
+    def cancel(self, name: str) -> None:
+        if self.apply(CancelJob(name=name, now_ms=WALL_MS)) is True:
+            self.engine.end_job(name, self.now, 'cancelled')
+
+    def retire(self, name: str) -> None:
+        record = self.state.workers[name]
+        self.apply(RetireWorker(name=name, born=record.born))
+        self.engine.retire(name, record.born, self.now)
+
+    # --- time -----------------------------------------------------------------
+
+    def pass_time(self, seconds: float, step: float = 0.1) -> None:
+        """Let time pass in small steps, with all orders carried out."""
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self.now += step
+            for one in self.workers.values():
+                one.advance(step)
+            self.round()
+
+    def round(self) -> None:
+        """Housekeeping, orders and a look at each worker."""
+        self.engine.housekeep(self.now, WALL_MS + int(self.now * 1000))
+        self.engine.place(self.now)
+        self.carry_out()
+        self.look_all()
+        self.engine.place(self.now)
+        self.carry_out()
+
+    def look_all(self) -> None:
+        for name in list(self.workers):
+            self.look(name)
+        self.store_ends()
+
+    def look(self, name: str) -> None:
+        worker = self.engine.workers.get(name)
+        if worker is None or name in self.cut_off:
+            return
+        until = self.engine.grant(worker, self.now)
+        got = self.workers[name].look(
+            until_ms=until, noted=worker.noted, token=self.engine.epoch
+        )
+        if isinstance(got, Listing):
+            self.engine.listed(
+                worker, got, sent_at=self.now - 0.001, now=self.now
+            )
+        else:
+            self.engine.look_failed(worker, got, self.now)
+
+    def store_ends(self) -> None:
+        ends = self.engine.take_ends()
+        if ends is None:
+            return
+        if ends.needs_record():
+            self.apply(
+                RecordEnds(
+                    done=tuple(ends.done),
+                    failed=tuple(ends.failed),
+                    now_ms=WALL_MS,
+                )
+            )
+            for name, found in list(self.state.jobs.items()):
+                if found.over:
+                    self.engine.end_job(name, self.now, 'over')
+        self.engine.ends_stored(ends)
+
+    def carry_out(self) -> None:
+        for order in self.engine.take_orders():
+            if isinstance(order, StartTask):
+                self._start(order)
+            elif isinstance(order, StopTask):
+                self._stop(order)
+            elif isinstance(order, PaceTask):
+                run = order.run
+                worker = self.workers[run.worker.name]
+                answer = worker.pace(
+                    run.task,
+                    run.number,
+                    percent=order.percent,
+                    token=self.engine.epoch,
+                )
+                self.engine.pace_answered(order, answer)
+
+    def _start(self, order: StartTask) -> None:
+        run = order.run
+        name = run.worker.name
+        until = self.engine.grant(run.worker, self.now)
+        assert until is not None, 'a worker is read before it gets tasks'
+        run.until_ms = until
+        answer = Answer(outcome=Outcome.NO_ANSWER)
+        if name not in self.cut_off:
+            answer = self.workers[name].start(
+                run.task, run.number, until_ms=until, token=self.engine.epoch
+            )
+        if name in self.lost_answers:
+            answer = Answer(outcome=Outcome.NO_ANSWER)
+        self.engine.start_answered(run, answer, self.now)
+
+    def _stop(self, order: StopTask) -> None:
+        name = order.worker.name
+        if name in self.cut_off or name not in self.workers:
+            return
+        answer = self.workers[name].stop(
+            order.task, order.number, token=self.engine.epoch
+        )
+        if name not in self.lost_answers:
+            self.engine.stop_answered(order, answer, self.now)
+
+    # --- what runs ------------------------------------------------------------
+
+    def running(self) -> dict[str, list[str]]:
+        """Workers that run each task now."""
+        found: dict[str, list[str]] = {}
+        for name, worker in self.workers.items():
+            for task in worker.running:
+                found.setdefault(task, []).append(name)
+        return found
+
+    def where(self, task: str) -> FakeWorker:
+        (name,) = self.running()[task]
+        return self.workers[name]
