Let a gang return to a worker on which one member failed once

Cause: a worker with a single failure got one task at a time, so a gang that needs room for all its members there never fitted.

Change: a trial task is asked for only after repeated failures.

--- a/src/galenareel/_scheduling/health.py
+++ b/src/galenareel/_scheduling/health.py
@@ -48,8 +48,8 @@
 
 def needs_trial(worker: Worker, now: float) -> bool:
     """Whether a formerly suspect worker gets one task at a time."""
-    health = worker.health
-    return not is_suspect(worker, now) and health.failed_in_row > 0
+    failed = worker.health.failed_in_row >= FAILED_IN_ROW
+    return failed and not is_suspect(worker, now)
 
 
 def _decay(health: Health, now: float) -> None:
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -277,7 +277,7 @@
     return max(job.planned_s, ARRIVALS_S)
 
 
-# --- orders and findings that the leader carries out -------------------------
+# --- orders and findings that the leader carries out ------------------------
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -90,7 +90,7 @@
         )
         return self.engine
 
-    # --- callers --------------------------------------------------------------
+    # --- callers ------------------------------------------------------------
 
     def submit(self, name: str, req: JobRequest | None = None) -> None:
         command = AcceptJob(
@@ -108,7 +108,7 @@
         self.apply(RetireWorker(name=name, born=record.born))
         self.engine.retire(name, record.born, self.now)
 
-    # --- time -----------------------------------------------------------------
+    # --- time ---------------------------------------------------------------
 
     def pass_time(self, seconds: float, step: float = 0.1) -> None:
         """Let time pass in small steps, with all orders carried out."""
@@ -207,7 +207,7 @@
         if name not in self.lost_answers:
             self.engine.stop_answered(order, answer, self.now)
 
-    # --- what runs ------------------------------------------------------------
+    # --- what runs ----------------------------------------------------------
 
     def running(self) -> dict[str, list[str]]:
         """Workers that run each task now."""
--- a/testing/jobs/test_engine.py
+++ b/testing/jobs/test_engine.py
@@ -89,7 +89,7 @@
     assert order.checkpoint == 'c0ffee'  # type: ignore[union-attr]
 
 
-# --- workers that can't be reached -------------------------------------------
+# --- workers that can't be reached ------------------------------------------
 
 
 def test_task_of_a_silent_worker_waits_until_its_lease_is_over() -> None:
@@ -178,7 +178,7 @@
     assert len(harness.running()['j.0.0.0']) == 1
 
 
-# --- changes of the leader ----------------------------------------------------
+# --- changes of the leader --------------------------------------------------
 
 
 def test_new_leader_adopts_what_runs() -> None:
@@ -264,7 +264,7 @@
     assert harness.engine.fenced
 
 
-# --- cancelling -----------------------------------------------------------------
+# --- cancelling -------------------------------------------------------------
 
 
 def test_cancelled_job_is_stopped_and_not_started_again() -> None:
@@ -288,7 +288,7 @@
     assert harness.running() == {}
 
 
-# --- gangs, copies, drains --------------------------------------------------------
+# --- gangs, copies, drains --------------------------------------------------
 
 
 def test_gang_starts_whole_or_not_at_all() -> None:
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -74,7 +74,7 @@
             draining=self.draining,
         )
 
-    # --- time and work --------------------------------------------------------
+    # --- time and work ------------------------------------------------------
 
     def advance(self, seconds: float) -> None:
         """Let time pass; a lease that runs out ends every run."""
@@ -108,7 +108,7 @@
         self.refused.clear()
         self.position = 0
 
-    # --- orders ---------------------------------------------------------------
+    # --- orders -------------------------------------------------------------
 
     def start(
         self, task: TaskId, number: int, *, until_ms: int, token: int
