--- /dev/null
+++ b/testing/adapter/test_wire.py
@@ -0,0 +1,224 @@
+"""Messages of the platform, well-formed and not."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from adapter.wire import decode_configuration
+from adapter.wire import decode_heartbeat
+from adapter.wire import decode_job
+from adapter.wire import decode_lists
+from adapter.wire import decode_machines
+from adapter.wire import decode_wave
+from adapter.wire import InvalidMessage
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from galenareel._jobs.clients import InstanceState
+from galenareel._jobs.model import EndKind
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats(allow_nan=False)
+    | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+DECODERS = [
+    decode_job,
+    decode_configuration,
+    decode_lists,
+    decode_machines,
+    decode_wave,
+    lambda body: decode_heartbeat('w', body),
+]
+
+
+def heartbeat(**changes: Any) -> dict[str, Any]:
+    return {
+        'service': 'lots',
+        'address': '10.1.2.3:80',
+        'zone': 'a',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'coldRemainingMs': 0,
+        'capacity': {'cpu': 16000, 'memoryRequestMb': 32768, 'gpus': 0},
+        'labels': ['a', 'r1-3'],
+        'clockMs': 482113,
+        'sequence': 4,
+        'born': 1700000000000,
+        **changes,
+    }
+
+
+def configuration(**changes: Any) -> dict[str, Any]:
+    route = {
+        'name': 'r',
+        'host': 'H.example',
+        'pathPrefix': '/p/',
+        'kind': 'unsafe',
+        'timeoutMs': 3000,
+        'targetLatencyMs': 600,
+        'priority': 1,
+        'service': 's',
+        'maxAttempts': 3,
+        'stretch': 1.6,
+    }
+    service = {'name': 's', 'enforcesCapacity': False, 'standby': False}
+    return {'version': 7, 'routes': [route], 'services': [service], **changes}
+
+
+def test_job_with_every_field() -> None:
+    step = {
+        'count': 4,
+        'cpu': 500,
+        'memoryRequestMb': 256,
+        'gpus': 1,
+        'estimatedMs': 900,
+        'checkpointing': True,
+        'gangScheduled': True,
+        'rackSensitive': True,
+        'requirements': 'a',
+        'dataRack': 'r1-3',
+        'antiAffinity': 2,
+        'speculative': True,
+        'longRunning': True,
+        'image': 'i',
+        'targetMs': 50,
+        'fills': True,
+        'missAllowance': 1,
+    }
+    body = {
+        'specification': 's',
+        'steps': [step, {'count': 1, 'after': [0]}],
+        'firstRunMs': 5,
+        'intervalMs': 3000,
+        'repetitions': 4,
+    }
+    job = decode_job(json.dumps(body).encode())
+    first, second = job.steps
+    assert (first.memory_mb, first.per_worker, first.may_miss) == (256, 2, 1)
+    assert first.one_rack and first.gang and first.lasting and first.fills
+    assert second.after == (0,)
+    assert job.due_ms(2) == 6005
+
+
+def test_heartbeat_names_a_worker() -> None:
+    beat = decode_heartbeat('w', json.dumps(heartbeat()).encode())
+    assert beat.worker.rack == 'r1-3'
+    assert beat.worker.born == 1700000000000
+    assert not beat.worker.draining
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': 'resting'},
+        {'address': 'nowhere'},
+        {'address': 7},
+        {'sequence': '4'},
+        {'sequence': -1},
+        {'service': ''},
+        {'capacity': None},
+        {'labels': 'a'},
+        {'born': 1.5},
+    ],
+)
+def test_heartbeat_of_another_writer_is_refused(
+    changes: dict[str, Any],
+) -> None:
+    with pytest.raises(InvalidMessage):
+        decode_heartbeat('w', json.dumps(heartbeat(**changes)).encode())
+
+
+def test_configuration_is_kept_as_it_was_sent() -> None:
+    body = json.dumps(configuration()).encode()
+    config = decode_configuration(body)
+    assert config.text == body
+    assert config.queues[0].host == 'h.example'
+
+
+def _two_alike() -> list[dict[str, Any]]:
+    (route,) = configuration()['routes']
+    return [route, {**route, 'name': 'other'}]
+
+
+def _route(**changes: Any) -> list[dict[str, Any]]:
+    (route,) = configuration()['routes']
+    return [{**route, **changes}]
+
+
+@pytest.mark.parametrize(
+    ('changes', 'problem'),
+    [
+        ({'routes': _route(service='x')}, "no service is called 'x'"),
+        ({'routes': _route(timeoutMs=0)}, 'it is 0'),
+        ({'routes': _two_alike()}, 'another route'),
+        ({'version': 'seven'}, 'Expected `int`'),
+        ({'services': None}, 'Expected `array`'),
+    ],
+)
+def test_invalid_configuration_names_what_is_wrong(
+    changes: dict[str, Any], problem: str
+) -> None:
+    body = json.dumps(configuration(**changes)).encode()
+    with pytest.raises(InvalidMessage, match=problem):
+        decode_configuration(body)
+
+
+def test_configuration_that_is_cut_short_is_refused() -> None:
+    body = json.dumps(configuration()).encode()
+    for size in range(len(body)):
+        with pytest.raises(InvalidMessage):
+            decode_configuration(body[:size])
+
+
+def test_lists_of_a_worker() -> None:
+    body = {
+        'clockMs': 5,
+        'born': 9,
+        'running': [['j.0.0.1', 2, '', 40, 12], ['j.0.0.2', 1, 'c', 0]],
+        'ended': [[3, 'j.0.0.0', 1, 'done', '']],
+    }
+    listing = decode_lists(json.dumps(body).encode())
+    assert [one.reading for one in listing.running] == [12.0, None]
+    assert listing.ended[0].how is EndKind.DONE
+
+
+def test_machines_with_an_unknown_state() -> None:
+    body = {
+        'machines': [
+            {'machine': 'm', 'pool': 'p', 'state': 'asleep', 'id': None}
+        ],
+        'nextPageToken': 3,
+    }
+    rows, token = decode_machines(json.dumps(body).encode())
+    assert rows[0].state is InstanceState.OTHER
+    assert rows[0].worker == ''
+    assert token == '3'
+
+
+@pytest.mark.parametrize('decode', DECODERS)
+@given(value=JSON)
+def test_any_json_is_read_or_refused(decode: Any, value: Any) -> None:
+    try:
+        decode(json.dumps(value).encode())
+    except InvalidMessage:
+        pass
+
+
+@pytest.mark.parametrize('decode', DECODERS)
+@given(body=st.binary(max_size=40))
+def test_any_bytes_are_read_or_refused(decode: Any, body: bytes) -> None:
+    try:
+        decode(body)
+    except InvalidMessage:
+        pass
--- /dev/null
+++ b/testing/jobs/test_state.py
@@ -0,0 +1,187 @@
+"""The replicated state of jobs."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from galenareel._common.sentinels import Refused
+from galenareel._jobs.commands import AcceptJob
+from galenareel._jobs.commands import AdmitWorker
+from galenareel._jobs.commands import CancelJob
+from galenareel._jobs.commands import Configure
+from galenareel._jobs.commands import decode
+from galenareel._jobs.commands import encode
+from galenareel._jobs.commands import ForgetJobs
+from galenareel._jobs.commands import OpenWave
+from galenareel._jobs.commands import RecordEnds
+from galenareel._jobs.commands import RecordMaintenance
+from galenareel._jobs.commands import RetireWorker
+from galenareel._jobs.commands import TakeOver
+from galenareel._jobs.model import check_job
+from galenareel._jobs.model import Configuration
+from galenareel._jobs.model import JobRequest
+from galenareel._jobs.model import Pool
+from galenareel._jobs.model import Queue
+from galenareel._jobs.model import Step
+from galenareel._jobs.model import TaskId
+from galenareel._jobs.state import JobState
+from testing.jobs.harness import job
+from testing.standins.worker import FakeWorker
+
+
+def config(version: int = 1, pool: str = 'lots') -> Configuration:
+    queue = Queue(
+        name='view', host='h', prefix='/v/', pool=pool, max_attempts=2
+    )
+    return Configuration(version, (queue,), (Pool(name=pool),), b'{}')
+
+
+@pytest.fixture
+def state() -> JobState:
+    found = JobState()
+    found.run(TakeOver(node='c1'))
+    found.run(Configure(config=config()))
+    return found
+
+
+def accept(state: JobState, name: str, *steps: Step) -> object:
+    return state.run(
+        AcceptJob(name=name, queue='view', request=job(*steps), now_ms=1)
+    )
+
+
+def test_job_is_accepted_once(state: JobState) -> None:
+    assert accept(state, 'j') is True
+    assert accept(state, 'j', Step(count=9)) is False
+    assert state.jobs['j'].request.steps[0].count == 1
+
+
+def test_job_of_a_removed_queue_is_refused(state: JobState) -> None:
+    state.run(Configure(config=Configuration(2, (), ())))
+    assert isinstance(accept(state, 'j'), Refused)
+
+
+def test_only_a_higher_version_takes_effect(state: JobState) -> None:
+    assert state.run(Configure(config=config(5, 'b'))) is True
+    assert state.run(Configure(config=config(5, 'c'))) is False
+    assert state.run(Configure(config=config(4, 'c'))) is False
+    assert state.config is not None
+    assert state.config.queues[0].pool == 'b'
+
+
+def test_job_remembers_every_pool_of_its_queue(state: JobState) -> None:
+    accept(state, 'j')
+    state.run(Configure(config=config(2, 'b')))
+    state.run(Configure(config=config(3, 'lots')))
+    assert state.jobs['j'].pools == ['b', 'lots']
+
+
+def test_job_is_over_when_all_tasks_are_done(state: JobState) -> None:
+    accept(state, 'j', Step(count=2))
+    first = RecordEnds(done=(TaskId('j', 0, 0, 0),), now_ms=5)
+    state.run(first)
+    state.run(first)
+    assert not state.jobs['j'].over
+    state.run(RecordEnds(done=(TaskId('j', 0, 0, 1),), now_ms=6))
+    assert state.jobs['j'].ended_ms == 6
+
+
+def test_failed_run_counts_once(state: JobState) -> None:
+    accept(state, 'j')
+    task = TaskId('j', 0, 0, 0)
+    state.run(RecordEnds(failed=((task, 1),), now_ms=5))
+    state.run(RecordEnds(failed=((task, 1),), now_ms=5))
+    assert not state.jobs['j'].failed
+    state.run(RecordEnds(failed=((task, 2),), now_ms=6))
+    assert state.jobs['j'].failed
+
+
+def test_failures_of_lasting_tasks_fail_no_job(state: JobState) -> None:
+    accept(state, 'j', Step(count=1, lasting=True))
+    for run in range(1, 9):
+        task = TaskId('j', 0, 0, 0)
+        state.run(RecordEnds(failed=((task, run),), now_ms=5))
+    assert not state.jobs['j'].over
+
+
+def test_cancelled_job_stays_cancelled(state: JobState) -> None:
+    accept(state, 'j')
+    assert state.run(CancelJob(name='j', now_ms=2)) is True
+    state.run(RecordEnds(done=(TaskId('j', 0, 0, 0),), now_ms=5))
+    assert state.jobs['j'].cancelled
+    assert state.jobs['j'].ended_ms == 2
+    assert isinstance(state.run(CancelJob(name='x', now_ms=2)), Refused)
+
+
+def test_older_life_of_a_worker_changes_nothing(state: JobState) -> None:
+    new = FakeWorker(name='w', born=5)
+    old = FakeWorker(name='w', born=4, pool='other')
+    state.run(AdmitWorker(worker=new.record()))
+    assert state.run(AdmitWorker(worker=old.record())) is False
+    assert state.run(RetireWorker(name='w', born=4)) is False
+    assert state.workers['w'].pool == 'lots'
+    assert state.run(RetireWorker(name='w', born=5)) is True
+
+
+def test_wave_is_complete_when_each_instance_has_begun(
+    state: JobState,
+) -> None:
+    wave = OpenWave(
+        number=1, instances=('a', 'b'), duration_ms=9, limit=1, now_ms=0
+    )
+    state.run(wave)
+    state.run(RecordMaintenance(number=1, instances=('a',)))
+    state.run(wave)  # sent again
+    assert not state.waves[1].is_complete()
+    state.run(RecordMaintenance(number=1, instances=('b',)))
+    assert state.waves[1].is_complete()
+
+
+def test_snapshot_holds_everything(state: JobState) -> None:
+    accept(state, 'j', Step(count=70))
+    accept(state, 'k')
+    accept(state, 'gone')
+    done = tuple(TaskId('j', 0, 0, one) for one in range(69))
+    state.run(RecordEnds(done=done, failed=((TaskId('k', 0, 0, 0), 7),)))
+    state.run(AdmitWorker(worker=FakeWorker(name='w').record()))
+    state.run(
+        OpenWave(number=1, instances=('a',), duration_ms=9, limit=1, now_ms=0)
+    )
+    state.run(ForgetJobs(names=('gone',)))
+    other = JobState()
+    other.restore(9, state.snapshot())
+    assert other.snapshot() == state.snapshot()
+    assert other.jobs['j'].left == 1
+    assert other.jobs['k'].progress[0, 0].failures == {0: {7}}
+    assert 'gone' not in other.jobs
+
+
+def test_commands_survive_their_encoding() -> None:
+    command = RecordEnds(
+        done=(TaskId('j', 0, 1, 2),), failed=((TaskId('j', 0, 1, 3), 4),)
+    )
+    assert decode(encode(command)) == command
+    with pytest.raises(msgspec.MsgspecError):
+        decode(b'\x91\xa3new')
+
+
+@pytest.mark.parametrize(
+    ('steps', 'place'),
+    [
+        ((), 'steps'),
+        ((Step(count=0),), 'steps[0].count'),
+        ((Step(count=1, cpu=-1),), 'steps[0]'),
+        ((Step(count=1, after=(0,)),), 'steps[0].after'),
+        ((Step(count=1, after=(1,)), Step(count=1)), 'steps[0].after'),
+        ((Step(count=1), Step(count=1, after=(-1,))), 'steps[1].after'),
+    ],
+)
+def test_bad_job_is_found(steps: tuple[Step, ...], place: str) -> None:
+    found = check_job(JobRequest(specification='s', steps=steps))
+    assert [one.place for one in found.items] == [place]
+
+
+def test_specification_has_a_limit() -> None:
+    req = JobRequest(specification='é' * 2001, steps=(Step(count=1),))
+    assert check_job(req).items[0].place == 'specification'
