Count the room of runs that are stopped because nobody wants them

Change: such a run is kept in the table without a step until its end is listed; of a job that is forgotten it fills the whole worker.

Both tests failed before.

--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -495,14 +495,14 @@
         job = self._state.jobs.get(task.job)
         work = self.jobs.get(task.job)
         if not _names_task(job, task) or job is None or work is None:
-            self._order_stop(worker, task, row.number, 'job_over')
+            self._stop_unwanted(worker, task, row.number, job, 'job_over')
             return None
         step = self._step_work(job, task.occurrence, task.step)
         others = step.runs.get(task.index, [])
         finished = self._done[task.job].get((task.occurrence, task.step), ())
         older = any(one.number >= row.number for one in others)
         if task.index in finished or older:
-            self._order_stop(worker, task, row.number, 'other_run')
+            self._stop_unwanted(worker, task, row.number, job, 'other_run')
             return None
         for one in list(others):
             if one.worker is worker:
@@ -515,6 +515,38 @@
         work.started = True
         return run
 
+    def _stop_unwanted(
+        self,
+        worker: Worker,
+        task: TaskId,
+        number: int,
+        job: Job | None,
+        why: str,
+    ) -> None:
+        """Stop a run that is no task's; it uses room until it has ended."""
+        if task in worker.runs:
+            return
+        room = worker.record.room
+        run = Run(
+            task=task,
+            number=number,
+            worker=worker,
+            step=None,
+            ordered_at=0.0,
+            state=RunState.STOPPING,
+            confirmed_at=0.0,
+            cpu=room.cpu,
+            memory_mb=room.memory_mb,
+            gpus=room.gpus,
+        )
+        if job is not None and _names_task(job, task):
+            step = job.request.steps[task.step]
+            run.cpu = 0 if step.fills else step.cpu
+            run.memory_mb = step.memory_mb
+            run.gpus = step.gpus
+        worker.add(run)
+        self._order_stop(worker, task, number, why)
+
     def _drop_vanished(
         self,
         worker: Worker,
@@ -786,7 +818,9 @@
         for worker in self.workers.values():
             for run in worker.runs.values():
                 asked = run.stop_asked_at
-                if asked is not None:
+                if run.step is None and asked is None:
+                    run.stop_asked_at = now
+                elif asked is not None:
                     unanswered = run.stop_answered_at is None
                     if unanswered and now - asked >= STOP_AGAIN_S:
                         run.stop_asked_at = now
--- a/testing/jobs/test_engine.py
+++ b/testing/jobs/test_engine.py
@@ -5,6 +5,7 @@
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.commands import CancelJob
+from galenareel._jobs.commands import ForgetJobs
 from galenareel._jobs.engine import LEASE_S
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import JobRequest
@@ -376,3 +377,38 @@
     assert list(harness.running()) == ['j.0.0.0']
     harness.pass_time(1.0)
     assert sorted(harness.running()) == ['j.0.0.0', 'j.1.0.0']
+
+
+# --- room that unwanted runs still use --------------------------------------
+
+
+def test_run_of_a_cancelled_job_uses_room_until_it_has_ended() -> None:
+    worker = FakeWorker(name='w1', room=Room(1000, 4096, 0))
+    harness = Harness(worker)
+    harness.submit('old')
+    harness.pass_time(0.3)
+    harness.apply(CancelJob(name='old', now_ms=1))
+    harness.take_over('c2')
+    harness.submit('new')
+    harness.look('w1')
+    harness.engine.place(harness.now)
+    orders = harness.engine.take_orders()
+    assert [type(one).__name__ for one in orders] == ['StopTask']
+
+    harness.pass_time(1.5)
+    assert list(harness.running()) == ['new.0.0.0']
+
+
+def test_run_of_a_forgotten_job_fills_its_worker_until_it_has_ended() -> None:
+    worker = FakeWorker(name='w1')
+    harness = Harness(worker)
+    harness.submit('old')
+    harness.pass_time(0.3)
+    harness.apply(CancelJob(name='old', now_ms=1))
+    harness.apply(ForgetJobs(names=('old',)))
+    harness.take_over('c2')
+    harness.submit('new')
+    harness.look('w1')
+    assert not harness.engine.workers['w1'].has_room(TASK)
+    harness.pass_time(1.5)
+    assert list(harness.running()) == ['new.0.0.0']
