Move instances sooner after a change of the leader, and not more than help

Change: a pool's first size is its largest until its first job; a new leader waits only for a former one that still answers; a backlog asks for what clears it in 1.5 s.

--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -44,6 +44,7 @@
 
 TICK_S = 0.05
 REOPEN_S = 5.0
+HEARD_S = 0.6  # a member that has answered since is reachable
 CHANGE_TIMEOUT_S = 5.0
 MAX_COMMAND_BYTES = 1024 * 1024
 
@@ -219,6 +220,17 @@
             return ()
         return self._member.raft.state.membership.members
 
+    def hears(self, name: str) -> bool:
+        if self._member is None:
+            return False
+        st = self._member.raft.state
+        now = self._now()
+        return any(
+            one.identity in st.progress
+            and now - st.progress[one.identity].heard < HEARD_S
+            for one in st.membership.named(name)
+        )
+
     def belongs(self) -> bool:
         """Whether this member is one of a cluster's members."""
         return any(one.identity == self._identity for one in self.members())
--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -37,6 +37,7 @@
 from galenareel._scheduling.fleet import WAVE
 
 PLAN_S = 0.1
+FORMER_ANSWERS_S = 0.4  # in which a former leader would have answered
 TAKE_OVER_S = 3.2  # over the platform's lease of a holder
 READ_EVERY_S = 20.0  # the list, while nothing changes
 READ_SOON_S = 1.0  # while orders run or workers are not mapped
@@ -57,6 +58,7 @@
         propose: Callable[[AnyCommand], Any],
         may_order: Callable[[], bool],
         holder: str,
+        former_heard: Callable[[], bool],
         clock: Clock,
         log: Log,
     ) -> None:
@@ -66,6 +68,7 @@
         self._propose = propose
         self._may_order = may_order
         self._holder = holder
+        self._former_heard = former_heard
         self._clock = clock
         self._log = log
         self._tables = FleetTables()
@@ -84,16 +87,25 @@
 
     def _run(self) -> None:
         began = self._clock.monotonic()
-        first_epoch = self._engine.epoch == 1
         while True:
             now = self._clock.monotonic()
             self._read_if_due(now)
-            settled = first_epoch or now - began > TAKE_OVER_S
+            settled = self._is_settled(now - began)
             if self._tables.instances and settled and self._may_order():
                 self._plan(self._clock.monotonic())
             self._calls = [one for one in self._calls if not one.dead]
             gevent.sleep(PLAN_S)
 
+    def _is_settled(self, age_s: float) -> bool:
+        """Whether the former leader gives no more orders.
+
+        One that answers this leader may have sent an order just before; of
+        one that is down or cut off the platform refuses every order.
+        """
+        if self._engine.epoch == 1 or age_s > TAKE_OVER_S:
+            return True
+        return age_s > FORMER_ANSWERS_S and not self._former_heard()
+
     # --- the list -----------------------------------------------------------
 
     def _read_if_due(self, now: float) -> None:
--- a/src/galenareel/_jobs/leader.py
+++ b/src/galenareel/_jobs/leader.py
@@ -65,7 +65,8 @@
 class Leader:
     """Leads while the replicated log says so.
 
-    :param name: of this member, named with orders to the platform.
+    :param name: of this member in the replicated log, named with orders to
+        the platform.
     """
 
     def __init__(
@@ -132,6 +133,7 @@
             gevent.sleep(POLL_S)
 
     def _lead(self) -> None:
+        former = self._state.holder
         epoch = self.propose(TakeOver(node=self._name))
         if not isinstance(epoch, int) or not self._replicator.is_leader():
             return
@@ -152,6 +154,7 @@
             dialer=self._dialer,
             fleet=self._fleet_client,
             advisor=self._advisor,
+            former_heard=lambda: self._replicator.hears(former),
             clock=self._clock,
             log=self._log,
         )
@@ -186,6 +189,7 @@
         dialer: WorkerDialer,
         fleet: FleetClient,
         advisor: Advisor,
+        former_heard: Callable[[], bool],
         clock: Clock,
         log: Log,
     ) -> None:
@@ -212,6 +216,7 @@
             propose=propose,
             may_order=self.may_order,
             holder=name,
+            former_heard=former_heard,
             clock=clock,
             log=log,
         )
--- a/src/galenareel/_scheduling/fleet.py
+++ b/src/galenareel/_scheduling/fleet.py
@@ -23,6 +23,7 @@
 # A move takes this long to pay off; less waiting work than this goes away
 # by itself before a moved instance has arrived.
 WORTHWHILE_S = 0.6
+CLEAR_S = 1.5  # in which waiting work should be under way
 FILL = 0.85  # of its processors that a pool should have in use
 # From the first sign of a peak to the first task on a moved instance.
 MOVE_LATENCY_S = 2.0
@@ -263,7 +264,8 @@
             seconds = step.step.estimate_ms / 1000
             backlog_core_s += count * step.step.cpu / 1000 * seconds
     memory = max(memory, 1.0)
-    pool.first_size = pool.first_size or len(members)
+    if pool.slack_s is None:
+        pool.first_size = max(pool.first_size, len(members))
     arriving = pool.arriving_cpu(now)
     pool.peak_cpu = max(pool.peak_cpu, arriving)
     demand.least = max(_least(steps.values()), _reserve(pool, size))
@@ -274,10 +276,12 @@
     )
     wait_s = backlog_core_s / (size * len(members) / 1000)
     if wait_s > WORTHWHILE_S:
+        # No more than clears the backlog soon, or than it can use at once.
+        share = min(backlog_core_s * 1000 / CLEAR_S / max(waiting_cpu, 1), 1)
         wanted = max(
             wanted,
-            (cpu + lasting_cpu + waiting_cpu) / size,
-            (used_memory + lasting_memory + waiting_memory) / memory,
+            (cpu + lasting_cpu + share * waiting_cpu) / size,
+            (used_memory + lasting_memory + share * waiting_memory) / memory,
         )
     demand.wanted = max(math.ceil(wanted), 1)
     return demand
--- a/testing/control/cluster.py
+++ b/testing/control/cluster.py
@@ -96,6 +96,9 @@
     def leader(self) -> str | None:
         return self._cluster.leader
 
+    def hears(self, name: str) -> bool:
+        return True
+
     def change_members(
         self, *, add: str | None = None, remove: str | None = None
     ) -> Any:
