--- a/src/galenareel/_common/log.py
+++ b/src/galenareel/_common/log.py
@@ -71,6 +71,9 @@
         self._logger = logging.Logger(process, level.upper())
         self._logger.addHandler(handler)
 
+    def close(self) -> None:
+        """Write what still waits; here every line is written at once."""
+
     def debug(self, event: str, **fields: Any) -> None:
         self._logger.debug(event, extra={'fields': fields})
 
--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -23,6 +23,7 @@
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.clients import RunningRow
 from galenareel._jobs.estimates import Estimates
+from galenareel._jobs.metrics import JobMetrics
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Queue
 from galenareel._jobs.model import TaskId
@@ -81,8 +82,15 @@
     """
 
     def __init__(
-        self, state: JobState, *, epoch: int, log: Log, now: float
+        self,
+        state: JobState,
+        *,
+        epoch: int,
+        log: Log,
+        metrics: JobMetrics,
+        now: float,
     ) -> None:
+        self._metrics = metrics
         self.epoch = epoch
         self.fenced = False
         self.workers: dict[str, Worker] = {}
@@ -574,6 +582,7 @@
         task = TaskId.parse(end.task)
         if task is None:
             return
+        self._metrics.ends.add(1, {'how': end.how.value})
         run = worker.runs.get(task)
         if run is not None and run.number == end.number:
             self._forget_run(run)
@@ -1064,6 +1073,8 @@
     def _order_start(self, run: Run, checkpoint: str, now: float) -> None:
         assert run.step is not None, 'a new run has a step'
         run.step.job.started = True
+        since = run.step.released_at.get(run.task.index, run.step.ready_at)
+        self._metrics.wait_s.record(now - since)
         run.saved = checkpoint
         job = self._state.jobs[run.task.job]
         ticket = run.step.tickets.get(run.worker.name, ('', 0.0))[0]
--- a/src/galenareel/_jobs/leader.py
+++ b/src/galenareel/_jobs/leader.py
@@ -38,6 +38,7 @@
 from galenareel._jobs.commands import TakeOver
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.fleet import Fleet
+from galenareel._jobs.metrics import JobMetrics
 from galenareel._jobs.state import JobState
 from galenareel._scheduling.tables import AskAdvice
 from galenareel._scheduling.tables import Order
@@ -80,7 +81,9 @@
         advisor: Advisor,
         clock: Clock,
         log: Log,
+        metrics: JobMetrics,
     ) -> None:
+        self._metrics = metrics
         self._name = name
         self._replicator = replicator
         self._state = state
@@ -138,7 +141,13 @@
         if not isinstance(epoch, int) or not self._replicator.is_leader():
             return
         now = self._clock.monotonic()
-        engine = Engine(self._state, epoch=epoch, log=self._log, now=now)
+        engine = Engine(
+            self._state,
+            epoch=epoch,
+            log=self._log,
+            metrics=self._metrics,
+            now=now,
+        )
         self._log.info(
             'leading',
             epoch=epoch,
@@ -157,6 +166,7 @@
             former_heard=lambda: self._replicator.hears(former),
             clock=self._clock,
             log=self._log,
+            metrics=self._metrics,
         )
         try:
             self._term.run()
@@ -192,7 +202,9 @@
         former_heard: Callable[[], bool],
         clock: Clock,
         log: Log,
+        metrics: JobMetrics,
     ) -> None:
+        self._metrics = metrics
         self.engine = engine
         self.beats: dict[str, float] = {}
         self._state = state
@@ -301,6 +313,10 @@
         """Take the answer to a look."""
         now = self._clock.monotonic()
         worker = link.worker
+        outcome = 'listed'
+        if isinstance(got, Answer):
+            outcome = got.outcome.value
+        self._metrics.looks.add(1, {'outcome': outcome})
         if isinstance(got, Listing):
             self.engine.listed(worker, got, sent_at=sent_at, now=now)
             self._ends_ready.set()
@@ -340,8 +356,10 @@
         """Send one order and hand its answer to the engine."""
         if not self.may_order():
             return
+        began = self.now()
         if isinstance(order, StartTask):
-            self._start(order, client)
+            answer = self._start(order, client)
+            self._count_order('start', answer, began)
         elif isinstance(order, StopTask):
             answer = client.stop(
                 task=order.task, number=order.number, token=self.engine.epoch
@@ -354,6 +372,7 @@
                 why=order.why,
                 outcome=answer.outcome.value,
             )
+            self._count_order('stop', answer, began)
             self.engine.stop_answered(order, answer, self.now())
         elif isinstance(order, PaceTask):
             run = order.run
@@ -363,18 +382,23 @@
                 percent=order.percent,
                 token=self.engine.epoch,
             )
+            self._count_order('pace', answer, began)
             self.engine.pace_answered(order, answer)
         self._wake.set()
 
-    def _start(self, order: StartTask, client: WorkerClient) -> None:
+    def _count_order(self, kind: str, answer: Answer, began: float) -> None:
+        outcome = answer.outcome.value
+        self._metrics.orders.add(1, {'kind': kind, 'outcome': outcome})
+        self._metrics.order_s.record(self.now() - began, {'kind': kind})
+
+    def _start(self, order: StartTask, client: WorkerClient) -> Answer:
         run = order.run
+        answer = Answer(outcome=Outcome.NOT_SENT)
         tries = 0
         while _is_wanted(run) and self.may_order():
             tries += 1
             until = self.engine.grant(run.worker, self.now())
-            if until is None:
-                answer = Answer(outcome=Outcome.NOT_SENT)
-            else:
+            if until is not None:
                 run.until_ms = until
                 answer = client.start(
                     task=run.task,
@@ -387,7 +411,8 @@
                 )
             self.engine.start_answered(run, answer, self.now())
             if answer.outcome is not Outcome.NO_ANSWER or tries > START_TRIES:
-                return
+                break
+        return answer
 
     def _ask(self, order: AskAdvice) -> None:
         advice = order.work.job.queue.advice
@@ -410,6 +435,7 @@
             self._ends_ready.wait()
             self._ends_ready.clear()
             ends = self.engine.take_ends()
+            began = self.now()
             while ends is not None and ends.needs_record():
                 result = self._propose(
                     RecordEnds(
@@ -419,6 +445,7 @@
                     )
                 )
                 if result is True:
+                    self._metrics.store_s.record(self.now() - began)
                     break
                 if isinstance(result, NotLeader) or not self.may_order():
                     return
--- /dev/null
+++ b/src/galenareel/_jobs/metrics.py
@@ -0,0 +1,43 @@
+"""Instruments of the jobs subsystem."""
+
+from __future__ import annotations
+
+from opentelemetry.metrics import Meter
+
+
+class JobMetrics:
+    """Counters and histograms that the leader and the gateways fill."""
+
+    def __init__(self, meter: Meter) -> None:
+        self.calls = meter.create_counter(
+            'galenareel_calls',
+            description='Requests of callers by operation and outcome.',
+        )
+        self.call_s = meter.create_histogram(
+            'galenareel_call_seconds',
+            description='Time from a request of a caller to its answer.',
+        )
+        self.orders = meter.create_counter(
+            'galenareel_orders',
+            description='Orders to workers by kind and outcome.',
+        )
+        self.order_s = meter.create_histogram(
+            'galenareel_order_seconds',
+            description='Time from an order to its answer.',
+        )
+        self.wait_s = meter.create_histogram(
+            'galenareel_start_wait_seconds',
+            description='Time from the turn of a task to its start order.',
+        )
+        self.ends = meter.create_counter(
+            'galenareel_task_ends',
+            description='Ends of runs by how they ended.',
+        )
+        self.store_s = meter.create_histogram(
+            'galenareel_store_seconds',
+            description='Time to store a batch of ends.',
+        )
+        self.looks = meter.create_counter(
+            'galenareel_looks',
+            description='Looks at workers by outcome.',
+        )
--- /dev/null
+++ b/testing/common/test_metrics_text.py
@@ -0,0 +1,31 @@
+"""Instruments that are read as text."""
+
+from __future__ import annotations
+
+from galenareel._common.metrics_text import MAX_SERIES
+from galenareel._common.metrics_text import TextMeter
+
+
+def test_counters_and_histograms_are_written() -> None:
+    meter = TextMeter('core-1')
+    jobs = meter.create_counter('jobs', description='Jobs by outcome.')
+    jobs.add(1, {'outcome': 'accepted'})
+    jobs.add(2, {'outcome': 'accepted'})
+    waits = meter.create_histogram('start_wait_seconds')
+    for seconds in (0.004, 0.02, 99.0):
+        waits.record(seconds)
+    text = meter.text()
+    assert 'jobs_total{outcome="accepted"} 3' in text
+    assert 'start_wait_seconds_bucket{le="0.005"} 1' in text
+    assert 'start_wait_seconds_bucket{le="0.025"} 2' in text
+    assert 'start_wait_seconds_bucket{le="+Inf"} 3' in text
+    assert 'start_wait_seconds_count 3' in text
+
+
+def test_series_are_bounded() -> None:
+    meter = TextMeter('core-1')
+    jobs = meter.create_counter('jobs')
+    for number in range(MAX_SERIES * 2):
+        jobs.add(1, {'job': number})
+    assert len(jobs.values) == MAX_SERIES + 1
+    assert sum(jobs.values.values()) == MAX_SERIES * 2
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -4,6 +4,8 @@
 
 import io
 
+from opentelemetry.metrics import NoOpMeter
+
 from galenareel._common.log import Log
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Listing
@@ -17,6 +19,7 @@
 from galenareel._jobs.commands import RetireWorker
 from galenareel._jobs.commands import TakeOver
 from galenareel._jobs.engine import Engine
+from galenareel._jobs.metrics import JobMetrics
 from galenareel._jobs.model import Configuration
 from galenareel._jobs.model import JobRequest
 from galenareel._jobs.model import Pool
@@ -86,7 +89,11 @@
         epoch = self.apply(TakeOver(node=node))
         assert isinstance(epoch, int)
         self.engine = Engine(
-            self.state, epoch=epoch, log=self.log, now=self.now
+            self.state,
+            epoch=epoch,
+            log=self.log,
+            metrics=JobMetrics(NoOpMeter('test')),
+            now=self.now,
         )
         return self.engine
 
