--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -356,8 +356,12 @@
     # --- leases -------------------------------------------------------------
 
     def grant(self, worker: Worker, now: float) -> int | None:
-        """Time on the worker's clock up to which to extend its lease."""
-        if not worker.clock_ms:
+        """Time on the worker's clock up to which to extend its lease.
+
+        ``None`` for a worker whose clock is not known, and for a silent one:
+        each call might still arrive and keep its runs alive.
+        """
+        if not worker.clock_ms or worker.silent_since is not None:
             return None
         elapsed_ms = (now - worker.clock_at) * 1000
         until = int(worker.clock_ms + elapsed_ms + LEASE_S * 1000)
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -142,9 +142,11 @@
 
     def look(self, name: str) -> None:
         worker = self.engine.workers.get(name)
-        if worker is None or name in self.cut_off:
+        if worker is None:
             return
         until = self.engine.grant(worker, self.now)
+        if name in self.cut_off:
+            return
         got = self.workers[name].look(
             until_ms=until, noted=worker.noted, token=self.engine.epoch
         )
