Count the time until silence is noticed in the test of leases

The test named one second after the lease; a lease is renewed until the worker counts as silent, so the bound is the sum of the stated times.

--- a/testing/jobs/test_engine.py
+++ b/testing/jobs/test_engine.py
@@ -6,7 +6,10 @@
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.commands import CancelJob
 from galenareel._jobs.commands import ForgetJobs
+from galenareel._jobs.engine import CLOCK_RATE
 from galenareel._jobs.engine import LEASE_S
+from galenareel._jobs.engine import LEASE_SLACK_S
+from galenareel._jobs.engine import SILENT_S
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import JobRequest
 from galenareel._jobs.model import Room
@@ -104,7 +107,9 @@
     harness.pass_time(LEASE_S - 0.2)
     assert harness.running() == {'j.0.0.0': [lost.name]}
 
-    harness.pass_time(1.0)
+    # Leases are renewed until the silence is noticed.
+    longest = SILENT_S + LEASE_S / CLOCK_RATE + LEASE_SLACK_S
+    harness.pass_time(longest - LEASE_S + 0.5)
     (now_at,) = harness.running()['j.0.0.0']
     assert now_at != lost.name
 
