Rank by work left, restart stalled runs, ask for fewer instances

Change: among jobs of one standing the least work left goes first; a run far slower than expected is started elsewhere; late work counts a quarter and a remembered peak fades.

--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -36,6 +36,8 @@
 from galenareel._scheduling.pacing import pace_worker
 from galenareel._scheduling.placement import Candidates
 from galenareel._scheduling.ranking import rank
+from galenareel._scheduling.stalls import is_stalled
+from galenareel._scheduling.stalls import suspect
 from galenareel._scheduling.tables import AskAdvice
 from galenareel._scheduling.tables import JobWork
 from galenareel._scheduling.tables import Order
@@ -490,6 +492,7 @@
         if run.confirmed_at is None:
             run.confirmed_at = now
         run.percent = row.percent
+        run.percent_at = now
         run.reading = row.reading
         if row.saved:
             run.saved = row.saved
@@ -850,6 +853,7 @@
         self._open_due(now, wall_ms)
         self._repeat_stops(now)
         self._leave_draining(now)
+        self._restart_stalled(now)
         for worker in self.workers.values():
             if worker.read and worker.silent_since is None:
                 self._pace(worker, now)
@@ -884,6 +888,25 @@
                 if self._outlasts(run, worker, now):
                     self._stop(run, now, 'worker_drains')
 
+    def _restart_stalled(self, now: float) -> None:
+        """Stop runs that would end sooner elsewhere."""
+        for worker in self.workers.values():
+            if not worker.is_open():
+                continue
+            for run in list(worker.runs.values()):
+                step = run.step
+                if step is None:
+                    continue
+                expected = self.estimates.task_s(
+                    step.job.queue.name, step.step
+                )
+                if is_stalled(run, expected, now):
+                    suspect(run, now)
+                    step.avoid.setdefault(run.task.index, set()).add(
+                        worker.name
+                    )
+                    self._stop(run, now, 'stalled')
+
     def vacate(self, worker: Worker, now: float) -> None:
         """Stop the lasting tasks of a closing worker, within their budgets.
 
--- a/src/galenareel/_scheduling/fleet.py
+++ b/src/galenareel/_scheduling/fleet.py
@@ -11,6 +11,8 @@
 from galenareel._jobs.clients import InstanceRow
 from galenareel._jobs.clients import InstanceState
 from galenareel._jobs.model import WaveRecord
+from galenareel._scheduling.ranking import ON_TIME
+from galenareel._scheduling.ranking import standing
 from galenareel._scheduling.tables import PoolWork
 from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import Worker
@@ -24,6 +26,9 @@
 # by itself before a moved instance has arrived.
 WORTHWHILE_S = 0.6
 CLEAR_S = 1.5  # in which waiting work should be under way
+# Part of the work of jobs that are late already for which to move instances:
+# they may take longer, and earn little.
+LATE_SHARE = 0.25
 FILL = 0.85  # of its processors that a pool should have in use
 # From the first sign of a peak to the first task on a moved instance.
 MOVE_LATENCY_S = 2.0
@@ -258,16 +263,20 @@
             lasting_memory += count * step.step.memory_mb
             lasting_cpu += 0 if step.step.fills else count * step.step.cpu
             continue
-        waiting_memory += count * step.step.memory_mb
-        if not step.step.fills:
-            waiting_cpu += count * step.step.cpu
-            seconds = step.step.estimate_ms / 1000
-            backlog_core_s += count * step.step.cpu / 1000 * seconds
+        if step.step.fills:
+            waiting_memory += count * step.step.memory_mb
+            continue
+        seconds = step.step.estimate_ms / 1000
+        work = count * step.step.cpu / 1000 * seconds
+        share = 1.0 if standing(step.job, now) <= ON_TIME else LATE_SHARE
+        waiting_memory += count * step.step.memory_mb * share
+        waiting_cpu += count * step.step.cpu * share
+        backlog_core_s += work * share
     memory = max(memory, 1.0)
     if pool.slack_s is None:
         pool.first_size = max(pool.first_size, len(members))
     arriving = pool.arriving_cpu(now)
-    pool.peak_cpu = max(pool.peak_cpu, arriving)
+    pool.observe_peak(arriving, now)
     demand.least = max(_least(steps.values()), _reserve(pool, size))
     wanted = max(
         (cpu + lasting_cpu) / size / FILL,
--- a/src/galenareel/_scheduling/ranking.py
+++ b/src/galenareel/_scheduling/ranking.py
@@ -33,9 +33,11 @@
 def rank(job: JobWork, now: float) -> tuple[int, int, float, str]:
     """Sort key; the smallest gets room first.
 
-    Among jobs of one standing the one that must start soonest goes first.
+    Among jobs of one standing the one with the least work left goes first:
+    at a peak more of them end on time than if the most urgent one did, and a
+    job that has begun is finished before another is begun.
     """
     kind = standing(job, now)
-    limit = job.objective_s * (1.0 if kind == ON_TIME else LATE_FACTOR)
-    latest_start = job.accepted_at + limit - job.chain_s
-    return kind, job.queue.priority, latest_start, job.name
+    if kind == OVERDUE:
+        return kind, job.queue.priority, job.accepted_at, job.name
+    return kind, job.queue.priority, job.left_core_s, job.name
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -19,6 +19,7 @@
 FULL_PACE = 100
 ARRIVALS_S = 0.6  # shortest time over which arriving work is counted
 MAX_ARRIVALS = 2000
+PEAK_HALF_LIFE_S = 40.0  # in which a remembered peak counts half
 SLACK_WEIGHT = 0.1  # of a new job in the mean slack
 
 
@@ -56,6 +57,7 @@
     stop_asked_at: float | None = None
     stop_answered_at: float | None = None
     percent: int = 0
+    percent_at: float = 0.0
     saved: str = ''
     reading: float | None = None
     pace: int = FULL_PACE
@@ -243,6 +245,7 @@
     arrivals: deque[JobWork] = field(default_factory=deque)
     first_size: int = 0
     peak_cpu: float = 0.0
+    peak_at: float = 0.0
     slack_s: float | None = None
 
     def arrived(self, job: JobWork) -> None:
@@ -255,6 +258,13 @@
         if len(self.arrivals) > MAX_ARRIVALS:
             self.arrivals.popleft()
 
+    def observe_peak(self, cpu: float, now: float) -> None:
+        """Remember the highest load, less of it the longer it is ago."""
+        age = max(now - self.peak_at, 0.0)
+        self.peak_cpu *= 0.5 ** (age / PEAK_HALF_LIFE_S)
+        self.peak_at = now
+        self.peak_cpu = max(self.peak_cpu, cpu)
+
     def arriving_cpu(self, now: float) -> float:
         """Processor use at which work arrives, in thousandths of a core.
 
--- a/testing/jobs/test_engine.py
+++ b/testing/jobs/test_engine.py
@@ -417,3 +417,42 @@
     assert not harness.engine.workers['w1'].has_room(TASK)
     harness.pass_time(1.5)
     assert list(harness.running()) == ['new.0.0.0']
+
+
+# --- workers that do less than they say -------------------------------------
+
+
+def test_task_that_stands_still_is_started_elsewhere() -> None:
+    harness = two_workers()
+    for one in harness.workers.values():
+        one.stalled = True
+    harness.submit('j')
+    harness.pass_time(0.5)
+    first = harness.where('j.0.0.0')
+    for one in harness.workers.values():
+        one.stalled = one is first
+    harness.pass_time(1.5)
+    (now_at,) = harness.running()['j.0.0.0']
+    assert now_at != first.name
+
+
+def test_slow_start_is_no_stall() -> None:
+    harness = two_workers()
+    for one in harness.workers.values():
+        one.work_s = 2.0
+    harness.submit('j')
+    harness.pass_time(3.0)
+    assert sum(len(one.starts) for one in harness.workers.values()) == 1
+
+
+def test_worker_that_fails_everything_is_fed_no_more() -> None:
+    grey = FakeWorker(name='w1')
+    harness = Harness(grey, FakeWorker(name='w2'), max_attempts=9)
+    for number in range(12):
+        harness.submit(f'j{number}')
+        harness.pass_time(0.2)
+        for task in list(grey.running):
+            grey.end(task, EndKind.FAILED)
+        for task in list(harness.workers['w2'].running):
+            harness.workers['w2'].end(task, EndKind.DONE)
+    assert len(grey.starts) <= 4
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -42,6 +42,8 @@
     """One life of an instance.
 
     :param rate: speed of its clock against true time.
+    :param work_s: time in which a task gets to 100 percent; the test ends it.
+    :param stalled: its tasks stand still.
     """
 
     name: str
@@ -60,6 +62,8 @@
     starts: list[tuple[str, int]] = field(default_factory=list)
     position: int = 0
     draining: bool = False
+    work_s: float = 1.0
+    stalled: bool = False
 
     def record(self) -> WorkerRecord:
         return WorkerRecord(
@@ -79,6 +83,10 @@
     def advance(self, seconds: float) -> None:
         """Let time pass; a lease that runs out ends every run."""
         self.clock_ms += seconds * 1000 * self.rate
+        for run in self.running.values():
+            age_s = (self.clock_ms - run.began_ms) / 1000
+            if not self.stalled:
+                run.percent = min(int(100 * age_s / self.work_s), 100)
         if self.running and self.clock_ms > self.lease_ms:
             for task in list(self.running):
                 self.end(task, EndKind.LAPSED)
