Keep a term going while its lease is not renewed, with its own clients

Change: each term opens its own client of the platform; a term lasts while the member leads, and its greenlets wait for the lease. A stalled task is restarted once.

Figures: the tests of testing/jobs/test_leader.py pass; without the change they can't be built.

--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -166,6 +166,9 @@
             return False
         return member.raft.read_index(self._now()) is not None
 
+    def leads_term(self) -> bool:
+        return self._leads()
+
     def leader(self) -> str | None:
         if self._member is None:
             return None
--- a/src/galenareel/_consensus/interface.py
+++ b/src/galenareel/_consensus/interface.py
@@ -56,6 +56,10 @@
     def is_leader(self) -> bool:
         """Whether this member leads and its lease has not run out."""
 
+    @abstractmethod
+    def leads_term(self) -> bool:
+        """Whether this member leads, also while its lease is not renewed."""
+
     @abstractmethod
     def leader(self) -> str | None:
         """Frame address of the leader, if it is known."""
--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -809,6 +809,7 @@
             self.fenced = True
         elif answer.outcome is not Outcome.DONE:
             # The next reading decides again.
+            order.run.pace = order.before
             order.run.paced_at = 0.0
 
     def look_failed(self, worker: Worker, answer: Answer, now: float) -> None:
@@ -900,7 +901,10 @@
                 expected = self.estimates.task_s(
                     step.job.queue.name, step.step
                 )
-                if is_stalled(run, expected, now):
+                restarted = run.task.index in step.restarted
+                if not restarted and is_stalled(run, expected, now):
+                    # A task that is slow everywhere is just long.
+                    step.restarted.add(run.task.index)
                     suspect(run, now)
                     step.avoid.setdefault(run.task.index, set()).add(
                         worker.name
--- a/src/galenareel/_jobs/leader.py
+++ b/src/galenareel/_jobs/leader.py
@@ -50,6 +50,7 @@
 from galenareel._scheduling.tables import Worker
 
 PROPOSE_TIMEOUT_S = 2.5
+RIGHT_POLL_S = 0.02  # while the lease of this leader is not renewed
 POLL_S = 0.02  # between looks at whether this member leads
 HOUSEKEEPING_S = 0.1
 ORDER_LANES = 3  # orders on their way to one worker at once
@@ -77,7 +78,7 @@
         replicator: Replicator,
         state: JobState,
         dialer: WorkerDialer,
-        fleet: FleetClient,
+        open_fleet: Callable[[], FleetClient],
         advisor: Advisor,
         clock: Clock,
         log: Log,
@@ -88,7 +89,7 @@
         self._replicator = replicator
         self._state = state
         self._dialer = dialer
-        self._fleet_client = fleet
+        self._open_fleet = open_fleet
         self._advisor = advisor
         self._clock = clock
         self._log = log
@@ -159,9 +160,10 @@
             name=self._name,
             state=self._state,
             propose=self.propose,
-            leads=self._replicator.is_leader,
+            leads_term=self._replicator.leads_term,
+            may_act=self._replicator.is_leader,
             dialer=self._dialer,
-            fleet=self._fleet_client,
+            fleet=self._open_fleet(),
             advisor=self._advisor,
             former_heard=lambda: self._replicator.hears(former),
             clock=self._clock,
@@ -195,7 +197,8 @@
         name: str,
         state: JobState,
         propose: Callable[[AnyCommand], Any],
-        leads: Callable[[], bool],
+        leads_term: Callable[[], bool],
+        may_act: Callable[[], bool],
         dialer: WorkerDialer,
         fleet: FleetClient,
         advisor: Advisor,
@@ -209,7 +212,8 @@
         self.beats: dict[str, float] = {}
         self._state = state
         self._propose = propose
-        self._leads = leads
+        self._leads_term = leads_term
+        self._may_act = may_act
         self._dialer = dialer
         self._advisor = advisor
         self._clock = clock
@@ -221,6 +225,7 @@
         self._links: dict[str, _WorkerLink] = {}
         self._greenlets: list[gevent.Greenlet] = []
         self._forget_due = 0.0
+        self._fleet_client = fleet
         self._fleet = Fleet(
             engine=engine,
             state=state,
@@ -241,16 +246,17 @@
         ]
         self._fleet.start()
         self._follow_workers()
-        while self.may_order():
-            now = self._clock.monotonic()
-            self.engine.place(now)
-            self._dispatch()
+        while self.lasts():
+            if self.may_order():
+                self.engine.place(self._clock.monotonic())
+                self._dispatch()
             self._wake.wait(HOUSEKEEPING_S)
             self._wake.clear()
 
     def close(self) -> None:
         self._open = False
         self._fleet.close()
+        self._fleet_client.close()
         gevent.killall(self._greenlets, block=False)
         for link in self._links.values():
             link.close()
@@ -259,8 +265,21 @@
     def wake(self) -> None:
         self._wake.set()
 
+    def lasts(self) -> bool:
+        """Whether this member still leads, with or without a lease."""
+        return self._open and not self.engine.fenced and self._leads_term()
+
     def may_order(self) -> bool:
-        return self._open and not self.engine.fenced and self._leads()
+        """Whether the lease holds now; it may come back within the term."""
+        return self.lasts() and self._may_act()
+
+    def wait_for_right(self) -> bool:
+        """Wait until orders may be given; false once the term is over."""
+        while not self.may_order():
+            if not self.lasts():
+                return False
+            gevent.sleep(RIGHT_POLL_S)
+        return True
 
     def applied(self, command: AnyCommand) -> None:
         """Follow a committed command; called inside ``apply``."""
@@ -354,7 +373,7 @@
 
     def carry_out(self, order: Order, client: WorkerClient) -> None:
         """Send one order and hand its answer to the engine."""
-        if not self.may_order():
+        if not self.wait_for_right():
             return
         began = self.now()
         if isinstance(order, StartTask):
@@ -395,7 +414,7 @@
         run = order.run
         answer = Answer(outcome=Outcome.NOT_SENT)
         tries = 0
-        while _is_wanted(run) and self.may_order():
+        while _is_wanted(run) and self.wait_for_right():
             tries += 1
             until = self.engine.grant(run.worker, self.now())
             if until is not None:
@@ -447,8 +466,9 @@
                 if result is True:
                     self._metrics.store_s.record(self.now() - began)
                     break
-                if isinstance(result, NotLeader) or not self.may_order():
+                if not self.wait_for_right():
                     return
+                gevent.sleep(RIGHT_POLL_S)
             if ends is not None:
                 self.engine.ends_stored(ends)
                 self._stored.set()
@@ -523,7 +543,7 @@
 
     def _look_loop(self) -> None:
         while self._open:
-            if not self._term.may_order():
+            if not self._term.wait_for_right():
                 return
             worker = self.worker
             sent_at = self._term.now()
--- a/src/galenareel/_scheduling/pacing.py
+++ b/src/galenareel/_scheduling/pacing.py
@@ -72,4 +72,4 @@
         pace = min(pace + SPEED_UP, FULL_PACE)
     if pace == run.pace:
         return None
-    return PaceTask(run=run, percent=pace)
+    return PaceTask(run=run, percent=pace, before=run.pace)
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -171,6 +171,7 @@
     :param waiting: tasks that run nowhere.
     :param away_since: when each task of a lasting step stopped working.
     :param avoid: workers on which a task has failed.
+    :param restarted: tasks that were stopped because they stood still.
     """
 
     job: JobWork
@@ -182,6 +183,7 @@
     last_run: dict[int, int] = field(default_factory=dict)
     saved: dict[int, str] = field(default_factory=dict)
     avoid: dict[int, set[str]] = field(default_factory=dict)
+    restarted: set[int] = field(default_factory=set)
     failures: dict[int, int] = field(default_factory=dict)
     not_before: dict[int, float] = field(default_factory=dict)
     released_at: dict[int, float] = field(default_factory=dict)
@@ -310,8 +312,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PaceTask:
+    """:param before: pace that the run keeps if the order fails."""
+
     run: Run
     percent: int
+    before: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/testing/control/cluster.py
+++ b/testing/control/cluster.py
@@ -96,6 +96,9 @@
     def leader(self) -> str | None:
         return self._cluster.leader
 
+    def leads_term(self) -> bool:
+        return self.is_leader()
+
     def hears(self, name: str) -> bool:
         return True
 
--- /dev/null
+++ b/testing/jobs/test_leader.py
@@ -0,0 +1,263 @@
+"""The leader's greenlets, with stand-in workers and a log in memory."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import io
+import time
+from typing import Any
+
+import gevent
+from opentelemetry.metrics import NoOpMeter
+import pytest
+
+from galenareel._common.clock import SystemClock
+from galenareel._common.log import Log
+from galenareel._consensus.interface import Replicator
+from galenareel._jobs.clients import Advised
+from galenareel._jobs.clients import Advisor
+from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import FleetClient
+from galenareel._jobs.clients import InstanceRow
+from galenareel._jobs.clients import Listing
+from galenareel._jobs.clients import Outcome
+from galenareel._jobs.clients import WorkerClient
+from galenareel._jobs.clients import WorkerDialer
+from galenareel._jobs.commands import AcceptJob
+from galenareel._jobs.commands import AdmitWorker
+from galenareel._jobs.commands import Configure
+from galenareel._jobs.commands import encode
+from galenareel._jobs.leader import Leader
+from galenareel._jobs.metrics import JobMetrics
+from galenareel._jobs.model import EndKind
+from galenareel._jobs.model import TaskId
+from galenareel._jobs.model import WorkerRecord
+from galenareel._jobs.state import JobState
+from testing.jobs.harness import job
+from testing.jobs.test_state import config
+from testing.standins.worker import FakeWorker
+
+
+class MemoryLog(Replicator):
+    """A replicated log of one member whose lease the test takes away."""
+
+    def __init__(self, state: JobState) -> None:
+        self.state = state
+        self.leads = True
+        self.lease = True
+        self.index = 0
+
+    def start(self) -> None: ...
+
+    def close(self) -> None: ...
+
+    def propose(self, command: bytes, *, timeout_s: float) -> Any:
+        self.index += 1
+        return self.state.apply(self.index, command)
+
+    def read_barrier(self, *, timeout_s: float) -> int:
+        return self.index
+
+    def is_leader(self) -> bool:
+        return self.leads and self.lease
+
+    def leads_term(self) -> bool:
+        return self.leads
+
+    def leader(self) -> str | None:
+        return None
+
+    def hears(self, name: str) -> bool:
+        return False
+
+    def change_members(
+        self, *, add: str | None = None, remove: str | None = None
+    ) -> Any:
+        return 0
+
+
+class Client(WorkerClient):
+    """Calls a stand-in worker; hangs while the test says so."""
+
+    def __init__(self, worker: FakeWorker) -> None:
+        self.worker = worker
+        self.began = time.monotonic()
+
+    def start(
+        self,
+        *,
+        task: TaskId,
+        number: int,
+        specification: str,
+        until_ms: int,
+        token: int,
+        checkpoint: str,
+        ticket: str,
+    ) -> Answer:
+        return self.worker.start(task, number, until_ms=until_ms, token=token)
+
+    def stop(self, *, task: TaskId, number: int, token: int) -> Answer:
+        return self.worker.stop(task, number, token=token)
+
+    def pace(
+        self, *, task: TaskId, number: int, percent: int, token: int
+    ) -> Answer:
+        return self.worker.pace(task, number, percent=percent, token=token)
+
+    def look(
+        self, *, until_ms: int | None, noted: int, wait_ms: int, token: int
+    ) -> Listing | Answer:
+        gevent.sleep(0.01)
+        return self.worker.look(until_ms=until_ms, noted=noted, token=token)
+
+    def close(self) -> None: ...
+
+
+class Dialer(WorkerDialer):
+    def __init__(self, workers: dict[str, FakeWorker]) -> None:
+        self.workers = workers
+
+    def open(self, worker: WorkerRecord) -> Client:
+        return Client(self.workers[worker.name])
+
+
+class HangingFleet(FleetClient):
+    """A platform that never answers, and knows which client asked."""
+
+    made: list[HangingFleet] = []
+
+    def __init__(self) -> None:
+        self.asked = 0
+        self.closed = False
+        HangingFleet.made.append(self)
+
+    def instances(self) -> list[InstanceRow] | Answer:
+        self.asked += 1
+        gevent.sleep(100)
+        return []
+
+    def move(
+        self, instance: str, pool: str, *, holder: str, token: int
+    ) -> Answer:
+        return Answer(outcome=Outcome.BUSY)
+
+    def maintain(
+        self, instance: str, wave: int, *, holder: str, token: int
+    ) -> Answer:
+        return Answer(outcome=Outcome.BUSY)
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class NoAdvisor(Advisor):
+    def advise(
+        self, step: str, workers: tuple[str, ...], *, timeout_s: float
+    ) -> Advised | Answer:
+        return Answer(outcome=Outcome.NOT_SENT)
+
+    def close(self) -> None: ...
+
+
+class Running:
+    """A leader with two workers."""
+
+    def __init__(self) -> None:
+        HangingFleet.made.clear()
+        self.state = JobState()
+        self.log = MemoryLog(self.state)
+        self.workers = {
+            name: FakeWorker(name=name, work_s=1000.0) for name in ('w1', 'w2')
+        }
+        self.leader = Leader(
+            name='c1',
+            replicator=self.log,
+            state=self.state,
+            dialer=Dialer(self.workers),
+            open_fleet=HangingFleet,
+            advisor=NoAdvisor(),
+            clock=SystemClock(),
+            log=Log('test', stream=io.StringIO()),
+            metrics=JobMetrics(NoOpMeter('test')),
+        )
+        self.propose(Configure(config=config()))
+        for one in self.workers.values():
+            self.propose(AdmitWorker(worker=one.record()))
+        self.leader.start()
+
+    def propose(self, command: Any) -> Any:
+        return self.log.propose(encode(command), timeout_s=1.0)
+
+    def submit(self, name: str) -> None:
+        self.propose(
+            AcceptJob(name=name, queue='view', request=job(), now_ms=1)
+        )
+
+    def runs(self, task: str) -> bool:
+        return any(task in one.running for one in self.workers.values())
+
+
+def eventually(check: Callable[[], bool], seconds: float = 5.0) -> None:
+    end = time.monotonic() + seconds
+    while not check():
+        assert time.monotonic() < end, 'it did not come true in time'
+        gevent.sleep(0.01)
+
+
+@pytest.fixture
+def running() -> Iterator[Running]:
+    found = Running()
+    yield found
+    found.leader.close()
+
+
+def test_job_runs_to_its_end(running: Running) -> None:
+    running.submit('j')
+    eventually(lambda: running.runs('j.0.0.0'))
+    for one in running.workers.values():
+        if 'j.0.0.0' in one.running:
+            one.end('j.0.0.0', EndKind.DONE)
+    eventually(lambda: running.state.jobs['j'].over)
+    eventually(lambda: not any(w.ended for w in running.workers.values()))
+
+
+def test_lease_that_comes_back_leaves_no_order_behind(
+    running: Running,
+) -> None:
+    eventually(lambda: running.leader.engine is not None)
+    running.log.lease = False
+    running.submit('j')
+    gevent.sleep(0.3)
+    assert not running.runs('j.0.0.0')
+    running.log.lease = True
+    eventually(lambda: running.runs('j.0.0.0'))
+    for one in running.workers.values():
+        if 'j.0.0.0' in one.running:
+            one.end('j.0.0.0', EndKind.DONE)
+    eventually(lambda: running.state.jobs['j'].over)
+    assert running.state.epoch == 1
+
+
+def test_leader_without_a_lease_gives_no_orders(running: Running) -> None:
+    eventually(lambda: running.leader.engine is not None)
+    running.log.lease = False
+    assert running.leader.engine is None
+    gevent.sleep(0.1)
+    before = {name: one.lease_ms for name, one in running.workers.items()}
+    gevent.sleep(0.2)
+    after = {name: one.lease_ms for name, one in running.workers.items()}
+    assert before == after
+
+
+def test_each_term_has_its_own_client_of_the_platform(
+    running: Running,
+) -> None:
+    # A call that was cut off with its term must not block the next one.
+    eventually(lambda: any(one.asked for one in HangingFleet.made))
+    running.log.leads = False
+    eventually(lambda: HangingFleet.made[0].closed)
+    running.log.leads = True
+    eventually(lambda: len(HangingFleet.made) == 2)
+    eventually(lambda: HangingFleet.made[1].asked > 0)
+    assert running.state.epoch == 2
