Hand the lead over before a planned stop

Cause: a stopped leader left the others to wait for an election timeout, in which no job is accepted and no task started.

--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -166,6 +166,11 @@
             return False
         return member.raft.read_index(self._now()) is not None
 
+    def hand_over(self) -> None:
+        """Let another member lead, before a planned stop."""
+        now = self._now()
+        self._absorb(lambda member: member.raft.hand_over(now))
+
     def leads_term(self) -> bool:
         return self._leads()
 
--- a/src/galenareel/_consensus/election.py
+++ b/src/galenareel/_consensus/election.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from galenareel._consensus.messages import Envelope
+from galenareel._consensus.messages import HandOver
 from galenareel._consensus.messages import PreVote
 from galenareel._consensus.messages import PreVoteReply
 from galenareel._consensus.messages import Vote
@@ -11,6 +12,7 @@
 from galenareel._consensus.records import EntryKind
 from galenareel._consensus.replication import append_own
 from galenareel._consensus.replication import sync_progress
+from galenareel._consensus.state import ELECTION_MIN_S
 from galenareel._consensus.state import HEARTBEAT_S
 from galenareel._consensus.state import RaftState
 from galenareel._consensus.state import Role
@@ -73,6 +75,30 @@
         _count(st, now)
 
 
+def hand_over(st: RaftState, now: float) -> None:
+    """Step down and ask the follower that is furthest to lead.
+
+    The lease ends before the message leaves, so the others may vote at once.
+    """
+    heard = [
+        (peer.match, peer.heard, identity)
+        for identity, peer in st.progress.items()
+        if st.membership.is_voter(identity)
+        and now - peer.heard < ELECTION_MIN_S
+    ]
+    if not st.is_leader() or not heard:
+        return
+    successor = max(heard)[2]
+    st.become_follower(st.term, 0, now)
+    st.send(successor, HandOver())
+
+
+def on_hand_over(st: RaftState, env: Envelope, now: float) -> None:
+    """Begin an election without waiting for a timeout."""
+    if env.term == st.term and not st.is_leader() and st.may_campaign():
+        _campaign(st, now, handed_over=True)
+
+
 def _others(st: RaftState) -> list[int]:
     return sorted(st.membership.voters() - {st.identity})
 
@@ -93,14 +119,14 @@
         _become_leader(st, now)
 
 
-def _campaign(st: RaftState, now: float) -> None:
+def _campaign(st: RaftState, now: float, *, handed_over: bool = False) -> None:
     st.role = Role.CANDIDATE
     st.term += 1
     st.vote = st.identity
     st.save_state()
     st.votes = {st.identity}
     st.reset_election(now)
-    body = Vote(st.log.last_index, st.log.last_term)
+    body = Vote(st.log.last_index, st.log.last_term, handed_over)
     for to in _others(st):
         # The own vote must be synced before anyone can count it.
         st.reply(to, body)
--- a/src/galenareel/_consensus/messages.py
+++ b/src/galenareel/_consensus/messages.py
@@ -26,10 +26,15 @@
 
 
 class Vote(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """Ask for the vote of the envelope's term."""
+    """Ask for the vote of the envelope's term.
+
+    :param handed_over: the former leader has given up its lease and asked
+        the sender to lead.
+    """
 
     last_index: int
     last_term: int
+    handed_over: bool = False
 
 
 class VoteReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -99,6 +104,10 @@
     members: tuple[MemberInfo, ...]
 
 
+class HandOver(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """The leader of the envelope's term has stepped down for the receiver."""
+
+
 Body = (
     PreVote
     | PreVoteReply
@@ -110,6 +119,7 @@
     | ChunkReply
     | Probe
     | InitialMembership
+    | HandOver
 )
 
 
--- a/src/galenareel/_consensus/raft.py
+++ b/src/galenareel/_consensus/raft.py
@@ -12,6 +12,8 @@
 from galenareel._common.sentinels import NotLeader
 from galenareel._consensus.effects import Effects
 from galenareel._consensus.effects import SaveCluster
+from galenareel._consensus.election import hand_over
+from galenareel._consensus.election import on_hand_over
 from galenareel._consensus.election import on_pre_vote
 from galenareel._consensus.election import on_pre_vote_reply
 from galenareel._consensus.election import on_timeout
@@ -28,6 +30,7 @@
 from galenareel._consensus.messages import Chunk
 from galenareel._consensus.messages import ChunkReply
 from galenareel._consensus.messages import Envelope
+from galenareel._consensus.messages import HandOver
 from galenareel._consensus.messages import PreVote
 from galenareel._consensus.messages import PreVoteReply
 from galenareel._consensus.messages import Vote
@@ -126,6 +129,11 @@
         result = remove(self.state, name, now)
         return result, self._take(now)
 
+    def hand_over(self, now: float) -> Effects:
+        """Step down in favour of a follower, if this member leads."""
+        hand_over(self.state, now)
+        return self._take(now)
+
     def synced(self, index: int, term: int, now: float) -> Effects:
         """Everything up to an entry is synced here."""
         st = self.state
@@ -171,10 +179,11 @@
         st = self.state
         if isinstance(env.body, PreVote):
             return True
-        if isinstance(env.body, Vote) and st.in_contact(now):
-            # A leader may hold a lease that rests on our answer, in an
-            # earlier term too.
-            return False
+        if isinstance(env.body, Vote) and not env.body.handed_over:
+            if st.in_contact(now):
+                # A leader may hold a lease that rests on our answer, in an
+                # earlier term too.
+                return False
         if env.term > st.term:
             st.become_follower(env.term, 0, now)
         elif env.term < st.term:
@@ -202,6 +211,8 @@
                 on_chunk(self.state, env, body, now)
             case ChunkReply() as body:
                 on_chunk_reply(self.state, env, body, now)
+            case HandOver():
+                on_hand_over(self.state, env, now)
 
 
 def _load_log(meta: SnapshotMeta, entries: Sequence[Entry]) -> RaftLog:
