Learn of dead instances from the platform, and keep what was learned

Change: orders for instances are recorded before they are given, so a new leader leaves only those alone; loads and run time factors are stored; a silent worker whose instance the platform lists as down is retired at once; leases are 8 s, and busy workers are looked at every 0.5 s, idle ones every 1.8 s.

--- a/src/galenareel/_jobs/commands.py
+++ b/src/galenareel/_jobs/commands.py
@@ -10,6 +10,7 @@
 
 from galenareel._jobs.model import Configuration
 from galenareel._jobs.model import JobRequest
+from galenareel._jobs.model import PoolLoad
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.model import WorkerRecord
 
@@ -85,6 +86,21 @@
     instances: tuple[str, ...]
 
 
+class RecordOrders(Command, frozen=True):
+    """Orders for instances that a leader is about to give."""
+
+    holder: str
+    instances: tuple[str, ...]
+    now_ms: int
+
+
+class RecordLoads(Command, frozen=True):
+    """What a leader has learned of the load, for the next one."""
+
+    pools: dict[str, PoolLoad]
+    factors: dict[str, float]
+
+
 class ForgetJobs(Command, frozen=True):
     """Drop jobs whose end callers no longer ask for."""
 
@@ -101,6 +117,8 @@
     | RetireWorker
     | OpenWave
     | RecordMaintenance
+    | RecordOrders
+    | RecordLoads
     | ForgetJobs
 )
 
--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -25,6 +25,7 @@
 from galenareel._jobs.estimates import Estimates
 from galenareel._jobs.metrics import JobMetrics
 from galenareel._jobs.model import EndKind
+from galenareel._jobs.model import PoolLoad
 from galenareel._jobs.model import Queue
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.model import WorkerRecord
@@ -50,12 +51,15 @@
 from galenareel._scheduling.tables import StopTask
 from galenareel._scheduling.tables import Worker
 
-LEASE_S = 5.0  # granted with each look; below the platform's longest lease
+# Granted with each look: long enough to keep tasks running while all control
+# members restart, and below the longest lease that a worker gives.
+LEASE_S = 8.0
 CLOCK_RATE = 0.98  # a worker's clock may be 2 % slow
 LEASE_SLACK_S = 0.2  # for the moment at which a clock was read
 # A former leader's last grant may be this much newer than our take-over.
 TAKE_OVER_SLACK_S = 1.0
-SILENT_S = 1.2  # without an answer a worker gets no new tasks
+SILENT_S = 0.4  # after the latest time at which an answer was due
+FIRST_ANSWER_S = 0.8  # in which a new worker answers its first look
 UNSURE_STOP_S = 1.0  # an unanswered start is stopped after this
 STOP_AGAIN_S = 1.0  # an unanswered stop is sent again
 RETRY_S = 0.05  # before a task is started again that a worker refused
@@ -98,7 +102,7 @@
         self.workers: dict[str, Worker] = {}
         self.jobs: dict[str, JobWork] = {}
         self.pools: dict[str, PoolWork] = {}
-        self.estimates = Estimates()
+        self.estimates = Estimates(state.factors)
         self._state = state
         self._log = log
         self._orders: list[Order] = []
@@ -270,9 +274,28 @@
     def pool(self, name: str) -> PoolWork:
         """What waits for workers of a pool."""
         if name not in self.pools:
-            self.pools[name] = PoolWork(name=name)
+            made = PoolWork(name=name)
+            known = self._state.loads.get(name)
+            if known is not None:
+                made.first_size = known.first_size
+                made.peak_cpu = known.peak_cpu
+                made.slack_s = known.slack_s
+            self.pools[name] = made
         return self.pools[name]
 
+    def loads(self) -> dict[str, PoolLoad]:
+        """What the next leader should know of the pools."""
+        return {
+            name: PoolLoad(
+                first_size=pool.first_size,
+                peak_cpu=round(pool.peak_cpu, -3),
+                slack_s=None
+                if pool.slack_s is None
+                else round(pool.slack_s, 1),
+            )
+            for name, pool in self.pools.items()
+        }
+
     def _queue_step(self, step: StepWork) -> None:
         pool = self._pool(step.job)
         pool.dirty = True
@@ -313,6 +336,8 @@
             draining=record.draining,
             admitted_at=now,
             heard_at=now,
+            answer_due=now + FIRST_ANSWER_S,
+            unanswered=True,
         )
         self.workers[record.name] = worker
         return worker
@@ -380,8 +405,18 @@
             else over_at
         )
 
+    def asked(self, worker: Worker, now: float, wait_s: float) -> None:
+        """A look was sent that is answered within a time.
+
+        The first look without an answer decides when the worker is silent.
+        """
+        if not worker.unanswered:
+            worker.unanswered = True
+            worker.answer_due = now + wait_s
+
     def _hear(self, worker: Worker, clock_ms: int | None, now: float) -> None:
         worker.heard_at = now
+        worker.unanswered = False
         if worker.silent_since is not None:
             self._log.info(
                 'worker_regained',
@@ -398,7 +433,8 @@
 
     def _watch_silence(self, now: float) -> None:
         for worker in self.workers.values():
-            silent = now - worker.heard_at > SILENT_S
+            late = now > worker.answer_due + SILENT_S
+            silent = worker.unanswered and late
             if silent and worker.silent_since is None:
                 worker.silent_since = worker.heard_at
                 self._log.warning(
@@ -787,7 +823,8 @@
                 step.advice_asked.discard(worker.name)
             step.not_before[run.task.index] = now + RETRY_S
         if outcome is Outcome.NOT_SENT:
-            worker.heard_at = min(worker.heard_at, now - SILENT_S)
+            worker.unanswered = True
+            worker.answer_due = now - SILENT_S
         self._release(run, now, f'start_{outcome.value}')
 
     def stop_answered(
--- a/src/galenareel/_jobs/estimates.py
+++ b/src/galenareel/_jobs/estimates.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from galenareel._jobs.model import JobRequest
@@ -15,6 +16,7 @@
 from galenareel._scheduling.tables import StepWork
 
 WEIGHT = 0.05  # of a new sample, once there are enough
+KNOWN_SAMPLES = 20  # that a former leader's factor counts as
 MIN_TASK_S = 0.01
 
 
@@ -34,8 +36,18 @@
 class Estimates:
     """Learned factors, by queue."""
 
-    def __init__(self) -> None:
-        self._factors: dict[str, Factor] = {}
+    def __init__(self, known: Mapping[str, float]) -> None:
+        self._factors = {
+            queue: Factor(samples=KNOWN_SAMPLES, ratio=ratio)
+            for queue, ratio in known.items()
+        }
+
+    def factors(self) -> dict[str, float]:
+        """What the next leader should know."""
+        return {
+            queue: round(factor.ratio, 2)
+            for queue, factor in self._factors.items()
+        }
 
     def task_s(self, queue: str, step: Step) -> float:
         factor = self._factors.get(queue)
--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -21,6 +21,7 @@
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.commands import AnyCommand
 from galenareel._jobs.commands import RecordMaintenance
+from galenareel._jobs.commands import RecordOrders
 from galenareel._jobs.commands import RetireWorker
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.state import JobState
@@ -37,9 +38,12 @@
 from galenareel._scheduling.fleet import WAVE
 
 PLAN_S = 0.1
-FORMER_ANSWERS_S = 0.4  # in which a former leader would have answered
+# Orders that a former leader recorded within this time count as recent; it
+# allows for wall clocks that differ.
+RECENT_S = 20.0
 TAKE_OVER_S = 3.2  # over the platform's lease of a holder
 READ_EVERY_S = 20.0  # the list, while nothing changes
+READ_LOST_S = 0.5  # while a worker is silent: it may be down
 READ_SOON_S = 1.0  # while orders run or workers are not mapped
 MAINTENANCE_S = 2.0  # that the platform takes at least
 MOVE_S = 1.5
@@ -58,7 +62,6 @@
         propose: Callable[[AnyCommand], Any],
         may_order: Callable[[], bool],
         holder: str,
-        former_heard: Callable[[], bool],
         clock: Clock,
         log: Log,
     ) -> None:
@@ -68,12 +71,12 @@
         self._propose = propose
         self._may_order = may_order
         self._holder = holder
-        self._former_heard = former_heard
         self._clock = clock
         self._log = log
         self._tables = FleetTables()
         self._read_at = 0.0
         self._read_asked = 0.0
+        self._began = 0.0
         self._job: gevent.Greenlet | None = None
         self._calls: list[gevent.Greenlet] = []
 
@@ -86,31 +89,36 @@
         gevent.killall(self._calls, block=False)
 
     def _run(self) -> None:
-        began = self._clock.monotonic()
+        self._began = self._clock.monotonic()
         while True:
             now = self._clock.monotonic()
             self._read_if_due(now)
-            settled = self._is_settled(now - began)
-            if self._tables.instances and settled and self._may_order():
+            if self._tables.instances and self._may_order():
                 self._plan(self._clock.monotonic())
             self._calls = [one for one in self._calls if not one.dead]
             gevent.sleep(PLAN_S)
 
-    def _is_settled(self, age_s: float) -> bool:
-        """Whether the former leader gives no more orders.
+    def _hold_back(self, instance: Instance) -> None:
+        """Leave an instance alone that a former leader may just have ordered.
 
-        One that answers this leader may have sent an order just before; of
-        one that is down or cut off the platform refuses every order.
+        Orders are recorded before they are given.
         """
-        if self._engine.epoch == 1 or age_s > TAKE_OVER_S:
-            return True
-        return age_s > FORMER_ANSWERS_S and not self._former_heard()
+        last = self._state.orders.get(instance.row.name)
+        if last is None or last.holder == self._holder:
+            return
+        age_s = self._clock.wall() - last.at_ms / 1000
+        if age_s < RECENT_S:
+            settled = self._began + TAKE_OVER_S
+            instance.not_before = max(instance.not_before, settled)
 
     # --- the list -----------------------------------------------------------
 
     def _read_if_due(self, now: float) -> None:
-        soon = self._is_unsettled(now)
-        every = READ_SOON_S if soon else READ_EVERY_S
+        every = READ_EVERY_S
+        if self._has_silent_workers():
+            every = READ_LOST_S
+        elif self._is_unsettled(now):
+            every = READ_SOON_S
         if self._read_asked and now - self._read_asked < every:
             return
         self._read_asked = now
@@ -132,6 +140,32 @@
             if name not in listed:
                 del self._tables.instances[name]
         self._leave_waves(listed)
+        self._retire_down()
+
+    def _has_silent_workers(self) -> bool:
+        return any(
+            one.silent_since is not None and not one.lapsed
+            for one in self._engine.workers.values()
+        )
+
+    def _retire_down(self) -> None:
+        """Forget silent workers whose instance is down or has another one."""
+        rows = [one.row for one in self._tables.instances.values()]
+        down = {one.worker for one in rows if one.state is InstanceState.DOWN}
+        replaced = {one.name: one.worker for one in rows if one.worker}
+        for worker in list(self._engine.workers.values()):
+            if worker.silent_since is None:
+                continue
+            other = replaced.get(worker.instance, worker.name)
+            if worker.name in down or other != worker.name:
+                self._log.info(
+                    'worker_retired',
+                    worker=worker.name,
+                    why='its instance is down or has another worker',
+                )
+                self._propose(
+                    RetireWorker(name=worker.name, born=worker.record.born)
+                )
 
     def _is_unsettled(self, now: float) -> bool:
         if self._state.config is None:
@@ -151,9 +185,9 @@
     def _note(self, row: InstanceRow, *, asked_at: float) -> None:
         known = self._tables.instances.get(row.name)
         if known is None:
-            self._tables.instances[row.name] = Instance(
-                row=row, listed_at=asked_at
-            )
+            known = Instance(row=row, listed_at=asked_at)
+            self._tables.instances[row.name] = known
+            self._hold_back(known)
         else:
             known.row = row
             known.listed_at = asked_at
@@ -183,14 +217,20 @@
         engine = self._engine
         tables = self._tables
         waves = list(self._state.waves.values())
-        for order in plan_maintenance(tables, waves, engine.workers, now):
-            self._begin(order, now)
+        orders: list[Maintain | Move] = []
+        orders += plan_maintenance(tables, waves, engine.workers, now)
+        for order in orders:
+            self._mark(order, now)
         demands = self._demands(now)
-        for move in plan_moves(
+        moves = plan_moves(
             tables, demands, self._standby(), engine.workers, now
-        ):
+        )
+        for move in moves:
             self._close_for_move(move, now)
+        orders += moves
         self._close_workers(now)
+        if orders:
+            self._calls.append(gevent.spawn(self._give, orders))
 
     def _demands(self, now: float) -> dict[str, Demand]:
         demands = {}
@@ -246,16 +286,46 @@
         if worker is not None:
             worker.closing = MOVE
         instance.closing_for = MOVE
-        self._begin(move, now)
+        self._mark(move, now)
 
     # --- orders -------------------------------------------------------------
 
-    def _begin(self, order: Maintain | Move, now: float) -> None:
+    def _mark(self, order: Maintain | Move, now: float) -> None:
+        """An order is on its way."""
         instance = self._tables.instances[order.instance]
         instance.ordered = WAVE if isinstance(order, Maintain) else MOVE
         instance.ordered_at = now
         instance.down_until = now + OVERDUE_S
-        self._calls.append(gevent.spawn(self._carry_out, order, instance))
+
+    def _give(self, orders: list[Maintain | Move]) -> None:
+        """Record orders for a next leader, then give them."""
+        recorded = self._propose(
+            RecordOrders(
+                holder=self._holder,
+                instances=tuple(one.instance for one in orders),
+                now_ms=int(self._clock.wall() * 1000),
+            )
+        )
+        for order in orders:
+            instance = self._tables.instances.get(order.instance)
+            if instance is None:
+                continue
+            if recorded is True:
+                self._calls.append(
+                    gevent.spawn(self._carry_out, order, instance)
+                )
+            else:
+                self._take_back(order, instance, self._clock.monotonic())
+
+    def _take_back(
+        self, order: Maintain | Move, instance: Instance, now: float
+    ) -> None:
+        """An order was not given, or refused for now."""
+        instance.ordered = ''
+        instance.down_until = 0.0
+        instance.not_before = now + BUSY_RETRY_S
+        if isinstance(order, Move):
+            instance.closing_for = ''
 
     def _carry_out(self, order: Maintain | Move, instance: Instance) -> None:
         answer = self._call(order)
@@ -277,11 +347,7 @@
         elif answer.outcome in (Outcome.REFUSED, Outcome.WRONG_WAVE):
             self._refused(order, instance)
         else:
-            instance.ordered = ''
-            instance.down_until = 0.0
-            instance.not_before = now + BUSY_RETRY_S
-            if isinstance(order, Move):
-                instance.closing_for = ''
+            self._take_back(order, instance, now)
 
     def _call(self, order: Maintain | Move) -> Answer:
         """Send an order; one without an answer is repeated."""
--- a/src/galenareel/_jobs/leader.py
+++ b/src/galenareel/_jobs/leader.py
@@ -34,6 +34,7 @@
 from galenareel._jobs.commands import encode
 from galenareel._jobs.commands import ForgetJobs
 from galenareel._jobs.commands import RecordEnds
+from galenareel._jobs.commands import RecordLoads
 from galenareel._jobs.commands import RetireWorker
 from galenareel._jobs.commands import TakeOver
 from galenareel._jobs.engine import Engine
@@ -55,12 +56,14 @@
 HOUSEKEEPING_S = 0.1
 ORDER_LANES = 3  # orders on their way to one worker at once
 START_TRIES = 2  # of an order that got no answer
-LOOK_WAIT_MS = 700  # a look waits this long for an end
+LOOK_WAIT_MS = 500  # a look waits this long for an end
+IDLE_WAIT_MS = 1800  # where nothing runs
 SHARED_WAIT_MS = 350  # where filling tasks run beside serving ones
 STORE_WAIT_S = 0.1  # for ends to be stored, before the next look
 LOOK_PAUSE_S = 0.15  # after a look that failed
 FORGET_AFTER_S = 180.0  # callers ask for a job for two minutes
 FORGET_EVERY_S = 10.0
+LOADS_EVERY_S = 4.0
 GONE_AFTER_S = 8.0  # without lease and heartbeat a worker is forgotten
 
 
@@ -137,7 +140,6 @@
             gevent.sleep(POLL_S)
 
     def _lead(self) -> None:
-        former = self._state.holder
         epoch = self.propose(TakeOver(node=self._name))
         if not isinstance(epoch, int) or not self._replicator.is_leader():
             return
@@ -165,7 +167,6 @@
             dialer=self._dialer,
             fleet=self._open_fleet(),
             advisor=self._advisor,
-            former_heard=lambda: self._replicator.hears(former),
             clock=self._clock,
             log=self._log,
             metrics=self._metrics,
@@ -202,7 +203,6 @@
         dialer: WorkerDialer,
         fleet: FleetClient,
         advisor: Advisor,
-        former_heard: Callable[[], bool],
         clock: Clock,
         log: Log,
         metrics: JobMetrics,
@@ -225,6 +225,7 @@
         self._links: dict[str, _WorkerLink] = {}
         self._greenlets: list[gevent.Greenlet] = []
         self._forget_due = 0.0
+        self._loads_due = 0.0
         self._fleet_client = fleet
         self._fleet = Fleet(
             engine=engine,
@@ -233,7 +234,6 @@
             propose=propose,
             may_order=self.may_order,
             holder=name,
-            former_heard=former_heard,
             clock=clock,
             log=log,
         )
@@ -480,6 +480,7 @@
             wall_ms = int(self._clock.wall() * 1000)
             self.engine.housekeep(now, wall_ms)
             self._retire_lost(now)
+            self._record_loads(now)
             self._forget(now, wall_ms)
             self._wake.set()
             gevent.sleep(HOUSEKEEPING_S)
@@ -490,6 +491,18 @@
             if worker.lapsed and now - beat > GONE_AFTER_S:
                 self._retire(worker, 'no lease and no heartbeat')
 
+    def _record_loads(self, now: float) -> None:
+        """Store what was learned, if it has changed."""
+        if now < self._loads_due:
+            return
+        self._loads_due = now + LOADS_EVERY_S
+        pools = self.engine.loads()
+        factors = self.engine.estimates.factors()
+        known = (dict(self._state.loads), dict(self._state.factors))
+        if (pools, factors) != known and pools:
+            command = RecordLoads(pools=pools, factors=factors)
+            gevent.spawn(self._propose, command)
+
     def _forget(self, now: float, wall_ms: int) -> None:
         if now < self._forget_due:
             return
@@ -547,10 +560,12 @@
                 return
             worker = self.worker
             sent_at = self._term.now()
+            wait_ms = _wait_ms(worker)
+            self._term.engine.asked(worker, sent_at, wait_ms / 1000)
             got = self._client.look(
                 until_ms=self._term.engine.grant(worker, sent_at),
                 noted=worker.noted,
-                wait_ms=_wait_ms(worker),
+                wait_ms=wait_ms,
                 token=self._term.engine.epoch,
             )
             if not self._open:
@@ -566,6 +581,8 @@
     if worker.noted < worker.processed:
         # An end that is not stored yet is listed again at once.
         return 0
+    if not worker.runs:
+        return IDLE_WAIT_MS
     serves = fills = False
     for run in worker.runs.values():
         if run.step is not None:
--- a/src/galenareel/_jobs/model.py
+++ b/src/galenareel/_jobs/model.py
@@ -241,6 +241,27 @@
     draining: bool = False
 
 
+class PoolLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """Load of a pool as a leader has seen it.
+
+    :param first_size: workers that it had before its first job.
+    :param peak_cpu: highest processor use at which work has arrived, in
+        thousandths of a core.
+    :param slack_s: mean time that its jobs can wait and still be on time.
+    """
+
+    first_size: int
+    peak_cpu: float
+    slack_s: float | None
+
+
+class InstanceOrder(msgspec.Struct, frozen=True, array_like=True):
+    """The last order for an instance, recorded before it was given."""
+
+    holder: str
+    at_ms: int
+
+
 class WaveRecord(msgspec.Struct, frozen=True, kw_only=True):
     """A maintenance wave.
 
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -23,11 +23,15 @@
 from galenareel._jobs.commands import ForgetJobs
 from galenareel._jobs.commands import OpenWave
 from galenareel._jobs.commands import RecordEnds
+from galenareel._jobs.commands import RecordLoads
 from galenareel._jobs.commands import RecordMaintenance
+from galenareel._jobs.commands import RecordOrders
 from galenareel._jobs.commands import RetireWorker
 from galenareel._jobs.commands import TakeOver
 from galenareel._jobs.model import Configuration
+from galenareel._jobs.model import InstanceOrder
 from galenareel._jobs.model import JobRequest
+from galenareel._jobs.model import PoolLoad
 from galenareel._jobs.model import Queue
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.model import WaveRecord
@@ -100,6 +104,9 @@
     jobs: dict[str, Job] = {}
     workers: dict[str, WorkerRecord] = {}
     waves: dict[int, WaveRecord] = {}
+    orders: dict[str, InstanceOrder] = {}
+    loads: dict[str, PoolLoad] = {}
+    factors: dict[str, float] = {}
 
 
 Listener = Callable[[AnyCommand, bool], None]
@@ -124,6 +131,8 @@
             RetireWorker: self._retire,
             OpenWave: self._open_wave,
             RecordMaintenance: self._record_maintenance,
+            RecordOrders: self._record_orders,
+            RecordLoads: self._record_loads,
             ForgetJobs: self._forget,
         }
 
@@ -180,6 +189,20 @@
     def waves(self) -> Mapping[int, WaveRecord]:
         return MappingProxyType(self._tables.waves)
 
+    @property
+    def orders(self) -> Mapping[str, InstanceOrder]:
+        """The last order of each instance that has had one."""
+        return MappingProxyType(self._tables.orders)
+
+    @property
+    def loads(self) -> Mapping[str, PoolLoad]:
+        return MappingProxyType(self._tables.loads)
+
+    @property
+    def factors(self) -> Mapping[str, float]:
+        """Run time over declared run time, by queue."""
+        return MappingProxyType(self._tables.factors)
+
     # --- commands -----------------------------------------------------------
 
     def _take_over(self, cmd: TakeOver) -> int:
@@ -280,6 +303,16 @@
         )
         return True
 
+    def _record_orders(self, cmd: RecordOrders) -> bool:
+        for name in cmd.instances:
+            self._tables.orders[name] = InstanceOrder(cmd.holder, cmd.now_ms)
+        return True
+
+    def _record_loads(self, cmd: RecordLoads) -> bool:
+        self._tables.loads = cmd.pools
+        self._tables.factors = cmd.factors
+        return True
+
     def _forget(self, cmd: ForgetJobs) -> bool:
         for name in cmd.names:
             self._tables.jobs.pop(name, None)
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -88,6 +88,8 @@
     :param over_at: local time at which every lease given has surely run out.
     :param processed: number of the last listed end that was handled.
     :param noted: number of the last listed end that is stored.
+    :param answer_due: by when the first look without an answer has to be
+        answered, if one is ``unanswered``.
     :param closing: why it gets no new tasks, or empty.
     """
 
@@ -95,6 +97,8 @@
     read: bool = False
     lapsed: bool = False
     heard_at: float = 0.0
+    answer_due: float = 0.0
+    unanswered: bool = False
     silent_since: float | None = None
     clock_ms: int = 0
     clock_at: float = 0.0
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -144,6 +144,7 @@
         worker = self.engine.workers.get(name)
         if worker is None:
             return
+        self.engine.asked(worker, self.now, 0.1)
         until = self.engine.grant(worker, self.now)
         if name in self.cut_off:
             return
--- /dev/null
+++ b/testing/scheduling/test_fleet.py
@@ -0,0 +1,274 @@
+"""Which instances are maintained, and which move between pools."""
+
+from __future__ import annotations
+
+import pytest
+
+from galenareel._jobs.clients import InstanceState
+from galenareel._jobs.model import EndKind
+from galenareel._jobs.model import Room
+from galenareel._jobs.model import Step
+from galenareel._jobs.model import WaveRecord
+from galenareel._scheduling.fleet import Demand
+from galenareel._scheduling.fleet import demand_of
+from galenareel._scheduling.fleet import FleetTables
+from galenareel._scheduling.fleet import IDLE_S
+from galenareel._scheduling.fleet import Instance
+from galenareel._scheduling.fleet import plan_maintenance
+from galenareel._scheduling.fleet import plan_moves
+from galenareel._scheduling.fleet import WAVE
+from testing.jobs.harness import Harness
+from testing.jobs.harness import job
+from testing.standins.instances import FakePlatform
+from testing.standins.worker import FakeWorker
+
+ROOM = Room(8000, 32768, 0)
+
+
+def tables_of(platform: FakePlatform) -> FleetTables:
+    rows = platform.instances()
+    assert isinstance(rows, list)
+    return FleetTables(
+        instances={row.name: Instance(row=row, listed_at=0.0) for row in rows}
+    )
+
+
+@pytest.fixture
+def harness() -> Harness:
+    """Six workers of one pool, ready for tasks."""
+    found = Harness(*(FakeWorker(name=f'w{n}') for n in range(6)))
+    found.pass_time(0.3)
+    return found
+
+
+@pytest.fixture
+def platform() -> FakePlatform:
+    """An instance for each worker, and three that are switched off."""
+    found = FakePlatform()
+    for number in range(6):
+        found.add(f'm{number}', 'lots', worker=f'w{number}')
+    for number in range(3):
+        found.add(f's{number}', 'spare')
+    return found
+
+
+def wave(*instances: str, limit: int = 2) -> WaveRecord:
+    return WaveRecord(
+        number=1, instances=instances, started_ms=0, due_ms=9, limit=limit
+    )
+
+
+# --- maintenance ------------------------------------------------------------
+
+
+def test_instances_without_a_worker_are_maintained_first(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    tables = tables_of(platform)
+    orders = plan_maintenance(
+        tables, [wave('m0', 's0', 's1')], harness.engine.workers, harness.now
+    )
+    assert [one.instance for one in orders] == ['s0', 's1']
+
+
+def test_no_more_than_the_limit_are_down(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    platform.set_state('s2', InstanceState.MAINTENANCE)
+    tables = tables_of(platform)
+    orders = plan_maintenance(
+        tables, [wave('s0', 's1', 's2')], harness.engine.workers, harness.now
+    )
+    assert len(orders) == 1
+
+
+def test_worker_is_emptied_before_its_instance_goes_down(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    harness.submit('j', job(Step(count=6, cpu=8000, estimate_ms=9000)))
+    harness.pass_time(0.3)
+    tables = tables_of(platform)
+    workers = harness.engine.workers
+    plan = wave('m0')
+    assert not plan_maintenance(tables, [plan], workers, harness.now)
+    instance = tables.instances['m0']
+    assert instance.closing_for == WAVE
+    workers['w0'].closing = WAVE
+    assert not plan_maintenance(tables, [plan], workers, harness.now)
+
+    worker = harness.workers['w0']
+    for task in list(worker.running):
+        worker.end(task, EndKind.DONE)
+    harness.look('w0')
+    (order,) = plan_maintenance(tables, [plan], workers, harness.now)
+    assert order.instance == 'm0'
+
+
+def test_a_pool_closes_only_a_part_of_its_workers(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    tables = tables_of(platform)
+    names = tuple(f'm{n}' for n in range(6))
+    plan_maintenance(
+        tables, [wave(*names, limit=6)], harness.engine.workers, harness.now
+    )
+    closing = [one for one in tables.instances.values() if one.closing_for]
+    assert len(closing) == 2
+
+
+def test_instance_that_is_down_is_left_for_later(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    platform.set_state('s0', InstanceState.DOWN)
+    tables = tables_of(platform)
+    plan = wave('s0')
+    assert not plan_maintenance(
+        tables, [plan], harness.engine.workers, harness.now
+    )
+
+
+# --- moves ------------------------------------------------------------------
+
+
+def demand(pool: str, have: int, wanted: int, least: int = 1) -> Demand:
+    return Demand(pool=pool, have=have, wanted=wanted, least=least)
+
+
+def test_idle_instances_of_other_pools_go_before_the_standby(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    tables = tables_of(platform)
+    moves = plan_moves(
+        tables,
+        {
+            'lots': demand('lots', 6, 4),
+            'tasting': demand('tasting', 1, 4),
+        },
+        'spare',
+        harness.engine.workers,
+        harness.now,
+    )
+    assert {one.pool for one in moves} == {'tasting'}
+    assert sorted(one.instance for one in moves) == ['m0', 'm1', 's0']
+
+
+def test_a_pool_keeps_its_reserve(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    tables = tables_of(platform)
+    moves = plan_moves(
+        tables,
+        {
+            'lots': demand('lots', 6, 2, least=6),
+            'tasting': demand('tasting', 1, 9),
+        },
+        'spare',
+        harness.engine.workers,
+        harness.now,
+    )
+    assert sorted(one.instance for one in moves) == ['s0', 's1', 's2']
+
+
+def test_worker_with_tasks_is_not_moved(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    harness.submit('j', job(Step(count=6, cpu=8000, estimate_ms=9000)))
+    harness.pass_time(0.3)
+    moves = plan_moves(
+        tables_of(platform),
+        {
+            'lots': demand('lots', 6, 1),
+            'tasting': demand('tasting', 1, 9),
+        },
+        '',
+        harness.engine.workers,
+        harness.now,
+    )
+    assert moves == []
+
+
+def test_refused_kind_of_instance_is_not_offered_again(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    tables = tables_of(platform)
+    tables.refused.add(('a', 'tasting'))
+    moves = plan_moves(
+        tables,
+        {'tasting': demand('tasting', 1, 9)},
+        'spare',
+        harness.engine.workers,
+        harness.now,
+    )
+    assert moves == []
+
+
+def test_idle_instance_goes_to_the_standby_after_a_while(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    tables = tables_of(platform)
+    demands = {'lots': demand('lots', 6, 5)}
+    workers = harness.engine.workers
+    assert not plan_moves(tables, demands, 'spare', workers, harness.now)
+    (move,) = plan_moves(
+        tables, demands, 'spare', workers, harness.now + IDLE_S
+    )
+    assert move.pool == 'spare'
+
+
+# --- demand -----------------------------------------------------------------
+
+
+def test_lasting_tasks_that_wait_ask_for_room(harness: Harness) -> None:
+    step = Step(count=9, cpu=1000, memory_mb=32768, lasting=True)
+    harness.submit('j', job(step))
+    harness.pass_time(0.3)
+    work = harness.engine.pool('lots')
+    found = demand_of(work, harness.engine.workers.values(), harness.now)
+    assert found.wanted >= 9
+
+
+def test_spread_of_a_lasting_step_is_the_least(harness: Harness) -> None:
+    step = Step(count=5, cpu=100, lasting=True, per_worker=1)
+    harness.submit('j', job(step))
+    harness.pass_time(0.3)
+    work = harness.engine.pool('lots')
+    found = demand_of(work, harness.engine.workers.values(), harness.now)
+    assert found.least >= 5
+
+
+def test_rush_of_short_jobs_asks_for_instances_before_a_backlog_shows(
+    harness: Harness,
+) -> None:
+    work = harness.engine.pool('lots')
+    workers = harness.engine.workers.values()
+    quiet = demand_of(work, workers, harness.now).wanted
+    for number in range(12):
+        step = Step(count=6, cpu=1800, estimate_ms=640)
+        harness.submit(f'j{number}', job(step))
+    found = demand_of(work, workers, harness.now)
+    assert found.wanted > max(quiet, found.have)
+
+
+def test_late_work_asks_for_less(harness: Harness) -> None:
+    for number in range(40):
+        step = Step(count=6, cpu=1800, estimate_ms=640)
+        harness.submit(f'j{number}', job(step))
+    harness.engine.place(harness.now)
+    work = harness.engine.pool('lots')
+    workers = harness.engine.workers.values()
+    fresh = demand_of(work, workers, harness.now).wanted
+    late = demand_of(work, workers, harness.now + 30.0).wanted
+    assert late < fresh
+
+
+def test_reserve_follows_the_slack_of_the_jobs(harness: Harness) -> None:
+    work = harness.engine.pool('lots')
+    workers = harness.engine.workers.values()
+    work.peak_cpu = 40_000.0
+    work.peak_at = harness.now
+    work.first_size = 6
+    work.slack_s = 1.0
+    hasty = demand_of(work, workers, harness.now).least
+    work.slack_s = 3.0
+    patient = demand_of(work, workers, harness.now).least
+    assert (hasty, patient) == (3, 1)
--- /dev/null
+++ b/testing/standins/instances.py
@@ -0,0 +1,110 @@
+"""A platform that keeps instances, for tests of waves and moves."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+
+from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import FleetClient
+from galenareel._jobs.clients import InstanceRow
+from galenareel._jobs.clients import InstanceState
+from galenareel._jobs.clients import Outcome
+from galenareel._jobs.model import Room
+
+
+@dataclass(slots=True)
+class Order:
+    """An order as the platform took it."""
+
+    kind: str
+    instance: str
+    target: str
+    holder: str
+    token: int
+
+
+@dataclass(slots=True)
+class FakePlatform(FleetClient):
+    """Instances by name; an order ends the life of the worker there.
+
+    :param busy: instances that take no order now.
+    :param lost_answers: calls that are carried out without an answer.
+    """
+
+    rows: dict[str, InstanceRow] = field(default_factory=dict)
+    tokens: dict[str, int] = field(default_factory=dict)
+    orders: list[Order] = field(default_factory=list)
+    busy: set[str] = field(default_factory=set)
+    lost_answers: int = 0
+    readings: int = 0
+
+    def add(
+        self,
+        name: str,
+        pool: str,
+        *,
+        worker: str = '',
+        rack: str = 'r1',
+        room: Room = Room(8000, 32768, 0),
+    ) -> None:
+        self.rows[name] = InstanceRow(
+            name=name,
+            pool=pool,
+            state=InstanceState.UP,
+            zone='a',
+            rack=rack,
+            labels=('a', rack),
+            room=room,
+            worker=worker,
+        )
+
+    def set_state(self, name: str, state: InstanceState) -> None:
+        self.rows[name] = replace(self.rows[name], state=state)
+
+    def come_back(self, name: str, worker: str = '') -> None:
+        """Maintenance or a move has ended."""
+        self.rows[name] = replace(
+            self.rows[name], state=InstanceState.UP, worker=worker
+        )
+
+    def instances(self) -> list[InstanceRow] | Answer:
+        self.readings += 1
+        return list(self.rows.values())
+
+    def move(
+        self, instance: str, pool: str, *, holder: str, token: int
+    ) -> Answer:
+        return self._take('move', instance, pool, holder, token)
+
+    def maintain(
+        self, instance: str, wave: int, *, holder: str, token: int
+    ) -> Answer:
+        return self._take('maintain', instance, str(wave), holder, token)
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+    def _take(
+        self, kind: str, instance: str, target: str, holder: str, token: int
+    ) -> Answer:
+        if instance not in self.rows:
+            return Answer(outcome=Outcome.REFUSED)
+        if token < self.tokens.get(instance, 0):
+            return Answer(outcome=Outcome.FENCED)
+        row = self.rows[instance]
+        if instance in self.busy or row.state is not InstanceState.UP:
+            return Answer(outcome=Outcome.BUSY)
+        self.tokens[instance] = token
+        self.orders.append(Order(kind, instance, target, holder, token))
+        state = InstanceState.MOVING
+        pool = target
+        if kind == 'maintain':
+            state = InstanceState.MAINTENANCE
+            pool = row.pool
+        self.rows[instance] = replace(row, state=state, pool=pool, worker='')
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return Answer(outcome=Outcome.NO_ANSWER)
+        return Answer(outcome=Outcome.DONE)
