--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -217,11 +217,18 @@
         engine = self._engine
         tables = self._tables
         waves = list(self._state.waves.values())
+        demands = self._demands(now)
         orders: list[Maintain | Move] = []
-        orders += plan_maintenance(tables, waves, engine.workers, now)
+        orders += plan_maintenance(
+            tables,
+            waves,
+            engine.workers,
+            now,
+            lacking=any(one.lacks() for one in demands.values()),
+            wall_ms=int(self._clock.wall() * 1000),
+        )
         for order in orders:
             self._mark(order, now)
-        demands = self._demands(now)
         moves = plan_moves(
             tables, demands, self._standby(), engine.workers, now
         )
--- a/src/galenareel/_scheduling/fleet.py
+++ b/src/galenareel/_scheduling/fleet.py
@@ -21,6 +21,7 @@
 MOVE = 'move'
 
 POOL_SHARE = 3  # at most one in this many workers of a pool closes at once
+ROUND_S = 5.0  # to empty and maintain as many instances as a wave may
 BUSY_RETRY_S = 0.5  # after the platform said that an instance is busy
 # A move takes this long to pay off; less waiting work than this goes away
 # by itself before a moved instance has arrived.
@@ -35,6 +36,9 @@
 RESERVE = 0.5  # of the highest load, where jobs can't wait for a move
 PATIENT_RESERVE = 0.2  # where they can
 SEEN_PEAK = 0.5  # of a pool's first size; a lower load is no peak
+LAST_RESERVE = 2  # instances that a pool gives up to no other
+# Order in which instances are taken from their pools.
+SPARE, STANDBY, RESERVED = range(3)
 IDLE_S = 2.0  # a pool that could spare an instance for so long gives it up
 
 
@@ -81,18 +85,27 @@
 
 @dataclass(slots=True, kw_only=True)
 class Demand:
-    """What a pool's work asks for, in instances."""
+    """What a pool's work asks for, in instances.
+
+    :param wanted: what also clears its backlog.
+    :param needed: what keeps up with the work that runs and arrives.
+    :param least: what it keeps between its peaks.
+    """
 
     pool: str
     have: int = 0
     coming: int = 0
     wanted: int = 0
+    needed: int = 0
     least: int = 0
-    idle_since: float | None = None
 
     def short(self) -> int:
         return max(self.wanted - self.have - self.coming, 0)
 
+    def lacks(self) -> int:
+        """Instances without which present work can't keep up."""
+        return max(self.needed - self.have - self.coming, 0)
+
 
 @dataclass(slots=True)
 class FleetTables:
@@ -121,24 +134,39 @@
     waves: Iterable[WaveRecord],
     workers: Mapping[str, Worker],
     now: float,
+    *,
+    lacking: bool = False,
+    wall_ms: int = 0,
 ) -> list[Maintain]:
     """Orders for instances that are empty; closes those that come next.
 
     Load pattern: a wave over half of the instances, with a limit and a
     deadline, while pools peak in turn. Instances that run nothing go first.
+
+    :param lacking: a pool can't keep up; workers stay while there is time.
     """
     orders: list[Maintain] = []
     for wave in sorted(waves, key=lambda one: one.due_ms):
         if not wave.is_complete():
-            orders += _advance(tables, wave, workers, now)
+            yields = lacking and not _presses(wave, wall_ms)
+            orders += _advance(tables, wave, workers, now, yields=yields)
     return orders
 
 
+def _presses(wave: WaveRecord, wall_ms: int) -> bool:
+    """Whether a wave has little more time than it takes."""
+    left = len(wave.instances) - len(wave.done)
+    rounds = math.ceil(left / max(wave.limit, 1))
+    return wall_ms + rounds * ROUND_S * 1000 > wave.due_ms
+
+
 def _advance(
     tables: FleetTables,
     wave: WaveRecord,
     workers: Mapping[str, Worker],
     now: float,
+    *,
+    yields: bool,
 ) -> list[Maintain]:
     left = [one for one in wave.instances if one not in wave.done]
     known = [tables.instances[one] for one in left if one in tables.instances]
@@ -151,7 +179,10 @@
     closing = [one for one in known if one.closing_for == WAVE]
     room = wave.limit - down - len(closing)
     if room > 0:
-        for one in _next_to_close(tables, known, workers, now)[:room]:
+        chosen = _next_to_close(tables, known, workers, now)
+        if yields:
+            chosen = [one for one in chosen if one.row.worker not in workers]
+        for one in chosen[:room]:
             one.closing_for = WAVE
             closing.append(one)
     orders: list[Maintain] = []
@@ -283,6 +314,7 @@
         (used_memory + lasting_memory) / memory / FILL,
         arriving / size / FILL,
     )
+    demand.needed = max(math.ceil(wanted), 1)
     wait_s = backlog_core_s / (size * len(members) / 1000)
     if wait_s > WORTHWHILE_S:
         # No more than clears the backlog soon, or than it can use at once.
@@ -345,7 +377,8 @@
     )
     for need in short:
         missing = need.short()
-        for name in _donors(tables, demands, standby, workers, now):
+        lacking = need.lacks()
+        for reserved, name in _donors(tables, demands, standby, workers, now):
             if missing <= 0:
                 break
             row = tables.instances[name].row
@@ -354,8 +387,11 @@
                 continue
             if (kind, need.pool) in tables.refused:
                 continue
+            if reserved and lacking <= 0:
+                continue
             taken.add(name)
             missing -= 1
+            lacking -= 1
             if row.pool in demands:
                 demands[row.pool].have -= 1
             moves.append(
@@ -376,27 +412,39 @@
     standby: str,
     workers: Mapping[str, Worker],
     now: float,
-) -> list[str]:
-    """Instances that may leave their pool, the cheapest first."""
+) -> list[tuple[bool, str]]:
+    """Instances that may leave their pool, the cheapest first.
+
+    Each comes with whether its pool keeps it as a reserve, which goes only
+    to a pool that can't keep up now.
+    """
     found: list[tuple[int, str]] = []
-    spare: dict[str, int] = {
+    spare = {
         one.pool: one.have - max(one.wanted, one.least)
         for one in demands.values()
     }
+    reserve = {
+        one.pool: min(one.have, max(one.wanted, one.least))
+        - max(one.wanted, LAST_RESERVE)
+        for one in demands.values()
+    }
     for name, instance in sorted(tables.instances.items()):
         if not _may_close(instance, now) or instance.ordered:
             continue
         pool = instance.row.pool
         if pool == standby:
-            found.append((1, name))
+            found.append((STANDBY, name))
             continue
         worker = workers.get(instance.row.worker)
         if worker is None or worker.runs or not worker.is_open():
             continue
         if spare.get(pool, 0) > 0:
             spare[pool] -= 1
-            found.append((0, name))
-    return [name for _rank, name in sorted(found)]
+            found.append((SPARE, name))
+        elif reserve.get(pool, 0) > 0:
+            reserve[pool] -= 1
+            found.append((RESERVED, name))
+    return [(rank == RESERVED, name) for rank, name in sorted(found)]
 
 
 def _release(
@@ -415,8 +463,9 @@
         since = tables.idle_since.setdefault(demand.pool, now)
         if now - since < IDLE_S:
             continue
-        for name in _donors(tables, demands, standby, workers, now):
-            if tables.instances[name].row.pool == demand.pool:
+        for reserved, name in _donors(tables, demands, standby, workers, now):
+            pool = tables.instances[name].row.pool
+            if pool == demand.pool and not reserved:
                 why = f'{demand.pool} wants {demand.wanted} of {demand.have}'
                 moves.append(Move(instance=name, pool=standby, why=why))
                 break
--- a/testing/scheduling/test_fleet.py
+++ b/testing/scheduling/test_fleet.py
@@ -272,3 +272,44 @@
     work.slack_s = 3.0
     patient = demand_of(work, workers, harness.now).least
     assert (hasty, patient) == (3, 1)
+
+
+def test_reserve_goes_to_a_pool_that_cannot_keep_up(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    for name in ('s0', 's1', 's2'):
+        del platform.rows[name]
+    keeps_up = demand('tasting', 3, 9)
+    keeps_up.needed = 3
+    demands = {'lots': demand('lots', 6, 1, least=6), 'tasting': keeps_up}
+    workers = harness.engine.workers
+    tables = tables_of(platform)
+    assert not plan_moves(tables, demands, '', workers, harness.now)
+
+    keeps_up.needed = 5
+    moves = plan_moves(tables, demands, '', workers, harness.now)
+    assert len(moves) == 2
+
+
+def test_wave_leaves_workers_alone_while_a_pool_lacks_instances(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    tables = tables_of(platform)
+    workers = harness.engine.workers
+    plan = WaveRecord(
+        number=1,
+        instances=('m0', 's0'),
+        started_ms=0,
+        due_ms=20_000,
+        limit=2,
+    )
+    orders = plan_maintenance(
+        tables, [plan], workers, harness.now, lacking=True, wall_ms=1000
+    )
+    assert [one.instance for one in orders] == ['s0']
+    assert not tables.instances['m0'].closing_for
+
+    plan_maintenance(
+        tables, [plan], workers, harness.now, lacking=True, wall_ms=19_000
+    )
+    assert tables.instances['m0'].closing_for == WAVE
