--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -63,6 +63,7 @@
 UNSURE_STOP_S = 1.0  # an unanswered start is stopped after this
 STOP_AGAIN_S = 1.0  # an unanswered stop is sent again
 RETRY_S = 0.05  # before a task is started again that a worker refused
+RETRY_WAITING_S = 0.25
 RUNS_PER_EPOCH = 1000  # run numbers that one leader may use for a task
 DRAIN_MARGIN_S = 0.3
 ADVICE_WORKERS = 6  # workers named in one call; each one takes time
@@ -110,7 +111,7 @@
         self._done: dict[str, dict[tuple[int, int], set[int]]] = {}
         self._due: list[tuple[int, str, int]] = []
         self._unread: set[str] = set()
-        self._changed = False
+        self._retry_due = 0.0
         for record in state.workers.values():
             worker = self._add_worker(record, now)
             worker.over_at = now + TAKE_OVER_SLACK_S + LEASE_S / CLOCK_RATE
@@ -892,6 +893,7 @@
         self._repeat_stops(now)
         self._leave_draining(now)
         self._restart_stalled(now)
+        self._retry_waiting(now)
         for worker in self.workers.values():
             if worker.read and worker.silent_since is None:
                 self._pace(worker, now)
@@ -926,6 +928,14 @@
                 if self._outlasts(run, worker, now):
                     self._stop(run, now, 'worker_drains')
 
+    def _retry_waiting(self, now: float) -> None:
+        """Look again at what waits: time alone may have made room for it."""
+        if now < self._retry_due:
+            return
+        self._retry_due = now + RETRY_WAITING_S
+        for pool in self.pools.values():
+            pool.dirty = pool.dirty or bool(pool.waiting)
+
     def _restart_stalled(self, now: float) -> None:
         """Stop runs that would end sooner elsewhere."""
         for worker in self.workers.values():
--- a/src/galenareel/_scheduling/placement.py
+++ b/src/galenareel/_scheduling/placement.py
@@ -24,7 +24,10 @@
 
     def __init__(self, workers: Iterable[Worker], now: float) -> None:
         self.now = now
-        self.workers = [one for one in workers if one.is_open()]
+        found = [one for one in workers if one.is_open()]
+        sound = [one for one in found if not is_suspect(one, now)]
+        # Where every worker is suspect, the work itself may be at fault.
+        self.workers = sound or found
         self._refresh()
 
     def _refresh(self) -> None:
@@ -62,7 +65,7 @@
                 continue
             if step.label and step.label not in worker.record.labels:
                 continue
-            if worker.name in avoid or is_suspect(worker, self.now):
+            if worker.name in avoid:
                 continue
             if work.job.queue.advice and worker.name not in work.tickets:
                 continue
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 import io
 
 from opentelemetry.metrics import NoOpMeter
@@ -25,6 +26,7 @@
 from galenareel._jobs.model import Pool
 from galenareel._jobs.model import Queue
 from galenareel._jobs.model import Step
+from galenareel._jobs.model import TaskId
 from galenareel._jobs.state import JobState
 from galenareel._scheduling.tables import PaceTask
 from galenareel._scheduling.tables import StartTask
@@ -39,6 +41,18 @@
     return JobRequest(specification=specification, steps=steps or (TASK,))
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LateOrder:
+    """A start that reaches its worker later."""
+
+    worker: str
+    born: int
+    task: TaskId
+    number: int
+    until_ms: int
+    token: int
+
+
 class Harness:
     """A leader's engine, its replicated state and some workers.
 
@@ -53,6 +67,8 @@
         self.workers = {one.name: one for one in workers}
         self.lost_answers: set[str] = set()
         self.cut_off: set[str] = set()
+        self.delayed: set[str] = set()
+        self.late_orders: list[LateOrder] = []
         self.log = Log('test', stream=io.StringIO())
         self.apply(
             Configure(
@@ -199,7 +215,18 @@
         assert until is not None, 'a worker is read before it gets tasks'
         run.until_ms = until
         answer = Answer(outcome=Outcome.NO_ANSWER)
-        if name not in self.cut_off:
+        if name in self.delayed:
+            self.late_orders.append(
+                LateOrder(
+                    worker=name,
+                    born=run.worker.record.born,
+                    task=run.task,
+                    number=run.number,
+                    until_ms=until,
+                    token=self.engine.epoch,
+                )
+            )
+        elif name not in self.cut_off:
             answer = self.workers[name].start(
                 run.task, run.number, until_ms=until, token=self.engine.epoch
             )
@@ -217,6 +244,19 @@
         if name not in self.lost_answers:
             self.engine.stop_answered(order, answer, self.now)
 
+    def deliver_late(self) -> None:
+        """The workers carry out the orders that were held up."""
+        orders, self.late_orders = self.late_orders, []
+        for one in orders:
+            worker = self.workers[one.worker]
+            if worker.born == one.born:
+                worker.start(
+                    one.task,
+                    one.number,
+                    until_ms=one.until_ms,
+                    token=one.token,
+                )
+
     # --- what runs ----------------------------------------------------------
 
     def running(self) -> dict[str, list[str]]:
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -44,6 +45,8 @@
     :param rate: speed of its clock against true time.
     :param work_s: time in which a task gets to 100 percent; the test ends it.
     :param stalled: its tasks stand still.
+    :param taken: done tasks whose ends the leader has taken note of.
+    :param watch: called with each run that begins.
     """
 
     name: str
@@ -61,9 +64,11 @@
     refused: dict[str, int] = field(default_factory=dict)
     starts: list[tuple[str, int]] = field(default_factory=list)
     position: int = 0
+    taken: set[str] = field(default_factory=set)
     draining: bool = False
     work_s: float = 1.0
     stalled: bool = False
+    watch: Callable[[FakeWorker, str, int], None] | None = None
 
     def record(self) -> WorkerRecord:
         return WorkerRecord(
@@ -134,6 +139,8 @@
             return self._answer(Outcome.SUPERSEDED)
         self.running[name] = RunningTask(name, number, self.clock_ms)
         self.starts.append((name, number))
+        if self.watch is not None:
+            self.watch(self, name, number)
         return self._answer(Outcome.DONE)
 
     def stop(self, task: TaskId, number: int, *, token: int) -> Answer:
@@ -163,6 +170,11 @@
             return self._answer(Outcome.FENCED)
         if until_ms is not None:
             self._extend(until_ms)
+        self.taken.update(
+            one.task
+            for one in self.ended
+            if one.position <= noted and one.how is EndKind.DONE
+        )
         self.ended = [one for one in self.ended if one.position > noted]
         return Listing(
             clock_ms=int(self.clock_ms),
