--- a/testing/jobs/test_machine.py
+++ b/testing/jobs/test_machine.py
@@ -26,6 +26,7 @@
 from galenareel._jobs.model import Step
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.state import Job
+from galenareel._scheduling.placement import Candidates
 from galenareel._scheduling.tables import Worker
 from testing.jobs.harness import Harness
 from testing.jobs.harness import job
@@ -305,6 +306,7 @@
 def uncounted(patch: pytest.MonkeyPatch) -> None:
     """Room is not counted."""
     patch.setattr(Worker, 'has_room', lambda *_: True)
+    patch.setattr(Candidates, 'can_hold', lambda *_: True)
 
 
 def dropped(patch: pytest.MonkeyPatch) -> None:
