--- a/src/galenareel/_scheduling/placement.py
+++ b/src/galenareel/_scheduling/placement.py
@@ -15,7 +15,11 @@
 BESIDE_SERVING = 4.0  # filling tasks disturb tasks that serve
 BESIDE_FILLING = 1.0
 TRIAL = 3.0  # a worker that failed its last task
-SAME_RACK = 0.3  # tasks of a lasting step lost together with their rack
+# Lasting tasks gather on few workers, so that the others can be given back;
+# one worker or rack takes at most half of a step with it.
+GATHERED = -1.0
+HALF_OF_STEP = 2.0
+HALF_IN_RACK = 0.5
 COLD = 0.5
 
 
@@ -94,7 +98,7 @@
         if step.fills or step.target_ms:
             score += self._interference(work, worker)
         if step.lasting:
-            score += SAME_RACK * work.racks.get(worker.record.rack, 0)
+            score += _lasting_score(work, worker)
         if step.one_rack and work.racks:
             score += 0.0 if worker.record.rack in work.racks else FAR_RACK
         return score
@@ -110,3 +114,18 @@
             elif work.step.target_ms and other.fills:
                 score += BESIDE_FILLING
         return score
+
+
+def _lasting_score(work: StepWork, worker: Worker) -> float:
+    half = -(-work.step.count // 2)
+    score = 0.0
+    if any(
+        run.step is not None and run.step.step.lasting
+        for run in worker.runs.values()
+    ):
+        score += GATHERED
+    if work.per_worker.get(worker.name, 0) >= half:
+        score += HALF_OF_STEP
+    if work.racks.get(worker.record.rack, 0) >= half:
+        score += HALF_IN_RACK
+    return score
