--- a/src/galenareel/_scheduling/fleet.py
+++ b/src/galenareel/_scheduling/fleet.py
@@ -39,7 +39,9 @@
 LAST_RESERVE = 2  # instances that a pool gives up to no other
 # Order in which instances are taken from their pools.
 SPARE, STANDBY, RESERVED = range(3)
-IDLE_S = 2.0  # a pool that could spare an instance for so long gives it up
+# A pool that could spare an instance for so long gives it up: about as long
+# as an instance that stays costs what a second move does.
+IDLE_S = 1.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -401,8 +403,11 @@
                     why=f'{need.pool} wants {need.wanted} of {need.have}',
                 )
             )
-    if not short and standby:
-        moves += _release(tables, demands, standby, workers, now)
+    if standby:
+        left = {one.pool: one for one in demands.values() if not one.short()}
+        for move in _release(tables, left, standby, workers, now):
+            if move.instance not in taken:
+                moves.append(move)
     return moves
 
 
