--- a/src/galenareel/_operator/commands.py
+++ b/src/galenareel/_operator/commands.py
@@ -68,6 +68,17 @@
     follow: bool = _switch('keep printing new events')
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobLogSettings:
+    """``job``."""
+
+    logs: str = setting(
+        'log files of the processes, with commas between them',
+        reader=str,
+        shape='FILE,...',
+    )
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Command:
     """One command: its arguments, its settings and its help."""
@@ -106,6 +117,11 @@
         model=TimelineSettings,
         help='events of all processes in causal order',
     ),
+    'job': Command(
+        model=JobLogSettings,
+        arguments=('job',),
+        help='what happened to a job, from the logs of the processes',
+    ),
     'members': Command(
         model=MemberSettings,
         help='show, add or remove the control members',
--- a/src/galenareel/_operator/run.py
+++ b/src/galenareel/_operator/run.py
@@ -23,6 +23,7 @@
 from galenareel._operator.client import OperatorClient
 from galenareel._operator.gather import gather
 from galenareel._operator.gather import Gathered
+from galenareel._operator.job_log import tell
 from galenareel._operator.measures import measure
 from galenareel._operator.show import show
 from galenareel._operator.timeline import Filter
@@ -41,6 +42,8 @@
     """Run a command and return the exit status."""
     if command == 'validate':
         return _validate(values['file'])
+    if command == 'job':
+        return _job(values['job'], cfg.logs.split(','))
     client = OperatorClient(
         cfg.entry,
         secret=cfg.secret.reveal(),
@@ -132,6 +135,24 @@
     return DONE
 
 
+def _job(job: str, paths: list[str]) -> int:
+    texts: list[str] = []
+    for path in paths:
+        try:
+            text = Path(path).read_text(encoding='utf-8', errors='replace')
+        except OSError as exc:
+            _fail(f"can't read {path!r}: {exc.strerror}")
+            return USAGE
+        texts += text.splitlines()
+    story = tell(job, texts)
+    for line in story.lines:
+        print(line.text())
+    print()
+    for sentence in story.conclusion:
+        print(f'- {sentence}')
+    return DONE if story.lines else FAILED
+
+
 def _submit(client: OperatorClient, path: str, cfg: Any) -> int:
     text = _read_file(path)
     if isinstance(text, int):
--- a/testing/adapter/test_settings.py
+++ b/testing/adapter/test_settings.py
@@ -6,6 +6,7 @@
 import os
 from pathlib import Path
 
+from adapter.settings import check_settings
 from adapter.settings import read_settings
 from adapter.settings import WatchedSettings
 import pytest
@@ -93,3 +94,12 @@
     watched.reload(signalled=True)
     assert watched.current.node == 'core-a-1'
     assert 'settings_invalid' in out.getvalue()
+
+
+def test_settings_are_checked_before_a_start(
+    path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert check_settings(path, 'core') == 0
+    path.write_text(CORE.replace('"/data/core"', '""'))
+    assert check_settings(path, 'core') == 1
+    assert 'dataDirectory' in capsys.readouterr().out
--- /dev/null
+++ b/testing/operator/test_job_log.py
@@ -0,0 +1,103 @@
+"""The walk from a job's name to its cause, over logs of several processes."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from galenareel._operator.job_log import parse_line
+from galenareel._operator.job_log import tell
+from galenareel._operator.main import main
+
+FRONT = """
+time=2026-01-01T00:00:01.000Z level=info process=front-1 event=started zone=a
+time=2026-01-01T00:00:09.000Z level=info process=front-1 event=call_answered \
+operation=status path=/q/j1 outcome=no_leader detail=""
+"""
+CORE = """
+time=2026-01-01T00:00:02.000Z level=info process=core-1 event=job_accepted \
+job=j1 queue=view tasks=3 new=True
+time=2026-01-01T00:00:02.010Z level=info process=core-1 event=task_placed \
+task=j1.0.0.0 run=1 worker=w1 cpu_used=1000 epoch=1
+time=2026-01-01T00:00:03.000Z level=warning process=core-1 event=worker_lost \
+worker=w1 runs=1 lease_left_s=7.5
+time=2026-01-01T00:00:03.000Z level=warning process=core-1 event=worker_lost \
+worker=w9 runs=1 lease_left_s=7.5
+time=2026-01-01T00:00:05.000Z level=info process=core-1 event=run_released \
+task=j1.0.0.0 run=1 worker=w1 why=lease_over
+Traceback (most recent call last):
+time=2026-01-01T00:00:06.000Z level=info process=core-2 event=leading epoch=2 \
+jobs=1 workers=2
+time=2026-01-01T00:00:09.500Z level=info process=core-2 event=job_ended \
+job=j1 outcome=failed
+time=2026-01-01T00:00:04.000Z level=info process=core-1 event=job_refused \
+job=j2 queue=view why="the queue is full" wait_s=9.1 retry_after_s=3.0
+"""
+
+
+def lines() -> list[str]:
+    return (FRONT + CORE).splitlines()
+
+
+def test_lines_of_all_processes_come_in_order() -> None:
+    story = tell('j1', lines())
+    assert [one.event for one in story.lines] == [
+        'job_accepted',
+        'task_placed',
+        'worker_lost',
+        'run_released',
+        'leading',
+        'call_answered',
+        'job_ended',
+    ]
+
+
+def test_conclusion_names_what_decided() -> None:
+    text = '\n'.join(tell('j1', lines()).conclusion)
+    assert 'accepted by core-1' in text
+    assert 'lease_over on w1' in text
+    assert 'the leader changed 1 times' in text
+    assert 'front-1 answered status with no_leader' in text
+    assert 'over at 2026-01-01T00:00:09.500Z: failed' in text
+
+
+def test_refusal_is_explained() -> None:
+    (text,) = tell('j2', lines()).conclusion
+    assert text == (
+        'refused: the queue is full, expected wait 9.1 s, '
+        'come back after 3.0 s'
+    )
+
+
+def test_unknown_job_says_so() -> None:
+    assert 'no line names j3' in tell('j3', lines()).conclusion[0]
+
+
+def test_other_text_is_no_line() -> None:
+    assert parse_line('Traceback (most recent call last):') is None
+    assert parse_line('time=now') is None
+
+
+def test_command_reads_files(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    front = tmp_path / 'front.log'
+    core = tmp_path / 'core.log'
+    front.write_text(FRONT)
+    core.write_text(CORE)
+    with pytest.raises(SystemExit) as info:
+        main(['job', 'j1', '--logs', f'{front},{core}'], {})
+    assert info.value.code == 0
+    out = capsys.readouterr().out
+    assert 'job_accepted' in out
+    assert 'over at' in out
+
+
+def test_command_names_a_missing_file(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    with pytest.raises(SystemExit) as info:
+        main(['job', 'j1', '--logs', '/nowhere.log'], {})
+    assert info.value.code == 2
+    assert '/nowhere.log' in capsys.readouterr().err
