Refuse jobs that would end too late to be of use

Cause: at ten times the room every job was accepted, and work of no use took room from jobs that could be on time.

Lasting and timed jobs are accepted.

--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -25,12 +25,15 @@
 from galenareel._jobs.estimates import Estimates
 from galenareel._jobs.metrics import JobMetrics
 from galenareel._jobs.model import EndKind
+from galenareel._jobs.model import JobRequest
 from galenareel._jobs.model import PoolLoad
 from galenareel._jobs.model import Queue
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.model import WorkerRecord
 from galenareel._jobs.state import Job
 from galenareel._jobs.state import JobState
+from galenareel._scheduling.admission import Refusal
+from galenareel._scheduling.admission import refuse_job
 from galenareel._scheduling.availability import may_stop
 from galenareel._scheduling.health import observe_end
 from galenareel._scheduling.health import observe_time
@@ -186,6 +189,29 @@
                 self._open_steps(job, occurrence, now)
         self._due.sort()
 
+    def refuses(
+        self, queue: Queue, req: JobRequest, now: float
+    ) -> Refusal | None:
+        """Why a job of a queue would not be accepted now, or none."""
+        job = JobWork(
+            name='',
+            queue=queue,
+            accepted_at=now,
+            lasting=any(one.lasting for one in req.steps),
+        )
+        self.estimates.plan(job, req)
+        if job.lasting or req.repetitions:
+            return None
+        cores = sum(
+            one.record.room.cpu / 1000
+            for one in self.workers.values()
+            if one.pool == queue.pool and one.is_open()
+        )
+        others = (
+            one for one in self.jobs.values() if one.queue.pool == queue.pool
+        )
+        return refuse_job(job, others, cores, now)
+
     def end_job(self, name: str, now: float, why: str) -> None:
         """A job is over: stop what still runs of it."""
         work = self.jobs.pop(name, None)
--- a/src/galenareel/_jobs/service.py
+++ b/src/galenareel/_jobs/service.py
@@ -34,7 +34,6 @@
 from galenareel._jobs.model import WorkerRecord
 from galenareel._jobs.state import Job
 from galenareel._jobs.state import JobState
-from galenareel._scheduling.admission import refuse_job
 
 RETRY_S = 0.5  # while the leader changes
 
@@ -133,7 +132,7 @@
             )
             self._log.info('job_invalid', job=name, detail=detail)
             return JobAnswer(outcome='invalid', detail=detail)
-        refusal = refuse_job(engine, queue, req, self._clock.monotonic())
+        refusal = engine.refuses(queue, req, self._clock.monotonic())
         if refusal is not None:
             self._log.info(
                 'job_refused',
