--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -54,9 +54,9 @@
 from galenareel._scheduling.tables import StopTask
 from galenareel._scheduling.tables import Worker
 
-# Granted with each look: long enough to keep tasks running while all control
-# members restart, and below the longest lease that a worker gives.
-LEASE_S = 8.0
+# Granted with each look: long enough for a new leader to renew it, and short
+# enough to start a crashed worker's tasks again soon.
+LEASE_S = 6.0
 CLOCK_RATE = 0.98  # a worker's clock may be 2 % slow
 LEASE_SLACK_S = 0.2  # for the moment at which a clock was read
 # A former leader's last grant may be this much newer than our take-over.
