Remove core members that are gone, and let removed ones join again

Cause: a core machine that is replaced at another address leaves four voters of which one never comes back, so the next loss stops everything.

Change: the leader removes a voter that it has not heard for 10 s while more than three remain; a member that was removed while it was away asks to be added again.

--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -44,7 +44,6 @@
 
 TICK_S = 0.05
 REOPEN_S = 5.0
-HEARD_S = 0.6  # a member that has answered since is reachable
 CHANGE_TIMEOUT_S = 5.0
 MAX_COMMAND_BYTES = 1024 * 1024
 
@@ -228,16 +227,19 @@
             return ()
         return self._member.raft.state.membership.members
 
-    def hears(self, name: str) -> bool:
-        if self._member is None:
-            return False
+    def silent_voters(self, silent_s: float) -> list[str]:
+        """Names of voters that this leader has not heard for a time."""
+        if self._member is None or not self._leads():
+            return []
         st = self._member.raft.state
         now = self._now()
-        return any(
-            one.identity in st.progress
-            and now - st.progress[one.identity].heard < HEARD_S
-            for one in st.membership.named(name)
-        )
+        return [
+            one.name
+            for one in st.membership.members
+            if one.voter
+            and one.identity in st.progress
+            and now - st.progress[one.identity].heard > silent_s
+        ]
 
     def belongs(self) -> bool:
         """Whether this member is one of a cluster's members."""
--- a/src/galenareel/_consensus/interface.py
+++ b/src/galenareel/_consensus/interface.py
@@ -64,10 +64,6 @@
     def leader(self) -> str | None:
         """Frame address of the leader, if it is known."""
 
-    @abstractmethod
-    def hears(self, name: str) -> bool:
-        """Whether a member has answered this leader lately."""
-
     @abstractmethod
     def change_members(
         self, *, add: str | None = None, remove: str | None = None
--- a/src/galenareel/_jobs/joining.py
+++ b/src/galenareel/_jobs/joining.py
@@ -1,8 +1,10 @@
 """How control members find each other from a few seed addresses.
 
 The seeds that are named at the first start form the cluster. Every other
-member, and one whose disk is empty, asks the members it can reach to be
-added until the leader has done so.
+member, one whose disk is empty, and one that was removed while it was away,
+asks the members it can reach to be added until the leader has done so. The
+leader removes a voter that is gone for good once others have taken its place,
+so that no majority has to count it.
 """
 
 from __future__ import annotations
@@ -26,6 +28,11 @@
 from galenareel._consensus.driver import Driver
 
 JOIN_EVERY_S = 0.4
+CHECK_EVERY_S = 1.0
+# A machine that is frozen, cut off or restarted is back sooner.
+GONE_S = 10.0
+# The smallest cluster that survives the loss of a member.
+LEAST_VOTERS = 3
 REQUEST_TIMEOUT_S = 2.0
 
 
@@ -64,6 +71,13 @@
             self._job.kill()
 
     def _run(self) -> None:
+        while True:
+            if not self._driver.belongs():
+                self._join_cluster()
+            self.remove_gone()
+            gevent.sleep(CHECK_EVERY_S)
+
+    def _join_cluster(self) -> None:
         while not self._driver.belongs():
             for address in dict.fromkeys((*self._seeds(), *self._known)):
                 if address != self._address and self._ask(address):
@@ -71,6 +85,20 @@
             gevent.sleep(JOIN_EVERY_S)
         self._log.info('joined', members=len(self._driver.members()))
 
+    def remove_gone(self, silent_s: float = GONE_S) -> None:
+        """Remove one voter that is gone, if this member leads."""
+        voters = [one for one in self._driver.members() if one.voter]
+        gone = self._driver.silent_voters(silent_s)
+        if not gone or len(voters) <= LEAST_VOTERS:
+            return
+        result = self._driver.change_members(remove=gone[0])
+        self._log.info(
+            'member_removed',
+            member=gone[0],
+            silent_s=silent_s,
+            outcome=getattr(result, 'reason', 'done'),
+        )
+
     def _ask(self, address: str) -> bool:
         """Ask one member; true once the leader has added this one."""
         link = connect(address, clock=self._clock, handler=_ignore)
--- a/testing/control/cluster.py
+++ b/testing/control/cluster.py
@@ -99,9 +99,6 @@
     def leads_term(self) -> bool:
         return self.is_leader()
 
-    def hears(self, name: str) -> bool:
-        return True
-
     def change_members(
         self, *, add: str | None = None, remove: str | None = None
     ) -> Any:
--- a/testing/jobs/test_leader.py
+++ b/testing/jobs/test_leader.py
@@ -68,9 +68,6 @@
     def leader(self) -> str | None:
         return None
 
-    def hears(self, name: str) -> bool:
-        return False
-
     def change_members(
         self, *, add: str | None = None, remove: str | None = None
     ) -> Any:
