Keep budgets also for tasks whose last listing is old

Change: a lasting task is stopped only while the others of its step that are away leave room, whether it works or not.

--- a/src/galenareel/_scheduling/availability.py
+++ b/src/galenareel/_scheduling/availability.py
@@ -17,15 +17,19 @@
     return run.state is RunState.RUNNING and run.percent >= AT_WORK
 
 
-def away(work: StepWork) -> int:
-    """Tasks of a lasting step that don't work now, for any reason."""
+def away(work: StepWork, *, besides: int | None = None) -> int:
+    """Tasks of a lasting step that don't work now, for any reason.
+
+    :param besides: index of a task that is not counted.
+    """
+    others = set(range(work.step.count)) - {besides}
     working = {
         run.task.index
         for runs in work.runs.values()
         for run in runs
         if is_at_work(run)
     }
-    return work.step.count - len(working)
+    return len(others - working)
 
 
 def may_stop(run: Run) -> bool:
@@ -33,6 +37,7 @@
     work = run.step
     if work is None or not work.step.lasting:
         return True
-    if not is_at_work(run):
+    if work.step.may_miss == 0:
         return True
-    return away(work) < work.step.may_miss or work.step.may_miss == 0
+    # A task that did not work when it was listed may do so by now.
+    return away(work, besides=run.task.index) < work.step.may_miss
--- a/testing/scheduling/test_availability.py
+++ b/testing/scheduling/test_availability.py
@@ -49,3 +49,15 @@
     harness.pass_time(2.0)
     runs = harness.engine.workers['w1'].runs.values()
     assert all(may_stop(one) for one in runs)
+
+
+def test_task_that_may_work_by_now_is_not_stopped_beyond_the_budget(
+    harness: Harness,
+) -> None:
+    work = harness.engine.jobs['j'].steps[0, 0]
+    first, second = (work.runs[index][0] for index in (0, 1))
+    first.percent = 40
+    second.percent = 90
+    assert not may_stop(second)
+    first.percent = 100
+    assert may_stop(second)
