--- a/src/galenareel/_jobs/service.py
+++ b/src/galenareel/_jobs/service.py
@@ -162,6 +162,9 @@
             job=name,
             queue=queue.name,
             tasks=sum(one.count for one in req.steps),
+            lasting=sum(one.count for one in req.steps if one.lasting),
+            serving=sum(one.count for one in req.steps if one.target_ms),
+            filling=sum(one.count for one in req.steps if one.fills),
             new=bool(result),
         )
         return JobAnswer(outcome='accepted')
