Hold back only instances with an order of the last 8 s

Cause: after a change of the leader most instances had an order of the last 20 s and were left alone for 3.2 s.

Change: RECENT_S 20 to 8.

--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -40,7 +40,7 @@
 PLAN_S = 0.1
 # Orders that a former leader recorded within this time count as recent; it
 # allows for wall clocks that differ.
-RECENT_S = 20.0
+RECENT_S = 8.0
 TAKE_OVER_S = 3.2  # over the platform's lease of a holder
 READ_EVERY_S = 20.0  # the list, while nothing changes
 READ_LOST_S = 0.5  # while a worker is silent: it may be down
