Split the engine and the leader into modules with one job each

Change: the engine is built in layers (tables, leases, listings, answers, placing); the leader's term and the link to a worker stand apart. The tests of processes wait for the line that names the leader, since log lines are written every 0.1 s: test_planned_stop_hands_the_lead_over read the file too early once, with no line in it. No behaviour changes.

--- /dev/null
+++ b/src/galenareel/_jobs/answers.py
@@ -0,0 +1,113 @@
+"""What became of orders to workers."""
+
+from __future__ import annotations
+
+from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import Outcome
+from galenareel._jobs.leases import SILENT_S
+from galenareel._jobs.listings import Listings
+from galenareel._scheduling.health import observe_end
+from galenareel._scheduling.tables import PaceTask
+from galenareel._scheduling.tables import Run
+from galenareel._scheduling.tables import RunState
+from galenareel._scheduling.tables import StopTask
+from galenareel._scheduling.tables import Worker
+
+UNSURE_STOP_S = 1.0  # an unanswered start is stopped after this
+STOP_AGAIN_S = 1.0  # an unanswered stop is sent again
+RETRY_S = 0.05  # before a task is started again that a worker refused
+
+
+class OrderAnswers(Listings):
+    """Takes the answers to orders, and repeats those without one."""
+
+    def start_answered(self, run: Run, answer: Answer, now: float) -> None:
+        worker = run.worker
+        if worker.runs.get(run.task) is not run:
+            return
+        if answer.outcome is Outcome.NO_ANSWER:
+            if run.state is RunState.ORDERED:
+                run.state = RunState.UNSURE
+            return
+        if answer.outcome is not Outcome.NOT_SENT:
+            self._hear(worker, answer.clock_ms, now)
+        if answer.outcome is Outcome.DONE:
+            if run.state in (RunState.ORDERED, RunState.UNSURE):
+                run.state = RunState.RUNNING
+            if run.confirmed_at is None:
+                run.confirmed_at = now
+            return
+        self._log.info(
+            'start_refused',
+            task=str(run.task),
+            run=run.number,
+            worker=worker.name,
+            why=answer.outcome.value,
+            detail=answer.detail,
+        )
+        self._start_refused(run, answer, now)
+
+    def _start_refused(self, run: Run, answer: Answer, now: float) -> None:
+        worker = run.worker
+        step = run.step
+        outcome = answer.outcome
+        if outcome is Outcome.FENCED:
+            self.fenced = True
+            return
+        if run.state is RunState.UNSURE and outcome is Outcome.NOT_SENT:
+            return  # an earlier try may still be carried out
+        if outcome is Outcome.SUPERSEDED and run.state is RunState.UNSURE:
+            return  # its end is listed
+        if step is not None:
+            if outcome in (Outcome.UNHEALTHY, Outcome.REFUSED):
+                observe_end(worker, failed=True, now=now)
+            if outcome is Outcome.BAD_TICKET:
+                step.tickets.pop(worker.name, None)
+                step.advice_asked.discard(worker.name)
+            step.not_before[run.task.index] = now + RETRY_S
+        if outcome is Outcome.NOT_SENT:
+            worker.unanswered = True
+            worker.answer_due = now - SILENT_S
+        self._release(run, now, f'start_{outcome.value}')
+
+    def stop_answered(
+        self, order: StopTask, answer: Answer, now: float
+    ) -> None:
+        worker = order.worker
+        if answer.outcome is Outcome.FENCED:
+            self.fenced = True
+            return
+        run = worker.runs.get(order.task)
+        if run is None or run.number != order.number:
+            return
+        if answer.outcome is Outcome.DONE:
+            self._hear(worker, answer.clock_ms, now)
+            run.stop_answered_at = now
+
+    def pace_answered(self, order: PaceTask, answer: Answer) -> None:
+        if answer.outcome is Outcome.FENCED:
+            self.fenced = True
+        elif answer.outcome is not Outcome.DONE:
+            # The next reading decides again.
+            order.run.pace = order.before
+            order.run.paced_at = 0.0
+
+    def look_failed(self, worker: Worker, answer: Answer, now: float) -> None:
+        if answer.outcome is Outcome.FENCED:
+            self.fenced = True
+
+    def _repeat_stops(self, now: float) -> None:
+        """Send stops again that got no answer, and stop unsure starts."""
+        for worker in self.workers.values():
+            for run in worker.runs.values():
+                asked = run.stop_asked_at
+                if run.step is None and asked is None:
+                    run.stop_asked_at = now
+                elif asked is not None:
+                    unanswered = run.stop_answered_at is None
+                    if unanswered and now - asked >= STOP_AGAIN_S:
+                        run.stop_asked_at = now
+                        self._order_stop(worker, run.task, run.number, 'again')
+                elif run.state is RunState.UNSURE:
+                    if now - run.ordered_at >= UNSURE_STOP_S:
+                        self._stop(run, now, 'unanswered_start')
--- /dev/null
+++ b/src/galenareel/_jobs/leases.py
@@ -0,0 +1,92 @@
+"""How long each worker's runs may go on, and when they are surely over."""
+
+from __future__ import annotations
+
+from galenareel._jobs.tables import CLOCK_RATE
+from galenareel._jobs.tables import EngineTables
+from galenareel._jobs.tables import LEASE_S
+from galenareel._scheduling.tables import Worker
+
+LEASE_SLACK_S = 0.2  # for the moment at which a clock was read
+SILENT_S = 0.4  # after the latest time at which an answer was due
+
+
+class Leases(EngineTables):
+    """Leases of workers, by their own clocks."""
+
+    def grant(self, worker: Worker, now: float) -> int | None:
+        """Time on the worker's clock up to which to extend its lease.
+
+        ``None`` for a worker whose clock is not known, and for a silent one:
+        each call might still arrive and keep its runs alive.
+        """
+        if not worker.clock_ms or worker.silent_since is not None:
+            return None
+        elapsed_ms = (now - worker.clock_at) * 1000
+        until = int(worker.clock_ms + elapsed_ms + LEASE_S * 1000)
+        worker.granted_ms = max(worker.granted_ms, until)
+        self._set_over(worker)
+        return until
+
+    def _set_over(self, worker: Worker) -> None:
+        left_s = (worker.granted_ms - worker.clock_ms) / 1000
+        over_at = worker.clock_at + left_s / CLOCK_RATE + LEASE_SLACK_S
+        worker.over_at = (
+            max(worker.over_at, over_at)
+            if (worker.name in self._unread)
+            else over_at
+        )
+
+    def asked(self, worker: Worker, now: float, wait_s: float) -> None:
+        """A look was sent that is answered within a time.
+
+        The first look without an answer decides when the worker is silent.
+        """
+        if not worker.unanswered:
+            worker.unanswered = True
+            worker.answer_due = now + wait_s
+
+    def _hear(self, worker: Worker, clock_ms: int | None, now: float) -> None:
+        worker.heard_at = now
+        worker.unanswered = False
+        if worker.silent_since is not None:
+            self._log.info(
+                'worker_regained',
+                worker=worker.name,
+                silent_s=round(now - worker.silent_since, 2),
+            )
+            worker.silent_since = None
+            self.wake_pool(worker.pool)
+        if clock_ms:
+            worker.clock_ms = clock_ms
+            worker.clock_at = now
+            if worker.granted_ms:
+                self._set_over(worker)
+
+    def _watch_silence(self, now: float) -> None:
+        for worker in self.workers.values():
+            late = now > worker.answer_due + SILENT_S
+            silent = worker.unanswered and late
+            if silent and worker.silent_since is None:
+                worker.silent_since = worker.heard_at
+                self._log.warning(
+                    'worker_lost',
+                    worker=worker.name,
+                    runs=len(worker.runs),
+                    lease_left_s=round(worker.over_at - now, 2),
+                )
+            if worker.silent_since is not None and now >= worker.over_at:
+                self._lapse(worker, now)
+
+    def _lapse(self, worker: Worker, now: float) -> None:
+        """The lease of a silent worker has surely run out."""
+        self._resolve(worker.name)
+        if worker.lapsed:
+            return
+        worker.lapsed = True
+        worker.read = False
+        self._log.warning(
+            'lease_over', worker=worker.name, runs=len(worker.runs)
+        )
+        for run in list(worker.runs.values()):
+            self._release(run, now, 'lease_over')
--- a/testing/programs/test_platform.py
+++ b/testing/programs/test_platform.py
@@ -155,16 +155,12 @@
         return json.loads(body)['state'] if status == 200 else str(status)
 
     def leader(self) -> str:
-        """Address of the core machine that leads."""
-        for ip, address in zip(CORES, self.controls, strict=True):
-            path = '/api/configuration/read'
-            if self.processes[ip].poll() is None:
-                status, headers, _ = call(address, 'GET', path)
-                if status == 200 and 'location' not in headers:
-                    text = (self.folder / f'{ip}.log').read_text()
-                    if 'event=leading ' in text:
-                        return ip
-        return ''
+        """The core machine that leads, once its log says so."""
+        eventually(lambda: bool(self._leaders()))
+        return self._leaders()[0]
+
+    def _leaders(self) -> list[str]:
+        return [ip for ip in CORES if 'event=leading ' in self.log(ip)]
 
     def log(self, ip: str) -> str:
         return (self.folder / f'{ip}.log').read_text()
@@ -216,8 +212,7 @@
     names = [f'{n:016x}' for n in range(4)]
     assert [system.submit(one) for one in names] == [200] * 4
     gevent.sleep(0.5)
-    leaders = [ip for ip in CORES if 'event=leading ' in system.log(ip)]
-    system.processes[leaders[0]].send_signal(signal.SIGKILL)
+    system.processes[system.leader()].send_signal(signal.SIGKILL)
     for worker in system.workers:
         worker.run_s = 0.2
     eventually(lambda: all(system.state(n) == 'completed' for n in names))
@@ -227,17 +222,17 @@
 
 
 def test_planned_stop_hands_the_lead_over(system: System) -> None:
-    leaders = [ip for ip in CORES if 'event=leading ' in system.log(ip)]
-    system.processes[leaders[0]].terminate()
-    assert system.processes[leaders[0]].wait(timeout=5) == 0
-    assert 'event=stopped' in system.log(leaders[0])
+    leader = system.leader()
+    system.processes[leader].terminate()
+    assert system.processes[leader].wait(timeout=5) == 0
+    assert 'event=stopped' in system.log(leader)
     eventually(lambda: system.submit('5c0e7a21d94b36f8') == 200)
     eventually(lambda: system.state('5c0e7a21d94b36f8') == 'completed')
 
 
 def test_core_that_lost_its_disk_joins_again(system: System) -> None:
-    leaders = [ip for ip in CORES if 'event=leading ' in system.log(ip)]
-    ip = next(one for one in CORES if one not in leaders)
+    leader = system.leader()
+    ip = next(one for one in CORES if one != leader)
     system.processes[ip].kill()
     system.processes[ip].wait()
     for file in (system.folder / ip).iterdir():
--- a/testing/scheduling/test_availability.py
+++ b/testing/scheduling/test_availability.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from galenareel._jobs.engine import SILENT_S
+from galenareel._jobs.leases import SILENT_S
 from galenareel._jobs.model import Step
 from galenareel._scheduling.availability import away
 from galenareel._scheduling.availability import may_stop
