Bound leases on the clock of a worker's new life

Cause: a start that reached the new life of a worker made the leader measure its lease against the former clock: after a restart to a lower clock the lease seemed to last for minutes, and the task of a worker that then fell silent waited as long.

Change: a clock that steps by more than 3 s is another clock; what was granted before counts for the longest lease that a worker gives.

--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -7,6 +7,9 @@
 from galenareel._jobs.tables import LEASE_S
 from galenareel._scheduling.tables import Worker
 
+LONGEST_LEASE_MS = 10_000  # that a worker gives
+# Answers may wait this long on their way; a larger step is another clock.
+CLOCK_JUMP_MS = 3_000
 LEASE_SLACK_S = 0.2  # for the moment at which a clock was read
 SILENT_S = 0.4  # after the latest time at which an answer was due
 
@@ -58,11 +61,25 @@
             worker.silent_since = None
             self.wake_pool(worker.pool)
         if clock_ms:
+            if self._is_other_clock(worker, clock_ms, now):
+                # What was granted on the former clock may last as long as
+                # the worker allows on this one.
+                worker.granted_ms = clock_ms + LONGEST_LEASE_MS
             worker.clock_ms = clock_ms
             worker.clock_at = now
             if worker.granted_ms:
                 self._set_over(worker)
 
+    def _is_other_clock(
+        self, worker: Worker, clock_ms: int, now: float
+    ) -> bool:
+        """Whether another life answers, whose clock starts anew."""
+        if not worker.clock_ms:
+            return bool(worker.runs)
+        elapsed_ms = (now - worker.clock_at) * 1000
+        off_ms = abs(clock_ms - worker.clock_ms - elapsed_ms)
+        return off_ms > CLOCK_JUMP_MS + elapsed_ms * (1 - CLOCK_RATE)
+
     def _watch_silence(self, now: float) -> None:
         for worker in self.workers.values():
             late = now > worker.answer_due + SILENT_S
--- a/testing/jobs/test_engine.py
+++ b/testing/jobs/test_engine.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.commands import CancelJob
@@ -456,3 +458,28 @@
         for task in list(harness.workers['w2'].running):
             harness.workers['w2'].end(task, EndKind.DONE)
     assert len(grey.starts) <= 4
+
+
+@pytest.mark.parametrize('clock_ms', [62_000_000.0, 1000.0])
+def test_lease_on_the_clock_of_a_new_life_is_waited_for(
+    clock_ms: float,
+) -> None:
+    # A start reaches the new life before its lists are read.
+    harness = two_workers()
+    harness.pass_time(20.0)
+    for one in harness.workers.values():
+        one.crash()
+        one.clock_ms = clock_ms
+    harness.submit('j')
+    harness.engine.place(harness.now)
+    harness.carry_out()
+    if not harness.running():
+        return  # the order had expired on the new clock
+    (name,) = harness.running()['j.0.0.0']
+    harness.cut_off.add(name)
+    while harness.workers[name].running:
+        assert harness.running()['j.0.0.0'] == [name]
+        harness.pass_time(0.2)
+    harness.pass_time(2.0)
+    (now_at,) = harness.running()['j.0.0.0']
+    assert now_at != name
