Measure the scheduler, and bound one pass of placing

Change: a pass gives at most 200 orders and then lets the others run; the most room of a pool is refreshed only when a task finds none.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES = src platform testing demo experiment bench
 
 .PHONY: test lint types unit format demo fault-matrix measure-state \
-	measure-decisions measure-requests measure-capacity
+	measure-decisions measure-requests measure-capacity measure-jobs
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -47,3 +47,6 @@
 
 measure-capacity: $(VENV)/.installed
 	$(PY) -m bench.capacity
+
+measure-jobs: $(VENV)/.installed
+	$(PY) -m bench.jobs
--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -20,6 +20,7 @@
 from galenareel._scheduling.tables import RunState
 from galenareel._scheduling.tables import Worker
 
+ORDERS_PER_PASS = 200  # about 20 ms of the leader's time
 RETRY_WAITING_S = 0.25
 DRAIN_MARGIN_S = 0.3
 
@@ -39,11 +40,19 @@
             if worker.read and worker.silent_since is None:
                 self._pace(worker, now)
 
-    def place(self, now: float) -> None:
-        """Start what waits in the pools where something has changed."""
+    def place(self, now: float) -> bool:
+        """Start what waits in the pools where something has changed.
+
+        :returns: whether this pass was cut short, so that the leader's other
+            greenlets can run before the next one.
+        """
+        limit = len(self._orders) + ORDERS_PER_PASS
         for pool in self.pools.values():
+            if len(self._orders) >= limit:
+                return True
             if pool.dirty:
-                self._place_pool(pool, now)
+                self._place_pool(pool, now, limit)
+        return len(self._orders) >= limit
 
     def _open_due(self, now: float, wall_ms: int) -> None:
         while self._due and self._due[0][0] <= wall_ms:
--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -24,7 +24,7 @@
 class Placing(OrderAnswers):
     """Places waiting tasks, pool by pool."""
 
-    def _place_pool(self, pool: PoolWork, now: float) -> None:
+    def _place_pool(self, pool: PoolWork, now: float, limit: int) -> None:
         pool.dirty = False
         if not pool.waiting:
             return
@@ -40,6 +40,9 @@
         works = [self.jobs[name] for name in by_job if name in self.jobs]
         works.sort(key=lambda one: rank(one, now))
         for work in works:
+            if len(self._orders) >= limit:
+                pool.dirty = True
+                return
             if work.doomed or not self._is_resolved(work):
                 continue
             for step in by_job[work.name]:
@@ -115,10 +118,10 @@
     ) -> bool:
         worker = candidates.find(step, index)
         if worker is None:
+            candidates.refresh()
             return self._widen(step, index, candidates, now)
         number = self._next_run(step, index)
         self._start(step, index, worker, number, now)
-        candidates.taken()
         return True
 
     def _widen(
@@ -161,14 +164,13 @@
             if worker is None:
                 for run in placed:
                     self._forget_run(run)
-                candidates.taken()
+                candidates.refresh()
                 # Members that failed somewhere may have to return there.
                 pool.dirty = bool(step.avoid)
                 step.avoid.clear()
                 return
             task = step.task(index)
             placed.append(self._new_run(worker, step, task, number, now))
-            candidates.taken()
         checkpoint = max(step.saved.values(), default='')
         step.waiting.clear()
         for run in placed:
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -113,11 +113,15 @@
         self._fleet.start()
         self._follow_workers()
         while self.lasts():
+            more = False
             if self.may_order():
-                self.engine.place(self._clock.monotonic())
+                more = self.engine.place(self._clock.monotonic())
                 self._dispatch()
-            self._wake.wait(HOUSEKEEPING_S)
-            self._wake.clear()
+            if more:
+                gevent.sleep(0)
+            else:
+                self._wake.wait(HOUSEKEEPING_S)
+                self._wake.clear()
 
     def close(self) -> None:
         self._open = False
--- a/src/galenareel/_scheduling/placement.py
+++ b/src/galenareel/_scheduling/placement.py
@@ -32,9 +32,13 @@
         sound = [one for one in found if not is_suspect(one, now)]
         # Where every worker is suspect, the work itself may be at fault.
         self.workers = sound or found
-        self._refresh()
+        self.refresh()
 
-    def _refresh(self) -> None:
+    def refresh(self) -> None:
+        """Bring the most room that any worker has up to date.
+
+        Within a pass room only shrinks, so an old figure is an upper bound.
+        """
         self.most_cpu = max(
             (one.record.room.cpu - one.cpu_used for one in self.workers),
             default=0,
@@ -47,10 +51,6 @@
             default=0,
         )
 
-    def taken(self) -> None:
-        """Room of a worker was given to a task."""
-        self._refresh()
-
     def can_hold(self, work: StepWork) -> bool:
         """Quick check before the workers are looked at one by one."""
         step = work.step
