Remove what nothing uses, and share the answer to a hello

Change: fields, methods and order types without a reader go; both servers of control members call one answer_hello. No behaviour changes.

--- a/src/galenareel/_control/server.py
+++ b/src/galenareel/_control/server.py
@@ -10,6 +10,7 @@
 from galenareel._common.clock import Clock
 from galenareel._common.events import Timeline
 from galenareel._common.frames import Link
+from galenareel._common.hello import answer_hello
 from galenareel._common.log import Log
 from galenareel._common.messages import AnyMessage
 from galenareel._common.messages import Claim
@@ -26,9 +27,7 @@
 from galenareel._common.messages import Renewed
 from galenareel._common.messages import SessionOpened
 from galenareel._common.messages import SettleClaim
-from galenareel._common.messages import Welcome
 from galenareel._common.rows import EntryState
-from galenareel._common.secret_match import secrets_match
 from galenareel._common.sentinels import NotLeader
 from galenareel._common.sentinels import Refused
 from galenareel._common.sentinels import Unreachable
@@ -82,7 +81,13 @@
     def handle(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
         """Answer one message; nothing is answered before the hello."""
         if isinstance(msg, Hello):
-            return self._hello(link, msg)
+            return answer_hello(
+                link,
+                msg,
+                name=self._name,
+                secret=self._secret,
+                log=self._log,
+            )
         if not link.peer:
             link.close()
             return None
@@ -99,14 +104,6 @@
             )
             return Problem(reason='internal', detail='see the log of control')
 
-    def _hello(self, link: Link, msg: Hello) -> AnyMessage | None:
-        if not secrets_match(msg.secret.encode(), self._secret):
-            self._log.warning('wrong_cluster_secret', peer=msg.process)
-            link.close()
-            return None
-        link.peer = msg.process
-        return Welcome(process=self._name)
-
     def _answer(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
         if isinstance(msg, PeerMessage):
             self._receive(msg)
--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -301,7 +301,6 @@
         """An order is on its way."""
         instance = self._tables.instances[order.instance]
         instance.ordered = WAVE if isinstance(order, Maintain) else MOVE
-        instance.ordered_at = now
         instance.down_until = now + OVERDUE_S
 
     def _give(self, orders: list[Maintain | Move]) -> None:
--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -95,13 +95,8 @@
         run.reading = row.reading
         if row.saved:
             run.saved = row.saved
-        self._watch_lasting(run, now)
         return task
 
-    def _watch_lasting(self, run: Run, now: float) -> None:
-        if run.percent >= 100 and run.at_work_since is None:
-            run.at_work_since = now
-
     def _adopt(
         self, worker: Worker, task: TaskId, row: RunningRow, now: float
     ) -> Run | None:
--- a/src/galenareel/_jobs/server.py
+++ b/src/galenareel/_jobs/server.py
@@ -5,6 +5,7 @@
 import traceback
 
 from galenareel._common.frames import Link
+from galenareel._common.hello import answer_hello
 from galenareel._common.log import Log
 from galenareel._common.messages import AnyMessage
 from galenareel._common.messages import ClusterQuery
@@ -15,8 +16,6 @@
 from galenareel._common.messages import JoinCluster
 from galenareel._common.messages import PeerMessage
 from galenareel._common.messages import Problem
-from galenareel._common.messages import Welcome
-from galenareel._common.secret_match import secrets_match
 from galenareel._common.sentinels import Absent
 from galenareel._consensus.driver import Driver
 from galenareel._jobs.service import JobService
@@ -43,7 +42,13 @@
     def handle(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
         """Answer one message; nothing is answered before the hello."""
         if isinstance(msg, Hello):
-            return self._hello(link, msg)
+            return answer_hello(
+                link,
+                msg,
+                name=self._name,
+                secret=self._secret,
+                log=self._log,
+            )
         if not link.peer:
             link.close()
             return None
@@ -60,14 +65,6 @@
             )
             return Problem(reason='internal', detail='see the log of control')
 
-    def _hello(self, link: Link, msg: Hello) -> AnyMessage | None:
-        if not secrets_match(msg.secret.encode(), self._secret):
-            self._log.warning('wrong_cluster_secret', peer=msg.process)
-            link.close()
-            return None
-        link.peer = msg.process
-        return Welcome(process=self._name)
-
     def _answer(self, msg: AnyMessage) -> AnyMessage | None:
         if isinstance(msg, PeerMessage):
             self._driver.receive(msg)
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -84,12 +84,6 @@
             self.progress[key] = Progress()
         return self.progress[key]
 
-    def is_step_done(self, occurrence: int, step: int) -> bool:
-        found = self.progress.get((occurrence, step))
-        if found is None:
-            return False
-        return len(found.done) == self.request.steps[step].count
-
     @property
     def over(self) -> bool:
         return self.ended_ms != 0
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -101,11 +101,6 @@
         ends, self._ends = self._ends, Ends()
         return ends
 
-    def is_waiting(self, name: str) -> bool:
-        """Whether no task of an accepted job has started yet."""
-        work = self.jobs.get(name)
-        return work is not None and not work.started
-
     def has_started(self, name: str) -> bool:
         work = self.jobs.get(name)
         return work is None or work.started
--- a/src/galenareel/_scheduling/fleet.py
+++ b/src/galenareel/_scheduling/fleet.py
@@ -55,7 +55,6 @@
     row: InstanceRow
     listed_at: float
     ordered: str = ''
-    ordered_at: float = 0.0
     down_until: float = 0.0
     not_before: float = 0.0
     closing_for: str = ''
@@ -111,22 +110,15 @@
 
 @dataclass(slots=True)
 class FleetTables:
-    """Instances by name, and their workers.
+    """Instances by name.
 
     :param refused: kinds of instances that a pool doesn't take.
     """
 
     instances: dict[str, Instance] = field(default_factory=dict)
-    by_worker: dict[str, str] = field(default_factory=dict)
     idle_since: dict[str, float] = field(default_factory=dict)
     refused: set[tuple[str, str]] = field(default_factory=set)
 
-    def worker_of(
-        self, name: str, workers: Mapping[str, Worker]
-    ) -> Worker | None:
-        found = self.instances[name].row.worker
-        return workers.get(found)
-
 
 # --- maintenance ------------------------------------------------------------
 
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -62,7 +62,6 @@
     reading: float | None = None
     pace: int = FULL_PACE
     paced_at: float = 0.0
-    at_work_since: float | None = None
     cpu: int = 0
     memory_mb: int = 0
     gpus: int = 0
@@ -200,9 +199,6 @@
     def task(self, index: int) -> TaskId:
         return TaskId(self.job.name, self.occurrence, self.number, index)
 
-    def rank(self) -> float:
-        return self.job.rank
-
     def running(self) -> int:
         return sum(len(one) for one in self.runs.values())
 
@@ -227,7 +223,6 @@
     left_core_s: float = 0.0
     chain_s: float = 0.0
     planned_s: float = 0.0
-    rank: float = 0.0
     lasting: bool = False
     doomed: bool = False
     prior: bool = False
@@ -331,28 +326,4 @@
     workers: tuple[Worker, ...]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class MaintainInstance:
-    """Begin the maintenance of an empty instance."""
-
-    instance: str
-    wave: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class MoveInstance:
-    """Move an empty instance to another pool."""
-
-    instance: str
-    pool: str
-    why: str
-
-
-Order = (
-    StartTask
-    | StopTask
-    | PaceTask
-    | AskAdvice
-    | MaintainInstance
-    | MoveInstance
-)
+Order = StartTask | StopTask | PaceTask | AskAdvice
