Take late messages for what they are

A refused second try released a start whose first try had got no answer and could still be carried out; a late departure of a former life retired the new one of that name; after a change of the leader a late heartbeat could end a drain.

Change: a start with an unanswered try waits for the lists or its stop, whatever a later try was told; a worker leaves only after it has drained; a life that drains does not return.

--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -54,10 +54,8 @@
         if outcome is Outcome.FENCED:
             self.fenced = True
             return
-        if run.state is RunState.UNSURE and outcome is Outcome.NOT_SENT:
-            return  # an earlier try may still be carried out
-        if outcome is Outcome.SUPERSEDED and run.state is RunState.UNSURE:
-            return  # its end is listed
+        if run.state is RunState.UNSURE:
+            return  # an earlier try may have been, or may still be carried out
         if step is not None:
             if outcome in (Outcome.UNHEALTHY, Outcome.REFUSED):
                 observe_end(worker, failed=True, now=now)
--- a/src/galenareel/_jobs/service.py
+++ b/src/galenareel/_jobs/service.py
@@ -224,6 +224,8 @@
         known = self._state.workers.get(record.name)
         if known is not None and known.born > record.born:
             return True  # late, from a former life
+        if _returns_from_drain(known, record):
+            return True  # late, from before the drain
         key = (record.born, beat.sequence)
         if self._sequences.get(record.name, (0, -1)) >= key:
             return True
@@ -261,6 +263,11 @@
         known = self._state.workers.get(name)
         if known is None:
             return True
+        if not known.draining:
+            # A late message of a former life of that name: a worker says
+            # that it drains before it leaves.
+            self._log.warning('departure_ignored', worker=name)
+            return True
         result = self._propose(RetireWorker(name=name, born=known.born))
         if isinstance(result, Absent):
             return result
@@ -349,6 +356,15 @@
         )
 
 
+def _returns_from_drain(
+    known: WorkerRecord | None, record: WorkerRecord
+) -> bool:
+    """A life that drains does so until it ends."""
+    if known is None or known.born != record.born:
+        return False
+    return known.draining and not record.draining
+
+
 class _Routes:
     """Queues by host, longest prefix first."""
 
--- a/testing/jobs/test_engine.py
+++ b/testing/jobs/test_engine.py
@@ -16,6 +16,7 @@
 from galenareel._jobs.model import Step
 from galenareel._jobs.tables import CLOCK_RATE
 from galenareel._jobs.tables import LEASE_S
+from galenareel._scheduling.tables import StartTask
 from testing.jobs.harness import Harness
 from testing.jobs.harness import job
 from testing.jobs.harness import TASK
@@ -186,6 +187,35 @@
     assert len(harness.running()['j.0.0.0']) == 1
 
 
+@pytest.mark.parametrize(
+    'outcome', [Outcome.UNHEALTHY, Outcome.NOT_SENT, Outcome.NO_ROOM]
+)
+def test_refusal_of_a_second_try_says_nothing_of_the_first(
+    outcome: Outcome,
+) -> None:
+    harness = two_workers()
+    harness.pass_time(0.3)
+    harness.submit('j')
+    harness.engine.place(harness.now)
+    (order,) = harness.engine.take_orders()
+    assert isinstance(order, StartTask)
+    run = order.run
+    until = harness.engine.grant(run.worker, harness.now) or 0
+    run.until_ms = until
+    engine = harness.engine
+    engine.start_answered(run, Answer(outcome=Outcome.NO_ANSWER), harness.now)
+    engine.start_answered(run, Answer(outcome=outcome), harness.now)
+    harness.pass_time(0.3)
+    assert harness.running() == {}
+
+    # The first try is carried out after all.
+    worker = harness.workers[run.worker.name]
+    worker.start(run.task, run.number, until_ms=until, token=engine.epoch)
+    harness.pass_time(2.0)
+    assert len(harness.running().get('j.0.0.0', [])) <= 1
+    assert sum(len(one.starts) for one in harness.workers.values()) <= 2
+
+
 # --- changes of the leader --------------------------------------------------
 
 
--- /dev/null
+++ b/testing/jobs/test_service.py
@@ -0,0 +1,150 @@
+"""What callers, workers and operators are told by the leader."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import io
+
+import msgspec
+import pytest
+
+from galenareel._common.clock import SystemClock
+from galenareel._common.log import Log
+from galenareel._common.messages import JobAnswer
+from galenareel._common.messages import JobCall
+from galenareel._common.messages import Problem
+from galenareel._common.sentinels import NotLeader
+from galenareel._jobs.model import Configuration
+from galenareel._jobs.model import JobRequest
+from galenareel._jobs.model import Step
+from galenareel._jobs.service import Heartbeat
+from galenareel._jobs.service import JobService
+from testing.jobs.harness import job
+from testing.jobs.test_leader import eventually
+from testing.jobs.test_leader import Running
+from testing.standins.worker import FakeWorker
+
+
+@pytest.fixture
+def running() -> Iterator[Running]:
+    found = Running()
+    eventually(lambda: found.leader.engine is not None)
+    yield found
+    found.leader.close()
+
+
+@pytest.fixture
+def service(running: Running) -> JobService:
+    return JobService(
+        state=running.state,
+        leader=running.leader,
+        leader_address=lambda: '10.0.0.9:7060',
+        clock=SystemClock(),
+        log=Log('test', stream=io.StringIO()),
+    )
+
+
+def call(
+    service: JobService,
+    operation: str,
+    path: str,
+    request: JobRequest | None = None,
+) -> JobAnswer:
+    answer = service.call(
+        JobCall(
+            operation=operation,
+            host='h',
+            path=path,
+            request=msgspec.msgpack.encode(request) if request else b'',
+        )
+    )
+    assert isinstance(answer, JobAnswer)
+    return answer
+
+
+def beat(worker: FakeWorker, sequence: int) -> Heartbeat:
+    return Heartbeat(worker=worker.record(), sequence=sequence)
+
+
+def test_job_is_accepted_read_and_cancelled(service: JobService) -> None:
+    assert call(service, 'submit', '/v/j', job()).outcome == 'accepted'
+    assert call(service, 'submit', '/v/j', job()).outcome == 'accepted'
+    found = call(service, 'status', '/v/j')
+    assert (found.outcome, found.phase) in (
+        ('found', 'queued'),
+        ('found', 'running'),
+    )
+    assert call(service, 'cancel', '/v/j').outcome == 'cancelled'
+    assert call(service, 'cancel', '/v/j').outcome == 'cancelled'
+    assert call(service, 'status', '/v/j').phase == 'cancelled'
+
+
+def test_unknown_queue_and_job(service: JobService) -> None:
+    assert call(service, 'status', '/x/j').outcome == 'no_queue'
+    assert call(service, 'status', '/v/j').outcome == 'no_job'
+    assert call(service, 'cancel', '/v/j').outcome == 'no_job'
+
+
+def test_invalid_job_names_its_findings(service: JobService) -> None:
+    bad = JobRequest(specification='s', steps=(Step(count=1, after=(0,)),))
+    answer = call(service, 'submit', '/v/j', bad)
+    assert answer.outcome == 'invalid'
+    assert 'steps[0].after' in answer.detail
+    assert call(service, 'status', '/v/j').outcome == 'no_job'
+
+
+def test_other_member_names_the_leader(
+    running: Running, service: JobService
+) -> None:
+    running.log.lease = False
+    answer = service.call(JobCall(operation='status', host='h', path='/v/'))
+    assert answer == Problem(
+        reason='not_leader', leader='10.0.0.9:7060', retry_after_s=0.5
+    )
+    assert isinstance(service.configuration(), NotLeader)
+    worker = FakeWorker(name='new')
+    assert isinstance(service.announce(beat(worker, 1)), NotLeader)
+
+
+def test_older_configuration_is_acknowledged_and_changes_nothing(
+    running: Running, service: JobService
+) -> None:
+    assert service.configure(Configuration(0, (), ())) is True
+    assert running.state.config is not None
+    assert running.state.config.version == 1
+
+
+def test_late_heartbeat_changes_nothing(
+    running: Running, service: JobService
+) -> None:
+    worker = running.workers['w1']
+    worker.draining = True
+    service.announce(beat(worker, 5))
+    assert running.state.workers['w1'].draining
+    worker.draining = False
+    service.announce(beat(worker, 4))
+    assert running.state.workers['w1'].draining
+    # A new leader does not know the sequence any more.
+    service._sequences.clear()
+    service.announce(beat(worker, 4))
+    assert running.state.workers['w1'].draining
+
+
+def test_departure_of_a_former_life_is_ignored(
+    running: Running, service: JobService
+) -> None:
+    worker = running.workers['w1']
+    service.announce(beat(worker, 1))
+    assert service.leave('w1') is True
+    assert 'w1' in running.state.workers
+
+    worker.draining = True
+    service.announce(beat(worker, 2))
+    assert service.leave('w1') is True
+    assert 'w1' not in running.state.workers
+
+
+def test_wave_is_known_until_it_is_complete(service: JobService) -> None:
+    assert service.open_wave(3, ('m1',), 20.0, 1) is True
+    assert service.wave_complete(3) is False
+    assert not service.wave_complete(4)
