Soak the real programs under faults from outside them

The programs run as processes on loopback. A proxy on each link delays, resets, and cuts one way or both; signals stop, pause and kill; the time of day jumps; disks fill up and are lost; workers crash, stall and leave; waves and configurations come meanwhile. Promises are checked from what callers, workers and the platform see, and each check is shown to find a seeded violation. System, which starts the programs, is shared with testing/programs/test_platform.py, which needs no fixed addresses any more.

--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,12 @@
 PY = $(VENV)/bin/python
 DEPLOYMENT ?= abay
 SEED ?= 1
-SOURCES = src platform testing demo experiment bench
+COUNT ?= 5
+SOURCES = src platform testing demo experiment bench soak
 
 .PHONY: test lint types unit format demo fault-matrix measure-state \
-	measure-decisions measure-requests measure-capacity measure-jobs
+	measure-decisions measure-requests measure-capacity measure-jobs \
+	soak
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -48,5 +50,8 @@
 measure-capacity: $(VENV)/.installed
 	$(PY) -m bench.capacity
 
+soak: $(VENV)/.installed
+	$(PY) -m soak --first $(SEED) --count $(COUNT)
+
 measure-jobs: $(VENV)/.installed
 	$(PY) -m bench.jobs
--- a/testing/standins/platform_http.py
+++ b/testing/standins/platform_http.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import gevent
+from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 
 from galenareel._jobs.clients import Answer
@@ -32,16 +33,26 @@
     """A worker that runs each task for a while, at its own address.
 
     :param run_s: time that a task takes.
+    :param advertised: address that it gives to others, if it is another one.
     """
 
-    def __init__(self, worker: FakeWorker, address: str, run_s: float) -> None:
+    def __init__(
+        self,
+        worker: FakeWorker,
+        address: str,
+        run_s: float,
+        *,
+        advertised: str = '',
+    ) -> None:
         self.worker = worker
         self.address = address
+        self.advertised = advertised or address
         self.run_s = run_s
         self.sequence = 0
         host, _, port = address.rpartition(':')
+        # With a pool the calls that are open end with the server.
         self._server = WSGIServer(
-            (host, int(port)), self._application, log=None
+            (host, int(port)), self._application, log=None, spawn=Pool()
         )
         self._jobs: list[gevent.Greenlet] = []
 
@@ -66,8 +77,16 @@
             last = now
             for name, run in list(self.worker.running.items()):
                 age_s = (self.worker.clock_ms - run.began_ms) / 1000
-                if age_s >= self.run_s:
-                    self.worker.end(name, EndKind.DONE)
+                how = self.ending(name, age_s)
+                if how is not None:
+                    self.worker.end(name, how)
+
+    def ending(self, _task: str, age_s: float) -> EndKind | None:
+        """How a run ends by itself at this age, if it does."""
+        return EndKind.DONE if age_s >= self.run_s else None
+
+    def acknowledged(self) -> None:
+        """A heartbeat was taken."""
 
     def _beat(self, controls: list[str]) -> None:
         worker = self.worker
@@ -75,7 +94,7 @@
             self.sequence += 1
             body = {
                 'service': worker.pool,
-                'address': self.address,
+                'address': self.advertised,
                 'zone': worker.zone,
                 'state': 'draining' if worker.draining else 'ready',
                 'capacity': {
@@ -92,6 +111,7 @@
             for address in controls:
                 status, _, _ = call(address, 'POST', path, body)
                 if status == 200:
+                    self.acknowledged()
                     break
             gevent.sleep(BEAT_S)
 
@@ -106,10 +126,7 @@
         task = TaskId.parse(fields['task'])
         assert task is not None, 'the system names a task'
         if path == '/api/run-start':
-            until_ms = fields['untilMs']
-            answer = self.worker.start(
-                task, fields['run'], until_ms=until_ms, token=token
-            )
+            answer = self.begin(task, fields)
         elif path == '/api/run-stop':
             answer = self.worker.stop(task, fields['run'], token=token)
         else:
@@ -118,6 +135,15 @@
             )
         return self._answer(answer, start)
 
+    def begin(self, task: TaskId, fields: dict[str, Any]) -> Answer:
+        """Carry out the order to start a run."""
+        return self.worker.start(
+            task,
+            fields['run'],
+            until_ms=fields['untilMs'],
+            token=fields.get('fencingToken', 0),
+        )
+
     def _answer(self, answer: Answer, start: Start) -> list[bytes]:
         clock = {'clockMs': int(self.worker.clock_ms)}
         if answer.outcome is Outcome.DONE:
@@ -159,7 +185,7 @@
 
 
 class CloudServer:
-    """The list of machines, without orders."""
+    """An empty list of machines, which takes no orders."""
 
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(':')
--- /dev/null
+++ b/testing/standins/system.py
@@ -0,0 +1,253 @@
+"""The programs of the platform as processes on loopback addresses."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+import json
+import os
+from pathlib import Path
+import signal
+import sys
+import time
+from typing import Any
+
+import gevent
+from gevent.os import make_nonblocking
+from gevent.os import nb_read
+from gevent.subprocess import Popen
+from gevent.subprocess import STDOUT
+from gevent.subprocess import TimeoutExpired
+
+from testing.standins.platform_http import call
+
+ROOT = Path(__file__).resolve().parents[2]
+HOST = 'jobs.example'
+CONTROL_PORT = 7000
+FRONT_PORT = 7001
+READY_PORT = 7002
+CLOUD_PORT = 7003
+FRAMES_PORT = 7100
+GRACE_S = 3.0
+
+
+def configuration(version: int, *routes: str) -> dict[str, Any]:
+    """Some routes that lead to a service, and a standby service."""
+    rows = [
+        {
+            'name': name,
+            'host': HOST,
+            'pathPrefix': f'/{name}/',
+            'kind': 'unsafe',
+            'timeoutMs': 3000,
+            'targetLatencyMs': 600,
+            'priority': 0,
+            'service': 'lots',
+            'maxAttempts': 3,
+            'stretch': 1.6,
+        }
+        for name in routes or ('q',)
+    ]
+    services = [
+        {'name': 'lots', 'enforcesCapacity': False, 'standby': False},
+        {'name': 'spare', 'enforcesCapacity': False, 'standby': True},
+    ]
+    return {'version': version, 'routes': rows, 'services': services}
+
+
+def eventually(check: Callable[[], bool], seconds: float = 20.0) -> None:
+    end = time.monotonic() + seconds
+    while not check():
+        assert time.monotonic() < end, 'it did not come true in time'
+        gevent.sleep(0.05)
+
+
+def loopback_block() -> str:
+    """The first three numbers of addresses that only this process uses."""
+    pid = os.getpid()
+    return f'127.{101 + pid // 250 % 150}.{1 + pid % 250}'
+
+
+@dataclass(slots=True)
+class Machine:
+    """A machine and its process, if it has one.
+
+    :param frames: port for the frames of other processes.
+    """
+
+    name: str
+    role: str
+    ip: str
+    frames: int
+    process: Popen | None = None
+    starts: int = 0
+    log: bytearray = field(default_factory=bytearray)
+
+    @property
+    def front(self) -> str:
+        return f'{self.ip}:{FRONT_PORT}'
+
+    @property
+    def ready(self) -> str:
+        return f'{self.ip}:{READY_PORT}'
+
+    @property
+    def control(self) -> str:
+        return f'{self.ip}:{CONTROL_PORT}'
+
+    def says(self, event: str) -> int:
+        """How many lines of its log are of this event."""
+        return bytes(self.log).count(f'event={event} '.encode()) + bytes(
+            self.log
+        ).count(f'event={event}\n'.encode())
+
+    def send(self, number: signal.Signals) -> None:
+        assert self.process is not None, 'the machine is off'
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+            self.process = None
+
+    def terminate(self, seconds: float = 5.0) -> int | None:
+        """Stop it as planned; returns its status, or none if it hangs."""
+        assert self.process is not None, 'the machine is off'
+        self.process.terminate()
+        try:
+            return self.process.wait(timeout=seconds)
+        except TimeoutExpired:
+            return None
+
+
+class System:
+    """Core and front machines; the caller brings workers and the platform.
+
+    A process takes its own port of frames for that of every peer, so with
+    ``own_frames`` each pair of machines has an address of its own, on which
+    a proxy can listen.
+
+    :param cloud: address of the platform's list of machines.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        cores: int = 3,
+        fronts: int = 1,
+        own_frames: bool = False,
+        cloud: str = '',
+    ) -> None:
+        self.folder = folder
+        block = loopback_block()
+        self.cloud = cloud or f'{block}.1:{CLOUD_PORT}'
+        self.cores = [
+            Machine(f'core-{n}', 'core', f'{block}.{11 + n}', FRAMES_PORT)
+            for n in range(cores)
+        ]
+        self.fronts = [
+            Machine(f'front-{n}', 'front', f'{block}.{31 + n}', FRAMES_PORT)
+            for n in range(fronts)
+        ]
+        if own_frames:
+            for number, machine in enumerate(self.machines()):
+                machine.frames += number
+        self.controls = [one.control for one in self.cores]
+        self.seeds = self.controls[:3]
+
+    def machines(self) -> Iterator[Machine]:
+        yield from self.cores
+        yield from self.fronts
+
+    def settings_file(self, machine: Machine) -> Path:
+        return self.folder / f'{machine.name}.toml'
+
+    def data_folder(self, machine: Machine) -> Path:
+        return self.folder / machine.name
+
+    def write_settings(self, machine: Machine, *, bootstrap: bool) -> None:
+        listen = f'control = "{machine.control}"'
+        if machine.role == 'front':
+            listen = f'front = "{machine.front}"\nready = "{machine.ready}"'
+        self.settings_file(machine).write_text(f"""
+node = "{machine.name}"
+role = "{machine.role}"
+ip = "{machine.ip}"
+zone = "a"
+internalPortRange = [{machine.frames}, {machine.frames}]
+seeds = {json.dumps(self.seeds)}
+bootstrap = {str(bootstrap).lower()}
+dataDirectory = "{self.data_folder(machine)}"
+[listenAddresses]
+{listen}
+[bounds]
+graceS = {GRACE_S}
+[cloudApi]
+address = "{self.cloud}"
+""")
+
+    def run(
+        self,
+        machine: Machine,
+        *,
+        bootstrap: bool,
+        env: dict[str, str] | None = None,
+    ) -> None:
+        """Start the machine's process and read its log in the background."""
+        self.write_settings(machine, bootstrap=bootstrap)
+        process = Popen(
+            [sys.executable, str(ROOT / 'platform' / 'run.py'), machine.role],
+            env={
+                **os.environ,
+                **(env or {}),
+                'GALENAREEL_NODE_FILE': str(self.settings_file(machine)),
+            },
+            stdout=-1,
+            stderr=STDOUT,
+        )
+        machine.process = process
+        machine.starts += 1
+        gevent.spawn(_read_log, process, machine.log)
+
+    def start(self) -> None:
+        """Start all machines for the first time and configure them."""
+        for machine in self.machines():
+            self.run(machine, bootstrap=True)
+        eventually(lambda: self.configure(configuration(1)) == 200)
+        for machine in self.fronts:
+            eventually(lambda: is_ready(machine.ready))
+
+    def close(self) -> None:
+        for machine in self.machines():
+            machine.kill()
+
+    def configure(self, fields: dict[str, Any]) -> int:
+        """Ask each core machine in turn; returns the last status."""
+        status = 0
+        for address in self.controls:
+            path = '/api/configuration/replace'
+            status, _, _ = call(address, 'POST', path, fields)
+            if status in (200, 400, 409):
+                break
+        return status
+
+    def leader(self) -> Machine:
+        """The core machine that leads, once its log says so."""
+        eventually(lambda: any(one.says('leading') for one in self.cores))
+        return next(one for one in self.cores if one.says('leading'))
+
+
+def is_ready(address: str) -> bool:
+    return call(address, 'GET', '/api/readiness')[0] == 200
+
+
+def _read_log(process: Popen, log: bytearray) -> None:
+    assert process.stdout is not None, 'it is a pipe'
+    pipe = process.stdout.fileno()
+    make_nonblocking(pipe)
+    while chunk := nb_read(pipe, 65536):
+        log += chunk
