Count the age of jobs that are over on the steady clock

Cause: a leader forgot jobs by the difference of its time of day and the one at which they ended. A clock that steps an hour ahead, or a new leader with such a clock, made it forget them at once, and callers got 410.

The new test failed before.

--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -91,6 +91,7 @@
         self._links: dict[str, WorkerLink] = {}
         self._greenlets: list[gevent.Greenlet] = []
         self._forget_due = 0.0
+        self._over_since: dict[str, float] = {}
         self._loads_due = 0.0
         self._fleet_client = fleet
         self._fleet = Fleet(
@@ -351,7 +352,7 @@
             self.engine.housekeep(now, wall_ms)
             self._retire_lost(now)
             self._record_loads(now)
-            self._forget(now, wall_ms)
+            self._forget(now)
             self._wake.set()
             gevent.sleep(HOUSEKEEPING_S)
 
@@ -373,15 +374,24 @@
             command = RecordLoads(pools=pools, factors=factors)
             gevent.spawn(self._propose, command)
 
-    def _forget(self, now: float, wall_ms: int) -> None:
+    def _forget(self, now: float) -> None:
+        """Forget jobs that have been over for a while.
+
+        Their age is counted on the steady clock of this term: the time of
+        day may jump, and differs between members.
+        """
         if now < self._forget_due:
             return
         self._forget_due = now + FORGET_EVERY_S
-        limit = wall_ms - FORGET_AFTER_S * 1000
-        names = tuple(
-            job.name
+        self._over_since = {
+            job.name: self._over_since.get(job.name, now)
             for job in self._state.jobs.values()
-            if job.over and job.ended_ms < limit
+            if job.over
+        }
+        names = tuple(
+            name
+            for name, since in self._over_since.items()
+            if now - since >= FORGET_AFTER_S
         )
         if names:
             gevent.spawn(self._propose, ForgetJobs(names=names))
--- a/testing/jobs/test_leader.py
+++ b/testing/jobs/test_leader.py
@@ -26,6 +26,7 @@
 from galenareel._jobs.clients import WorkerDialer
 from galenareel._jobs.commands import AcceptJob
 from galenareel._jobs.commands import AdmitWorker
+from galenareel._jobs.commands import CancelJob
 from galenareel._jobs.commands import Configure
 from galenareel._jobs.commands import encode
 from galenareel._jobs.leader import Leader
@@ -157,6 +158,15 @@
     def close(self) -> None: ...
 
 
+class SteppedClock(SystemClock):
+    """A clock whose time of day the test steps."""
+
+    step_s = 0.0
+
+    def wall(self) -> float:
+        return super().wall() + self.step_s
+
+
 class Running:
     """A leader with two workers."""
 
@@ -167,6 +177,7 @@
         self.workers = {
             name: FakeWorker(name=name, work_s=1000.0) for name in ('w1', 'w2')
         }
+        self.clock = SteppedClock()
         self.leader = Leader(
             name='c1',
             replicator=self.log,
@@ -174,7 +185,7 @@
             dialer=Dialer(self.workers),
             open_fleet=HangingFleet,
             advisor=NoAdvisor(),
-            clock=SystemClock(),
+            clock=self.clock,
             log=Log('test', stream=io.StringIO()),
             metrics=JobMetrics(NoOpMeter('test')),
         )
@@ -247,6 +258,29 @@
     assert before == after
 
 
+def test_step_of_the_clock_forgets_no_job(
+    running: Running, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr('galenareel._jobs.term.FORGET_EVERY_S', 0.05)
+    running.submit('j1')
+    running.propose(CancelJob(name='j1', now_ms=running.leader.wall_ms()))
+    running.clock.step_s = 3600.0
+    gevent.sleep(0.5)
+    assert 'j1' in running.state.jobs
+
+
+def test_job_that_is_over_is_forgotten_after_a_time(
+    running: Running, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr('galenareel._jobs.term.FORGET_EVERY_S', 0.05)
+    monkeypatch.setattr('galenareel._jobs.term.FORGET_AFTER_S', 0.3)
+    running.submit('j1')
+    running.submit('j2')
+    running.propose(CancelJob(name='j1', now_ms=running.leader.wall_ms()))
+    eventually(lambda: 'j1' not in running.state.jobs)
+    assert 'j2' in running.state.jobs
+
+
 def test_each_term_has_its_own_client_of_the_platform(
     running: Running,
 ) -> None:
