Order an instance for one wave at a time

Cause: two waves over the same instances both ordered the same empty one in one pass. The platform called the second order busy, which took the mark of the first back, so the instance counted as up and the next one of the first wave went down beside it (limit 1).

Now an order marks its instance while the plan is made. An instance that is marked is no longer counted as closing as well, which left a place of the limit unused until the answer came. The new test failed before.

--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -47,7 +47,6 @@
 READ_SOON_S = 1.0  # while orders run or workers are not mapped
 MAINTENANCE_S = 2.0  # that the platform takes at least
 MOVE_S = 1.5
-OVERDUE_S = 4.0  # after which an instance counts as listed again
 
 
 class Fleet:
@@ -227,8 +226,6 @@
             lacking=any(one.lacks() for one in demands.values()),
             wall_ms=int(self._clock.wall() * 1000),
         )
-        for order in orders:
-            self._mark(order, now)
         moves = plan_moves(
             tables, demands, self._standby(), engine.workers, now
         )
@@ -293,16 +290,10 @@
         if worker is not None:
             worker.closing = MOVE
         instance.closing_for = MOVE
-        self._mark(move, now)
+        instance.mark(MOVE, now)
 
     # --- orders -------------------------------------------------------------
 
-    def _mark(self, order: Maintain | Move, now: float) -> None:
-        """An order is on its way."""
-        instance = self._tables.instances[order.instance]
-        instance.ordered = WAVE if isinstance(order, Maintain) else MOVE
-        instance.down_until = now + OVERDUE_S
-
     def _give(self, orders: list[Maintain | Move]) -> None:
         """Record orders for a next leader, then give them."""
         recorded = self._propose(
--- a/src/galenareel/_scheduling/fleet.py
+++ b/src/galenareel/_scheduling/fleet.py
@@ -22,6 +22,7 @@
 
 POOL_SHARE = 3  # at most one in this many workers of a pool closes at once
 ROUND_S = 5.0  # to empty and maintain as many instances as a wave may
+OVERDUE_S = 4.0  # after which an instance counts as listed again
 BUSY_RETRY_S = 0.5  # after the platform said that an instance is busy
 # A move takes this long to pay off; less waiting work than this goes away
 # by itself before a moved instance has arrived.
@@ -59,6 +60,11 @@
     not_before: float = 0.0
     closing_for: str = ''
 
+    def mark(self, order: str, now: float) -> None:
+        """An order is on its way; the instance counts as down until then."""
+        self.ordered = order
+        self.down_until = now + OVERDUE_S
+
     def is_up(self, now: float) -> bool:
         listed_up = self.row.state is InstanceState.UP
         return listed_up and now >= self.down_until
@@ -170,7 +176,11 @@
         if (found := tables.instances.get(name)) is not None
         and _is_down_for(found, now)
     )
-    closing = [one for one in known if one.closing_for == WAVE]
+    closing = [
+        one
+        for one in known
+        if one.closing_for == WAVE and not _is_down_for(one, now)
+    ]
     room = wave.limit - down - len(closing)
     if room > 0:
         chosen = _next_to_close(tables, known, workers, now)
@@ -184,6 +194,7 @@
         ready = one.is_up(now) and now >= one.not_before
         if down < wave.limit and ready and _is_empty(tables, one, workers):
             orders.append(Maintain(instance=one.row.name, wave=wave.number))
+            one.mark(WAVE, now)
             down += 1
     return orders
 
--- a/testing/scheduling/test_fleet.py
+++ b/testing/scheduling/test_fleet.py
@@ -52,9 +52,13 @@
     return found
 
 
-def wave(*instances: str, limit: int = 2) -> WaveRecord:
+def wave(*instances: str, limit: int = 2, number: int = 1) -> WaveRecord:
     return WaveRecord(
-        number=1, instances=instances, started_ms=0, due_ms=9, limit=limit
+        number=number,
+        instances=instances,
+        started_ms=0,
+        due_ms=9,
+        limit=limit,
     )
 
 
@@ -104,6 +108,17 @@
     assert order.instance == 'm0'
 
 
+def test_two_waves_order_an_instance_once_at_a_time(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    tables = tables_of(platform)
+    waves = [wave('s0', 's1', limit=1), wave('s0', 's1', limit=1, number=8)]
+    orders = plan_maintenance(
+        tables, waves, harness.engine.workers, harness.now
+    )
+    assert [one.instance for one in orders] == ['s0']
+
+
 def test_a_pool_closes_only_a_part_of_its_workers(
     harness: Harness, platform: FakePlatform
 ) -> None:
