Hold just ordered instances back although a clock has jumped

With its clock an hour ahead every order looked old, and it could order an instance at the same time as the former leader. The state now keeps the last time of day that was recorded before a takeover, and an order's age is the smaller of both differences.

The new test failed before for a clock an hour ahead; it passed for clocks that agree or are behind, and still does.

Conclusion: only a member whose clock jumps between its order and its last record, followed by one whose clock is ahead as well, is not covered.

--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -24,6 +24,7 @@
 from galenareel._jobs.commands import RecordOrders
 from galenareel._jobs.commands import RetireWorker
 from galenareel._jobs.engine import Engine
+from galenareel._jobs.model import InstanceOrder
 from galenareel._jobs.state import JobState
 from galenareel._scheduling.fleet import BUSY_RETRY_S
 from galenareel._scheduling.fleet import Demand
@@ -105,8 +106,8 @@
         last = self._state.orders.get(instance.row.name)
         if last is None or last.holder == self._holder:
             return
-        age_s = self._clock.wall() - last.at_ms / 1000
-        if age_s < RECENT_S:
+        wall_ms = self._clock.wall() * 1000
+        if order_age_s(last, self._state.former_ms, wall_ms) < RECENT_S:
             settled = self._began + TAKE_OVER_S
             instance.not_before = max(instance.not_before, settled)
 
@@ -406,6 +407,15 @@
             self._tables.refused.add((kind, order.pool))
 
 
+def order_age_s(order: InstanceOrder, former_ms: int, wall_ms: float) -> float:
+    """The least that the age of an order may be.
+
+    The time of day of this member may be another than that of the one which
+    gave the order, so the last time that it recorded counts as well.
+    """
+    return (min(wall_ms, former_ms) - order.at_ms) / 1000
+
+
 def _moved(row: InstanceRow, pool: str) -> InstanceRow:
     return InstanceRow(
         name=row.name,
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -101,6 +101,8 @@
     orders: dict[str, InstanceOrder] = {}
     loads: dict[str, PoolLoad] = {}
     factors: dict[str, float] = {}
+    latest_ms: int = 0
+    former_ms: int = 0
 
 
 Listener = Callable[[AnyCommand, bool], None]
@@ -146,6 +148,8 @@
     def run(self, command: AnyCommand) -> object:
         """Apply a decoded command; false or ``Refused`` changed nothing."""
         result = self._handlers[type(command)](command)
+        if now_ms := getattr(command, 'now_ms', 0):
+            self._tables.latest_ms = now_ms
         if self._listener is not None:
             self._listener(command, bool(result))
         return result
@@ -197,11 +201,17 @@
         """Run time over declared run time, by queue."""
         return MappingProxyType(self._tables.factors)
 
+    @property
+    def former_ms(self) -> int:
+        """The last time of day that a former leader recorded."""
+        return self._tables.former_ms
+
     # --- commands -----------------------------------------------------------
 
     def _take_over(self, cmd: TakeOver) -> int:
         self._tables.epoch += 1
         self._tables.holder = cmd.node
+        self._tables.former_ms = self._tables.latest_ms
         return self._tables.epoch
 
     def _configure(self, cmd: Configure) -> bool:
--- a/testing/jobs/test_leader.py
+++ b/testing/jobs/test_leader.py
@@ -29,6 +29,9 @@
 from galenareel._jobs.commands import CancelJob
 from galenareel._jobs.commands import Configure
 from galenareel._jobs.commands import encode
+from galenareel._jobs.commands import OpenWave
+from galenareel._jobs.commands import RecordOrders
+from galenareel._jobs.commands import TakeOver
 from galenareel._jobs.leader import Leader
 from galenareel._jobs.metrics import JobMetrics
 from galenareel._jobs.model import EndKind
@@ -37,6 +40,7 @@
 from galenareel._jobs.state import JobState
 from testing.jobs.harness import job
 from testing.jobs.test_state import config
+from testing.standins.instances import FakePlatform
 from testing.standins.worker import FakeWorker
 
 
@@ -170,7 +174,9 @@
 class Running:
     """A leader with two workers."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, open_fleet: Callable[[], FleetClient] = HangingFleet
+    ) -> None:
         HangingFleet.made.clear()
         self.state = JobState()
         self.log = MemoryLog(self.state)
@@ -183,7 +189,7 @@
             replicator=self.log,
             state=self.state,
             dialer=Dialer(self.workers),
-            open_fleet=HangingFleet,
+            open_fleet=open_fleet,
             advisor=NoAdvisor(),
             clock=self.clock,
             log=Log('test', stream=io.StringIO()),
@@ -192,6 +198,8 @@
         self.propose(Configure(config=config()))
         for one in self.workers.values():
             self.propose(AdmitWorker(worker=one.record()))
+
+    def start(self) -> None:
         self.leader.start()
 
     def propose(self, command: Any) -> Any:
@@ -216,6 +224,7 @@
 @pytest.fixture
 def running() -> Iterator[Running]:
     found = Running()
+    found.start()
     yield found
     found.leader.close()
 
@@ -281,6 +290,38 @@
     assert 'j2' in running.state.jobs
 
 
+@pytest.mark.parametrize('step_s', [0.0, 3600.0, -3600.0])
+def test_new_leader_leaves_an_instance_alone_that_was_just_ordered(
+    step_s: float,
+) -> None:
+    platform = FakePlatform()
+    platform.add('m0', 'spare')
+    platform.add('m1', 'spare')
+    running = Running(lambda: platform)
+    now_ms = running.leader.wall_ms()
+    running.propose(TakeOver(node='c0'))
+    running.propose(
+        OpenWave(
+            number=1,
+            instances=('m0', 'm1'),
+            limit=2,
+            duration_ms=9000,
+            now_ms=now_ms,
+        )
+    )
+    running.propose(
+        RecordOrders(holder='c0', instances=('m0',), now_ms=now_ms)
+    )
+    running.clock.step_s = step_s
+    running.start()
+    try:
+        eventually(lambda: bool(platform.orders))
+        gevent.sleep(0.5)
+        assert [one.instance for one in platform.orders] == ['m1']
+    finally:
+        running.leader.close()
+
+
 def test_each_term_has_its_own_client_of_the_platform(
     running: Running,
 ) -> None:
--- a/testing/jobs/test_state.py
+++ b/testing/jobs/test_state.py
@@ -57,6 +57,18 @@
     assert state.jobs['j'].request.steps[0].count == 1
 
 
+def test_takeover_keeps_the_time_that_the_former_leader_recorded(
+    state: JobState,
+) -> None:
+    state.run(CancelJob(name='j', now_ms=5000))
+    state.run(TakeOver(node='c2'))
+    state.run(CancelJob(name='j', now_ms=3_600_000))
+    assert state.former_ms == 5000
+    restored = JobState()
+    restored.restore(1, state.snapshot())
+    assert restored.former_ms == 5000
+
+
 def test_job_of_a_removed_queue_is_refused(state: JobState) -> None:
     state.run(Configure(config=Configuration(2, (), ())))
     assert isinstance(accept(state, 'j'), Refused)
