--- a/testing/jobs/test_service.py
+++ b/testing/jobs/test_service.py
@@ -28,6 +28,7 @@
 @pytest.fixture
 def running() -> Iterator[Running]:
     found = Running()
+    found.start()
     eventually(lambda: found.leader.engine is not None)
     yield found
     found.leader.close()
