Wait for room on the disk at the start, too

Cause: a member whose data folder could not be written at the start ended with an error, while the same fault later on is waited for. Ruled out: a write that failed while it ran; the log ends with start_failed.

A folder that can't be used, is locked or is damaged still ends the start. The new test failed before.

--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -23,6 +23,7 @@
 from galenareel._consensus.bootstrap_service import BootstrapService
 from galenareel._consensus.disk import FolderDisk
 from galenareel._consensus.effects import Effects
+from galenareel._consensus.errors import DiskError
 from galenareel._consensus.errors import StorageError
 from galenareel._consensus.interface import Replicator
 from galenareel._consensus.interface import StateMachine
@@ -111,7 +112,11 @@
     # --- Replicator ---------------------------------------------------------
 
     def start(self) -> None:
-        self._open()
+        try:
+            self._open()
+        except DiskError as exc:
+            # A full disk at the start is waited for like one later on.
+            self._fail(str(exc))
         self._greenlets = [
             gevent.spawn(self._tick_loop),
             gevent.spawn(self._store_loop),
--- a/testing/consensus/test_driver.py
+++ b/testing/consensus/test_driver.py
@@ -167,6 +167,29 @@
         Process('a', members, tmp_path).driver.start()
 
 
+def test_member_that_starts_on_a_full_disk_waits_for_room(
+    members: dict[str, str],
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr('galenareel._consensus.driver.REOPEN_S', 0.1)
+
+    def refuse(_disk: FolderDisk, _name: str, _data: bytes) -> None:
+        raise OSError(errno.ENOSPC, 'No space left on device')
+
+    process = Process('a', {'a': members['a']}, tmp_path)
+    with monkeypatch.context() as patch:
+        patch.setattr(FolderDisk, 'append', refuse)
+        process.start()
+        gevent.sleep(0.3)
+        assert not process.driver.is_leader()
+    try:
+        wait_for(process.driver.is_leader)
+        assert process.driver.propose(b'x', timeout_s=5) == 1
+    finally:
+        process.close()
+
+
 def test_full_disk_steps_down_and_comes_back(
     cluster: list[Process], monkeypatch: pytest.MonkeyPatch
 ) -> None:
