--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 .PHONY: test lint types unit format demo fault-matrix measure-state \
 	measure-decisions measure-requests measure-capacity measure-jobs \
-	soak
+	soak soak-regressions
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -53,5 +53,8 @@
 soak: $(VENV)/.installed
 	$(PY) -m soak --first $(SEED) --count $(COUNT)
 
+soak-regressions: $(VENV)/.installed
+	$(PY) -m soak --regressions
+
 measure-jobs: $(VENV)/.installed
 	$(PY) -m bench.jobs
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections import Counter
+import collections
+from collections.abc import Iterable
 import json
 from pathlib import Path
 import signal
@@ -15,6 +16,13 @@
 from soak.run import SoakRun
 
 MOST_SHOWN = 5  # findings of each promise and seed; all are counted
+REGRESSIONS = Path(__file__).with_name('regressions.txt')
+
+
+def regression_seeds() -> list[int]:
+    """Seeds that failed once."""
+    lines = REGRESSIONS.read_text().splitlines()
+    return [int(one.split()[0]) for one in lines if not one.startswith('#')]
 
 
 def play(
@@ -25,18 +33,23 @@
     fronts: int = 2,
     workers: int = 5,
     logs: str = '',
+    regressions: bool = False,
 ) -> None:
     """Play seeds one after another; exits with 1 if a promise was broken.
 
     :param first: the first of ``count`` seeds.
     :param seconds: time of each seed in which faults begin.
     :param logs: folder in which the logs of a seed that failed are kept.
+    :param regressions: play the seeds that failed once instead.
     """
     played = jobs = 0
-    faults: Counter[str] = Counter()
-    checked: Counter[str] = Counter()
-    broken: Counter[str] = Counter()
-    for seed in range(first, first + count):
+    faults: collections.Counter[str] = collections.Counter()
+    checked: collections.Counter[str] = collections.Counter()
+    broken: collections.Counter[str] = collections.Counter()
+    seeds: Iterable[int] = range(first, first + count)
+    if regressions:
+        seeds = regression_seeds()
+    for seed in seeds:
         with tempfile.TemporaryDirectory() as name:
             run = SoakRun(
                 seed, Path(name), cores=cores, fronts=fronts, workers=workers
@@ -52,7 +65,7 @@
         jobs += len(run.promises.jobs)
         faults.update(run.fault_counts)
         checked.update(run.promises.checked)
-        shown: Counter[str] = Counter()
+        shown: collections.Counter[str] = collections.Counter()
         for promise, detail in run.promises.broken:
             broken[promise] += 1
             shown[promise] += 1
