Log of galenareel-control and galenareel-entry on standard output

They wrote each line at once to stderr, and a reader that stopped held the process up. They now use the bounded log of the platform's programs: a rate for each kind of line, a buffer, and no write that blocks. The new tests failed before.

--- a/src/galenareel/_common/log.py
+++ b/src/galenareel/_common/log.py
@@ -1,4 +1,4 @@
-"""Log lines of a process: ``key=value`` on stderr.
+"""Log lines of a process: ``key=value``, written at once.
 
 A line is written for a change of state only; what happens per request is
 counted (:mod:`galenareel._common.metrics`). The standard library's logging
--- a/src/galenareel/_common/settings.py
+++ b/src/galenareel/_common/settings.py
@@ -53,7 +53,7 @@
 
 def _log_level() -> Any:
     return setting(
-        'lowest level of the log lines on stderr',
+        'lowest level of the log lines on standard output',
         reader=one_of('debug', 'info', 'warning', 'error'),
         shape='LEVEL',
         default='info',
--- a/src/galenareel/_control/main.py
+++ b/src/galenareel/_control/main.py
@@ -9,6 +9,7 @@
 import gevent
 from gevent.event import Event
 
+from galenareel._common.bounded_log import BoundedLog
 from galenareel._common.clock import SystemClock
 from galenareel._common.events import HybridClock
 from galenareel._common.log import Log
@@ -31,12 +32,14 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run a control member until SIGTERM or SIGINT."""
     cfg = read_settings(PROGRAM, ControlSettings, summary=SUMMARY, argv=argv)
-    log = Log(cfg.name, level=cfg.log_level)
+    log = BoundedLog(cfg.name, level=cfg.log_level)
+    log.start()
     control = _assemble(cfg, log)
     try:
         control.start()
     except (OSError, StorageError) as exc:
         log.error('start_failed', detail=str(exc))
+        log.close()
         return FAILED
     log.info('started', zone=cfg.zone, listen=cfg.listen)
     stop = Event()
@@ -45,6 +48,7 @@
     stop.wait()
     control.close()
     log.info('stopped')
+    log.close()
     return 0
 
 
--- a/src/galenareel/_entry/main.py
+++ b/src/galenareel/_entry/main.py
@@ -10,7 +10,7 @@
 
 from gevent import signal_handler
 
-from galenareel._common.log import Log
+from galenareel._common.bounded_log import BoundedLog
 from galenareel._common.metrics import Metrics
 from galenareel._common.settings import EntrySettings
 from galenareel._common.settings import read_settings
@@ -27,7 +27,8 @@
         'galenareel-entry', EntrySettings, summary=SUMMARY, argv=argv
     )
     metrics = Metrics(settings.name, settings.metrics)
-    log = Log(settings.name, level=settings.log_level)
+    log = BoundedLog(settings.name, level=settings.log_level)
+    log.start()
     entry = Entry(
         config_of(settings),
         incarnation=secrets.token_hex(4),
@@ -44,6 +45,7 @@
         log.error('entry.failed', problem=exc)
         return 1
     finally:
+        log.close()
         metrics.close()
 
 
--- a/testing/programs/test_bad_input.py
+++ b/testing/programs/test_bad_input.py
@@ -162,13 +162,15 @@
 # --- programs that can't start ----------------------------------------------
 
 
-def start(program: str, argv: list[str]) -> tuple[int, str]:
-    """Exit status and stderr of a program that should end by itself."""
+def start(
+    program: str, argv: list[str], *, stderr: int = subprocess.STDOUT
+) -> tuple[int, str]:
+    """Exit status and output of a program that should end by itself."""
     child = subprocess.Popen(
         [sys.executable, '-m', f'galenareel._{program}.main', *argv],
         env=clean_environ(),
         stdout=subprocess.PIPE,
-        stderr=subprocess.STDOUT,
+        stderr=stderr,
         text=True,
     )
     try:
@@ -254,6 +256,19 @@
     assert taken.rsplit(':', 1)[1] in output
 
 
+@pytest.mark.parametrize('program', ['control', 'entry'])
+def test_log_lines_go_to_standard_output(
+    topology: Topology, tmp_path: Path, taken: str, program: str
+) -> None:
+    if program == 'control':
+        members = {'members': f'c1={taken}', 'listen': taken}
+        argv = control_argv(topology, tmp_path, **members)
+    else:
+        argv = entry_argv(topology, tmp_path, callers=taken)
+    _, output = start(program, argv, stderr=subprocess.DEVNULL)
+    assert ' level=error ' in output and 'in use' in output
+
+
 def test_control_names_the_data_folder_that_it_can_not_use(
     topology: Topology, tmp_path: Path
 ) -> None:
