--- a/soak/platform.py
+++ b/soak/platform.py
@@ -90,6 +90,7 @@
             name.step == job.hopeless
             or crc32(f'{task} {run}'.encode()) % 100 < FAILS_PERCENT
         ):
+            self._promises.failed_runs[task] += 1
             return EndKind.FAILED
         self._promises.done.add(task)
         return EndKind.DONE
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -89,7 +89,9 @@
     :param calm_for: seconds since the last fault ended.
     :param wall: true time since the epoch.
 
-    ``stopping`` holds the addresses of fronts that were told to stop.
+    ``failed_runs`` counts runs that have failed, and ``failures`` those of
+    them that the system has taken note of. ``stopping`` holds the addresses
+    of fronts that were told to stop.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         self.clocks_jump = False
         self.done: set[str] = set()
         self.noted_done: set[str] = set()
+        self.failed_runs: collections.Counter[str] = collections.Counter()
         self.failures: collections.Counter[str] = collections.Counter()
         self.draining: dict[str, float] = {}
         self.stopping: set[str] = set()
@@ -274,7 +277,7 @@
                 'state_true', not missing, f'{job.name}: {missing} not done'
             )
         elif state == 'failed':
-            worst = max(self.failures[one] for one in job.tasks())
+            worst = max(self.failed_runs[one] for one in job.tasks())
             self.expect(
                 'state_true',
                 worst >= MAX_ATTEMPTS,
--- a/testing/standins/system.py
+++ b/testing/standins/system.py
@@ -31,6 +31,7 @@
 CLOUD_PORT = 7003
 FRAMES_PORT = 7100
 GRACE_S = 3.0
+STACK_S = 0.5  # for the stack of a process that hangs
 
 
 def configuration(version: int, *routes: str) -> dict[str, Any]:
@@ -114,12 +115,17 @@
             self.process = None
 
     def terminate(self, seconds: float = 5.0) -> int | None:
-        """Stop it as planned; returns its status, or none if it hangs."""
+        """Stop it as planned; returns its status, or none if it hangs.
+
+        A process that hangs writes its stack to its log.
+        """
         assert self.process is not None, 'the machine is off'
         self.process.terminate()
         try:
             return self.process.wait(timeout=seconds)
         except TimeoutExpired:
+            self.process.send_signal(signal.SIGABRT)
+            gevent.sleep(STACK_S)
             return None
 
 
@@ -205,6 +211,7 @@
                 **os.environ,
                 **(env or {}),
                 'GALENAREEL_NODE_FILE': str(self.settings_file(machine)),
+                'PYTHONFAULTHANDLER': '1',
             },
             stdout=-1,
             stderr=STDOUT,
