--- a/soak/platform.py
+++ b/soak/platform.py
@@ -207,6 +207,11 @@
         self._tokens: dict[str, int] = {}
         self.waves: dict[int, tuple[set[str], int]] = {}
         self.maintained: dict[int, set[str]] = {}
+        self._orders: list[gevent.Greenlet] = []
+
+    def close(self) -> None:
+        super().close()
+        gevent.killall(self._orders)
 
     def _application(self, env: dict[str, Any], start: Start) -> list[bytes]:
         if env['PATH_INFO'] == '/api/machines':
@@ -233,7 +238,7 @@
         if instance.state != 'up':
             return respond(start, 409, {'reason': 'busy'})
         instance.pool = pool
-        gevent.spawn(self._away, instance, 'moving', 0)
+        self._orders.append(gevent.spawn(self._away, instance, 'moving', 0))
         gevent.sleep(0)
         return respond(start, 200, {})
 
@@ -249,7 +254,7 @@
             return respond(start, 409, {'reason': 'busy'})
         self._promises.maintenance(wave, cap, instance.name, begins=True)
         self.maintained[wave].add(instance.name)
-        gevent.spawn(self._away, instance, 'upkeep', wave)
+        self._orders.append(gevent.spawn(self._away, instance, 'upkeep', wave))
         gevent.sleep(0)
         return respond(start, 200, {})
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -159,11 +159,11 @@
     def close(self) -> None:
         gevent.killall(self._greenlets)
         self._system.close()
+        self._cloud.close()
         for instance in self._instances:
             instance.end_life()
         for link in self._links.values():
             link.close()
-        self._cloud.close()
         for caller in self._callers:
             caller.close()
         self._operator.close()
