Keep reserves for the pools whose peak may come next

The queues peak in turns, so a pool whose peak has just been comes last. In the first round any pool without a peak may be next, later on the one whose peak is the longest ago; only these keep their reserve, the others a tenth.

--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -240,16 +240,17 @@
     def _demands(self, now: float) -> dict[str, Demand]:
         demands = {}
         config = self._state.config
-        for pool in config.pools if config is not None else ():
-            work = self._engine.pool(pool.name)
-            if pool.standby:
-                continue
+        pools = config.pools if config is not None else ()
+        works = [
+            self._engine.pool(one.name) for one in pools if not one.standby
+        ]
+        for pool in works:
             members = [
                 one
                 for one in self._engine.workers.values()
                 if one.pool == pool.name and not one.lapsed
             ]
-            demand = demand_of(work, members, now)
+            demand = demand_of(pool, members, now, works)
             demand.coming = sum(
                 1
                 for one in self._tables.instances.values()
--- a/src/galenareel/_jobs/model.py
+++ b/src/galenareel/_jobs/model.py
@@ -248,11 +248,13 @@
     :param peak_cpu: highest processor use at which work has arrived, in
         thousandths of a core.
     :param slack_s: mean time that its jobs can wait and still be on time.
+    :param turn: number of its last peak, among those of all pools, or 0.
     """
 
     first_size: int
     peak_cpu: float
     slack_s: float | None
+    turn: int = 0
 
 
 class InstanceOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -267,6 +267,7 @@
                 made.first_size = known.first_size
                 made.peak_cpu = known.peak_cpu
                 made.slack_s = known.slack_s
+                made.turn = known.turn
             self.pools[name] = made
         return self.pools[name]
 
@@ -279,6 +280,7 @@
                 slack_s=None
                 if pool.slack_s is None
                 else round(pool.slack_s, 1),
+                turn=pool.turn,
             )
             for name, pool in self.pools.items()
         }
--- a/src/galenareel/_scheduling/fleet.py
+++ b/src/galenareel/_scheduling/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -16,6 +17,8 @@
 from galenareel._scheduling.tables import PoolWork
 from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import Worker
+from galenareel._scheduling.turns import may_peak_next
+from galenareel._scheduling.turns import observe_turn
 
 WAVE = 'wave'
 MOVE = 'move'
@@ -36,6 +39,7 @@
 MOVE_LATENCY_S = 2.0
 RESERVE = 0.5  # of the highest load, where jobs can't wait for a move
 PATIENT_RESERVE = 0.2  # where they can
+LATER_RESERVE = 0.1  # where another pool's peak comes first
 SEEN_PEAK = 0.5  # of a pool's first size; a lower load is no peak
 LAST_RESERVE = 2  # instances that a pool gives up to no other
 # Order in which instances are taken from their pools.
@@ -261,11 +265,18 @@
 # --- moves ------------------------------------------------------------------
 
 
-def demand_of(pool: PoolWork, workers: Iterable[Worker], now: float) -> Demand:
+def demand_of(
+    pool: PoolWork,
+    workers: Iterable[Worker],
+    now: float,
+    pools: Collection[PoolWork] = (),
+) -> Demand:
     """How many instances the present work of a pool asks for.
 
     Load pattern: each queue in turn asks several times its mean for some
     seconds, more than its pool holds, while the others are nearly idle.
+
+    :param pools: all pools that peak in turns.
     """
     members = [one for one in workers if not one.draining]
     demand = Demand(
@@ -313,7 +324,9 @@
         pool.first_size = max(pool.first_size, len(members))
     arriving = pool.arriving_cpu(now)
     pool.observe_peak(arriving, now)
-    demand.least = max(_least(steps.values()), _reserve(pool, size))
+    seen_cpu = size * pool.first_size * SEEN_PEAK
+    observe_turn(pool, pools or (pool,), arriving, seen_cpu)
+    demand.least = max(_least(steps.values()), _reserve(pool, size, pools))
     wanted = max(
         (cpu + lasting_cpu) / size / FILL,
         (used_memory + lasting_memory) / memory / FILL,
@@ -333,7 +346,7 @@
     return demand
 
 
-def _reserve(pool: PoolWork, size: float) -> int:
+def _reserve(pool: PoolWork, size: float, pools: Collection[PoolWork]) -> int:
     """Instances that a pool keeps between its peaks.
 
     A moved instance arrives too late for the first jobs of a peak unless
@@ -342,7 +355,9 @@
     """
     if pool.slack_s is None:
         return pool.first_size
-    if pool.slack_s >= MOVE_LATENCY_S:
+    if not may_peak_next(pool, pools or (pool,)):
+        share = LATER_RESERVE
+    elif pool.slack_s >= MOVE_LATENCY_S:
         share = PATIENT_RESERVE
     else:
         share = RESERVE
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -238,6 +238,8 @@
     :param first_size: workers that it had at first.
     :param peak_cpu: highest processor use at which work has arrived.
     :param slack_s: mean time that its jobs can wait and still be on time.
+    :param turn: number of its last peak, among those of all pools, or 0.
+    :param peaking: whether that peak goes on.
     """
 
     name: str
@@ -248,6 +250,8 @@
     peak_cpu: float = 0.0
     peak_at: float = 0.0
     slack_s: float | None = None
+    turn: int = 0
+    peaking: bool = False
 
     def arrived(self, job: JobWork) -> None:
         """A job was accepted."""
@@ -272,16 +276,19 @@
         Each job counts for as long as it is expected to take, so that a
         single large one does not look like a rush.
         """
-        while self.arrivals and self._is_past(self.arrivals[0], now):
+        while self.arrivals and _age_s(self.arrivals[0], now) > _window_s(
+            self.arrivals[0]
+        ):
             self.arrivals.popleft()
         return sum(
             1000 * one.work_core_s / _window_s(one)
             for one in self.arrivals
-            if not self._is_past(one, now)
+            if _age_s(one, now) <= _window_s(one)
         )
 
-    def _is_past(self, job: JobWork, now: float) -> bool:
-        return now - job.accepted_at > _window_s(job)
+
+def _age_s(job: JobWork, now: float) -> float:
+    return now - job.accepted_at
 
 
 def _window_s(job: JobWork) -> float:
--- a/testing/scheduling/test_fleet.py
+++ b/testing/scheduling/test_fleet.py
@@ -17,6 +17,7 @@
 from galenareel._scheduling.fleet import plan_maintenance
 from galenareel._scheduling.fleet import plan_moves
 from galenareel._scheduling.fleet import WAVE
+from galenareel._scheduling.tables import PoolWork
 from testing.jobs.harness import Harness
 from testing.jobs.harness import job
 from testing.standins.instances import FakePlatform
@@ -289,6 +290,21 @@
     assert (hasty, patient) == (3, 1)
 
 
+def test_pool_that_has_had_its_turn_keeps_less(harness: Harness) -> None:
+    work = harness.engine.pool('lots')
+    workers = harness.engine.workers.values()
+    others = [PoolWork(name=name) for name in ('tasting', 'office')]
+    work.peak_cpu = 40_000.0
+    work.peak_at = harness.now
+    work.slack_s = 1.0
+    before = demand_of(work, workers, harness.now, [work, *others]).least
+    work.turn = 1
+    after = demand_of(work, workers, harness.now, [work, *others]).least
+    others[0].turn, others[1].turn = 2, 3
+    again = demand_of(work, workers, harness.now, [work, *others]).least
+    assert after < before == again
+
+
 def test_reserve_goes_to_a_pool_that_cannot_keep_up(
     harness: Harness, platform: FakePlatform
 ) -> None:
