See a rush within a second of its begin

Cause: the load of a pool was the work of its arrivals over the time that each job takes, so with jobs of several seconds a peak showed its full size only seconds after it began. Now the work that arrived in the last second counts as well, without its largest job, so that one job is no rush. The test replays ten jobs of 3 s a second: the pool asks for 0.8 of the full size within a second, and asked for under half before.

--- a/src/galenareel/_scheduling/fleet.py
+++ b/src/galenareel/_scheduling/fleet.py
@@ -330,7 +330,7 @@
     wanted = max(
         (cpu + lasting_cpu) / size / FILL,
         (used_memory + lasting_memory) / memory / FILL,
-        arriving / size / FILL,
+        max(arriving, pool.rush_cpu(now)) / size / FILL,
     )
     demand.needed = max(math.ceil(wanted), 1)
     wait_s = backlog_core_s / (size * len(members) / 1000)
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -18,6 +18,7 @@
 
 FULL_PACE = 100
 ARRIVALS_S = 0.6  # shortest time over which arriving work is counted
+RUSH_S = 1.0  # in which several jobs show that a rush has begun
 MAX_ARRIVALS = 2000
 PEAK_HALF_LIFE_S = 40.0  # in which a remembered peak counts half
 SLACK_WEIGHT = 0.1  # of a new job in the mean slack
@@ -276,8 +277,8 @@
         Each job counts for as long as it is expected to take, so that a
         single large one does not look like a rush.
         """
-        while self.arrivals and _age_s(self.arrivals[0], now) > _window_s(
-            self.arrivals[0]
+        while self.arrivals and _age_s(self.arrivals[0], now) > max(
+            _window_s(self.arrivals[0]), RUSH_S
         ):
             self.arrivals.popleft()
         return sum(
@@ -286,6 +287,19 @@
             if _age_s(one, now) <= _window_s(one)
         )
 
+    def rush_cpu(self, now: float) -> float:
+        """Processor use at which work has arrived in the last second.
+
+        It shows the whole of a rush before a job's time has passed. The
+        largest job is left out, so that it takes several to look like one.
+        """
+        works = [
+            one.work_core_s
+            for one in self.arrivals
+            if _age_s(one, now) <= RUSH_S
+        ]
+        return 1000 * (sum(works) - max(works, default=0.0)) / RUSH_S
+
 
 def _age_s(job: JobWork, now: float) -> float:
     return now - job.accepted_at
--- a/testing/scheduling/test_fleet.py
+++ b/testing/scheduling/test_fleet.py
@@ -265,6 +265,28 @@
     assert found.wanted > max(quiet, found.have)
 
 
+def test_rush_of_long_jobs_shows_within_a_second(harness: Harness) -> None:
+    """Ten jobs a second, each 3 s of work on 6 cores: 180 cores in all."""
+    work = harness.engine.pool('lots')
+    began = harness.now
+    while harness.now < began + 1.0:
+        step = Step(count=3, cpu=2000, estimate_ms=3000)
+        harness.submit(f'j{harness.now}', job(step))
+        harness.pass_time(0.1)
+    workers = harness.engine.workers.values()
+    found = demand_of(work, workers, harness.now)
+    in_full = 180_000 / ROOM.cpu
+    assert work.arriving_cpu(harness.now) / ROOM.cpu < 0.5 * in_full
+    assert found.needed >= 0.8 * in_full
+
+
+def test_single_large_job_is_no_rush(harness: Harness) -> None:
+    work = harness.engine.pool('lots')
+    step = Step(count=30, cpu=4000, estimate_ms=9000)
+    harness.submit('j', job(step))
+    assert work.rush_cpu(harness.now) == 0.0
+
+
 def test_late_work_asks_for_less(harness: Harness) -> None:
     for number in range(40):
         step = Step(count=6, cpu=1800, estimate_ms=640)
