Let no task wait for a worker that stays out of reach

Cause: a task that failed on a worker avoids it while another one may take it. Two kinds of other workers never did: one that had failed tasks and gets a single task as a trial, but only when it runs nothing, while lasting runs stay there; and one whose room lasting runs keep. In a pool of two workers the task waited for ever.

Now only runs that end keep a trial out, and a task returns to where it failed after 2 s.

--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -16,6 +16,7 @@
 from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import Worker
 
+AVOID_S = 2.0  # for which a task waits for a worker where it hasn't failed
 RUNS_PER_EPOCH = 1000  # run numbers that one leader may use for a task
 ADVICE_WORKERS = 6  # workers named in one call; each one takes time
 ADVICE_MARGIN_S = 0.3  # a ticket is not used this close to its end
@@ -131,7 +132,10 @@
         candidates: Candidates,
         now: float,
     ) -> bool:
-        """Let a task return to where it failed if nothing else is left."""
+        """Let a task return to where it failed if nothing else is left.
+
+        Lasting tasks may keep the room of the others for good.
+        """
         tried = step.avoid.get(index)
         if not tried:
             return False
@@ -140,7 +144,8 @@
             for one in candidates.workers
             if one.name not in tried and one.fits_empty(step.step)
         ]
-        if not others:
+        waits_s = now - step.released_at.get(index, now)
+        if not others or waits_s > AVOID_S:
             step.avoid.pop(index, None)
             return self._place_task(step, index, candidates, now)
         return True  # another index of the step may still find room
--- a/src/galenareel/_scheduling/placement.py
+++ b/src/galenareel/_scheduling/placement.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from galenareel._jobs.model import Step
 from galenareel._scheduling.health import is_suspect
 from galenareel._scheduling.health import needs_trial
 from galenareel._scheduling.tables import StepWork
@@ -78,7 +79,7 @@
                 if here >= step.per_worker:
                     continue
             trial = needs_trial(worker, self.now)
-            if trial and worker.runs:
+            if trial and not _is_free_for_trial(worker, step):
                 continue
             score = self._score(work, worker) + (TRIAL if trial else 0.0)
             if best is None or score < best_score:
@@ -116,6 +117,17 @@
         return score
 
 
+def _is_free_for_trial(worker: Worker, step: Step) -> bool:
+    """Whether nothing runs there whose end would show the same.
+
+    Lasting runs don't end, so they must not keep a trial out.
+    """
+    return not any(
+        step.lasting or run.step is None or not run.step.step.lasting
+        for run in worker.runs.values()
+    )
+
+
 def _lasting_score(work: StepWork, worker: Worker) -> float:
     half = -(-work.step.count // 2)
     score = 0.0
--- a/testing/scheduling/test_placement.py
+++ b/testing/scheduling/test_placement.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Room
 from galenareel._jobs.model import Step
+from galenareel._scheduling.health import FAILED_IN_ROW
 from testing.jobs.harness import Harness
 from testing.jobs.harness import job
 from testing.standins.worker import FakeWorker
@@ -51,6 +53,53 @@
     assert len(used(harness)) == 6
 
 
+def test_worker_that_failed_gets_a_trial_beside_lasting_tasks() -> None:
+    """A task failed on one worker; the other one failed others before.
+
+    The first is avoided while the second may still take the task.
+    """
+    harness = Harness(*(FakeWorker(name=f'w{n}', room=ROOM) for n in (0, 1)))
+    lasting = Step(count=2, cpu=1000, memory_mb=1000, lasting=True)
+    harness.submit('lasting', job(lasting))
+    harness.pass_time(0.5)
+    harness.submit('j', job(Step(count=1, cpu=1800, estimate_ms=640)))
+    harness.pass_time(0.3)
+    (first,) = [
+        one for one in harness.workers.values() if 'j.0.0.0' in one.running
+    ]
+    (second,) = [one for one in harness.workers.values() if one is not first]
+    assert any(one.startswith('lasting') for one in second.running)
+    health = harness.engine.workers[second.name].health
+    health.failed_in_row = FAILED_IN_ROW
+    first.end('j.0.0.0', EndKind.FAILED)
+    harness.pass_time(1.0)
+    assert 'j.0.0.0' in second.running
+
+
+def test_task_returns_where_it_failed_if_the_others_stay_full() -> None:
+    harness = Harness(*(FakeWorker(name=f'w{n}', room=ROOM) for n in (0, 1)))
+    harness.submit('lasting', job(Step(count=1, cpu=30000, lasting=True)))
+    harness.pass_time(0.5)
+    harness.submit('j', job(Step(count=1, cpu=8000, estimate_ms=640)))
+    harness.pass_time(0.3)
+    (first,) = [
+        one for one in harness.workers.values() if 'j.0.0.0' in one.running
+    ]
+    first.end('j.0.0.0', EndKind.FAILED)
+    harness.pass_time(1.0)
+    assert not any('j.0.0.0' in x.running for x in harness.workers.values())
+    harness.pass_time(1.5)
+    assert 'j.0.0.0' in first.running
+
+
+def test_trial_is_one_task_at_a_time(harness: Harness) -> None:
+    for worker in harness.engine.workers.values():
+        worker.health.failed_in_row = FAILED_IN_ROW
+    harness.submit('j', job(Step(count=9, cpu=1800, estimate_ms=640)))
+    harness.pass_time(0.3)
+    assert [len(one.running) for one in harness.workers.values()] == [1] * 6
+
+
 def test_data_is_near(harness: Harness) -> None:
     step = Step(count=4, cpu=1800, estimate_ms=640, data_rack='r1')
     harness.submit('j', job(step))
