--- a/soak/callers.py
+++ b/soak/callers.py
@@ -285,3 +285,10 @@
         fields = configuration(self._version, 'q', *extra)
         self._promises.configurations[self._version] = fields
         return fields
+
+
+def probe_job(number: int) -> SoakJob:
+    """A short job that shows that the system serves again."""
+    step = {'count': 1, 'cpu': 100, 'estimatedMs': 100}
+    body = {'specification': 'probe', 'steps': [step]}
+    return SoakJob(f'ffff{number:012x}', body, (0.1,))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,7 +19,6 @@
 
 from soak.platform import Instance
 from soak.promises import Promises
-from soak.promises import SoakJob
 from soak.proxy import Proxy
 from testing.standins.platform_http import call
 from testing.standins.system import GRACE_S
@@ -29,6 +28,7 @@
 GAP_S = 0.9  # mean time between two faults
 LONGEST_S = 6.0
 ALL_DOWN_S = 1.0
+JOIN_S = 60.0  # with other faults meanwhile
 REJOIN_S = 8.0  # after which another disk may be lost
 WAVE_S = 10.0
 CLOCK_JUMPS_S = (-3600.0, -2.0, 1.5, 3600.0)
@@ -73,7 +73,6 @@
         self._target = target
         self._rng = rng
         self._busy: set[str] = set()
-        self._active = 0
         self._unplanned = 0
         self._calm_since = 0.0
         self._disk_lost_at = 0.0
@@ -192,8 +191,13 @@
             joined = machine.says('joined')
             self._target.run(machine)
             # Another disk may be lost only once this one is made up for.
+            began = time.monotonic()
             while machine.says('joined') == joined:
                 gevent.sleep(0.1)
+                if time.monotonic() > began + JOIN_S:
+                    what = f'{machine.name} does not join again'
+                    self._target.promises.expect('recovered', False, what)
+                    return
             self._disk_lost_at = time.monotonic()
 
     def _fill_disk(self) -> None:
@@ -334,12 +338,10 @@
     ) -> Iterator[None]:
         self.counts[kind] += 1
         self._busy.update(names)
-        self._active += 1
         self._unplanned += not planned
         try:
             yield
         finally:
-            self._active -= 1
             self._busy.difference_update(names)
             if not planned:
                 self._unplanned -= 1
@@ -389,10 +391,3 @@
     """Set the shift of the processes that use this clock file."""
     with path.open('r+b' if path.exists() else 'w+b') as file:
         file.write(struct.pack('d', seconds))
-
-
-def probe_job(number: int) -> SoakJob:
-    """A short job that shows that the system serves again."""
-    step = {'count': 1, 'cpu': 100, 'estimatedMs': 100}
-    body = {'specification': 'probe', 'steps': [step]}
-    return SoakJob(f'ffff{number:012x}', body, (0.1,))
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,8 +12,8 @@
 
 from soak.callers import Caller
 from soak.callers import Operator
+from soak.callers import probe_job
 from soak.faults import Faults
-from soak.faults import probe_job
 from soak.faults import shift_clock
 from soak.faults import Target
 from soak.platform import draw_rate
@@ -222,6 +222,7 @@
         self.promises.expect('recovered', kept, what)
 
     def _check_recovery(self) -> None:
+        """New jobs are accepted, and what was accepted comes to its end."""
         probe = probe_job(0)
         caller = self._callers[0]
 
