Say things once in the soak and its stand-ins

The soak's worker computed the progress of its runs over again after its parent; it now only says how long a task takes. The head of an HTTP answer is parsed in one place, counting lines of a log makes no copies of it, and how long it has been calm is kept apart from the faults, so that a run has no faults that are half made. No check, bound or program of the product changes.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,6 +15,7 @@
 from soak.promises import Promises
 from soak.promises import SoakJob
 from testing.standins.platform_http import call
+from testing.standins.platform_http import parse_head
 from testing.standins.system import configuration
 from testing.standins.system import HOST
 
@@ -87,18 +88,14 @@
         while b'\r\n\r\n' not in data:
             data += self._more()
         top, _, body = data.partition(b'\r\n\r\n')
-        first, *lines = top.decode().split('\r\n')
-        headers = {
-            name.lower(): value
-            for name, value in (line.split(': ', 1) for line in lines)
-        }
+        status, headers = parse_head(top)
         while len(body) < int(headers.get('content-length', 0)):
             body += self._more()
         if headers.get('connection') == 'close':
             self.close()
         fields = json.loads(body) if body.startswith(b'{') else {}
         return Reply(
-            int(first.split()[1]),
+            status,
             fields,
             float(headers.get('retry-after', 0)),
         )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,7 @@
 import gevent
 
 from soak.platform import Instance
+from soak.promises import Calm
 from soak.promises import Promises
 from soak.proxy import Proxy
 from testing.standins.platform_http import call
@@ -69,12 +70,11 @@
 class Faults:
     """Draws faults, keeps them apart on one machine, and counts them."""
 
-    def __init__(self, target: Target, rng: Random) -> None:
+    def __init__(self, target: Target, rng: Random, calm: Calm) -> None:
         self._target = target
+        self._calm = calm
         self._rng = rng
         self._busy: set[str] = set()
-        self._unplanned = 0
-        self._calm_since = 0.0
         self._disk_lost_at = 0.0
         self._jobs: list[gevent.Greenlet] = []
         self.counts: collections.Counter[str] = collections.Counter()
@@ -103,12 +103,6 @@
             self._wave,
         )
 
-    def calm_for(self) -> float:
-        """Seconds since the last fault that was not planned work."""
-        if self._unplanned:
-            return 0.0
-        return time.monotonic() - self._calm_since
-
     def is_expected_off(self, machine: Machine) -> bool:
         return machine.name in self._busy
 
@@ -338,14 +332,14 @@
     ) -> Iterator[None]:
         self.counts[kind] += 1
         self._busy.update(names)
-        self._unplanned += not planned
+        if not planned:
+            self._calm.begin()
         try:
             yield
         finally:
             self._busy.difference_update(names)
             if not planned:
-                self._unplanned -= 1
-                self._calm_since = time.monotonic()
+                self._calm.end()
 
     @contextmanager
     def _some_machine(
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -41,13 +41,8 @@
 
     promises: Promises
 
-    def advance(self, seconds: float) -> None:
-        super().advance(seconds)
-        for task, run in self.running.items():
-            age_s = (self.clock_ms - run.began_ms) / 1000
-            length_s = self.promises.length_s(task) or STARTUP_S
-            if not self.stalled:
-                run.percent = min(int(100 * age_s / length_s), 100)
+    def length_s(self, task: str) -> float:
+        return self.promises.length_s(task) or STARTUP_S
 
     def look(
         self, *, until_ms: int | None, noted: int, token: int
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import json
+import time
 from typing import Any
 
 from galenareel._jobs.model import EndKind
@@ -83,6 +84,28 @@
         ]
 
 
+class Calm:
+    """How long no fault has gone on, but for planned work."""
+
+    def __init__(self) -> None:
+        self._faults = 0
+        self._since = 0.0
+
+    def begin(self) -> None:
+        """A fault begins."""
+        self._faults += 1
+
+    def end(self) -> None:
+        """A fault has ended."""
+        self._faults -= 1
+        self._since = time.monotonic()
+
+    def seconds(self) -> float:
+        if self._faults:
+            return 0.0
+        return time.monotonic() - self._since
+
+
 class Promises:
     """Collects what was checked and what was broken.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,6 +19,7 @@
 from soak.platform import draw_rate
 from soak.platform import Instance
 from soak.platform import SoakCloud
+from soak.promises import Calm
 from soak.promises import CANCEL_S
 from soak.promises import Promises
 from soak.promises import SoakJob
@@ -56,8 +57,8 @@
     ) -> None:
         rng = Random(seed)
         block = loopback_block()
-        self._faults: Faults | None = None
-        self.promises = Promises(calm_for=self._calm_for, wall=time.time)
+        calm = Calm()
+        self.promises = Promises(calm_for=calm.seconds, wall=time.time)
         cloud = f'{block}.1:{CLOUD_PORT}'
         self._system = System(
             folder,
@@ -85,7 +86,7 @@
             shift_clock(path, 0.0)
             target.clock_files[machine.name] = path
         self._target = target
-        self._faults = Faults(target, Random(rng.random()))
+        self._faults = Faults(target, Random(rng.random()), calm)
         addresses = [
             self._links['callers', one.name].address
             for one in self._system.fronts
@@ -104,12 +105,8 @@
 
     @property
     def fault_counts(self) -> dict[str, int]:
-        assert self._faults is not None, 'it is made with the run'
         return dict(self._faults.counts)
 
-    def _calm_for(self) -> float:
-        return self._faults.calm_for() if self._faults else 0.0
-
     # --- building -----------------------------------------------------------
 
     def _open_links(self, advertised: str, cloud: str) -> dict:
@@ -172,7 +169,6 @@
 
     def play(self, seconds: float) -> None:
         """Harm the system for some time, then see whether it recovers."""
-        assert self._faults is not None, 'it is made with the run'
         work = [one.run for one in self._callers] + [self._operator.run]
         callers = [gevent.spawn(one) for one in work]
         watch = gevent.spawn(self._watch_processes)
@@ -198,7 +194,6 @@
             path.write_bytes(bytes(machine.log))
 
     def _watch_processes(self) -> None:
-        assert self._faults is not None, 'it is made with the run'
         seen: set[int] = set()
         while True:
             gevent.sleep(0.2)
--- a/testing/standins/platform_http.py
+++ b/testing/standins/platform_http.py
@@ -260,12 +260,17 @@
     if not data:
         return 0, {}, b''
     top, _, rest = data.partition(b'\r\n\r\n')
-    lines = top.decode().split('\r\n')
+    return *parse_head(top), rest
+
+
+def parse_head(head: bytes) -> tuple[int, dict[str, str]]:
+    """Status and headers, in lower case, of an answer."""
+    first, *lines = head.decode().split('\r\n')
     headers = {
         key.lower(): value
-        for key, value in (one.split(': ', 1) for one in lines[1:])
+        for key, value in (one.split(': ', 1) for one in lines)
     }
-    return int(lines[0].split()[1]), headers, rest
+    return int(first.split()[1]), headers
 
 
 ROOM = Room(8000, 32768, 0)
--- a/testing/standins/system.py
+++ b/testing/standins/system.py
@@ -100,9 +100,10 @@
 
     def says(self, event: str) -> int:
         """How many lines of its log are of this event."""
-        return bytes(self.log).count(f'event={event} '.encode()) + bytes(
-            self.log
-        ).count(f'event={event}\n'.encode())
+        return sum(
+            self.log.count(f'event={event}{end}'.encode())
+            for end in (' ', '\n')
+        )
 
     def send(self, number: signal.Signals) -> None:
         assert self.process is not None, 'the machine is off'
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -91,11 +91,16 @@
         for run in self.running.values():
             age_s = (self.clock_ms - run.began_ms) / 1000
             if not self.stalled:
-                run.percent = min(int(100 * age_s / self.work_s), 100)
+                percent = int(100 * age_s / self.length_s(run.task))
+                run.percent = min(percent, 100)
         if self.running and self.clock_ms > self.lease_ms:
             for task in list(self.running):
                 self.end(task, EndKind.LAPSED)
 
+    def length_s(self, _task: str) -> float:
+        """Time in which a task gets to 100 percent."""
+        return self.work_s
+
     def end(self, task: str, how: EndKind, saved: str = '') -> None:
         run = self.running.pop(task)
         self.position += 1
