Count each failed run once, also after a change of the leader

Cause: the engine counted listed ends, the replicated state run numbers.

Change: the engine keeps run numbers, as the state does, ignores failures of done tasks and forgets that a task is given up when it is done or the queue gets more attempts. The same pattern mended beside it: a checkpoint of an earlier run replaced a later one, the work of a done task was subtracted twice, and a new leader planned the work of tasks that were done.

--- a/src/galenareel/_jobs/estimates.py
+++ b/src/galenareel/_jobs/estimates.py
@@ -112,6 +112,25 @@
             queue.stretch * work.critical_path_s + queue.target_ms / 1000
         )
 
+    def subtract_done(
+        self,
+        work: JobWork,
+        req: JobRequest,
+        done: dict[str, dict[tuple[int, int], set[int]]],
+    ) -> None:
+        """Leave the finished tasks out of a job that was just planned.
+
+        :param done: indices of finished tasks by job, and by occurrence and
+            step.
+        """
+        for (_occurrence, number), indices in done[work.name].items():
+            step = req.steps[number]
+            if not step.lasting:
+                seconds = self.estimate_task_s(work.queue.name, step)
+                done_core_s = seconds * step.cpu / 1000 * len(indices)
+                work.remaining_core_s -= done_core_s
+        self.update_critical_path(work, req, done)
+
     def update_critical_path(
         self,
         work: JobWork,
--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -36,7 +36,7 @@
         :param sent_at: when the poll was sent; the list may lack what was
             ordered later.
         """
-        if self.workers.get(worker.name) is not worker:
+        if self.workers.get(worker.name) is not worker or worker.retiring:
             return
         born = worker.record.born
         if listing.born and born and listing.born != born:
@@ -227,7 +227,7 @@
         if end.kind is EndKind.FAILED:
             self._record_failure(worker, step, task, end, now)
         elif end.saved:
-            step.saved_checkpoints[task.index] = end.saved
+            step.save_checkpoint(task.index, end.number, end.saved)
         if not step.step.lasting or end.kind is not EndKind.STOPPED:
             self._log.info(
                 'run_ended',
@@ -258,14 +258,21 @@
             record_run_time(worker, ratio)
         key = (task.occurrence, task.step)
         done = self._done[task.job].setdefault(key, set())
+        was_done = task.index in done
         if step.step.gang:
             done.update(range(step.step.count))
+            step.exhausted.clear()
         else:
             done.add(task.index)
+            step.exhausted.discard(task.index)
         step.waiting.discard(task.index)
         for other_run in list(step.runs.get(task.index, ())):
             self._stop_run(other_run, now, 'copy_done')
-        step.job.remaining_core_s -= self.estimates.estimate_task_core_s(step)
+        if not was_done:
+            # Only a new leader reads the end of a task that was done before;
+            # its estimate of the job leaves that task out.
+            task_core_s = self.estimates.estimate_task_core_s(step)
+            step.job.remaining_core_s -= task_core_s
         if len(done) >= step.step.count:
             step.waiting.clear()
             job = self._state.jobs[task.job]
@@ -290,10 +297,10 @@
         """
         self._ends.failed.append((task, end.number))
         index = 0 if step.step.gang else task.index
-        if not step.step.lasting:
-            step.failures[index] = step.failures.get(index, 0) + 1
+        finished = self._done[task.job].get((task.occurrence, task.step), ())
+        if not step.step.lasting and index not in finished:
+            step.record_failed_run(
+                index, end.number, step.job.queue.max_attempts
+            )
             step.avoided_workers.setdefault(task.index, set()).add(worker.name)
-            if step.failures[index] >= step.job.queue.max_attempts:
-                step.job.has_failed = True
-                step.saved_checkpoints.pop(task.index, None)
         record_run_end(worker, failed=True, now=now)
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -161,6 +161,8 @@
         }
         work.started = bool(job.progress)
         self.estimates.plan_job(work, job.request)
+        if job.progress:
+            self.estimates.subtract_done(work, job.request, self._done)
         if (
             not from_earlier_epoch
             and not work.lasting
@@ -225,6 +227,8 @@
             old_pool = work.queue.pool
             work.queue = self.find_queue(job)
             work.pools = tuple(job.pools)
+            for step in work.steps.values():
+                step.update_attempts(work.queue.max_attempts)
             if old_pool != work.queue.pool:
                 self._move_waiting(work, old_pool)
 
@@ -270,8 +274,8 @@
             )
             progress = job.progress.get(key)
             if progress is not None:
-                step_work.failures = {
-                    index: len(runs)
+                step_work.failed_runs = {
+                    index: set(runs)
                     for index, runs in progress.failures.items()
                 }
                 step_work.last_run = {
@@ -338,6 +342,15 @@
         self.wake_pool(record.pool)
         return worker
 
+    def begin_retirement(self, worker: Worker) -> None:
+        """Keep tasks and leases off a worker whose retirement is proposed."""
+        worker.retiring = True
+
+    def cancel_retirement(self, worker: Worker) -> None:
+        """Use a worker again, as its retirement was refused."""
+        worker.retiring = False
+        self.wake_pool(worker.pool)
+
     def retire_worker(self, name: str, born: int, now: float) -> None:
         """Remove a worker that has ended, and release all of its runs.
 
@@ -372,6 +385,7 @@
         worker.clock_ms = 0
         worker.lease_until_ms = 0
         worker.draining = False
+        worker.retiring = False
         worker.leaves_at = None
         worker.health = type(worker.health)()
         self._log.info('worker_restarted', worker=worker.name)
@@ -433,7 +447,9 @@
         )
         if step is not None:
             if run.checkpoint:
-                step.saved_checkpoints[run.task.index] = run.checkpoint
+                step.save_checkpoint(
+                    run.task.index, run.number, run.checkpoint
+                )
             self._requeue(step, run.task.index, now)
 
     def _new_run(
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -120,6 +120,8 @@
     :param cold_until: local time until which it is slow after its start.
     :param closing_for: ``wave`` or ``move`` while it gets no new tasks for
         one of these, or empty.
+    :param retiring: its removal from the replicated state was proposed. The
+        commit releases its runs, so until then it gets no tasks and no lease.
     """
 
     record: WorkerRecord
@@ -145,6 +147,7 @@
     cold_until: float = 0.0
     admitted_at: float = 0.0
     closing_for: str = ''
+    retiring: bool = False
     health: Health = field(default_factory=Health)
 
     @property
@@ -162,6 +165,7 @@
             and not self.lease_expired
             and not self.draining
             and not self.closing_for
+            and not self.retiring
             and self.silent_since is None
         )
 
@@ -209,7 +213,10 @@
     :param avoided_workers: workers on which a task has failed or stalled.
     :param restarted_tasks: tasks that were stopped as stalled; they are not
         stopped for it again.
-    :param failures: number of failed runs of each task.
+    :param checkpoint_runs: number of the run that each checkpoint is from.
+    :param failed_runs: numbers of the failed runs of each task, so that a run
+        counts once even if it is listed again.
+    :param exhausted: tasks that have used up their attempts.
     :param not_before: local time before which a task is not started again.
     :param released_at: local time at which the last run of a task ended.
     :param tickets: by worker, the advisor's ticket for it and the local time
@@ -230,7 +237,9 @@
     saved_checkpoints: dict[int, str] = field(default_factory=dict)
     avoided_workers: dict[int, set[str]] = field(default_factory=dict)
     restarted_tasks: set[int] = field(default_factory=set)
-    failures: dict[int, int] = field(default_factory=dict)
+    checkpoint_runs: dict[int, int] = field(default_factory=dict)
+    failed_runs: dict[int, set[int]] = field(default_factory=dict)
+    exhausted: set[int] = field(default_factory=set)
     not_before: dict[int, float] = field(default_factory=dict)
     released_at: dict[int, float] = field(default_factory=dict)
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
@@ -245,6 +254,32 @@
     def count_runs(self) -> int:
         return sum(len(runs) for runs in self.runs.values())
 
+    def save_checkpoint(self, index: int, number: int, saved: str) -> None:
+        """Keep a checkpoint unless one of a later run is known."""
+        if number >= self.checkpoint_runs.get(index, 0):
+            self.checkpoint_runs[index] = number
+            self.saved_checkpoints[index] = saved
+
+    def record_failed_run(
+        self, index: int, number: int, max_attempts: int
+    ) -> None:
+        """Count a failed run, and give up the task after the last attempt.
+
+        :param index: index of the task; 0 for a whole gang.
+        """
+        runs = self.failed_runs.setdefault(index, set())
+        runs.add(number)
+        if len(runs) >= max_attempts:
+            self.exhausted.add(index)
+
+    def update_attempts(self, max_attempts: int) -> None:
+        """Apply a changed number of attempts to the tasks given up."""
+        self.exhausted = {
+            index
+            for index in self.exhausted
+            if len(self.failed_runs[index]) >= max_attempts
+        }
+
 
 @dataclass(slots=True, kw_only=True)
 class JobWork:
@@ -258,7 +293,6 @@
     :param critical_path_s: expected time for the longest chain of steps that
         are not done.
     :param planned_path_s: ``critical_path_s`` when it was accepted.
-    :param has_failed: a task has failed too often; no more tasks are started.
     :param from_earlier_epoch: accepted before this epoch, so workers that
         have not been read may run its tasks.
     :param pools: pools whose workers may run its tasks.
@@ -273,12 +307,16 @@
     critical_path_s: float = 0.0
     planned_path_s: float = 0.0
     lasting: bool = False
-    has_failed: bool = False
     from_earlier_epoch: bool = False
     started: bool = False
     pools: tuple[str, ...] = ()
     steps: dict[tuple[int, int], StepWork] = field(default_factory=dict)
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether a task has failed too often; no more tasks are started."""
+        return any(step.exhausted for step in self.steps.values())
+
 
 @dataclass(slots=True, kw_only=True)
 class PoolWork:
--- a/testing/jobs/test_engine.py
+++ b/testing/jobs/test_engine.py
@@ -26,6 +26,7 @@
 from testing.jobs.harness import TASK
 from testing.jobs.harness import WALL_MS
 from testing.standins.worker import FakeWorker
+from testing.standins.worker import RunningTask
 
 
 def two_workers(**options: int) -> Harness:
@@ -282,6 +283,95 @@
     assert worker.ended == []
 
 
+def test_next_leader_counts_each_failed_run_once() -> None:
+    """The worker lists a stored end again to a leader that did not store it.
+
+    The engine must not use up an attempt that the replicated state still has,
+    or the task would neither run nor fail.
+    """
+    harness = two_workers(max_attempts=2)
+    harness.submit('j')
+    harness.pass_time(0.5)
+    worker = harness.find_worker('j.0.0.0')
+    worker.end('j.0.0.0', EndKind.FAILED)
+    harness.poll(worker.name)
+    harness.store_ends()
+    harness.take_over('c2')
+    harness.pass_time(1.0)
+    assert not harness.state.jobs['j'].has_ended
+    harness.find_worker('j.0.0.0').end('j.0.0.0', EndKind.DONE)
+    harness.pass_time(0.5)
+    assert harness.state.jobs['j'].has_ended
+    assert not harness.state.jobs['j'].failed
+
+
+def test_next_leader_plans_only_the_work_that_is_left() -> None:
+    """A stored end counts once, whether or not the worker lists it again."""
+    harness = two_workers()
+    second = Step(count=1, cpu=1000, estimate_ms=500, after=(0,))
+    first = Step(count=2, cpu=1000, estimate_ms=1000)
+    harness.submit('j', make_job(first, second))
+    harness.pass_time(0.5)
+    worker = harness.find_worker('j.0.0.0')
+    worker.end('j.0.0.0', EndKind.DONE)
+    harness.poll(worker.name)
+    harness.store_ends()
+    harness.take_over('c2')
+    work = harness.engine.jobs['j']
+    assert work.remaining_core_s == pytest.approx(1.5)
+    harness.pass_time(1.0)
+    assert work.remaining_core_s == pytest.approx(1.5)
+
+    harness.find_worker('j.0.0.1').end('j.0.0.1', EndKind.DONE)
+    harness.pass_time(0.2)
+    harness.take_over('c3')
+    work = harness.engine.jobs['j']
+    assert work.critical_path_s == pytest.approx(0.5, rel=0.5)
+    assert work.critical_path_s < work.planned_path_s
+
+
+def test_checkpoint_of_an_earlier_run_does_not_replace_a_later_one() -> None:
+    """A new leader reads the ends of both runs, in the order of the polls."""
+    harness = two_workers()
+    step = Step(count=1, cpu=1000, checkpoints=True)
+    harness.submit('j', make_job(step))
+    harness.pass_time(0.3)
+    first = harness.find_worker('j.0.0.0')
+    first.end('j.0.0.0', EndKind.STOPPED, 'first')
+    harness.poll(first.name)
+    harness.engine.place(harness.now)
+    (order,) = harness.engine.take_orders()
+    assert isinstance(order, StartTask)
+    (second,) = (w for w in harness.workers.values() if w is not first)
+    second.start(order.run.task, order.run.number, until_ms=9999, token=1)
+    second.end('j.0.0.0', EndKind.STOPPED, 'second')
+
+    harness.take_over('c2')
+    harness.poll(second.name)
+    harness.poll(first.name)
+    harness.engine.place(harness.now)
+    (order,) = harness.engine.take_orders()
+    assert isinstance(order, StartTask)
+    assert order.checkpoint == 'second'
+
+
+def test_task_that_is_done_does_not_fail_its_job() -> None:
+    """The state ignores a failed run of a done task; so must the engine."""
+    harness = two_workers(max_attempts=1)
+    second = Step(count=1, cpu=1000, estimate_ms=100, after=(0,))
+    harness.submit('j', make_job(TASK, second))
+    harness.pass_time(0.3)
+    first = harness.find_worker('j.0.0.0')
+    number = first.running['j.0.0.0'].number
+    first.end('j.0.0.0', EndKind.DONE)
+    harness.pass_time(0.3)
+    (other,) = (w for w in harness.workers.values() if w is not first)
+    other.running['j.0.0.0'] = RunningTask('j.0.0.0', number, other.clock_ms)
+    other.end('j.0.0.0', EndKind.FAILED)
+    harness.pass_time(0.3)
+    assert not harness.engine.jobs['j'].has_failed
+
+
 def test_run_numbers_of_a_new_leader_are_higher() -> None:
     harness = two_workers()
     harness.submit('j')
