Start nothing on a worker that is being retired

Change: from the proposal until its outcome is known the worker gets no task and no lease, and its lists are not read. A refused retirement is undone; one without an outcome is proposed again. Retirements run beside the housekeeping, which they held up for a commit each. Starts that wait in a closed link are placed again; they were lost with it.

Ruled out: lease ends (always set by the calls that extend them), reused connections (closed after a time-out), stops of unanswered starts.

--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -22,7 +22,6 @@
 from galenareel._jobs.commands import AnyCommand
 from galenareel._jobs.commands import RecordMaintenance
 from galenareel._jobs.commands import RecordOrders
-from galenareel._jobs.commands import RetireWorker
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.model import InstanceOrder
 from galenareel._jobs.state import JobState
@@ -37,6 +36,7 @@
 from galenareel._scheduling.fleet import plan_maintenance
 from galenareel._scheduling.fleet import plan_moves
 from galenareel._scheduling.fleet import WAVE
+from galenareel._scheduling.tables import Worker
 
 PLAN_INTERVAL_S = 0.1
 # An order that a previous leader recorded within this time counts as recent.
@@ -57,6 +57,8 @@
     """Plans and sends orders for instances while this member leads.
 
     :param propose: commits a command and returns its result or error.
+    :param retire: removes a worker whose incarnation has ended from the
+        replicated state, for a reason that is logged.
     :param may_order: returns whether the leader lease holds now.
     :param holder: name of this member, sent with each order.
     """
@@ -68,6 +70,7 @@
         state: JobState,
         client: FleetClient,
         propose: Callable[[AnyCommand], Any],
+        retire: Callable[[Worker, str], None],
         may_order: Callable[[], bool],
         holder: str,
         clock: Clock,
@@ -77,6 +80,7 @@
         self._state = state
         self._client = client
         self._propose = propose
+        self._retire = retire
         self._may_order = may_order
         self._holder = holder
         self._clock = clock
@@ -176,13 +180,8 @@
                 continue
             current_name = current.get(worker.instance, worker.name)
             if worker.name in down or current_name != worker.name:
-                self._log.info(
-                    'worker_retired',
-                    worker=worker.name,
-                    why='its instance is down or has another worker',
-                )
-                self._propose(
-                    RetireWorker(name=worker.name, born=worker.record.born)
+                self._retire(
+                    worker, 'its instance is down or has another worker'
                 )
 
     def _is_unsettled(self, now: float) -> bool:
@@ -434,9 +433,7 @@
             instance.row = _make_moved_row(instance.row, order.pool)
         if worker is not None:
             # Maintenance and moves end the worker's incarnation.
-            self._propose(
-                RetireWorker(name=worker.name, born=worker.record.born)
-            )
+            self._retire(worker, 'its instance was ordered away')
 
     def _drop_order(
         self, order: MaintainInstance | MoveInstance, instance: Instance
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -14,6 +14,7 @@
 
 from galenareel._common.clock import Clock
 from galenareel._common.log import Log
+from galenareel._common.sentinels import NoResult
 from galenareel._jobs.clients import Advisor
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import FleetClient
@@ -101,6 +102,8 @@
         self._stored = Event()
         self._links: dict[str, WorkerLink] = {}
         self._greenlets: list[gevent.Greenlet] = []
+        self._retirement: gevent.Greenlet | None = None
+        self._unresolved_retirements: list[Worker] = []
         self._forget_due = 0.0
         self._over_since: dict[str, float] = {}
         self._loads_due = 0.0
@@ -110,6 +113,7 @@
             state=state,
             client=fleet,
             propose=propose,
+            retire=self._retire,
             may_order=self.may_order,
             holder=name,
             clock=clock,
@@ -141,6 +145,8 @@
         self._fleet.close()
         self._fleet_client.close()
         gevent.killall(self._greenlets, block=False)
+        if self._retirement is not None:
+            self._retirement.kill(block=False)
         for link in self._links.values():
             link.close()
         self._links.clear()
@@ -210,8 +216,9 @@
         for name, link in list(self._links.items()):
             worker = workers.get(name)
             if worker is not link.worker or link.is_stale():
-                link.close()
                 del self._links[name]
+                for order in link.close():
+                    self._report_unsent(order)
         for name, worker in workers.items():
             if name not in self._links:
                 self._links[name] = WorkerLink(
@@ -244,8 +251,22 @@
             self._retire(worker, 'another worker answers at its address')
 
     def _retire(self, worker: Worker, reason: str) -> None:
+        """Retire a worker whose incarnation or lease has ended.
+
+        If the outcome is not known, the worker stays unused and the
+        housekeeping proposes its retirement again.
+        """
+        if self.engine.workers.get(worker.name) is not worker:
+            return
+        self.engine.begin_retirement(worker)
         self._log.info('worker_retired', worker=worker.name, why=reason)
-        self._propose(RetireWorker(name=worker.name, born=worker.record.born))
+        result = self._propose(
+            RetireWorker(name=worker.name, born=worker.record.born)
+        )
+        if isinstance(result, NoResult):
+            self._unresolved_retirements.append(worker)
+        elif not result:
+            self.engine.cancel_retirement(worker)
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
@@ -261,10 +282,22 @@
             link = self._links.get(worker.name) if worker else None
             if link is not None:
                 link.send(order)
-            elif isinstance(order, StartTask):
-                self.engine.handle_start_answer(
-                    order.run, Answer(outcome=Outcome.NOT_SENT), self.now()
-                )
+            else:
+                self._report_unsent(order)
+
+    def _report_unsent(self, order: Order) -> None:
+        """Let a start that was not sent be placed again.
+
+        Stops are resent until they are answered, and paces set again.
+        """
+        if isinstance(order, StartTask):
+            self.engine.handle_start_answer(
+                order.run, Answer(outcome=Outcome.NOT_SENT), self.now()
+            )
+        elif isinstance(order, PaceTask):
+            self.engine.handle_pace_answer(
+                order, Answer(outcome=Outcome.NOT_SENT)
+            )
 
     def carry_out(self, order: Order, client: WorkerClient) -> None:
         """Send one order once the lease allows it, and record its answer."""
@@ -386,12 +419,43 @@
             gevent.sleep(HOUSEKEEPING_S)
 
     def _retire_lost(self, now: float) -> None:
-        """Retire workers without a lease that send no heartbeats."""
-        for worker in list(self.engine.workers.values()):
-            heartbeat_at = self.heartbeat_times.get(
-                worker.name, worker.admitted_at
+        """Retire workers without a lease that send no heartbeats.
+
+        A greenlet of its own does so, as each commit takes a while.
+        Retirements whose outcome was unknown are proposed again.
+        """
+        if self._retirement is not None and not self._retirement.dead:
+            return
+        unresolved = self._unresolved_retirements
+        self._unresolved_retirements = []
+        lost = [
+            worker
+            for worker in self.engine.workers.values()
+            if self._is_lost(worker, now)
+        ]
+        if lost or unresolved:
+            self._retirement = gevent.spawn(
+                self._retire_each, unresolved, lost
             )
-            if worker.lease_expired and now - heartbeat_at > RETIRE_AFTER_S:
+
+    def _is_lost(self, worker: Worker, now: float) -> bool:
+        heartbeat_at = self.heartbeat_times.get(
+            worker.name, worker.admitted_at
+        )
+        return (
+            worker.lease_expired
+            and not worker.retiring
+            and now - heartbeat_at > RETIRE_AFTER_S
+        )
+
+    def _retire_each(
+        self, unresolved: list[Worker], lost: list[Worker]
+    ) -> None:
+        for worker in unresolved:
+            self._retire(worker, 'unknown outcome before')
+        for worker in lost:
+            # It may have answered since it was found lost.
+            if self._is_lost(worker, self.now()):
                 self._retire(worker, 'no lease and no heartbeat')
 
     def _record_loads(self, now: float) -> None:
--- a/src/galenareel/_jobs/worker_link.py
+++ b/src/galenareel/_jobs/worker_link.py
@@ -53,11 +53,17 @@
             self._active_senders += 1
             gevent.spawn(self._send_orders)
 
-    def close(self) -> None:
-        """Stop polling, drop queued orders and close the connections."""
+    def close(self) -> list[Order]:
+        """Stop polling and close the connections.
+
+        :returns: orders that wait for a sender and are not sent any more.
+        """
         self._open = False
         self._greenlet.kill(block=False)
         self._client.close()
+        unsent = list(self._orders)
+        self._orders.clear()
+        return unsent
 
     def _send_orders(self) -> None:
         try:
--- a/testing/jobs/test_leader.py
+++ b/testing/jobs/test_leader.py
@@ -13,6 +13,8 @@
 from typing import Any
 
 import gevent
+from gevent.event import Event
+import msgspec
 from opentelemetry.metrics import NoOpMeter
 import pytest
 
@@ -32,16 +34,20 @@
 from galenareel._jobs.commands import AdmitWorker
 from galenareel._jobs.commands import CancelJob
 from galenareel._jobs.commands import Configure
+from galenareel._jobs.commands import decode
 from galenareel._jobs.commands import encode
 from galenareel._jobs.commands import OpenWave
 from galenareel._jobs.commands import RecordOrders
+from galenareel._jobs.commands import RetireWorker
 from galenareel._jobs.commands import TakeOver
 from galenareel._jobs.leader import Leader
 from galenareel._jobs.metrics import JobMetrics
 from galenareel._jobs.model import EndKind
+from galenareel._jobs.model import Step
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.model import WorkerRecord
 from galenareel._jobs.state import JobState
+from galenareel._jobs.worker_link import MAX_CONCURRENT_ORDERS
 from testing.jobs.harness import make_job
 from testing.jobs.test_state import make_config
 from testing.standins.instances import FakePlatform
@@ -56,15 +62,26 @@
         self.leads = True
         self.lease = True
         self.index = 0
+        self.held_type: type | tuple[()] = ()
+        self.held_commands = 0
+        self.may_commit = Event()
 
     def start(self) -> None: ...
 
     def close(self) -> None: ...
 
     def propose(self, command: bytes, *, timeout_s: float) -> Any:
+        if isinstance(decode(command), self.held_type):
+            self.held_commands += 1
+            self.may_commit.wait()
         self.index += 1
         return self.state.apply(self.index, command)
 
+    def hold(self, held_type: type, may_commit: Event) -> None:
+        """Commit commands of a type only once an event is set."""
+        self.held_type = held_type
+        self.may_commit = may_commit
+
     def read_barrier(self, *, timeout_s: float) -> int:
         return self.index
 
@@ -101,6 +118,8 @@
         checkpoint: str,
         ticket: str,
     ) -> Answer:
+        if self.worker.is_silent:
+            return Answer(outcome=Outcome.NO_ANSWER)
         return self.worker.start(task, number, until_ms=until_ms, token=token)
 
     def stop(self, *, task: TaskId, number: int, token: int) -> Answer:
@@ -120,6 +139,8 @@
         token: int,
     ) -> Listing | Answer:
         gevent.sleep(0.01)
+        if self.worker.is_silent:
+            return Answer(outcome=Outcome.NO_ANSWER)
         return self.worker.poll(
             until_ms=until_ms, acknowledged=acknowledged, token=token
         )
@@ -341,6 +362,124 @@
         running.leader.close()
 
 
+class LostWorker(RunningLeader):
+    """A leader whose worker ``w1`` has lost its lease and is being retired.
+
+    The commit of the retirement waits until the test sets ``may_commit``.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.may_commit = Event()
+        self.log.hold(RetireWorker, self.may_commit)
+
+    def begin_retirement(self) -> None:
+        self.start()
+        eventually(lambda: self.leader.engine is not None)
+        engine = self.leader.engine
+        assert engine is not None
+        eventually(lambda: engine.workers['w1'].has_listed)
+        self.workers['w1'].is_silent = True
+        worker = engine.workers['w1']
+        worker.lease_expires_at = 0.0
+        worker.awaits_answer = True
+        worker.answer_due = 0.0
+        eventually(lambda: self.log.held_commands > 0)
+
+    def silence(self, name: str) -> None:
+        """Let a worker be silent, and wait until the leader knows."""
+        self.workers[name].is_silent = True
+        engine = self.leader.engine
+        assert engine is not None
+        worker = engine.workers[name]
+        eventually(lambda: worker.silent_since is not None)
+
+
+@pytest.fixture
+def lost(monkeypatch: pytest.MonkeyPatch) -> Iterator[LostWorker]:
+    monkeypatch.setattr('galenareel._jobs.term.RETIRE_AFTER_S', 0.0)
+    lost = LostWorker()
+    yield lost
+    lost.may_commit.set()
+    lost.leader.close()
+
+
+def test_worker_that_answers_while_it_is_retired_gets_no_tasks(
+    lost: LostWorker,
+) -> None:
+    """Its runs are released at the commit, so none may start before."""
+    lost.begin_retirement()
+    lost.silence('w2')
+    lost.workers['w1'].is_silent = False
+    gevent.sleep(0.3)  # long enough for an answer to a poll
+    lost.submit('j')
+    gevent.sleep(0.3)
+    assert not lost.is_running('j.0.0.0')
+
+    lost.workers['w2'].is_silent = False
+    eventually(lambda: lost.is_running('j.0.0.0'))
+    lost.may_commit.set()
+    eventually(lambda: 'w1' not in lost.state.workers)
+    gevent.sleep(0.2)
+    starts = [w.starts for w in lost.workers.values() if w.starts]
+    assert len(starts) == 1
+
+
+def test_lease_is_not_extended_while_a_worker_is_retired(
+    lost: LostWorker,
+) -> None:
+    lost.begin_retirement()
+    worker = lost.workers['w1']
+    lease_end_ms = worker.lease_end_ms
+    worker.clock_ms += 500
+    worker.is_silent = False
+    gevent.sleep(0.3)
+    assert worker.lease_end_ms == lease_end_ms
+
+
+def test_worker_gets_tasks_again_if_its_retirement_is_refused(
+    lost: LostWorker, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A later incarnation was admitted before the commit."""
+    lost.begin_retirement()
+    monkeypatch.setattr('galenareel._jobs.term.RETIRE_AFTER_S', 60.0)
+    lost.silence('w2')
+    worker = lost.workers['w1']
+    worker.crash()
+    worker.is_silent = False
+    lost.propose(AdmitWorker(worker=worker.make_record()))
+    lost.may_commit.set()
+    lost.submit('j')
+    eventually(lambda: 'j.0.0.0' in worker.running)
+
+
+def test_queued_starts_are_placed_again_after_a_change_of_address(
+    running: RunningLeader, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Starts that wait for a sender are dropped with the old connections."""
+    may_start = Event()
+    start = Client.start
+
+    def start_late(client: Client, **fields: Any) -> Answer:
+        may_start.wait()
+        return start(client, **fields)
+
+    monkeypatch.setattr(Client, 'start', start_late)
+    eventually(lambda: running.leader.engine is not None)
+    running.propose(RetireWorker(name='w2', born=1))
+    task_count = MAX_CONCURRENT_ORDERS + 2
+    req = make_job(Step(count=task_count, cpu=1000, estimate_ms=1000))
+    running.propose(AcceptJob(name='j', queue='view', request=req, now_ms=1))
+    engine = running.leader.engine
+    assert engine is not None
+    worker = engine.workers['w1']
+    eventually(lambda: len(worker.runs) == task_count)
+    record = msgspec.structs.replace(worker.record, address='w1:2')
+    running.propose(AdmitWorker(worker=record))
+    may_start.set()
+    eventually(lambda: len(running.workers['w1'].running) == task_count)
+
+
 def test_each_term_has_its_own_client_of_the_platform(
     running: RunningLeader,
 ) -> None:
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -61,6 +61,8 @@
     :param work_s: time in which a task's progress reaches 100 percent. The
         test, not the worker, ends the task.
     :param is_stalled: whether its tasks make no progress.
+    :param is_silent: whether calls to it get no answer; the test's client
+        has to look at it.
     :param on_start: called with the worker, task and run number of each run
         that starts.
     """
@@ -84,6 +86,7 @@
     draining: bool = False
     work_s: float = 1.0
     is_stalled: bool = False
+    is_silent: bool = False
     on_start: Callable[[FakeWorker, str, int], None] | None = None
 
     def make_record(self) -> WorkerRecord:
