Repeat calls at the next leader, and find it sooner

A front noticed a dropped link up to 0.5 s late, asked the lost leader first, and waited up to 0.8 s for each member that did not answer.

Change: the front repeats such a call once at the next leader, within its deadline and a budget. A repeated submission is not refused, and a repeat that is turned away stays without a known outcome, as the first try may still reach a leader. Calls that were not sent wait up to 0.6 s while an election may be going on, and are refused at once after that. The search asks the lost member last, and the next one after 0.1 s.

Tests in testing/jobs/test_gateway.py with stand-ins for the members.

--- a/src/galenareel/_common/messages.py
+++ b/src/galenareel/_common/messages.py
@@ -416,6 +416,8 @@
     :param path: path of the request; the queue with the longest matching
         prefix is used.
     :param request: encoded ``JobRequest`` of a submission.
+    :param repeated: an earlier try got no answer, so the job may have been
+        accepted already.
     """
 
     operation: str
@@ -423,6 +425,7 @@
     path: str
     request: bytes = b''
     caller_zone: str = ''
+    repeated: bool = False
 
 
 class JobAnswer(Message, frozen=True):
--- a/src/galenareel/_jobs/gateway.py
+++ b/src/galenareel/_jobs/gateway.py
@@ -1,7 +1,8 @@
 """Forwards requests from a stateless process to the leader.
 
 The gateway keeps one link to the leader. Without a link, it asks the members
-who leads. It replaces a link that stops answering.
+who leads. It replaces a link that stops answering, and repeats the calls that
+were on their way when a link broke.
 """
 
 from __future__ import annotations
@@ -9,6 +10,8 @@
 from collections.abc import Callable
 
 import gevent
+from gevent.event import Event
+import msgspec
 
 from galenareel._common.clock import Clock
 from galenareel._common.events import HybridClock
@@ -24,12 +27,24 @@
 from galenareel._common.messages import Problem
 from galenareel._common.messages import Welcome
 from galenareel._common.sentinels import Unreachable
+from galenareel._jobs.repeats import is_leaderless
+from galenareel._jobs.repeats import judge_reply
+from galenareel._jobs.repeats import RepeatBudget
+from galenareel._jobs.repeats import Verdict
 
 PING_INTERVAL_S = 0.5  # interval of checks that the leader still leads
 PING_TIMEOUT_S = 0.8
 SEARCH_PAUSE_S = 0.1
+MAX_PAUSE_FACTOR = 3  # the pause grows with each search that finds none
 READY_LIMIT_S = 1.6  # not ready if the last successful check is older
 CONNECT_TIMEOUT_S = 0.5
+# A member that doesn't answer holds up the search for this long; then the next
+# one is asked as well.
+SEARCH_STAGGER_S = 0.1
+# A call that was not sent waits this long for a leader, but only while an
+# election may still be going on.
+LEADER_WAIT_S = 0.6
+MAX_ELECTION_S = 2.5
 
 
 class Gateway:
@@ -56,10 +71,16 @@
         self._hybrid = hybrid
         self._log = log
         self._link: Link | None = None
-        self._address = ''
+        # The link is kept until its greenlet has noticed that it was dropped.
+        self._kept_link: Link | None = None
+        self._link_closed = Event()
+        self._linked = Event()
+        self._lost_at = -MAX_ELECTION_S
+        self._lost_address = ''
         self._leader_hint = ''
         self._members: tuple[str, ...] = ()
         self._confirmed_at = -READY_LIMIT_S
+        self._repeats = RepeatBudget()
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -81,36 +102,121 @@
     ) -> JobAnswer | Problem | Unreachable:
         """Send a request to the leader and wait for its answer.
 
+        All requests are idempotent by the job's name. One whose link broke
+        may have been carried out; it is sent again, to the new leader if
+        there is one, until its outcome is known.
+
         :returns: ``Problem`` if the request was not executed, ``Unreachable``
             if it may or may not have been executed.
         """
-        link = self._link
-        if link is None or link.closed:
-            return Problem(reason='no_leader')
+        started_at = self._clock.monotonic()
+        deadline = started_at + timeout_s
+        uncertain: Unreachable | None = None
+        while True:
+            until = deadline
+            if uncertain is None:
+                until = min(deadline, self._get_patience_end(started_at))
+            link = self._wait_for_link(until)
+            if link is None and uncertain is not None:
+                return uncertain
+            if link is None:
+                return Problem(reason='no_leader')
+            left_s = deadline - self._clock.monotonic()
+            reply = self._request(link, msg, max(left_s, 0.0))
+            verdict = judge_reply(reply, repeated=msg.repeated)
+            if verdict is Verdict.FINAL:
+                return reply
+            if verdict is Verdict.UNKNOWN:
+                uncertain = _as_unreachable(reply)
+                if isinstance(reply, JobAnswer) and msg.repeated:
+                    return uncertain
+                now = self._clock.monotonic()
+                if now >= deadline or not self._repeats.take(now):
+                    return uncertain
+                msg = msgspec.structs.replace(msg, repeated=True)
+
+    def _get_patience_end(self, started_at: float) -> float:
+        """Return until when a call that was not sent waits for a leader.
+
+        It is refused soon, so that its caller can come back, and at once if
+        there has been no leader for longer than an election takes.
+        """
+        if started_at - self._lost_at > MAX_ELECTION_S:
+            return started_at
+        return started_at + LEADER_WAIT_S
+
+    def _wait_for_link(self, until: float) -> Link | None:
+        """Return the link to the leader, or ``None`` if there is none yet."""
+        if self._link is not None and self._link.closed:
+            self._drop(self._link)
+        if self._link is None:
+            self._linked.wait(max(until - self._clock.monotonic(), 0.0))
+        return self._link
+
+    def _request(
+        self, link: Link, msg: JobCall, timeout_s: float
+    ) -> JobAnswer | Problem | Unreachable:
         reply = link.request(msg, timeout_s=timeout_s)
         if isinstance(reply, Unreachable):
-            link.close()
+            self._drop(link)
             return reply
-        if isinstance(reply, Problem) and reply.reason == 'not_leader':
+        if isinstance(reply, Problem) and is_leaderless(reply):
             self._leader_hint = reply.leader
-            link.close()
+            self._drop(link)
         if isinstance(reply, JobAnswer | Problem):
             return reply
         return Unreachable(reason='unexpected_reply')
 
+    def _drop(self, link: Link) -> None:
+        """Close a link, and let calls wait for the next one."""
+        link.close()
+        if self._link is link:
+            self._link = None
+            self._linked.clear()
+            self._lost_at = self._clock.monotonic()
+
     def _run(self) -> None:
+        failures = 0
         while True:
-            for address in self._list_candidates():
-                link = self._connect_to_leader(address)
-                if link is not None:
-                    self._keep_link(link, address)
-                    break
-            gevent.sleep(SEARCH_PAUSE_S)
+            found = self._find_leader()
+            failures = 0 if found is not None else failures + 1
+            if found is not None:
+                self._keep_link(*found)
+            pause_s = SEARCH_PAUSE_S * min(failures, MAX_PAUSE_FACTOR)
+            gevent.sleep(pause_s)
+
+    def _find_leader(self) -> tuple[Link, str] | None:
+        """Ask the members who leads, each a little after the one before.
+
+        :returns: link to the leader and its address, or ``None``.
+        """
+        search = _Search()
+        pending = self._list_candidates()
+        asked: set[str] = set()
+        try:
+            while pending:
+                address = pending.pop(0)
+                if address in asked:
+                    continue
+                asked.add(address)
+                search.ask(self._connect_to_leader, address)
+                if search.wait(SEARCH_STAGGER_S):
+                    return search.found
+                if self._leader_hint:
+                    pending.insert(0, self._leader_hint)
+                    self._leader_hint = ''
+            search.wait_for_all()
+            return search.found
+        finally:
+            search.close()
 
     def _list_candidates(self) -> list[str]:
+        """Return the addresses to ask; the member lost last comes last."""
         hint, self._leader_hint = self._leader_hint, ''
-        addresses = (hint, *self._seeds(), *self._members)
-        return [address for address in dict.fromkeys(addresses) if address]
+        addresses = dict.fromkeys((hint, *self._seeds(), *self._members))
+        candidates = [address for address in addresses if address]
+        candidates.sort(key=lambda address: address == self._lost_address)
+        return candidates
 
     def _connect_to_leader(self, address: str) -> Link | None:
         """Return a link to the member at an address if it leads."""
@@ -118,15 +224,23 @@
             address,
             clock=self._hybrid,
             handler=_ignore,
+            on_close=self._handle_close,
             timeout_s=CONNECT_TIMEOUT_S,
         )
         if not isinstance(link, Link):
             return None
-        welcome = link.request(self._hello, timeout_s=PING_TIMEOUT_S)
-        if isinstance(welcome, Welcome) and self._ping(link):
-            return link
-        link.close()
-        return None
+        leads = False
+        try:
+            welcome = link.request(self._hello, timeout_s=PING_TIMEOUT_S)
+            leads = isinstance(welcome, Welcome) and self._ping(link)
+        finally:
+            if not leads:
+                link.close()
+        return link if leads else None
+
+    def _handle_close(self, link: Link) -> None:
+        if link is self._kept_link:
+            self._link_closed.set()
 
     def _ping(self, link: Link) -> bool:
         asked_at = self._clock.monotonic()
@@ -141,16 +255,69 @@
         return True
 
     def _keep_link(self, link: Link, address: str) -> None:
-        self._link = link
+        """Use a link until it is closed or its member no longer leads."""
+        self._link_closed.clear()
+        self._kept_link = self._link = link
+        self._linked.set()
         self._log.info('leader_found', leader=address)
         try:
             while not link.closed and self._ping(link):
-                gevent.sleep(PING_INTERVAL_S)
+                self._link_closed.wait(PING_INTERVAL_S)
         finally:
-            self._link = None
-            link.close()
+            self._drop(link)
+            self._kept_link = None
+            self._lost_address = address
             self._log.warning('leader_lost', leader=address)
 
 
+class _Search:
+    """Greenlets that ask members; the first link to the leader wins."""
+
+    def __init__(self) -> None:
+        self.found: tuple[Link, str] | None = None
+        self._progress = Event()
+        self._greenlets: list[gevent.Greenlet] = []
+
+    def ask(
+        self, connect_to: Callable[[str], Link | None], address: str
+    ) -> None:
+        self._progress.clear()
+        self._greenlets.append(gevent.spawn(self._ask, connect_to, address))
+
+    def _ask(
+        self, connect_to: Callable[[str], Link | None], address: str
+    ) -> None:
+        link = connect_to(address)
+        if link is not None and self.found is None:
+            self.found = (link, address)
+        elif link is not None:
+            link.close()
+        self._progress.set()
+
+    def wait(self, timeout_s: float) -> bool:
+        """Wait until any member has answered; return whether one leads."""
+        self._progress.wait(timeout_s)
+        return self.found is not None
+
+    def wait_for_all(self) -> None:
+        """Wait until the leader is found or all have answered."""
+        while self.found is None:
+            self._progress.clear()
+            if all(greenlet.dead for greenlet in self._greenlets):
+                return
+            self._progress.wait()
+
+    def close(self) -> None:
+        gevent.killall(self._greenlets, block=False)
+
+
+def _as_unreachable(
+    reply: JobAnswer | Problem | Unreachable,
+) -> Unreachable:
+    if isinstance(reply, Unreachable):
+        return reply
+    return Unreachable(reason='unknown', detail=reply.detail)
+
+
 def _ignore(_link: Link, _msg: AnyMessage) -> None:
     """Ignore a message that is not a reply; the leader sends only replies."""
--- a/src/galenareel/_jobs/service.py
+++ b/src/galenareel/_jobs/service.py
@@ -140,7 +140,12 @@
             )
             self._log.info('job_invalid', job=name, detail=detail)
             return JobAnswer(outcome='invalid', detail=detail)
-        refusal = engine.check_admission(queue, req, self._clock.monotonic())
+        refusal = None
+        if not msg.repeated:
+            # A job that may have been accepted can't be refused truthfully.
+            refusal = engine.check_admission(
+                queue, req, self._clock.monotonic()
+            )
         if refusal is not None:
             self._log.info(
                 'job_refused',
--- /dev/null
+++ b/testing/jobs/test_gateway.py
@@ -0,0 +1,268 @@
+"""The gateway of a front, with stand-ins for the members of the core.
+
+Guards against calls whose outcome stays unknown although the next leader
+could tell it, and against refusals that may be untrue.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import io
+import time
+
+import gevent
+import pytest
+
+from galenareel._common.clock import SystemClock
+from galenareel._common.events import HybridClock
+from galenareel._common.frames import FrameServer
+from galenareel._common.frames import Link
+from galenareel._common.log import Log
+from galenareel._common.messages import AnyMessage
+from galenareel._common.messages import ClusterQuery
+from galenareel._common.messages import ClusterView
+from galenareel._common.messages import Hello
+from galenareel._common.messages import JobAnswer
+from galenareel._common.messages import JobCall
+from galenareel._common.messages import Problem
+from galenareel._common.messages import Welcome
+from galenareel._common.sentinels import Unreachable
+from galenareel._jobs.gateway import Gateway
+from galenareel._jobs.gateway import LEADER_WAIT_S
+from galenareel._jobs.repeats import judge_reply
+from galenareel._jobs.repeats import MAX_SAVED_REPEATS
+from galenareel._jobs.repeats import RepeatBudget
+from galenareel._jobs.repeats import REPEATS_PER_S
+from galenareel._jobs.repeats import Verdict
+from testing.ports import allocate_address
+
+SUBMIT = JobCall(operation='submit', host='h', path='/v/j1')
+
+
+class Member:
+    """A member of the core that leads if the test says so.
+
+    :param answer: makes the answer to a call, or returns ``None`` for none.
+    """
+
+    def __init__(
+        self, answer: Callable[[Link, JobCall], AnyMessage | None]
+    ) -> None:
+        self.address = allocate_address()
+        self.leads = False
+        self.is_frozen = False
+        self.calls: list[JobCall] = []
+        self._answer = answer
+        self._clock = HybridClock(SystemClock())
+        self.start()
+
+    def start(self) -> None:
+        self._server = FrameServer(
+            self.address, clock=self._clock, handler=self._handle
+        )
+        self._server.start()
+
+    def close(self) -> None:
+        self._server.close()
+
+    def _handle(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
+        if self.is_frozen:
+            return None
+        if isinstance(msg, Hello):
+            return Welcome(process=self.address)
+        if isinstance(msg, ClusterQuery):
+            return ClusterView(leader='', is_leader=self.leads, members=())
+        assert isinstance(msg, JobCall)
+        self.calls.append(msg)
+        if not self.leads:
+            return Problem(reason='not_leader')
+        return self._answer(link, msg)
+
+
+def accept(_link: Link, _msg: JobCall) -> AnyMessage:
+    return JobAnswer(outcome='accepted')
+
+
+def refuse(_link: Link, _msg: JobCall) -> AnyMessage:
+    return JobAnswer(outcome='refused', retry_after_s=1.0)
+
+
+def break_link(link: Link, _msg: JobCall) -> AnyMessage | None:
+    link.close()
+    return None
+
+
+class Front:
+    """A gateway and the members that it knows."""
+
+    def __init__(self) -> None:
+        self.members: list[Member] = []
+        clock = SystemClock()
+        self.gateway = Gateway(
+            name='front',
+            secret='',
+            seeds=lambda: tuple(member.address for member in self.members),
+            clock=clock,
+            hybrid=HybridClock(clock),
+            log=Log('front', stream=io.StringIO()),
+        )
+
+    def add(
+        self, answer: Callable[[Link, JobCall], AnyMessage | None]
+    ) -> Member:
+        self.members.append(Member(answer))
+        return self.members[-1]
+
+    def start(self) -> None:
+        self.gateway.start()
+        with gevent.Timeout(5.0):
+            while not self.gateway.is_ready():
+                gevent.sleep(0.01)
+
+    def close(self) -> None:
+        self.gateway.close()
+        for member in self.members:
+            member.close()
+
+
+@pytest.fixture
+def front() -> Iterator[Front]:
+    front = Front()
+    yield front
+    front.close()
+
+
+def test_broken_call_is_repeated_at_the_next_leader(front: Front) -> None:
+    old = front.add(break_link)
+    new = front.add(accept)
+    old.leads = True
+    front.start()
+
+    def change_leader() -> None:
+        gevent.sleep(0.2)
+        new.leads = True
+
+    def end_leader(link: Link, msg: JobCall) -> None:
+        old.close()
+        gevent.spawn(change_leader)
+
+    old._answer = end_leader
+    reply = front.gateway.call(SUBMIT, timeout_s=2.5)
+    assert reply == JobAnswer(outcome='accepted')
+    assert [call.repeated for call in new.calls if new.leads][-1]
+
+
+def test_broken_call_without_a_next_leader_stays_unknown(
+    front: Front,
+) -> None:
+    old = front.add(break_link)
+    old.leads = True
+    front.start()
+
+    def end_leader(link: Link, msg: JobCall) -> None:
+        old.close()
+
+    old._answer = end_leader
+    reply = front.gateway.call(SUBMIT, timeout_s=0.5)
+    assert isinstance(reply, Unreachable)
+
+
+@pytest.mark.parametrize('outcome', ['refused', 'no_queue', 'not_ready'])
+def test_repeat_that_is_turned_away_is_no_refusal(
+    front: Front, outcome: str
+) -> None:
+    """The first try may still reach a leader and be accepted."""
+    answers = [break_link, lambda *_: JobAnswer(outcome=outcome)]
+    member = front.add(lambda link, msg: answers.pop(0)(link, msg))
+    member.leads = True
+    front.start()
+    reply = front.gateway.call(SUBMIT, timeout_s=2.5)
+    assert isinstance(reply, Unreachable)
+    assert len(member.calls) == 2
+
+
+def test_first_call_that_is_refused_is_final(front: Front) -> None:
+    member = front.add(refuse)
+    member.leads = True
+    front.start()
+    reply = front.gateway.call(SUBMIT, timeout_s=2.5)
+    assert isinstance(reply, JobAnswer)
+    assert reply.outcome == 'refused'
+
+
+def test_call_waits_for_an_election_but_not_for_long(front: Front) -> None:
+    member = front.add(accept)
+    member.leads = True
+    front.start()
+    member.leads = False
+    began = time.monotonic()
+    reply = front.gateway.call(SUBMIT, timeout_s=2.5)
+    assert isinstance(reply, Problem)
+    assert reply.reason == 'no_leader'
+    assert time.monotonic() - began < 2 * LEADER_WAIT_S
+
+    reply = None
+
+    def submit() -> None:
+        nonlocal reply
+        reply = front.gateway.call(SUBMIT, timeout_s=2.5)
+
+    waiting = gevent.spawn(submit)
+    gevent.sleep(0.1)
+    member.leads = True
+    waiting.join()
+    assert reply == JobAnswer(outcome='accepted')
+
+
+def test_member_that_does_not_answer_holds_up_no_search(
+    front: Front,
+) -> None:
+    """A frozen leader still accepts connections."""
+    frozen = front.add(accept)
+    leader = front.add(accept)
+    leader.leads = True
+    frozen.is_frozen = True
+    began = time.monotonic()
+    front.start()
+    assert time.monotonic() - began < 0.4
+
+
+def test_dropped_link_is_replaced_at_once(front: Front) -> None:
+    member = front.add(accept)
+    member.leads = True
+    front.start()
+    for link in list(member._server.links):
+        link.close()
+    began = time.monotonic()
+    reply = front.gateway.call(SUBMIT, timeout_s=2.5)
+    assert reply == JobAnswer(outcome='accepted')
+    assert time.monotonic() - began < 0.3
+
+
+def test_repeats_are_limited_and_come_back() -> None:
+    """Load pattern: every call of a front breaks at once."""
+    budget = RepeatBudget()
+    taken = sum(budget.take(100.0) for _ in range(1000))
+    assert taken == MAX_SAVED_REPEATS
+    assert not budget.take(100.0)
+    assert sum(budget.take(101.0) for _ in range(1000)) == REPEATS_PER_S
+
+
+@pytest.mark.parametrize(
+    ('reply', 'repeated', 'verdict'),
+    [
+        (JobAnswer(outcome='accepted'), True, Verdict.FINAL),
+        (JobAnswer(outcome='refused'), False, Verdict.FINAL),
+        (JobAnswer(outcome='refused'), True, Verdict.UNKNOWN),
+        (JobAnswer(outcome='no_job'), True, Verdict.FINAL),
+        (JobAnswer(outcome='unknown'), False, Verdict.UNKNOWN),
+        (Problem(reason='not_leader'), True, Verdict.NOT_LED),
+        (Problem(reason='internal'), False, Verdict.FINAL),
+        (Unreachable(reason='timeout'), False, Verdict.UNKNOWN),
+    ],
+)
+def test_reply_is_judged_by_what_it_proves(
+    reply: JobAnswer | Problem | Unreachable, repeated: bool, verdict: Verdict
+) -> None:
+    assert judge_reply(reply, repeated=repeated) is verdict
--- a/testing/jobs/test_service.py
+++ b/testing/jobs/test_service.py
@@ -18,11 +18,13 @@
 from galenareel._common.messages import JobCall
 from galenareel._common.messages import Problem
 from galenareel._common.sentinels import NotLeader
+from galenareel._jobs.engine import Engine
 from galenareel._jobs.model import Configuration
 from galenareel._jobs.model import JobRequest
 from galenareel._jobs.model import Step
 from galenareel._jobs.service import Heartbeat
 from galenareel._jobs.service import JobService
+from galenareel._scheduling.admission import Refusal
 from testing.jobs.harness import make_job
 from testing.jobs.test_leader import eventually
 from testing.jobs.test_leader import RunningLeader
@@ -86,6 +88,23 @@
     assert call(service, 'status', '/v/j').phase == 'cancelled'
 
 
+def test_repeated_submission_is_not_refused(
+    service: JobService, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its first try may be in the log of a member that leads later."""
+    refusal = Refusal(reason='late', wait_s=9.0, retry_after_s=3.0)
+    monkeypatch.setattr(Engine, 'check_admission', lambda *_: refusal)
+    assert call(service, 'submit', '/v/j1', make_job()).outcome == 'refused'
+    msg = JobCall(
+        operation='submit',
+        host='h',
+        path='/v/j2',
+        request=msgspec.msgpack.encode(make_job()),
+        repeated=True,
+    )
+    assert service.answer_call(msg) == JobAnswer(outcome='accepted')
+
+
 def test_unknown_queues_and_jobs_are_reported(service: JobService) -> None:
     assert call(service, 'status', '/x/j').outcome == 'no_queue'
     assert call(service, 'status', '/v/j').outcome == 'no_job'
