--- a/src/galenareel/_jobs/gateway.py
+++ b/src/galenareel/_jobs/gateway.py
@@ -45,6 +45,8 @@
 # election may still be going on.
 LEADER_WAIT_S = 0.6
 MAX_ELECTION_S = 2.5
+MIN_RETRY_S = 1.0
+MAX_RETRY_S = 4.0
 
 
 class Gateway:
@@ -120,7 +122,10 @@
             if link is None and uncertain is not None:
                 return uncertain
             if link is None:
-                return Problem(reason='no_leader')
+                return Problem(
+                    reason='no_leader',
+                    retry_after_s=self._estimate_retry_s(started_at),
+                )
             left_s = deadline - self._clock.monotonic()
             reply = self._request(link, msg, max(left_s, 0.0))
             verdict = judge_reply(reply, repeated=msg.repeated)
@@ -145,6 +150,15 @@
             return started_at
         return started_at + LEADER_WAIT_S
 
+    def _estimate_retry_s(self, now: float) -> float:
+        """Return when a caller should come back if no leader is found.
+
+        A caller comes back only a few times, so the longer there has been no
+        leader, the longer it stays away.
+        """
+        outage_s = now - self._lost_at
+        return min(max(outage_s / 2, MIN_RETRY_S), MAX_RETRY_S)
+
     def _wait_for_link(self, until: float) -> Link | None:
         """Return the link to the leader, or ``None`` if there is none yet."""
         if self._link is not None and self._link.closed:
--- a/testing/adapter/test_http.py
+++ b/testing/adapter/test_http.py
@@ -7,11 +7,10 @@
 import socket
 from typing import Any
 
+from adapter.http import HttpCaller
 from gevent.pywsgi import WSGIServer
 import pytest
 
-from adapter.http import HttpCaller
-
 
 class CountingServer(WSGIServer):
     """Answers every request, and counts the connections."""
--- a/testing/jobs/test_gateway.py
+++ b/testing/jobs/test_gateway.py
@@ -30,6 +30,8 @@
 from galenareel._common.sentinels import Unreachable
 from galenareel._jobs.gateway import Gateway
 from galenareel._jobs.gateway import LEADER_WAIT_S
+from galenareel._jobs.gateway import MAX_RETRY_S
+from galenareel._jobs.gateway import MIN_RETRY_S
 from galenareel._jobs.repeats import judge_reply
 from galenareel._jobs.repeats import MAX_SAVED_REPEATS
 from galenareel._jobs.repeats import RepeatBudget
@@ -215,6 +217,31 @@
     assert reply == JobAnswer(outcome='accepted')
 
 
+def test_caller_stays_away_longer_while_there_is_no_leader(
+    front: Front, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Load pattern: all members lose power for some seconds.
+
+    A caller that comes back each second has given up when they return.
+    """
+    member = front.add(accept)
+    member.leads = True
+    front.start()
+    member.close()
+    gevent.sleep(0.05)
+    reply = front.gateway.call(SUBMIT, timeout_s=2.5)
+    assert isinstance(reply, Problem)
+    assert reply.retry_after_s == MIN_RETRY_S
+
+    front.gateway._lost_at -= 6.0
+    began = time.monotonic()
+    reply = front.gateway.call(SUBMIT, timeout_s=2.5)
+    assert time.monotonic() - began < 0.1
+    assert isinstance(reply, Problem)
+    assert reply.retry_after_s is not None
+    assert 3 * MIN_RETRY_S <= reply.retry_after_s <= MAX_RETRY_S
+
+
 def test_member_that_does_not_answer_holds_up_no_search(
     front: Front,
 ) -> None:
