Keep the scheduler out of the fronts

Cause: the adapter's messages took Heartbeat from the module of the job service, which imports the whole scheduler, the leader and the HTTP client; each front held them.

Change: Heartbeat stands with the other data types of jobs.

--- a/src/galenareel/_jobs/model.py
+++ b/src/galenareel/_jobs/model.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 import enum
 
 import msgspec
@@ -261,6 +262,21 @@
     draining: bool = False
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Heartbeat:
+    """State of a worker as it reports it.
+
+    :param sequence: grows with each heartbeat of an incarnation.
+    :param cold_remaining_s: how much longer the worker is slow after a start.
+    :param min_stay_s: how long a draining worker stays at least, if known.
+    """
+
+    worker: WorkerRecord
+    sequence: int
+    cold_remaining_s: float = 0.0
+    min_stay_s: float | None = None
+
+
 class PoolLoad(msgspec.Struct, frozen=True, kw_only=True):
     """Load of a pool as observed by a leader.
 
--- a/src/galenareel/_jobs/service.py
+++ b/src/galenareel/_jobs/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 
@@ -28,6 +27,7 @@
 from galenareel._jobs.leader import Leader
 from galenareel._jobs.model import check_job
 from galenareel._jobs.model import Configuration
+from galenareel._jobs.model import Heartbeat
 from galenareel._jobs.model import JobPhase
 from galenareel._jobs.model import JobRequest
 from galenareel._jobs.model import Queue
@@ -40,21 +40,6 @@
 _decode_request = msgspec.msgpack.Decoder(JobRequest).decode
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Heartbeat:
-    """State of a worker as it reports it.
-
-    :param sequence: grows with each heartbeat of an incarnation.
-    :param cold_remaining_s: how much longer the worker is slow after a start.
-    :param min_stay_s: how long a draining worker stays at least, if known.
-    """
-
-    worker: WorkerRecord
-    sequence: int
-    cold_remaining_s: float = 0.0
-    min_stay_s: float | None = None
-
-
 class JobService:
     """Operations on the replicated state, answered only by the leader.
 
--- a/testing/jobs/test_service.py
+++ b/testing/jobs/test_service.py
@@ -20,9 +20,9 @@
 from galenareel._common.sentinels import NotLeader
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.model import Configuration
+from galenareel._jobs.model import Heartbeat
 from galenareel._jobs.model import JobRequest
 from galenareel._jobs.model import Step
-from galenareel._jobs.service import Heartbeat
 from galenareel._jobs.service import JobService
 from galenareel._scheduling.admission import Refusal
 from testing.jobs.harness import make_job
