Keep the tasks of a step in one availability zone while it has room

Cause: a job is late if any of its tasks is. Its 6 to 8 tasks went to the least used workers, so a zone that is cut off had tasks of nearly every running job.

Change: a worker of a zone in which the step has no runs yet counts as half a worker more loaded. Replay: twelve small jobs over three zones; no zone has tasks of more than half of them, before all.

--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -478,6 +478,8 @@
         )
         rack = worker.record.rack
         step.runs_per_rack[rack] = step.runs_per_rack.get(rack, 0) + 1
+        zone = worker.record.zone
+        step.runs_per_zone[zone] = step.runs_per_zone.get(zone, 0) + 1
         name = worker.name
         step.runs_per_worker[name] = step.runs_per_worker.get(name, 0) + 1
         return run
@@ -494,6 +496,7 @@
         if not runs:
             step.runs.pop(run.task.index, None)
         step.runs_per_rack[run.worker.record.rack] -= 1
+        step.runs_per_zone[run.worker.record.zone] -= 1
         step.runs_per_worker[run.worker.name] -= 1
 
     def _stop_run(self, run: Run, now: float, reason: str) -> None:
--- a/src/galenareel/_scheduling/placement.py
+++ b/src/galenareel/_scheduling/placement.py
@@ -24,6 +24,9 @@
 LASTING_GATHER_TERM = -1.0
 HALF_STEP_ON_WORKER_PENALTY = 2.0
 HALF_STEP_IN_RACK_PENALTY = 0.5
+# A job is late if any of its tasks is. With the tasks of a step in one zone,
+# the loss of a zone hits a part of the jobs, otherwise nearly all of them.
+OTHER_ZONE_PENALTY = 0.5
 COLD_PENALTY = 0.5  # the worker is still slow after its start
 
 
@@ -114,6 +117,8 @@
             score += self._score_interference(work, worker)
         if step.lasting:
             score += _score_lasting(work, worker)
+        elif _is_in_another_zone(work, worker):
+            score += OTHER_ZONE_PENALTY
         if step.one_rack and work.runs_per_rack:
             score += (
                 0.0
@@ -147,6 +152,12 @@
     )
 
 
+def _is_in_another_zone(work: StepWork, worker: Worker) -> bool:
+    """Return whether a step has runs, but none in the zone of a worker."""
+    zones = work.runs_per_zone
+    return not zones.get(worker.record.zone) and any(zones.values())
+
+
 def _score_lasting(work: StepWork, worker: Worker) -> float:
     half_step = -(-work.step.count // 2)  # rounded up
     score = 0.0
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -223,6 +223,7 @@
         at which that expires.
     :param advice_asked: workers for which the advisor was asked.
     :param runs_per_rack: number of runs in each rack.
+    :param runs_per_zone: number of runs in each availability zone.
     :param runs_per_worker: number of runs on each worker.
     :param ready_at: local time at which the step became ready to run, or 0.
     """
@@ -245,6 +246,7 @@
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
     advice_asked: set[str] = field(default_factory=set)
     runs_per_rack: dict[str, int] = field(default_factory=dict)
+    runs_per_zone: dict[str, int] = field(default_factory=dict)
     runs_per_worker: dict[str, int] = field(default_factory=dict)
     ready_at: float = 0.0
 
--- a/testing/scheduling/test_placement.py
+++ b/testing/scheduling/test_placement.py
@@ -59,6 +59,44 @@
     assert len(workers_in_use(harness)) == 6
 
 
+def test_loss_of_a_zone_hits_a_part_of_the_jobs() -> None:
+    """Load pattern: many small jobs run, and one of three zones is cut off.
+
+    A job is hit if any of its tasks runs in that zone.
+    """
+    harness = Harness(
+        *(
+            FakeWorker(name=f'w{n}', zone='abc'[n % 3], resources=ROOM)
+            for n in range(9)
+        )
+    )
+    for number in range(12):
+        step = Step(count=8, cpu=1800, estimate_ms=640)
+        harness.submit(f'j{number}', make_job(step))
+        harness.pass_time(0.1)
+    zones_by_job: dict[str, set[str]] = {}
+    for worker in harness.workers.values():
+        for task in worker.running:
+            job = task.partition('.')[0]
+            zones_by_job.setdefault(job, set()).add(worker.zone)
+    assert len(zones_by_job) == 12
+    for zone in 'abc':
+        hit = [job for job, zones in zones_by_job.items() if zone in zones]
+        assert len(hit) <= 6, f'zone {zone} has tasks of {sorted(hit)}'
+
+
+def test_step_uses_other_zones_rather_than_wait() -> None:
+    harness = Harness(
+        *(
+            FakeWorker(name=f'w{n}', zone='abc'[n], resources=ROOM)
+            for n in range(3)
+        )
+    )
+    harness.submit('j', make_job(Step(count=9, cpu=8000, estimate_ms=640)))
+    harness.pass_time(0.3)
+    assert [len(w.running) for w in harness.workers.values()] == [3, 3, 3]
+
+
 def test_worker_that_failed_gets_a_trial_beside_lasting_tasks() -> None:
     """Lasting tasks never end, so they must not keep a trial task out.
 
