Take only the end of a leader's links for its end, not a refused connection

Change: members end their links to other members by a reset. Only the kernel of a process that has ended ends such a link in the ordinary way, which neither a cut nor a refusal does. The end counts for the term that was led through that link: a process started again leads only later terms.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -9,7 +9,6 @@
 
 from abc import ABC
 from abc import abstractmethod
-from collections.abc import Callable
 
 from bench.group import Group
 from bench.node import Node
@@ -99,31 +98,21 @@
 
 
 @fault
-class RefusedConnection(Fault):
-    """The target's process ends; others learn it from refused connections.
+class EndedProcess(Fault):
+    """The target's process ends; the others learn it from their links to it.
 
-    They try to connect at a random time, when the target may run and lead
-    again, and act on the answer after a random delay.
+    Each learns it after a random delay, when the target may run and lead
+    again.
     """
 
-    name = 'refused'
+    name = 'ended'
 
     def start(self) -> None:
-        self.target.crash()
         for node in self.group.nodes.values():
-            if node is not self.target:
-                self.group.after(
-                    self.group.rng.uniform(0.0, 0.5), self._make_attempt(node)
-                )
-
-    def _make_attempt(self, node: Node) -> Callable[[], None]:
-        def connect() -> None:
             leader = node.get_leader_term()
-            is_target = leader[0] == self.target.identity
-            if self.target.member is None and is_target:
-                node.learn_exit(leader, self.group.rng.uniform(0.0, 1.5))
-
-        return connect
+            if node is not self.target and leader[0] == self.target.identity:
+                node.learn_exit(leader, self.group.rng.uniform(0.0, 2.0))
+        self.target.crash()
 
     def stop(self) -> None:
         self.target.start()
--- a/src/galenareel/_common/frames.py
+++ b/src/galenareel/_common/frames.py
@@ -32,6 +32,8 @@
 REPLY = 2
 
 _LENGTH = struct.Struct('>I')
+# With SO_LINGER on and a time of 0, closing a socket sends a reset.
+_RESET_LINGER = struct.pack('ii', 1, 0)
 
 
 class Frame(msgspec.Struct, array_like=True, frozen=True):
@@ -74,6 +76,10 @@
         request is handled in its own greenlet. Notifications are handled in
         order in the reading greenlet, so their handler must not block.
     :param on_close: called once when the link is closed by either side.
+    :param aborts: closing resets the connection, so that the other process
+        sees an ordinary end only if this process has ended.
+    :ivar ended_by_peer: the connection has ended in the ordinary way, and the
+        other side ended it first. A reset is no such end.
     """
 
     def __init__(
@@ -83,6 +89,7 @@
         clock: HybridClock,
         handler: Callable[[Link, AnyMessage], AnyMessage | None],
         on_close: Callable[[Link], None] | None = None,
+        aborts: bool = False,
     ) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         # Name of the other process, set after its hello message.
@@ -90,6 +97,8 @@
         self.bytes_in = 0
         self.bytes_out = 0
         self.closed = False
+        self.ended_by_peer = False
+        self._aborts = aborts
         self._sock = sock
         self._file = sock.makefile('rb')
         self._clock = clock
@@ -134,11 +143,15 @@
         try:
             while self._read_frame():
                 pass
+            self.ended_by_peer = not self.closed
         except (OSError, msgspec.MsgspecError):
             # Malformed data or a socket error ends only this connection.
             pass
         finally:
             self.close()
+            if self._aborts:
+                # The connection is reset once nothing refers to it.
+                self._file.close()
 
     def close(self) -> None:
         """Close the connection; pending requests get ``link_closed``."""
@@ -152,8 +165,14 @@
             self._on_close(self)
 
     def _shutdown(self) -> None:
+        how = socket.SHUT_RDWR
         try:
-            self._sock.shutdown(socket.SHUT_RDWR)
+            if self._aborts:
+                self._sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER
+                )
+                how = socket.SHUT_RD  # wakes the reader and sends nothing
+            self._sock.shutdown(how)
         except OSError:
             pass
         self._sock.close()
@@ -269,21 +288,23 @@
     handler: Callable[[Link, AnyMessage], AnyMessage | None],
     on_close: Callable[[Link], None] | None = None,
     timeout_s: float = CONNECT_TIMEOUT_S,
+    aborts: bool = False,
 ) -> Link | Unreachable:
     """Open a link and start its reading greenlet.
 
     :param address: ``host:port`` to connect to.
     :param timeout_s: limit of the connect only, not of later requests.
+    :param aborts: see :class:`Link`.
     :returns: the link, or :class:`Unreachable` with the reason
-        ``connect_refused`` if nothing listens there, else ``connect_failed``.
+        ``connect_failed``.
     """
     try:
         sock = create_connection(parse_address(address), timeout_s)
-    except ConnectionRefusedError as exc:
-        return Unreachable(reason='connect_refused', detail=str(exc))
     except OSError as exc:
         return Unreachable(reason='connect_failed', detail=str(exc))
     sock.settimeout(None)
-    link = Link(sock, clock=clock, handler=handler, on_close=on_close)
+    link = Link(
+        sock, clock=clock, handler=handler, on_close=on_close, aborts=aborts
+    )
     gevent.spawn(link.serve)
     return link
--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -6,6 +6,7 @@
 from random import Random
 from random import SystemRandom
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import gevent
 from gevent.event import Event
@@ -15,6 +16,7 @@
 from galenareel._common.clock import Clock
 from galenareel._common.clock import SystemClock
 from galenareel._common.events import HybridClock
+from galenareel._common.frames import Link
 from galenareel._common.log import Log
 from galenareel._common.messages import PeerMessage
 from galenareel._common.sentinels import NotLeader
@@ -29,13 +31,14 @@
 from galenareel._consensus.interface import StateMachine
 from galenareel._consensus.member import Batch
 from galenareel._consensus.member import Member
+from galenareel._consensus.messages import AppendEntries
 from galenareel._consensus.messages import Body
 from galenareel._consensus.messages import decode
 from galenareel._consensus.messages import encode
 from galenareel._consensus.messages import Envelope
 from galenareel._consensus.messages import InitialMembership
 from galenareel._consensus.messages import Probe
-from galenareel._consensus.peers import LeaderWatch
+from galenareel._consensus.messages import SnapshotChunk
 from galenareel._consensus.peers import Peers
 from galenareel._consensus.proposals import Proposals
 from galenareel._consensus.proposals import wait_for_result
@@ -50,7 +53,7 @@
 MAX_COMMAND_BYTES = 1024 * 1024
 
 
-class Driver(Replicator, LeaderWatch):
+class Driver(Replicator):
     """Runs a member of the replicated log in this process.
 
     :param members: addresses of the cluster's first members by name,
@@ -87,9 +90,11 @@
             secret=secret,
             clock=clock,
             log=self._log,
-            watch=self,
         )
         self._addresses_by_id: dict[int, str] = {}
+        self._led_terms: WeakKeyDictionary[Link, tuple[int, int]] = (
+            WeakKeyDictionary()
+        )
         self._pool = ThreadPool(1)
         self._disk: FolderDisk | None = None
         self._storage: Storage | None = None
@@ -210,8 +215,12 @@
         assert add is not None, 'checked above'
         return self._add(add)
 
-    def receive(self, msg: PeerMessage) -> None:
-        """Handle a message that the process's frame server received."""
+    def receive(self, msg: PeerMessage, link: Link | None = None) -> None:
+        """Handle a message that the process's frame server received.
+
+        :param link: link on which it came, if its end is reported by
+            :meth:`handle_link_end`.
+        """
         try:
             env = decode(msg.body)
         except msgspec.MsgspecError as exc:
@@ -228,27 +237,39 @@
         elif self._member is not None:
             self._addresses_by_id[env.sender] = msg.sender
             self._run_step(lambda member: member.raft.step(env, now))
+            if link is not None:
+                self._note_leader_link(env, link)
 
-    def get_leader(self) -> tuple[int, int]:
-        """Return the identity of the known leader, or 0, and the term."""
-        if self._member is None:
-            return 0, 0
+    def _note_leader_link(self, env: Envelope, link: Link) -> None:
+        """Remember which term the process at the other end of a link leads.
+
+        A process that is started again leads only later terms.
+        """
+        if self._member is None or not isinstance(
+            env.body, (AppendEntries, SnapshotChunk)
+        ):
+            return
         st = self._member.raft.state
-        return st.leader_id, st.term
+        if (st.leader_id, st.term) == (env.sender, env.term):
+            self._led_terms[link] = (env.sender, env.term)
+
+    def handle_link_end(self, link: Link) -> None:
+        """Campaign soon if the process of the leader has ended.
 
-    def handle_refused(self, address: str, leader: tuple[int, int]) -> None:
-        """Campaign soon if the refused address is that of the leader."""
+        Members end the links to other members by a reset, and a network may
+        do so as well, or refuse connections. Only the end of the process ends
+        a link in the ordinary way.
+        """
         member = self._member
-        leader_id, term = leader
-        if member is None or not leader_id:
+        if member is None or not link.ended_by_peer:
             return
-        found = member.raft.state.membership.find(leader_id)
-        if found is None or found.address != address:
+        leader_id, term = self._led_terms.pop(link, (0, 0))
+        st = member.raft.state
+        if not leader_id or (st.leader_id, st.term) != (leader_id, term):
             return
         now = self._now()
         member.raft.record_leader_exit(leader_id, term, now)
-        st = member.raft.state
-        self._log.info('leader_process_ended', leader=address, term=term)
+        self._log.info('leader_process_ended', leader=link.peer, term=term)
         gevent.spawn_later(max(st.election_due - now, 0.0), self._tick)
 
     def list_members(self) -> tuple[MemberInfo, ...]:
--- a/src/galenareel/_consensus/peers.py
+++ b/src/galenareel/_consensus/peers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from abc import ABC
-from abc import abstractmethod
 from collections import deque
 
 import gevent
@@ -28,27 +26,6 @@
 MAX_QUEUED_MESSAGES = 64
 
 
-class LeaderWatch(ABC):
-    """Learns from refused connections that the leader's process has ended.
-
-    Only the process of a member listens on the member's address, from before
-    it can lead until after it has stopped leading. While it is frozen or cut
-    off, connections time out instead.
-    """
-
-    @abstractmethod
-    def get_leader(self) -> tuple[int, int]:
-        """Return the known leader, or 0, and the term."""
-
-    @abstractmethod
-    def handle_refused(self, address: str, leader: tuple[int, int]) -> None:
-        """Handle a refused connection.
-
-        :param leader: the leader when the attempt began. If another process
-            of that member leads now, the refusal says nothing about it.
-        """
-
-
 class Peer:
     """Sends messages to an address in order; drops what it cannot send."""
 
@@ -61,9 +38,7 @@
         secret: str,
         clock: HybridClock,
         log: Log,
-        watch: LeaderWatch,
     ) -> None:
-        self._watch = watch
         self.last_received_at = 0.0  # monotonic time in seconds
         self.sent_bytes = 0
         self._address = address
@@ -125,16 +100,12 @@
         if self._link is not None and not self._link.closed:
             return self._link
         self._link = None
-        leader = self._watch.get_leader()
+        # The other member takes an ordinary end of this link for the end of
+        # this process.
         link = connect(
-            self._address,
-            clock=self._clock,
-            handler=_ignore,
-            on_close=self._handle_close,
+            self._address, clock=self._clock, handler=_ignore, aborts=True
         )
         if not isinstance(link, Link):
-            if link.reason == 'connect_refused':
-                self._watch.handle_refused(self._address, leader)
             return None
         hello = Hello(process=self._process, secret=self._secret)
         reply = link.request(hello, timeout_s=HELLO_TIMEOUT_S)
@@ -147,10 +118,6 @@
         self._link_used_since = 0.0
         return link
 
-    def _handle_close(self, _link: Link) -> None:
-        """Connect again at once, to learn whether the process has ended."""
-        self._wakeup.set()
-
     def _log_refusal(self) -> None:
         """Log a refusal only once until a link is accepted again."""
         if not self._is_refused:
@@ -178,14 +145,12 @@
         secret: str,
         clock: HybridClock,
         log: Log,
-        watch: LeaderWatch,
     ) -> None:
         self._address = address
         self._process = process
         self._secret = secret
         self._clock = clock
         self._log = log
-        self._watch = watch
         self._peers: dict[str, Peer] = {}
 
     def send(self, address: str, body: bytes, now: float) -> None:
@@ -197,7 +162,6 @@
                 secret=self._secret,
                 clock=self._clock,
                 log=self._log,
-                watch=self._watch,
             )
         self._peers[address].send(body, now)
 
--- a/src/galenareel/_jobs/server.py
+++ b/src/galenareel/_jobs/server.py
@@ -56,7 +56,7 @@
             link.close()
             return None
         try:
-            return self._answer(msg)
+            return self._answer(link, msg)
         except Exception as exc:
             # A fault in one request must not end the link or the process.
             self._log.error(
@@ -71,9 +71,9 @@
                 detail='see request_failed in the log of this control member',
             )
 
-    def _answer(self, msg: AnyMessage) -> AnyMessage | None:
+    def _answer(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
         if isinstance(msg, PeerMessage):
-            self._driver.receive(msg)
+            self._driver.receive(msg, link)
             return None
         if isinstance(msg, JobCall):
             return self._service.answer_call(msg)
--- a/testing/common/test_frames.py
+++ b/testing/common/test_frames.py
@@ -110,4 +110,4 @@
 def test_refused_connection_returns_unreachable(clock: HybridClock) -> None:
     link = connect(allocate_address(), clock=clock, handler=answer_hello)
     assert isinstance(link, Unreachable)
-    assert link.reason == 'connect_refused'
+    assert link.reason == 'connect_failed'
--- a/testing/consensus/processes.py
+++ b/testing/consensus/processes.py
@@ -68,7 +68,10 @@
             join_existing=join_existing,
         )
         self.server = FrameServer(
-            members[name], clock=clock, handler=self._handle
+            members[name],
+            clock=clock,
+            handler=self._handle,
+            on_close=self.driver.handle_link_end,
         )
 
     def start(self) -> None:
@@ -79,11 +82,18 @@
         self.server.close()
         self.driver.close()
 
-    def _handle(self, _link: Link, msg: AnyMessage) -> AnyMessage | None:
+    def kill(self) -> None:
+        """End as a killed process does: the system ends its connections."""
+        for peer in self.driver._peers._peers.values():
+            if peer._link is not None:
+                peer._link._aborts = False
+        self.close()
+
+    def _handle(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
         if isinstance(msg, Hello) and msg.secret == SECRET:
             return Welcome(process=self.name)
         if isinstance(msg, PeerMessage) and not self.is_partitioned:
-            self.driver.receive(msg)
+            self.driver.receive(msg, link)
         return None
 
 
--- a/testing/consensus/test_driver.py
+++ b/testing/consensus/test_driver.py
@@ -7,15 +7,15 @@
 import os
 from pathlib import Path
 import shutil
+import socket
+import struct
 import time
-from typing import Any
 
 import gevent
 import pytest
 
 from galenareel._common.clock import SystemClock
 from galenareel._common.events import HybridClock
-from galenareel._common.frames import connect
 from galenareel._common.frames import FrameServer
 from galenareel._common.frames import Link
 from galenareel._common.log import Log
@@ -27,7 +27,6 @@
 from galenareel._common.sentinels import Unreachable
 from galenareel._consensus.disk import FolderDisk
 from galenareel._consensus.errors import StorageError
-from galenareel._consensus.peers import LeaderWatch
 from galenareel._consensus.peers import Peers
 from galenareel._consensus.state import ELECTION_MIN_S
 from galenareel._consensus.state import HEARTBEAT_INTERVAL_S
@@ -311,12 +310,7 @@
     server = FrameServer(members['b'], clock=clock, handler=handle)
     server.start()
     peers = Peers(
-        members['a'],
-        process='a',
-        secret='',
-        clock=clock,
-        log=Log('a'),
-        watch=RecordingWatch(),
+        members['a'], process='a', secret='', clock=clock, log=Log('a')
     )
     for now in (100.0, 102.0, 102.5, 106.0):
         peers.send(members['b'], b'', now)
@@ -327,60 +321,71 @@
     assert len(received) == 4
 
 
-class RecordingWatch(LeaderWatch):
-    """Keeps the refusals that it is told of."""
-
-    def __init__(self) -> None:
-        self.leader = (1, 1)
-        self.refused: list[tuple[str, tuple[int, int]]] = []
+def start_cluster(members: dict[str, str], folder: Path) -> list[Process]:
+    """Return the members, the leader first, once all follow it."""
+    cluster = [Process(name, members, folder) for name in members]
+    for process in cluster:
+        process.start()
+    leader: Process = wait_for(lambda: find_leader(cluster))
+    others = [process for process in cluster if process is not leader]
+    leader.driver.propose(b'one', timeout_s=5)
+    wait_for(lambda: all(process.machine.commands for process in others))
+    gevent.sleep(HEARTBEAT_INTERVAL_S)
+    return [leader, *others]
 
-    def get_leader(self) -> tuple[int, int]:
-        return self.leader
 
-    def handle_refused(self, address: str, leader: tuple[int, int]) -> None:
-        self.refused.append((address, leader))
+def list_peer_links(process: Process) -> list[Link]:
+    """Return the links on which a member sends to the others."""
+    peers = process.driver._peers._peers.values()
+    return [peer._link for peer in peers if peer._link is not None]
 
 
-def test_refused_connection_is_reported_with_the_leader_of_before(
-    members: dict[str, str], monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize('how', ['closed', 'reset'])
+def test_end_of_a_link_is_no_proof_that_its_process_has_ended(
+    members: dict[str, str], tmp_path: Path, how: str
 ) -> None:
-    """A later leader in the same place must not be taken for the old one."""
-    watch = RecordingWatch()
+    """Guards the lease of a leader that closes its links or is cut off."""
+    leader, *others = start_cluster(members, tmp_path)
+    for link in list_peer_links(leader):
+        if how == 'closed':
+            link.close()
+        else:
+            link._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            link._sock._sock.close()
+    began = time.monotonic()
+    while time.monotonic() - began < ELECTION_MIN_S / 2:
+        for process in others:
+            st = process.driver._member.raft.state  # type: ignore[union-attr]
+            assert st.has_leader_contact(process.driver._now())
+        gevent.sleep(0.01)
+    for process in (leader, *others):
+        process.close()
 
-    def connect_while_the_leader_changes(*args: Any, **kwargs: Any) -> Any:
-        watch.leader = (1, 2)
-        return connect(*args, **kwargs)
 
-    monkeypatch.setattr(
-        'galenareel._consensus.peers.connect', connect_while_the_leader_changes
-    )
-    peers = Peers(
-        members['a'],
-        process='a',
-        secret='',
-        clock=HybridClock(SystemClock()),
-        log=Log('a'),
-        watch=watch,
-    )
-    peers.send(members['b'], b'', 100.0)
-    gevent.sleep(0.05)
-    peers.close()
-    assert watch.refused == [(members['b'], (1, 1))]
+def test_link_of_an_earlier_term_says_nothing_about_the_leader(
+    members: dict[str, str], tmp_path: Path
+) -> None:
+    """The same member may have been started again and elected again."""
+    leader, follower, third = start_cluster(members, tmp_path)
+    link = next(iter(follower.driver._led_terms))
+    leader_id, term = follower.driver._led_terms[link]
+    follower.driver._led_terms[link] = (leader_id, term - 1)
+    link.ended_by_peer = True
+    follower.driver.handle_link_end(link)
+    st = follower.driver._member.raft.state  # type: ignore[union-attr]
+    assert st.has_leader_contact(follower.driver._now())
+    for process in (leader, follower, third):
+        process.close()
 
 
 def test_ended_leader_is_replaced_before_an_election_timeout(
     members: dict[str, str], tmp_path: Path
 ) -> None:
-    cluster = [Process(name, members, tmp_path) for name in members]
-    for process in cluster:
-        process.start()
-    leader: Process = wait_for(lambda: find_leader(cluster))
-    others = [process for process in cluster if process is not leader]
-    leader.driver.propose(b'one', timeout_s=5)
-    wait_for(lambda: all(process.machine.commands for process in others))
-    gevent.sleep(HEARTBEAT_INTERVAL_S)
+    leader, *others = start_cluster(members, tmp_path)
     began = time.monotonic()
-    leader.close()
+    leader.kill()
     successor: Process = wait_for(lambda: find_leader(others))
     assert time.monotonic() - began < ELECTION_MIN_S / 2
     assert successor.driver.propose(b'two', timeout_s=5) == 2
