Remove a replaced voter as soon as its successor has joined

Of four voters three must agree, so one more loss, which the deployment must bear, left no majority.

Change: a leader that has seen all voters answer knows the full size of the group. While there are more voters than that, one that has been silent for 3 s is removed; otherwise 10 s as before, as it may be frozen or cut off.

--- a/src/galenareel/_jobs/joining.py
+++ b/src/galenareel/_jobs/joining.py
@@ -31,6 +31,9 @@
 CHECK_INTERVAL_S = 1.0
 # A machine that is frozen, cut off or restarted returns sooner.
 VOTER_LOST_S = 10.0
+# One that has been silent since before another member joined is replaced.
+REPLACED_VOTER_LOST_S = 3.0
+SILENT_S = 1.5  # a leader hears each voter several times in this time
 # The smallest cluster that survives the loss of a member.
 MIN_VOTERS = 3
 REQUEST_TIMEOUT_S = 2.0
@@ -62,6 +65,8 @@
         self._clock = clock
         self._log = log
         self._members: tuple[str, ...] = ()
+        # Number of voters when none of them was silent, or 0 if not known.
+        self._full_size = 0
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -89,11 +94,23 @@
     def remove_lost_voter(self, silent_s: float = VOTER_LOST_S) -> None:
         """Remove one lost voter if this member leads.
 
-        :param silent_s: silence after which a voter counts as lost.
+        A voter that has a successor is removed sooner: until then the two
+        together make the group bear one loss less.
+
+        :param silent_s: silence after which a voter without a successor
+            counts as lost.
         """
+        if not self._driver.leads_term():
+            self._full_size = 0
+            return
         voters = [
             member for member in self._driver.list_members() if member.voter
         ]
+        if not self._driver.list_silent_voters(min(SILENT_S, silent_s)):
+            self._full_size = len(voters)
+            return
+        if 0 < self._full_size < len(voters):
+            silent_s = min(silent_s, REPLACED_VOTER_LOST_S)
         lost = self._driver.list_silent_voters(silent_s)
         if not lost or len(voters) <= MIN_VOTERS:
             return
--- a/testing/jobs/test_joining.py
+++ b/testing/jobs/test_joining.py
@@ -16,6 +16,7 @@
 from galenareel._common.events import HybridClock
 from galenareel._common.log import Log
 from galenareel._jobs.joining import ClusterJoiner
+from galenareel._jobs.joining import SILENT_S
 from testing.consensus.processes import find_leader
 from testing.consensus.processes import Process
 from testing.consensus.processes import SECRET
@@ -83,3 +84,55 @@
     wait_for(lambda: leader.driver.list_silent_voters(1.0) == [others[1].name])
     joiner.remove_lost_voter(1.0)
     assert count_voters(leader) == 3
+
+
+def test_lost_voter_with_a_successor_is_removed_sooner(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Until then the loss of one more would leave no majority."""
+    monkeypatch.setattr(
+        'galenareel._jobs.joining.REPLACED_VOTER_LOST_S', SILENT_S
+    )
+    members = {name: allocate_address() for name in ('a', 'b', 'c')}
+    processes = [Process(name, members, tmp_path) for name in members]
+    address = allocate_address()
+    successor = Process('d', {'d': address}, tmp_path, join_existing=True)
+    for process in (*processes, successor):
+        process.start()
+    leader: Process = wait_for(lambda: find_leader(processes))
+    joiner = make_joiner(leader, 'unused:1')
+    wait_for(lambda: not leader.driver.list_silent_voters(SILENT_S))
+    joiner.remove_lost_voter()
+    lost = next(process for process in processes if process is not leader)
+    lost.close()
+    wait_for(lambda: leader.driver.list_silent_voters(SILENT_S))
+    joiner.remove_lost_voter()
+    assert count_voters(leader) == 3
+
+    wait_for(lambda: leader.driver.change_members(add=f'd={address}'))
+    wait_for(lambda: count_voters(leader) == 4)
+    joiner.remove_lost_voter()
+    wait_for(lambda: count_voters(leader) == 3)
+    names = {member.name for member in leader.driver.list_members()}
+    assert lost.name not in names
+    for process in (*processes, successor):
+        if process is not lost:
+            process.close()
+
+
+def test_silent_voter_without_a_successor_stays(
+    cluster: list[Process], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It may be frozen or cut off, and come back."""
+    monkeypatch.setattr(
+        'galenareel._jobs.joining.REPLACED_VOTER_LOST_S', SILENT_S
+    )
+    leader: Process = wait_for(lambda: find_leader(cluster))
+    joiner = make_joiner(leader, 'unused:1')
+    wait_for(lambda: not leader.driver.list_silent_voters(SILENT_S))
+    joiner.remove_lost_voter()
+    silent = next(process for process in cluster if process is not leader)
+    silent.close()
+    wait_for(lambda: leader.driver.list_silent_voters(SILENT_S))
+    joiner.remove_lost_voter()
+    assert count_voters(leader) == 4
