Measure how long nobody leads; let the soak's proxy reset without an end

The soak's proxy ended a connection in the ordinary way before it reset it, so its resets looked like ended processes.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 
 .PHONY: test lint types unit format demo fault-matrix measure-state \
 	measure-decisions measure-requests measure-capacity measure-jobs \
+	measure-failover \
 	soak soak-regressions
 
 $(VENV)/.installed: requirements.txt pyproject.toml
@@ -58,3 +59,6 @@
 
 measure-jobs: $(VENV)/.installed
 	$(PY) -m bench.jobs
+
+measure-failover: $(VENV)/.installed
+	$(PY) -m bench.failover --seed $(SEED)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -103,9 +103,9 @@
 
 
 def _reset_socket(sock: Socket) -> None:
+    """Close a socket so that the other side sees a reset, not an end."""
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER)
-        sock.shutdown(socket.SHUT_RDWR)
     except OSError:
         pass  # it is closed already
     sock.close()
--- a/testing/soak/test_proxy.py
+++ b/testing/soak/test_proxy.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+import socket
+import struct
 
 import gevent
 from gevent.server import StreamServer
@@ -26,6 +28,7 @@
     def __init__(self) -> None:
         host, _, port = allocate_address().rpartition(':')
         self.received = b''
+        self.accepted: set[Socket] = set()
         self._server = StreamServer((host, int(port)), self._echo)
         self.proxy = Proxy(allocate_address(), f'{host}:{port}')
 
@@ -50,9 +53,13 @@
             return b''
 
     def _echo(self, sock: Socket, _address: object) -> None:
-        while data := sock.recv(100):
-            self.received += data
-            sock.sendall(data)
+        self.accepted.add(sock)
+        try:
+            while data := sock.recv(100):
+                self.received += data
+                sock.sendall(data)
+        except OSError:
+            pass  # the connection was reset
 
 
 @pytest.fixture
@@ -100,3 +107,23 @@
         for _ in range(3):
             echo.sock.sendall(b'b')
             gevent.sleep(0.05)
+
+
+def test_reset_is_not_seen_as_an_end(echo: ProxiedEchoServer) -> None:
+    """Members take the end of a link, but no reset, for an ended process."""
+    assert echo.exchange(b'a') == b'a'
+    echo.proxy.reset()
+    with pytest.raises(ConnectionResetError):
+        echo.sock.recv(100)
+
+
+def test_reset_of_one_side_is_a_reset_on_the_other(
+    echo: ProxiedEchoServer,
+) -> None:
+    assert echo.exchange(b'a') == b'a'
+    for sock in list(echo.accepted):
+        linger = struct.pack('ii', 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
+    with pytest.raises(ConnectionResetError):
+        echo.sock.recv(100)
