--- a/src/galenareel/_jobs/gateway.py
+++ b/src/galenareel/_jobs/gateway.py
@@ -86,6 +86,8 @@
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
+        # The members may have been started together with this process.
+        self._lost_at = self._clock.monotonic()
         self._greenlet = gevent.spawn(self._run)
 
     def close(self) -> None:
--- a/testing/jobs/test_gateway.py
+++ b/testing/jobs/test_gateway.py
@@ -235,6 +235,28 @@
     assert 3 * MIN_RETRY_S <= reply.retry_after_s <= MAX_RETRY_S
 
 
+def test_front_that_has_just_started_waits_for_an_election(
+    front: Front,
+) -> None:
+    """Load pattern: all processes are killed and start again together."""
+    member = front.add(accept)
+    front.gateway.start()
+    waiting = gevent.spawn(front.gateway.call, SUBMIT, timeout_s=2.5)
+    gevent.sleep(0.1)
+    member.leads = True
+    assert waiting.get() == JobAnswer(outcome='accepted')
+
+
+def test_caller_of_a_front_that_has_just_started_comes_back_soon(
+    front: Front,
+) -> None:
+    front.add(accept)
+    front.gateway.start()
+    reply = front.gateway.call(SUBMIT, timeout_s=0.1)
+    assert isinstance(reply, Problem)
+    assert reply.retry_after_s == MIN_RETRY_S
+
+
 def test_member_that_does_not_answer_holds_up_no_search(
     front: Front,
 ) -> None:
