Don't wait for a frozen leader while searching for the next one

The followers still named the frozen leader, which accepts connections; the search asked it and waited 0.8 s for its answer before it began again.

Change: a hint at the member lost last isn't followed, and a search ends 0.1 s after its last question, each next one a little later.

--- a/src/galenareel/_jobs/gateway.py
+++ b/src/galenareel/_jobs/gateway.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import time
 
 import gevent
 from gevent.event import Event
@@ -194,16 +195,18 @@
     def _run(self) -> None:
         failures = 0
         while True:
-            found = self._find_leader()
+            found = self._find_leader(failures)
             failures = 0 if found is not None else failures + 1
             if found is not None:
                 self._keep_link(*found)
             pause_s = SEARCH_PAUSE_S * min(failures, MAX_PAUSE_FACTOR)
             gevent.sleep(pause_s)
 
-    def _find_leader(self) -> tuple[Link, str] | None:
+    def _find_leader(self, failures: int) -> tuple[Link, str] | None:
         """Ask the members who leads, each a little after the one before.
 
+        :param failures: number of searches before that found no leader. Each
+            waits longer for members that are slow to answer.
         :returns: link to the leader and its address, or ``None``.
         """
         search = _Search()
@@ -212,16 +215,18 @@
         try:
             while pending:
                 address = pending.pop(0)
-                if address in asked:
+                if not address or address in asked:
                     continue
                 asked.add(address)
                 search.ask(self._connect_to_leader, address)
                 if search.wait(SEARCH_STAGGER_S):
                     return search.found
-                if self._leader_hint:
+                # The others name the lost leader until they have elected the
+                # next one.
+                if self._leader_hint != self._lost_address:
                     pending.insert(0, self._leader_hint)
-                    self._leader_hint = ''
-            search.wait_for_all()
+                self._leader_hint = ''
+            search.wait_for_all(SEARCH_STAGGER_S * (1 + failures))
             return search.found
         finally:
             search.close()
@@ -315,13 +320,16 @@
         self._progress.wait(timeout_s)
         return self.found is not None
 
-    def wait_for_all(self) -> None:
-        """Wait until the leader is found or all have answered."""
+    def wait_for_all(self, timeout_s: float) -> None:
+        """Wait until the leader is found, all have answered or time is up."""
+        end = time.monotonic() + timeout_s
         while self.found is None:
             self._progress.clear()
-            if all(greenlet.dead for greenlet in self._greenlets):
+            left_s = end - time.monotonic()
+            is_over = all(greenlet.dead for greenlet in self._greenlets)
+            if is_over or left_s <= 0:
                 return
-            self._progress.wait()
+            self._progress.wait(left_s)
 
     def close(self) -> None:
         gevent.killall(self._greenlets, block=False)
--- a/testing/jobs/test_gateway.py
+++ b/testing/jobs/test_gateway.py
@@ -54,6 +54,8 @@
         self.address = allocate_address()
         self.leads = False
         self.is_frozen = False
+        self.hint = ''
+        self.answer_delay_s = 0.0
         self.calls: list[JobCall] = []
         self._answer = answer
         self._clock = HybridClock(SystemClock())
@@ -69,12 +71,15 @@
         self._server.close()
 
     def _handle(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
+        gevent.sleep(self.answer_delay_s)
         if self.is_frozen:
             return None
         if isinstance(msg, Hello):
             return Welcome(process=self.address)
         if isinstance(msg, ClusterQuery):
-            return ClusterView(leader='', is_leader=self.leads, members=())
+            return ClusterView(
+                leader=self.hint, is_leader=self.leads, members=()
+            )
         assert isinstance(msg, JobCall)
         self.calls.append(msg)
         if not self.leads:
@@ -270,6 +275,34 @@
     assert time.monotonic() - began < 0.4
 
 
+def test_search_does_not_wait_for_a_frozen_leader(front: Front) -> None:
+    """The others name it until they have elected the next one."""
+    old = front.add(accept)
+    new = front.add(accept)
+    old.leads = True
+    new.hint = old.address
+    front.start()
+    old.is_frozen = True
+    for link in list(old._server.links):
+        link.close()
+    gevent.sleep(0.2)
+    new.leads = True
+    began = time.monotonic()
+    reply = front.gateway.call(SUBMIT, timeout_s=2.5)
+    assert reply == JobAnswer(outcome='accepted')
+    assert time.monotonic() - began < 0.4
+
+
+def test_leader_that_answers_slowly_is_found(front: Front) -> None:
+    """Its process may be busy; a search must not give it up for ever."""
+    leader = front.add(accept)
+    leader.leads = True
+    leader.answer_delay_s = 0.2
+    front.start()
+    reply = front.gateway.call(SUBMIT, timeout_s=2.5)
+    assert reply == JobAnswer(outcome='accepted')
+
+
 def test_dropped_link_is_replaced_at_once(front: Front) -> None:
     member = front.add(accept)
     member.leads = True
