--- a/testing/programs/test_platform.py
+++ b/testing/programs/test_platform.py
@@ -10,8 +10,10 @@
 import json
 import os
 from pathlib import Path
+import signal
 import subprocess
 import sys
+import time
 
 import gevent
 import pytest
@@ -235,3 +237,46 @@
     )
     assert result.returncode == 1
     assert b'event=setting_invalid' in result.stdout
+
+
+def is_sighup_ignored(pid: int) -> bool:
+    """Return whether a process ignores or handles SIGHUP."""
+    fields = dict(
+        line.split(':', 1)
+        for line in Path(f'/proc/{pid}/status').read_text().splitlines()
+    )
+    masks = int(fields['SigIgn'], 16) | int(fields['SigCgt'], 16)
+    return bool(masks >> (signal.SIGHUP - 1) & 1)
+
+
+@pytest.mark.parametrize('attempt', range(4))
+def test_reload_signal_does_not_end_a_process_that_starts_or_stops(
+    tmp_path: Path, attempt: int
+) -> None:
+    """The platform sends SIGHUP at any time after it has started a process.
+
+    Guards against the time before the handler is installed, of which the
+    imports take most, and the time after it is gone.
+    """
+    system = System(tmp_path, cores=1, fronts=1)
+    (front,) = system.fronts
+    try:
+        began = time.monotonic()
+        system.start_machine(front, bootstrap=True)
+        assert front.process is not None
+        pid = front.process.pid
+        wait_until(lambda: is_sighup_ignored(pid))
+        ignored_s = time.monotonic() - began
+        while not front.count_events('started'):
+            front.process.send_signal(signal.SIGHUP)
+            assert front.process.poll() is None, 'ended while it started'
+            gevent.sleep(0.005)
+        started_s = time.monotonic() - began
+        assert ignored_s < started_s / 2, 'not ignored during the imports'
+        front.process.terminate()
+        while front.process.poll() is None:
+            front.process.send_signal(signal.SIGHUP)
+            gevent.sleep(0.001)
+        assert front.process.returncode == 0
+    finally:
+        system.close()
