--- a/src/galenareel/_jobs/gateway.py
+++ b/src/galenareel/_jobs/gateway.py
@@ -42,9 +42,11 @@
 # A member that doesn't answer holds up the search for this long; then the next
 # one is asked as well.
 SEARCH_STAGGER_S = 0.1
-# A call that was not sent waits this long for a leader, but only while an
-# election may still be going on.
+# A call that was not sent waits this long for a leader. Callers come back only
+# a few times, some of them sooner than they are told, so that without a wait
+# they would give up within seconds.
 LEADER_WAIT_S = 0.6
+OUTAGE_WAIT_S = 0.3  # once there has been no leader for MAX_ELECTION_S
 MAX_ELECTION_S = 2.5
 MIN_RETRY_S = 1.0
 MAX_RETRY_S = 4.0
@@ -146,11 +148,11 @@
     def _get_patience_end(self, started_at: float) -> float:
         """Return until when a call that was not sent waits for a leader.
 
-        It is refused soon, so that its caller can come back, and at once if
+        It is refused soon, so that its caller can come back, and sooner if
         there has been no leader for longer than an election takes.
         """
         if started_at - self._lost_at > MAX_ELECTION_S:
-            return started_at
+            return started_at + OUTAGE_WAIT_S
         return started_at + LEADER_WAIT_S
 
     def _estimate_retry_s(self, now: float) -> float:
