Log runs that the leader did not know, and workers over their room

A task that runs twice, or a worker with more than its room, left no line: a list that shows a run which the tables don't know was adopted or stopped silently. Now run_unexpected names the run and those that were known, worker_overfull the room, and start_unanswered an order that may still be carried out; run_released tells what was known of the run.

--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -32,6 +32,14 @@
         if answer.outcome is Outcome.NO_ANSWER:
             if run.state is RunState.ORDERED:
                 run.state = RunState.UNSURE
+                self._log.info(
+                    'start_unanswered',
+                    task=str(run.task),
+                    run=run.number,
+                    worker=worker.name,
+                    until_ms=run.until_ms,
+                    detail=answer.detail,
+                )
             return
         if answer.outcome is not Outcome.NOT_SENT:
             self._record_answer(worker, answer.clock_ms, now)
--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -58,6 +58,7 @@
             if task is not None:
                 listed.add(task)
         self._release_vanished(worker, listed, listing.clock_ms, sent_at, now)
+        self._report_overfull(worker)
         is_first = not worker.has_listed
         worker.has_listed = True
         worker.lease_expired = False
@@ -68,6 +69,23 @@
             )
             self.wake_pool(worker.pool)
 
+    def _report_overfull(self, worker: Worker) -> None:
+        """Log when the runs of a worker begin to take more than its room."""
+        was_overfull = worker.overfull
+        worker.overfull = worker.is_overfull()
+        if not worker.overfull or was_overfull:
+            return
+        capacity = worker.record.resources
+        self._metrics.overfull_workers.add(1)
+        self._log.warning(
+            'worker_overfull',
+            worker=worker.name,
+            runs=len(worker.runs),
+            cpu=f'{worker.cpu_used}/{capacity.cpu}',
+            memory_mb=f'{worker.memory_used}/{capacity.memory_mb}',
+            gpus=f'{worker.gpus_used}/{capacity.gpus}',
+        )
+
     def _record_position(self, worker: Worker) -> None:
         """Add a worker's last end to the batch, unless it is stored."""
         if worker.processed_position > worker.stored_position:
@@ -96,6 +114,8 @@
             return None
         run = worker.runs.get(task)
         if run is None or run.number != row.number:
+            if worker.name not in self._unread_workers:
+                self._report_unexpected(worker, task, row.number)
             run = self._adopt_run(worker, task, row, now)
             if run is None:
                 return task
@@ -110,6 +130,38 @@
             run.checkpoint = row.saved
         return task
 
+    def _report_unexpected(
+        self, worker: Worker, task: TaskId, number: int
+    ) -> None:
+        """Log a listed run that should have been known.
+
+        Only the first list that a new leader reads of a worker may show such
+        runs: an earlier leader started them.
+        """
+        job = self._state.jobs.get(task.job)
+        is_done = job is not None and (
+            job.has_ended
+            or task.index
+            in self._done.get(task.job, {}).get(
+                (task.occurrence, task.step), ()
+            )
+        )
+        work = self.jobs.get(task.job)
+        step = work.steps.get((task.occurrence, task.step)) if work else None
+        others = step.runs.get(task.index, ()) if step is not None else ()
+        self._metrics.unexpected_runs.add(1, {'doubled': str(bool(others))})
+        self._log.warning(
+            'run_unexpected',
+            task=str(task),
+            run=number,
+            worker=worker.name,
+            done=is_done,
+            others=','.join(
+                f'{run.worker.name}:{run.number}:{run.state.value}'
+                for run in others
+            ),
+        )
+
     def _adopt_run(
         self, worker: Worker, task: TaskId, row: RunningRow, now: float
     ) -> Run | None:
--- a/src/galenareel/_jobs/metrics.py
+++ b/src/galenareel/_jobs/metrics.py
@@ -41,3 +41,11 @@
             'galenareel_looks',
             description='Polls of workers by outcome.',
         )
+        self.unexpected_runs = meter.create_counter(
+            'galenareel_unexpected_runs',
+            description='Listed runs that the leader did not know.',
+        )
+        self.overfull_workers = meter.create_counter(
+            'galenareel_overfull_workers',
+            description='Times that the runs of a worker exceeded its room.',
+        )
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -443,6 +443,7 @@
             task=str(run.task),
             run=run.number,
             worker=run.worker.name,
+            state=run.state.value,
             why=reason,
         )
         if step is not None:
--- a/src/galenareel/_operator/job_log.py
+++ b/src/galenareel/_operator/job_log.py
@@ -23,6 +23,8 @@
         'worker_lost',
         'lease_over',
         'worker_retired',
+        'worker_restarted',
+        'worker_overfull',
         'storage_failed',
         'started',
         'stopping',
@@ -164,6 +166,12 @@
             f'{line.fields.get("task")} had to start again: '
             f'{line.fields.get("why")} on {line.fields.get("worker")}'
         )
+    for line in events.get('run_unexpected', ()):
+        others = line.fields.get('others') or 'nowhere else'
+        summary.append(
+            f'{line.fields.get("task")} ran on {line.fields.get("worker")} '
+            f'unknown to the leader; known runs: {others}'
+        )
     failed = [
         line
         for line in events.get('run_ended', ())
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -120,6 +120,7 @@
     :param cold_until: local time until which it is slow after its start.
     :param closing_for: ``wave`` or ``move`` while it gets no new tasks for
         one of these, or empty.
+    :param overfull: its last list took more than its room.
     :param retiring: its removal from the replicated state was proposed. The
         commit releases its runs, so until then it gets no tasks and no lease.
     """
@@ -147,6 +148,7 @@
     cold_until: float = 0.0
     admitted_at: float = 0.0
     closing_for: str = ''
+    overfull: bool = False
     retiring: bool = False
     health: Health = field(default_factory=Health)
 
@@ -189,6 +191,15 @@
             and step.gpus <= capacity.gpus
         )
 
+    def is_overfull(self) -> bool:
+        """Return whether the worker's runs take more than its room."""
+        capacity = self.record.resources
+        return (
+            self.cpu_used > capacity.cpu
+            or self.memory_used > capacity.memory_mb
+            or self.gpus_used > capacity.gpus
+        )
+
     def add_run(self, run: Run) -> None:
         self.runs[run.task] = run
         self.cpu_used += run.cpu
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -72,7 +72,8 @@
         self.cut_off: set[str] = set()
         self.delaying_orders: set[str] = set()
         self.late_orders: list[LateOrder] = []
-        self.log = Log('test', stream=io.StringIO())
+        self.log_text = io.StringIO()
+        self.log = Log('test', stream=self.log_text)
         self.apply(
             Configure(
                 config=Configuration(
--- a/testing/operator/test_job_log.py
+++ b/testing/operator/test_job_log.py
@@ -104,3 +104,15 @@
         main(['job', 'j1', '--logs', '/nowhere.log'], {})
     assert info.value.code == 2
     assert '/nowhere.log' in capsys.readouterr().err
+
+
+def test_summary_names_a_run_that_the_leader_did_not_know() -> None:
+    line = (
+        'time=2026-01-01T00:00:06.500Z level=warning process=core-2 '
+        'event=run_unexpected task=j1.0.0.0 run=1 worker=w1 done=False '
+        'others=w2:1001:running'
+    )
+    trace = trace_job('j1', [*read_lines(), line])
+    assert (
+        'j1.0.0.0 ran on w1 unknown to the leader; known runs: w2:1001:running'
+    ) in trace.summary
