Refuse a worker's answer that lacks one of its lists

Cause: the fields of a list of runs had defaults, so that a 200 with nothing but a clock was read as 'runs nothing'. Each confirmed run of the worker then counted as over at once: its task was started elsewhere and its room given away, while it went on. Before: test_answer_without_a_list_is_no_list fails for running and ended. Now such an answer counts as none.

--- a/testing/adapter/test_wire.py
+++ b/testing/adapter/test_wire.py
@@ -203,6 +203,15 @@
     assert listing.ended[0].kind is EndKind.DONE
 
 
+@pytest.mark.parametrize('missing', ['running', 'ended', 'clockMs'])
+def test_answer_without_a_list_is_no_list(missing: str) -> None:
+    body = {'clockMs': 5, 'born': 7, 'running': [], 'ended': []}
+    assert decode_listing(json.dumps(body).encode()).running == ()
+    del body[missing]
+    with pytest.raises(InvalidMessage):
+        decode_listing(json.dumps(body).encode())
+
+
 def test_unknown_machine_state_is_decoded_as_other() -> None:
     body = {
         'machines': [
