Decide again on a stop before each repeat

A start without an answer led to a stop after 1 s; the stop got none either and was repeated each second without another look. When a repeat was carried out, 3.5 s later, the run worked and four others of its step were away.

Each stop is now decided again before each repeat and when a sender takes it: its reason has to hold still, and the budget has to allow it. A run whose stop is withdrawn goes on. Its stop may still be carried out late, so it counts as away until it is listed at work 5 s after the last stop was sent. Stops of jobs that are over, of copies and of replaced runs are repeated as before.

An unanswered start of a step with a budget is sent again each second, for 4 s; then it is stopped within the budget or left to expire on the worker. The order expires with the latest of its tries, and on the clock of a restarted worker.

--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -6,21 +6,29 @@
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.leases import ANSWER_GRACE_S
 from galenareel._jobs.listings import Listings
+from galenareel._scheduling.availability import has_budget
+from galenareel._scheduling.availability import may_stop
 from galenareel._scheduling.health import record_run_end
+from galenareel._scheduling.stops import is_stop_wanted
+from galenareel._scheduling.stops import STOP_RESEND_S
+from galenareel._scheduling.stops import UNANSWERED_START
 from galenareel._scheduling.tables import PaceTask
 from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import RunState
+from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import StopTask
 from galenareel._scheduling.tables import Worker
 
 # A run is stopped if its start has no answer after this time.
 UNANSWERED_START_LIMIT_S = 1.0
-STOP_RESEND_S = 1.0  # a stop that got no answer is sent again after this time
+# If its step has a budget, the start is sent again instead, until this time.
+START_RESEND_LIMIT_S = 4.0
+START_RESEND_S = 1.0  # longer than the client waits for an answer
 REFUSED_START_DELAY_S = 0.05  # delay before a refused task is started again
 
 
 class OrderAnswers(Listings):
-    """Handles the answers to orders and resends unanswered stops."""
+    """Handles the answers to orders and resends those without one."""
 
     def handle_start_answer(
         self, run: Run, answer: Answer, now: float
@@ -77,6 +85,21 @@
             worker.answer_due = now - ANSWER_GRACE_S
         self._release_run(run, now, f'start_{outcome.value}')
 
+    def begin_stop(self, order: StopTask, now: float) -> bool:
+        """Return whether a stop that is about to be sent is still wanted.
+
+        It may have waited for a connection or for the leader lease.
+        """
+        run = order.worker.runs.get(order.task)
+        if run is None or run.number != order.number:
+            return False
+        if run.stop_asked_at is None or run.stop_answered_at is not None:
+            return False
+        if self._withdraw_stop(run, now):
+            return False
+        run.stop_sent_at = now
+        return True
+
     def handle_stop_answer(
         self, order: StopTask, answer: Answer, now: float
     ) -> None:
@@ -91,6 +114,10 @@
         if answer.outcome is Outcome.DONE:
             self._record_answer(worker, answer.clock_ms, now)
             run.stop_answered_at = now
+            if run.stop_asked_at is None:
+                # It was withdrawn meanwhile.
+                run.state = RunState.STOPPING
+                run.stop_asked_at = now
 
     def handle_pace_answer(self, order: PaceTask, answer: Answer) -> None:
         """Restore the former pace of a run unless the order was done."""
@@ -108,18 +135,67 @@
         if answer.outcome is Outcome.FENCED:
             self.fenced = True
 
-    def _resend_stops(self, now: float) -> None:
-        """Resend unanswered stops and stop runs with unanswered starts."""
+    def _resend_orders(self, now: float) -> None:
+        """Resend unanswered orders, after deciding again on each."""
         for worker in self.workers.values():
             for run in worker.runs.values():
-                asked_at = run.stop_asked_at
-                if run.step is None and asked_at is None:
-                    run.stop_asked_at = now
-                elif asked_at is not None:
-                    unanswered = run.stop_answered_at is None
-                    if unanswered and now - asked_at >= STOP_RESEND_S:
-                        run.stop_asked_at = now
-                        self._order_stop(worker, run.task, run.number, 'again')
-                elif run.state is RunState.UNSURE:
-                    if now - run.ordered_at >= UNANSWERED_START_LIMIT_S:
-                        self._stop_run(run, now, 'unanswered_start')
+                if run.stop_asked_at is not None:
+                    self._resend_stop(run, now)
+                elif run.step is not None and run.state is RunState.UNSURE:
+                    self._handle_unanswered_start(run, run.step, now)
+
+    def _resend_stop(self, run: Run, now: float) -> None:
+        if run.stop_answered_at is not None or run.stop_asked_at is None:
+            return
+        if now - run.stop_asked_at < STOP_RESEND_S:
+            return
+        if not self._withdraw_stop(run, now):
+            run.stop_asked_at = now
+            self._order_stop(run.worker, run.task, run.number, 'again')
+
+    def _withdraw_stop(self, run: Run, now: float) -> bool:
+        """Let a run go on if its stop is not wanted or allowed any more.
+
+        :returns: whether it goes on.
+        """
+        expected_s = 0.0
+        if run.step is not None:
+            expected_s = self.estimates.estimate_task_s(
+                run.step.job.queue.name, run.step.step
+            )
+        if is_stop_wanted(run, expected_s, now):
+            return False
+        self._log.info(
+            'stop_withdrawn',
+            task=str(run.task),
+            run=run.number,
+            worker=run.worker.name,
+            why=run.stop_reason,
+        )
+        run.stop_asked_at = None
+        run.stop_reason = ''
+        is_known = run.confirmed_at is not None
+        run.state = RunState.RUNNING if is_known else RunState.UNSURE
+        return True
+
+    def _handle_unanswered_start(
+        self, run: Run, step: StepWork, now: float
+    ) -> None:
+        """Send an unanswered start again, or stop the run.
+
+        The run may work already, so one of a step with a budget is stopped
+        only within it. Otherwise the order is left to expire on the worker.
+        """
+        worker = run.worker
+        waited_s = now - run.ordered_at
+        if waited_s < UNANSWERED_START_LIMIT_S:
+            return
+        if has_budget(step) and not worker.draining:
+            if worker.is_open() and waited_s < START_RESEND_LIMIT_S:
+                if now - run.start_asked_at >= START_RESEND_S:
+                    run.start_asked_at = now
+                    self._order_start(run, is_repeat=True)
+                return
+            if not may_stop(run):
+                return
+        self._stop_run(run, now, UNANSWERED_START)
--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -17,6 +17,9 @@
 from galenareel._scheduling.pacing import plan_pace_changes
 from galenareel._scheduling.stalls import is_stalled
 from galenareel._scheduling.stalls import mark_worker_suspect
+from galenareel._scheduling.stops import STALLED
+from galenareel._scheduling.stops import WORKER_CLOSES
+from galenareel._scheduling.stops import WORKER_DRAINS
 from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import RunState
 from galenareel._scheduling.tables import Worker
@@ -37,7 +40,7 @@
         """
         self._detect_silence(now)
         self._open_due_steps(now, wall_ms)
-        self._resend_stops(now)
+        self._resend_orders(now)
         self._stop_on_draining_workers(now)
         self._restart_stalled(now)
         self._retry_waiting(now)
@@ -81,7 +84,7 @@
                 if run.step is None or run.state is not RunState.RUNNING:
                     continue
                 if self._outlasts_worker(run, worker, now):
-                    self._stop_run(run, now, 'worker_drains')
+                    self._stop_run(run, now, WORKER_DRAINS)
 
     def _retry_waiting(self, now: float) -> None:
         """Retry waiting tasks, as workers may become eligible with time."""
@@ -98,7 +101,7 @@
                 continue
             for run in list(worker.runs.values()):
                 step = run.step
-                if step is None:
+                if step is None or run.state is not RunState.RUNNING:
                     continue
                 expected_s = self.estimates.estimate_task_s(
                     step.job.queue.name, step.step
@@ -112,7 +115,7 @@
                     step.avoided_workers.setdefault(run.task.index, set()).add(
                         worker.name
                     )
-                    self._stop_run(run, now, 'stalled')
+                    self._stop_run(run, now, STALLED)
 
     def stop_lasting_tasks(self, worker: Worker, now: float) -> None:
         """Stop lasting tasks of a closing worker, within their budgets.
@@ -123,7 +126,7 @@
             is_lasting = run.step is not None and run.step.step.lasting
             is_running = run.state is RunState.RUNNING
             if is_lasting and is_running and may_stop(run):
-                self._stop_run(run, now, 'worker_closes')
+                self._stop_run(run, now, WORKER_CLOSES)
 
     def _outlasts_worker(self, run: Run, worker: Worker, now: float) -> bool:
         """Return whether a run should be stopped before its worker leaves.
--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -5,6 +5,7 @@
 from galenareel._jobs.tables import EngineTables
 from galenareel._jobs.tables import LEASE_S
 from galenareel._jobs.tables import MIN_CLOCK_RATE
+from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import Worker
 
 MAX_LEASE_MS = 10_000  # longest lease that a worker accepts
@@ -41,6 +42,18 @@
         self._update_lease_end(worker)
         return until_ms
 
+    def begin_start(self, run: Run, now: float) -> int | None:
+        """Extend the lease of a run's worker for a start that is sent now.
+
+        :returns: end of the lease as for :meth:`extend_lease`.
+        """
+        until_ms = self.extend_lease(run.worker, now)
+        if until_ms is not None:
+            # Any of the tries may be the one that is carried out.
+            run.until_ms = max(run.until_ms, until_ms)
+            run.start_asked_at = now
+        return until_ms
+
     def _update_lease_end(self, worker: Worker) -> None:
         """Set the local time at which the lease has certainly expired.
 
@@ -90,6 +103,8 @@
                 # A lease end of the old clock may have reached the new
                 # incarnation, which accepts at most ``MAX_LEASE_MS`` of it.
                 worker.lease_until_ms = clock_ms + MAX_LEASE_MS
+                for run in worker.runs.values():
+                    run.until_ms = min(run.until_ms, worker.lease_until_ms)
             worker.clock_ms = clock_ms
             worker.clock_at = now
             if worker.lease_until_ms:
--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -121,14 +121,16 @@
         job = self._state.jobs.get(task.job)
         work = self.jobs.get(task.job)
         if not has_task(job, task) or job is None or work is None:
-            self._stop_unwanted(worker, task, row.number, job, 'job_over')
+            self._stop_unwanted(worker, task, row.number, job, 'job_over', now)
             return None
         step = self._step_work(job, task.occurrence, task.step)
         known_runs = step.runs.get(task.index, [])
         finished = self._done[task.job].get((task.occurrence, task.step), ())
         is_outdated = any(run.number >= row.number for run in known_runs)
         if task.index in finished or is_outdated:
-            self._stop_unwanted(worker, task, row.number, job, 'other_run')
+            self._stop_unwanted(
+                worker, task, row.number, job, 'other_run', now
+            )
             return None
         for known_run in list(known_runs):
             if known_run.worker is worker:
@@ -148,6 +150,7 @@
         number: int,
         job: Job | None,
         reason: str,
+        now: float,
     ) -> None:
         """Stop a run that must not go on; it uses resources until it ends.
 
@@ -164,6 +167,8 @@
             ordered_at=0.0,
             state=RunState.STOPPING,
             confirmed_at=0.0,
+            stop_reason=reason,
+            stop_asked_at=now,
             cpu=capacity.cpu,
             memory_mb=capacity.memory_mb,
             gpus=capacity.gpus,
--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -12,7 +12,6 @@
 from galenareel._scheduling.tables import AskAdvice
 from galenareel._scheduling.tables import PoolWork
 from galenareel._scheduling.tables import Run
-from galenareel._scheduling.tables import StartTask
 from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import Worker
 
@@ -198,7 +197,7 @@
         checkpoint = max(step.saved_checkpoints.values(), default='')
         step.waiting.clear()
         for run in placed:
-            self._order_start(run, checkpoint, now)
+            self._begin_run(run, checkpoint, now)
 
     def _next_run(self, step: StepWork, index: int) -> int:
         """Return a run number that no leader has used for the task yet.
@@ -220,9 +219,9 @@
     ) -> None:
         step.waiting.discard(index)
         run = self._new_run(worker, step, step.task_id(index), number, now)
-        self._order_start(run, step.saved_checkpoints.get(index, ''), now)
+        self._begin_run(run, step.saved_checkpoints.get(index, ''), now)
 
-    def _order_start(self, run: Run, checkpoint: str, now: float) -> None:
+    def _begin_run(self, run: Run, checkpoint: str, now: float) -> None:
         assert run.step is not None, 'a new run has a step'
         run.step.job.started = True
         waiting_since = run.step.released_at.get(
@@ -230,16 +229,7 @@
         )
         self._metrics.wait_s.record(now - waiting_since)
         run.checkpoint = checkpoint
-        job = self._state.jobs[run.task.job]
-        ticket = run.step.tickets.get(run.worker.name, ('', 0.0))[0]
-        self._orders.append(
-            StartTask(
-                run=run,
-                specification=job.request.specification,
-                checkpoint=checkpoint,
-                ticket=ticket,
-            )
-        )
+        self._order_start(run)
         self._log.info(
             'task_placed',
             task=str(run.task),
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -20,11 +20,14 @@
 from galenareel._jobs.state import JobState
 from galenareel._scheduling.admission import check_admission
 from galenareel._scheduling.admission import Refusal
+from galenareel._scheduling.stops import STOP_RESEND_S
+from galenareel._scheduling.stops import VOLUNTARY_REASONS
 from galenareel._scheduling.tables import JobWork
 from galenareel._scheduling.tables import Order
 from galenareel._scheduling.tables import PoolWork
 from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import RunState
+from galenareel._scheduling.tables import StartTask
 from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import StopTask
 from galenareel._scheduling.tables import Worker
@@ -504,12 +507,37 @@
 
         :param reason: reason in the log, e.g. ``cancelled``.
         """
+        is_voluntary = reason in VOLUNTARY_REASONS
         if run.stop_asked_at is not None:
+            if not is_voluntary:
+                run.stop_reason = reason
+            return
+        sent_at = run.stop_sent_at
+        if (
+            is_voluntary
+            and sent_at is not None
+            and now - sent_at < STOP_RESEND_S
+        ):
             return
         run.state = RunState.STOPPING
+        run.stop_reason = reason
         run.stop_asked_at = now
         self._order_stop(run.worker, run.task, run.number, reason)
 
+    def _order_start(self, run: Run, *, is_repeat: bool = False) -> None:
+        assert run.step is not None, 'a run to be started has a step'
+        job = self._state.jobs[run.task.job]
+        ticket = run.step.tickets.get(run.worker.name, ('', 0.0))[0]
+        self._orders.append(
+            StartTask(
+                run=run,
+                specification=job.request.specification,
+                checkpoint=run.checkpoint,
+                ticket=ticket,
+                is_repeat=is_repeat,
+            )
+        )
+
     def _order_stop(
         self, worker: Worker, task: TaskId, number: int, reason: str
     ) -> None:
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -327,6 +327,8 @@
             answer = self._start(order, client)
             self._count_order('start', answer, started_at)
         elif isinstance(order, StopTask):
+            if not self.engine.begin_stop(order, started_at):
+                return
             answer = client.stop(
                 task=order.task, number=order.number, token=self.engine.epoch
             )
@@ -366,9 +368,8 @@
         tries = 0
         while _is_wanted(run) and self.wait_for_leader_lease():
             tries += 1
-            until_ms = self.engine.extend_lease(run.worker, self.now())
+            until_ms = self.engine.begin_start(run, self.now())
             if until_ms is not None:
-                run.until_ms = until_ms
                 answer = client.start(
                     task=run.task,
                     number=run.number,
@@ -382,6 +383,7 @@
             if (
                 answer.outcome is not Outcome.NO_ANSWER
                 or tries > START_RETRIES
+                or order.is_repeat
             ):
                 break
         return answer
--- a/src/galenareel/_scheduling/availability.py
+++ b/src/galenareel/_scheduling/availability.py
@@ -7,16 +7,27 @@
 from galenareel._scheduling.tables import StepWork
 
 WORKING_PERCENT = 100  # reported by a lasting task that does all of its work
+# A stop that got no answer may still be carried out within this time.
+LATE_STOP_S = 5.0
+
+
+def has_budget(work: StepWork) -> bool:
+    """Return whether only some tasks of a step may be away at a time."""
+    return work.step.lasting and work.step.may_miss > 0
 
 
 def is_working(run: Run) -> bool:
     """Return whether a lasting task works, by its worker's last list.
 
-    A task on a worker that is silent or not listed yet counts as not working.
+    A task on a worker that is silent or not listed yet counts as not working,
+    and so does one that a stop without an answer may still end.
     """
     worker = run.worker
     if not worker.has_listed or worker.silent_since is not None:
         return False
+    sent_at = run.stop_sent_at
+    if sent_at is not None and run.percent_at < sent_at + LATE_STOP_S:
+        return False
     return run.state is RunState.RUNNING and run.percent >= WORKING_PERCENT
 
 
@@ -40,9 +51,7 @@
 def may_stop(run: Run) -> bool:
     """Return whether a run may be stopped within its step's budget."""
     work = run.step
-    if work is None or not work.step.lasting:
-        return True
-    if work.step.may_miss == 0:
+    if work is None or not has_budget(work):
         return True
     # The run counts as working even if its worker last listed it otherwise:
     # it may have started to work since.
--- a/src/galenareel/_scheduling/stalls.py
+++ b/src/galenareel/_scheduling/stalls.py
@@ -9,7 +9,6 @@
 
 from galenareel._scheduling.health import SUSPECT_S
 from galenareel._scheduling.tables import Run
-from galenareel._scheduling.tables import RunState
 
 MIN_AGE_S = 0.6  # progress of a younger run is too small to judge its speed
 STALLED_SPEED_SHARE = 0.3  # share of the expected speed; slower is stalled
@@ -19,13 +18,14 @@
 def is_stalled(run: Run, expected_s: float, now: float) -> bool:
     """Return whether a slow run would end sooner if restarted elsewhere.
 
-    Tasks of lasting steps and of gangs are never counted as stalled.
+    Tasks of lasting steps and of gangs are never counted as stalled, nor are
+    runs that their worker has not listed.
 
     :param expected_s: expected run time of its task on a healthy worker.
     """
     if run.step is None or run.step.step.lasting or run.step.step.gang:
         return False
-    if run.state is not RunState.RUNNING or run.confirmed_at is None:
+    if run.confirmed_at is None:
         return False
     age_s = run.percent_at - run.confirmed_at
     if age_s < max(MIN_AGE_S, STALLED_SPEED_SHARE * expected_s):
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -42,8 +42,14 @@
     :param number: increases with each run of the task.
     :param step: step of the task, or ``None`` once its job is over.
     :param until_ms: time on the worker's clock until which it may carry out
-        the start.
+        any try of the start.
+    :param start_asked_at: when its start was last ordered or sent.
     :param confirmed_at: when the worker was first known to run it.
+    :param stop_reason: reason of the stop that is ordered, or empty.
+    :param stop_asked_at: when a stop was last ordered, or ``None`` if none is.
+    :param stop_sent_at: when a stop was last sent; it stays if the stop is
+        withdrawn, which its worker may not know.
+    :param stop_answered_at: when the worker has confirmed a stop.
     :param percent: progress; for a lasting task the share of its work that
         it does.
     :param percent_at: when ``percent`` was last reported.
@@ -62,8 +68,11 @@
     ordered_at: float
     until_ms: int = 0
     state: RunState = RunState.ORDERED
+    start_asked_at: float = 0.0
     confirmed_at: float | None = None
+    stop_reason: str = ''
     stop_asked_at: float | None = None
+    stop_sent_at: float | None = None
     stop_answered_at: float | None = None
     percent: int = 0
     percent_at: float = 0.0
@@ -409,12 +418,14 @@
 
     :param checkpoint: checkpoint from which to continue, or empty.
     :param ticket: ticket of the placement advisor, or empty.
+    :param is_repeat: an earlier order of this start got no answer.
     """
 
     run: Run
     specification: str
     checkpoint: str
     ticket: str = ''
+    is_repeat: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -200,7 +200,8 @@
             if isinstance(order, StartTask):
                 self._start(order)
             elif isinstance(order, StopTask):
-                self._stop(order)
+                if self.engine.begin_stop(order, self.now):
+                    self._stop(order)
             elif isinstance(order, PaceTask):
                 run = order.run
                 worker = self.workers[run.worker.name]
@@ -215,9 +216,8 @@
     def _start(self, order: StartTask) -> None:
         run = order.run
         name = run.worker.name
-        until = self.engine.extend_lease(run.worker, self.now)
+        until = self.engine.begin_start(run, self.now)
         assert until is not None, 'start order for a worker without a lease'
-        run.until_ms = until
         answer = Answer(outcome=Outcome.NO_ANSWER)
         if name in self.delaying_orders:
             self.late_orders.append(
