Decide again on an order for an instance before each repeat

A move or the start of maintenance is decided for an instance without tasks and repeated until it is answered. A worker that joins on the instance meanwhile gets tasks at once, as nothing closes it before the next list of instances. A repeat that the platform then carries out ends them, also those of a lasting step that may miss no more.

Each try now looks at the workers that are, or may be, on the instance: one that isn't mapped yet may be there if it was admitted after the last list was requested. An order that the platform has listed as begun is repeated as before, as it is only confirmed.

--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -29,6 +29,7 @@
 from galenareel._scheduling.fleet import BUSY_RETRY_S
 from galenareel._scheduling.fleet import compute_demand
 from galenareel._scheduling.fleet import Demand
+from galenareel._scheduling.fleet import ends_no_task
 from galenareel._scheduling.fleet import FleetTables
 from galenareel._scheduling.fleet import Instance
 from galenareel._scheduling.fleet import MaintainInstance
@@ -214,6 +215,11 @@
         else:
             instance.row = row
             instance.listed_at = asked_at
+            if (instance.pending_order, row.state) in (
+                (WAVE, InstanceState.MAINTENANCE),
+                (MOVE, InstanceState.MOVING),
+            ):
+                instance.is_order_seen = True
             is_over = asked_at >= instance.down_until
             if (
                 instance.pending_order
@@ -375,14 +381,15 @@
         # instance already has its next worker.
         worker = self._engine.workers.get(instance.row.worker)
         born = worker.record.born if worker is not None else 0
-        answer = self._send(order)
+        kind = instance.pending_order
+        answer = self._send(order, instance)
         now = self._clock.monotonic()
         if worker is not None and worker.record.born != born:
             worker = None
         self._log.info(
             'instance_ordered',
             instance=order.instance,
-            order=instance.pending_order,
+            order=kind,
             target=order.wave
             if isinstance(order, MaintainInstance)
             else order.pool,
@@ -399,11 +406,24 @@
             self._drop_order(order, instance)
         else:
             self._revert_order(order, instance, now)
+            if answer.outcome is Outcome.NO_ANSWER:
+                # It may still be carried out.
+                instance.mark_ordered(kind, now)
+
+    def _send(
+        self, order: MaintainInstance | MoveInstance, instance: Instance
+    ) -> Answer:
+        """Send an order, and repeat it until it is answered.
 
-    def _send(self, order: MaintainInstance | MoveInstance) -> Answer:
-        """Send an order, and repeat it until it is answered."""
+        It is not repeated if it would end a task.
+
+        :returns: answer to the last try, with the outcome ``NOT_SENT`` if
+            there was none.
+        """
         answer = Answer(outcome=Outcome.NOT_SENT)
         while self._may_order():
+            if not ends_no_task(instance, self._engine.workers.values()):
+                break
             if isinstance(order, MaintainInstance):
                 answer = self._client.maintain(
                     order.instance,
--- a/src/galenareel/_scheduling/fleet.py
+++ b/src/galenareel/_scheduling/fleet.py
@@ -72,6 +72,8 @@
     :param not_before: before this time no order is given.
     :param closing_for: ``WAVE`` or ``MOVE`` while its worker gets no new
         tasks, or empty.
+    :param is_order_seen: the platform has listed the instance as being
+        maintained or moved by the pending order.
     """
 
     row: InstanceRow
@@ -80,11 +82,13 @@
     down_until: float = 0.0
     not_before: float = 0.0
     closing_for: str = ''
+    is_order_seen: bool = False
 
     def mark_ordered(self, order: str, now: float) -> None:
         """Count the instance as down while an order is under way."""
         self.pending_order = order
         self.down_until = now + ORDER_TIMEOUT_S
+        self.is_order_seen = False
 
     def is_up(self, now: float) -> bool:
         """Return whether it is listed as up and no order is under way."""
@@ -139,6 +143,28 @@
         return max(self.required - self.current - self.incoming, 0)
 
 
+def ends_no_task(instance: Instance, workers: Iterable[Worker]) -> bool:
+    """Return whether an order that is sent now ends no task.
+
+    Since it was decided, another worker may have joined on the instance. One
+    that is not mapped to an instance may be that worker, if it was admitted
+    after the last list was requested.
+    """
+    if instance.is_order_seen:
+        return True  # the platform only confirms the order
+    row = instance.row
+    for worker in workers:
+        is_there = row.name == worker.instance or row.worker == worker.name
+        may_be_there = (
+            not worker.instance
+            and worker.pool == row.pool
+            and worker.admitted_at >= instance.listed_at
+        )
+        if worker.runs and (is_there or may_be_there):
+            return False
+    return True
+
+
 @dataclass(slots=True)
 class FleetTables:
     """Instances by name, and what planning remembers of pools.
