Count each listed run of a task, not one run for each task

Callers could see a worker with more work than it has room for: the tables held one run of a task for each worker. Of two listed runs of one task, the older was forgotten or, if listed second, neither stopped nor counted, and a row of any run kept a known run of the same task alive that was over.

Runs are now kept by task and number. An older run on the same worker is stopped like one elsewhere and counts until a list lacks it.

--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -27,7 +27,7 @@
     ) -> None:
         """Update a run after the answer to its start order."""
         worker = run.worker
-        if worker.runs.get(run.task) is not run:
+        if worker.runs.get(run.key) is not run:
             return
         if answer.outcome is Outcome.NO_ANSWER:
             if run.state is RunState.ORDERED:
@@ -85,8 +85,8 @@
         if answer.outcome is Outcome.FENCED:
             self.fenced = True
             return
-        run = worker.runs.get(order.task)
-        if run is None or run.number != order.number:
+        run = worker.runs.get((order.task, order.number))
+        if run is None:
             return
         if answer.outcome is Outcome.DONE:
             self._record_answer(worker, answer.clock_ms, now)
--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -20,6 +20,7 @@
 from galenareel._scheduling.health import record_run_end
 from galenareel._scheduling.health import record_run_time
 from galenareel._scheduling.tables import Run
+from galenareel._scheduling.tables import RunKey
 from galenareel._scheduling.tables import RunState
 from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import Worker
@@ -52,11 +53,11 @@
                 worker.processed_position = end.position
                 self._handle_end(worker, end, now)
         self._record_position(worker)
-        listed: set[TaskId] = set()
+        listed: set[RunKey] = set()
         for row in listing.running:
-            task = self._update_run(worker, row, now)
-            if task is not None:
-                listed.add(task)
+            key = self._update_run(worker, row, now)
+            if key is not None:
+                listed.add(key)
         self._release_vanished(worker, listed, listing.clock_ms, sent_at, now)
         is_first = not worker.has_listed
         worker.has_listed = True
@@ -83,10 +84,11 @@
 
     def _update_run(
         self, worker: Worker, row: RunningRow, now: float
-    ) -> TaskId | None:
+    ) -> RunKey | None:
         """Update a run from its row; adopt or stop one that is not known.
 
-        :returns: task of the run, or ``None`` if the row names none.
+        :returns: task and number of the run, or ``None`` if the row names no
+            task.
         """
         task = TaskId.parse(row.task)
         if task is None:
@@ -94,11 +96,12 @@
                 'unknown_task_listed', worker=worker.name, task=row.task
             )
             return None
-        run = worker.runs.get(task)
-        if run is None or run.number != row.number:
+        key = (task, row.number)
+        run = worker.runs.get(key)
+        if run is None:
             run = self._adopt_run(worker, task, row, now)
             if run is None:
-                return task
+                return key
         if run.state in (RunState.ORDERED, RunState.UNSURE):
             run.state = RunState.RUNNING
         if run.confirmed_at is None:
@@ -108,7 +111,7 @@
         run.reading = row.reading
         if row.saved:
             run.checkpoint = row.saved
-        return task
+        return key
 
     def _adopt_run(
         self, worker: Worker, task: TaskId, row: RunningRow, now: float
@@ -130,10 +133,10 @@
         if task.index in finished or is_outdated:
             self._stop_unwanted(worker, task, row.number, job, 'other_run')
             return None
-        for known_run in list(known_runs):
-            if known_run.worker is worker:
-                self._forget_run(known_run)
-            elif not step.step.speculative:
+        if not step.step.speculative:
+            # A worker may have both runs at once, so the earlier one counts
+            # until it is known to be over.
+            for known_run in list(known_runs):
                 self._stop_run(known_run, now, 'newer_run')
         run = self._new_run(worker, step, task, row.number, now)
         run.state = RunState.RUNNING
@@ -153,8 +156,6 @@
 
         If its job is unknown, it counts as using the whole worker.
         """
-        if task in worker.runs:
-            return
         capacity = worker.record.resources
         run = Run(
             task=task,
@@ -179,7 +180,7 @@
     def _release_vanished(
         self,
         worker: Worker,
-        listed: set[TaskId],
+        listed: set[RunKey],
         clock_ms: int,
         sent_at: float,
         now: float,
@@ -191,7 +192,7 @@
         answer is over once the worker's clock has passed the order's expiry.
         """
         for run in list(worker.runs.values()):
-            if run.task in listed:
+            if run.key in listed:
                 continue
             confirmed_at = run.confirmed_at
             if confirmed_at is not None and confirmed_at < sent_at:
@@ -208,11 +209,9 @@
         if task is None:
             return
         self._metrics.ends.add(1, {'how': end.kind.value})
-        run = worker.runs.get(task)
-        if run is not None and run.number == end.number:
+        run = worker.runs.get((task, end.number))
+        if run is not None:
             self._forget_run(run)
-        else:
-            run = None
         job = self._state.jobs.get(task.job)
         work = self.jobs.get(task.job)
         if work is None or job is None or not has_task(job, task):
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -523,4 +523,4 @@
 def _is_wanted(run: Run) -> bool:
     """Return whether a run is still to be started."""
     is_pending = run.state in (RunState.ORDERED, RunState.UNSURE)
-    return is_pending and run.worker.runs.get(run.task) is run
+    return is_pending and run.worker.runs.get(run.key) is run
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -24,6 +24,9 @@
 SLACK_WEIGHT = 0.1  # weight of a new job in the moving mean of the slack
 
 
+RunKey = tuple[TaskId, int]  # task and number of a run
+
+
 class RunState(enum.Enum):
     """State of a run on its worker, as far as the leader knows."""
 
@@ -75,6 +78,10 @@
     memory_mb: int = 0
     gpus: int = 0
 
+    @property
+    def key(self) -> RunKey:
+        return self.task, self.number
+
 
 @dataclass(slots=True, kw_only=True)
 class Health:
@@ -113,6 +120,8 @@
     :param processed_position: position of the last end that was handled.
     :param stored_position: position of the last end that is replicated, which
         the worker may forget.
+    :param runs: all runs that it may have or may still start, also several
+        of one task.
     :param cpu_used: processor reserved by its runs, in thousandths of a core.
     :param instance: name of its instance, or empty if it is not known.
     :param leaves_at: local time before which a draining worker does not leave,
@@ -137,7 +146,7 @@
     lease_expires_at: float = 0.0
     processed_position: int = 0
     stored_position: int = 0
-    runs: dict[TaskId, Run] = field(default_factory=dict)
+    runs: dict[RunKey, Run] = field(default_factory=dict)
     cpu_used: int = 0
     memory_used: int = 0
     gpus_used: int = 0
@@ -190,13 +199,13 @@
         )
 
     def add_run(self, run: Run) -> None:
-        self.runs[run.task] = run
+        self.runs[run.key] = run
         self.cpu_used += run.cpu
         self.memory_used += run.memory_mb
         self.gpus_used += run.gpus
 
     def remove_run(self, run: Run) -> None:
-        del self.runs[run.task]
+        del self.runs[run.key]
         self.cpu_used -= run.cpu
         self.memory_used -= run.memory_mb
         self.gpus_used -= run.gpus
--- /dev/null
+++ b/testing/jobs/test_releases.py
@@ -0,0 +1,58 @@
+"""Test when the engine takes a run for over, and which runs use resources.
+
+A run that is taken for over too early runs beside the next run of its task,
+and on resources that count as free.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from galenareel._jobs.clients import Listing
+from galenareel._jobs.clients import RunningRow
+from galenareel._jobs.model import Resources
+from galenareel._jobs.model import Step
+from testing.jobs.harness import Harness
+from testing.jobs.harness import make_job
+from testing.standins.worker import FakeWorker
+
+
+def make_row(task: str, number: int) -> RunningRow:
+    return RunningRow(task=task, number=number, saved='', percent=0)
+
+
+def apply_list(
+    harness: Harness, name: str, *rows: RunningRow, clock_ms: int = 1000
+) -> None:
+    """Pass a list of a worker, which it sends now, to the engine."""
+    harness.engine.apply_listing(
+        harness.engine.workers[name],
+        Listing(clock_ms=clock_ms, born=1, running=rows, ended=()),
+        sent_at=harness.now - 0.001,
+        now=harness.now,
+    )
+
+
+@pytest.mark.parametrize('numbers', [(1, 2), (2, 1)])
+def test_each_listed_run_of_a_task_uses_resources(
+    numbers: tuple[int, int],
+) -> None:
+    """A list with two runs of one task leaves no room for another task."""
+    worker = FakeWorker(name='w1', resources=Resources(2000, 32768, 0))
+    harness = Harness(worker)
+    harness.submit('j', make_job(Step(count=1, cpu=1000, estimate_ms=1000)))
+    rows = [make_row('j.0.0.0', number) for number in numbers]
+    apply_list(harness, 'w1', *rows)
+    assert harness.engine.workers['w1'].cpu_used == 2000
+    stops = harness.engine.take_orders()
+    assert [order.number for order in stops] == [1]  # type: ignore[union-attr]
+
+
+def test_row_of_another_run_does_not_hide_that_a_run_is_over() -> None:
+    harness = Harness(FakeWorker(name='w1'))
+    harness.submit('j')
+    apply_list(harness, 'w1', make_row('j.0.0.0', 7))
+    harness.now += 0.1
+    apply_list(harness, 'w1', make_row('j.0.0.0', 3))
+    runs = harness.engine.workers['w1'].runs.values()
+    assert [run.number for run in runs] == [3]
