Release no run by a list that may lack ends

Tasks that were done ran again: a worker lists at most 500 ends, and a confirmed run that was neither among the running ones nor among these ends was taken for lost. A new leader counted such a worker as read.

A full list now releases nothing and doesn't count as the first list; the next one, after the ends are stored, has the rest.

--- a/src/galenareel/_jobs/clients.py
+++ b/src/galenareel/_jobs/clients.py
@@ -86,12 +86,15 @@
     :param clock_ms: reading of the worker's clock.
     :param born: start of the incarnation that answered, or 0 if the answer
         does not have it.
+    :param has_all_ends: the list has room for further ends, so none is left
+        out.
     """
 
     clock_ms: int
     born: int
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
+    has_all_ends: bool = True
 
 
 class WorkerClient(ABC):
--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -58,10 +58,13 @@
             key = self._update_run(worker, row, now)
             if key is not None:
                 listed.add(key)
+        worker.lease_expired = False
+        if not listing.has_all_ends:
+            # A run that is not listed may have ended, even as done.
+            return
         self._release_vanished(worker, listed, listing.clock_ms, sent_at, now)
         is_first = not worker.has_listed
         worker.has_listed = True
-        worker.lease_expired = False
         self._clear_unread(worker.name)
         if is_first:
             self._log.info(
--- a/testing/adapter/test_wire.py
+++ b/testing/adapter/test_wire.py
@@ -203,6 +203,13 @@
     assert listing.ended[0].kind is EndKind.DONE
 
 
+@pytest.mark.parametrize(('count', 'has_all'), [(499, True), (500, False)])
+def test_list_that_is_full_may_lack_ends(count: int, has_all: bool) -> None:
+    ended = [[n, 'j.0.0.0', n, 'stopped', ''] for n in range(1, count + 1)]
+    body = {'clockMs': 5, 'running': [], 'ended': ended}
+    assert decode_listing(json.dumps(body).encode()).has_all_ends is has_all
+
+
 def test_unknown_machine_state_is_decoded_as_other() -> None:
     body = {
         'machines': [
--- a/testing/jobs/test_releases.py
+++ b/testing/jobs/test_releases.py
@@ -10,6 +10,7 @@
 
 from galenareel._jobs.clients import Listing
 from galenareel._jobs.clients import RunningRow
+from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
 from testing.jobs.harness import Harness
@@ -56,3 +57,35 @@
     apply_list(harness, 'w1', make_row('j.0.0.0', 3))
     runs = harness.engine.workers['w1'].runs.values()
     assert [run.number for run in runs] == [3]
+
+
+def run_tasks_with_a_short_list(count: int) -> tuple[Harness, FakeWorker]:
+    """Return a worker whose list has only some of the ends of its tasks."""
+    worker = FakeWorker(name='w1')
+    harness = Harness(worker)
+    harness.submit('j', make_job(Step(count=count, cpu=1000)))
+    harness.pass_time(0.3)
+    worker.max_listed_ends = 2
+    for task in list(worker.running):
+        worker.end(task, EndKind.DONE)
+    return harness, worker
+
+
+def test_list_without_all_ends_releases_no_run() -> None:
+    """The end of a run that is not listed may come with the next list."""
+    harness, worker = run_tasks_with_a_short_list(4)
+    starts = list(worker.starts)
+    harness.poll('w1')
+    assert len(harness.engine.workers['w1'].runs) == 2
+    harness.pass_time(1.0)
+    assert worker.starts == starts
+    assert harness.state.jobs['j'].has_ended
+
+
+def test_new_leader_starts_no_task_before_it_has_all_ends() -> None:
+    harness, worker = run_tasks_with_a_short_list(4)
+    starts = list(worker.starts)
+    harness.take_over('c2')
+    harness.pass_time(1.0)
+    assert worker.starts == starts
+    assert harness.state.jobs['j'].has_ended
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -58,6 +58,7 @@
     :param position: position of the last run that ended.
     :param acknowledged_tasks: tasks whose successful end the leader has
         acknowledged.
+    :param max_listed_ends: number of ends in a list; later ones are left out.
     :param work_s: time in which a task's progress reaches 100 percent. The
         test, not the worker, ends the task.
     :param is_stalled: whether its tasks make no progress.
@@ -84,6 +85,7 @@
     position: int = 0
     acknowledged_tasks: set[str] = field(default_factory=set)
     draining: bool = False
+    max_listed_ends: int = 500
     work_s: float = 1.0
     is_stalled: bool = False
     is_silent: bool = False
@@ -213,7 +215,8 @@
                 )
                 for run in self.running.values()
             ),
-            ended=tuple(self.ended),
+            ended=tuple(self.ended[: self.max_listed_ends]),
+            has_all_ends=len(self.ended) < self.max_listed_ends,
         )
 
     def _accept_token(self, token: int) -> bool:
