Keep the runs of a departing worker until they are over

Tasks ran twice: the notice of a worker that is about to end released all of its runs at once and removed the worker from the log, but a worker that gets no answer goes on for seconds, and a leader that fails after the commit gives no answer.

The notice now stops the runs and ends the extension of the lease. Its answer waits up to 0.6 s for the list of their ends, so that tasks move at once in the ordinary case. The worker is removed from the log only once it lists no run, its lease has expired or another life is known, so a new leader reads it or waits for it. A notice that carries the start of an earlier life is ignored.

In the test client a silent worker no longer answers stops.

--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -73,14 +73,17 @@
             self._orders.append(order)
 
     def _stop_on_draining_workers(self, now: float) -> None:
-        """Stop the tasks that can't end before a draining worker leaves."""
+        """Stop the tasks that can't end before a draining worker leaves.
+
+        Those of a worker that departs may have been adopted since then.
+        """
         for worker in self.workers.values():
             if not worker.draining or not worker.has_listed:
                 continue
             for run in list(worker.runs.values()):
                 if run.step is None or run.state is not RunState.RUNNING:
                     continue
-                if self._outlasts_worker(run, worker, now):
+                if worker.departing or self._outlasts_worker(run, worker, now):
                     self._stop_run(run, now, 'worker_drains')
 
     def _retry_waiting(self, now: float) -> None:
--- a/src/galenareel/_jobs/leader.py
+++ b/src/galenareel/_jobs/leader.py
@@ -96,6 +96,11 @@
         if self._term is not None:
             self._term.heartbeat_times[worker] = self._clock.monotonic()
 
+    def end_worker(self, name: str) -> None:
+        """Stop the runs of a worker that departs, and wait a moment."""
+        if self._term is not None:
+            self._term.end_worker(name)
+
     def wake(self) -> None:
         if self._term is not None:
             self._term.wake()
--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -28,12 +28,13 @@
         """Extend a worker's lease; the caller sends it the new end.
 
         :returns: end of the lease in ms of the worker's clock. ``None`` if
-            its clock is not known, or if it is silent or being retired: a
-            call with a later end might still arrive and keep its runs alive.
+            its clock is not known, or if it is silent, departing or being
+            retired: a call with a later end might still arrive and keep its
+            runs alive.
         """
         if not worker.clock_ms or worker.silent_since is not None:
             return None
-        if worker.retiring:
+        if worker.departing or worker.retiring:
             return None
         elapsed_ms = (now - worker.clock_at) * 1000
         until_ms = int(worker.clock_ms + elapsed_ms + LEASE_S * 1000)
--- a/src/galenareel/_jobs/service.py
+++ b/src/galenareel/_jobs/service.py
@@ -22,7 +22,6 @@
 from galenareel._jobs.commands import CancelJob
 from galenareel._jobs.commands import Configure
 from galenareel._jobs.commands import OpenWave
-from galenareel._jobs.commands import RetireWorker
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.leader import Leader
 from galenareel._jobs.model import check_job
@@ -257,22 +256,27 @@
         if heartbeat.min_stay_s is not None:
             worker.leaves_at = now + heartbeat.min_stay_s
 
-    def retire_worker(self, name: str) -> bool | NoResult:
-        """Remove a worker that stops now together with its runs."""
+    def retire_worker(self, name: str, born: int = 0) -> bool | NoResult:
+        """Remove a worker that departs once its runs are over.
+
+        The worker may not get the answer and go on for seconds, so neither
+        this notice nor the answer proves that its runs are over.
+
+        :param born: start of the incarnation that departs, or 0 if the notice
+            does not have it.
+        """
         if self._leader.engine is None:
             return self._make_not_leader()
         known = self._state.workers.get(name)
         if known is None:
             return True
-        if not known.draining:
+        if not known.draining or (born and born < known.born):
             # A worker reports that it drains before it leaves, so this is a
             # late message of an earlier incarnation with the same name.
             self._log.warning('departure_ignored', worker=name)
             return True
-        result = self._propose(RetireWorker(name=name, born=known.born))
-        if isinstance(result, NoResult):
-            return result
         self._log.info('worker_left', worker=name)
+        self._leader.end_worker(name)
         return True
 
     def configure(self, config: Configuration) -> bool | NoResult:
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -342,6 +342,15 @@
         self.wake_pool(record.pool)
         return worker
 
+    def begin_departure(self, worker: Worker, now: float) -> None:
+        """Stop the runs of a worker that has announced its end.
+
+        It may go on for seconds, so each run counts until it is over.
+        """
+        worker.departing = True
+        for run in worker.runs.values():
+            self._stop_run(run, now, 'worker_departs')
+
     def begin_retirement(self, worker: Worker) -> None:
         """Keep tasks and leases off a worker whose retirement is proposed."""
         worker.retiring = True
@@ -385,6 +394,7 @@
         worker.clock_ms = 0
         worker.lease_until_ms = 0
         worker.draining = False
+        worker.departing = False
         worker.retiring = False
         worker.leaves_at = None
         worker.health = type(worker.health)()
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -56,6 +56,9 @@
 # A worker whose lease has expired is retired after this time without a
 # heartbeat.
 RETIRE_AFTER_S = 8.0
+# The acknowledgement of a departure waits this long for the worker's runs to
+# end; a worker waits a second for it.
+DEPARTURE_WAIT_S = 0.6
 
 
 class Term:
@@ -287,6 +290,27 @@
         elif not result:
             self.engine.cancel_retirement(worker)
 
+    def end_worker(self, name: str) -> None:
+        """Stop the runs of a worker that departs, and retire it after them.
+
+        Its process may end as soon as the caller acknowledges the departure,
+        and only the end of its lease would prove the end of its runs then. So
+        wait a moment for the worker to list them as ended; the housekeeping
+        retires it otherwise.
+        """
+        worker = self.engine.workers.get(name)
+        if worker is None:
+            return
+        deadline = self.now() + DEPARTURE_WAIT_S
+        self.engine.begin_departure(worker, self.now())
+        self._wake.set()
+        while not worker.has_left() and self.now() < deadline:
+            gevent.sleep(LEASE_POLL_S)
+            if self.engine.workers.get(name) is not worker:
+                return
+        if worker.has_left() and not worker.retiring:
+            self._retire(worker, 'it has left')
+
     def now(self) -> float:
         """Return the monotonic time in seconds."""
         return self._clock.monotonic()
@@ -438,7 +462,7 @@
             gevent.sleep(HOUSEKEEPING_S)
 
     def _retire_lost(self, now: float) -> None:
-        """Retire workers without a lease that send no heartbeats.
+        """Retire workers that have left, or have no lease or heartbeats.
 
         A greenlet of its own does so, as each commit takes a while.
         Retirements whose outcome was unknown are proposed again.
@@ -458,14 +482,14 @@
             )
 
     def _is_lost(self, worker: Worker, now: float) -> bool:
+        if worker.retiring:
+            return False
+        if worker.has_left():
+            return True
         heartbeat_at = self.heartbeat_times.get(
             worker.name, worker.admitted_at
         )
-        return (
-            worker.lease_expired
-            and not worker.retiring
-            and now - heartbeat_at > RETIRE_AFTER_S
-        )
+        return worker.lease_expired and now - heartbeat_at > RETIRE_AFTER_S
 
     def _retire_each(
         self, unresolved: list[Worker], lost: list[Worker]
@@ -475,7 +499,10 @@
         for worker in lost:
             # It may have answered since it was found lost.
             if self._is_lost(worker, self.now()):
-                self._retire(worker, 'no lease and no heartbeat')
+                reason = 'no lease and no heartbeat'
+                if worker.departing:
+                    reason = 'it has left'
+                self._retire(worker, reason)
 
     def _record_loads(self, now: float) -> None:
         """Commit the learned loads and factors if they have changed."""
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -129,6 +129,8 @@
     :param cold_until: local time until which it is slow after its start.
     :param closing_for: ``wave`` or ``move`` while it gets no new tasks for
         one of these, or empty.
+    :param departing: it has announced its end, so its lease is not extended.
+        It may go on for a while, and it is removed once its runs are over.
     :param retiring: its removal from the replicated state was proposed. The
         commit releases its runs, so until then it gets no tasks and no lease.
     """
@@ -156,6 +158,7 @@
     cold_until: float = 0.0
     admitted_at: float = 0.0
     closing_for: str = ''
+    departing: bool = False
     retiring: bool = False
     health: Health = field(default_factory=Health)
 
@@ -174,10 +177,16 @@
             and not self.lease_expired
             and not self.draining
             and not self.closing_for
+            and not self.departing
             and not self.retiring
             and self.silent_since is None
         )
 
+    def has_left(self) -> bool:
+        """Return whether a worker that departs certainly runs nothing."""
+        is_empty = self.has_listed and not self.runs
+        return self.departing and (is_empty or self.lease_expired)
+
     def has_room(self, step: Step) -> bool:
         """Return whether a task of a step fits beside the worker's runs."""
         capacity = self.record.resources
--- a/testing/adapter/test_control_http.py
+++ b/testing/adapter/test_control_http.py
@@ -29,18 +29,22 @@
 }
 
 
-def post_change(path: str, result: NoResult) -> testing.Result:
-    """Post a change whose proposal to the log ends with ``result``."""
-    service = create_autospec(JobService)
-    service.configure.return_value = result
-    service.open_wave.return_value = result
+def make_client(service: JobService) -> testing.TestClient:
     app = make_control_app(
         service,
         get_control_address=lambda frames: f'{frames}-control',
         own_address='127.0.0.1:1',
         log=Log('test', stream=io.StringIO()),
     )
-    return testing.TestClient(app).simulate_post(
+    return testing.TestClient(app)
+
+
+def post_change(path: str, result: NoResult) -> testing.Result:
+    """Post a change whose proposal to the log ends with ``result``."""
+    service = create_autospec(JobService)
+    service.configure.return_value = result
+    service.open_wave.return_value = result
+    return make_client(service).simulate_post(
         path, body=json.dumps(CALLS[path])
     )
 
@@ -64,3 +68,17 @@
     )
     assert response.status_code == 307
     assert response.headers['Location'] == f'http://leader-control{path}'
+
+
+@pytest.mark.parametrize(
+    ('body', 'born'),
+    [('{"born":1700000000007}', 1700000000007), ('', 0), ('{"born":"x"}', 0)],
+)
+def test_departure_names_the_incarnation(body: str, born: int) -> None:
+    service = create_autospec(JobService)
+    service.retire_worker.return_value = True
+    path = '/api/instances/i-7f3a/deregister'
+    assert make_client(service).simulate_post(path, body=body).status_code == (
+        200
+    )
+    service.retire_worker.assert_called_once_with('i-7f3a', born)
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -132,6 +132,12 @@
         self.apply(RetireWorker(name=name, born=record.born))
         self.engine.retire_worker(name, record.born, self.now)
 
+    def announce_end(self, name: str) -> None:
+        """Pass the notice of a draining worker that it is about to end."""
+        worker = self.engine.workers.get(name)
+        if worker is not None:
+            self.engine.begin_departure(worker, self.now)
+
     def pass_time(self, seconds: float, step: float = 0.1) -> None:
         """Advance the time in steps, with a scheduling round in each."""
         end = self.now + seconds
@@ -149,6 +155,9 @@
         self.poll_all()
         self.engine.place(self.now)
         self.carry_out()
+        for worker in list(self.engine.workers.values()):
+            if worker.has_left():
+                self.retire(worker.name)
 
     def poll_all(self) -> None:
         for name in list(self.workers):
--- a/testing/jobs/test_leader.py
+++ b/testing/jobs/test_leader.py
@@ -128,6 +128,8 @@
         return self.worker.start(task, number, until_ms=until_ms, token=token)
 
     def stop(self, *, task: TaskId, number: int, token: int) -> Answer:
+        if self.worker.is_silent:
+            return Answer(outcome=Outcome.NO_ANSWER)
         return self.worker.stop(task, number, token=token)
 
     def pace(
--- a/testing/jobs/test_releases.py
+++ b/testing/jobs/test_releases.py
@@ -10,9 +10,11 @@
 
 from galenareel._jobs.clients import Listing
 from galenareel._jobs.clients import RunningRow
+from galenareel._jobs.commands import AdmitWorker
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
+from galenareel._jobs.tables import LEASE_S
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
 from testing.standins.worker import FakeWorker
@@ -89,3 +91,98 @@
     harness.pass_time(1.0)
     assert worker.starts == starts
     assert harness.state.jobs['j'].has_ended
+
+
+def depart(harness: Harness, worker: FakeWorker) -> None:
+    """Let a worker drain and announce its end, which it doesn't carry out."""
+    worker.draining = True
+    harness.apply(AdmitWorker(worker=worker.make_record()))
+    harness.engine.admit_worker(worker.make_record(), harness.now)
+    harness.announce_end(worker.name)
+
+
+def two_workers() -> Harness:
+    return Harness(FakeWorker(name='w1'), FakeWorker(name='w2'))
+
+
+def test_worker_that_goes_on_after_its_departure_keeps_its_runs() -> None:
+    """It has no acknowledgement, and can't be reached for a while."""
+    harness = two_workers()
+    harness.submit('j')
+    harness.pass_time(0.5)
+    worker = harness.find_worker('j.0.0.0')
+    harness.cut_off.add(worker.name)
+    depart(harness, worker)
+    harness.pass_time(LEASE_S - 0.5)
+    assert harness.list_running() == {'j.0.0.0': [worker.name]}
+
+    harness.pass_time(2.0)
+    (new_name,) = harness.list_running()['j.0.0.0']
+    assert new_name != worker.name
+    assert worker.name not in harness.state.workers
+
+
+def test_lease_of_a_departing_worker_is_not_extended() -> None:
+    harness = two_workers()
+    harness.submit('j')
+    harness.pass_time(0.5)
+    worker = harness.find_worker('j.0.0.0')
+    lease_end_ms = worker.lease_end_ms
+    depart(harness, worker)
+    harness.poll(worker.name)
+    assert worker.lease_end_ms == lease_end_ms
+
+
+def test_tasks_of_a_departing_worker_move_without_waiting_for_its_lease() -> (
+    None
+):
+    harness = two_workers()
+    harness.submit('j')
+    harness.pass_time(0.5)
+    worker = harness.find_worker('j.0.0.0')
+    depart(harness, worker)
+    harness.pass_time(0.3)
+    (new_name,) = harness.list_running()['j.0.0.0']
+    assert new_name != worker.name
+    assert worker.name not in harness.state.workers
+
+
+def test_new_leader_knows_a_departed_worker_that_may_go_on() -> None:
+    harness = two_workers()
+    harness.submit('j')
+    harness.pass_time(0.5)
+    worker = harness.find_worker('j.0.0.0')
+    harness.cut_off.add(worker.name)
+    depart(harness, worker)
+    harness.pass_time(0.5)
+    harness.take_over('c2')
+    harness.pass_time(3.0)
+    assert harness.list_running() == {'j.0.0.0': [worker.name]}
+
+
+def test_run_that_is_read_after_a_departure_is_stopped() -> None:
+    """A new leader hears of the departure before it has read the worker."""
+    harness = two_workers()
+    harness.submit('j')
+    harness.pass_time(0.5)
+    worker = harness.find_worker('j.0.0.0')
+    harness.take_over('c2')
+    depart(harness, worker)
+    harness.pass_time(0.5)
+    (new_name,) = harness.list_running()['j.0.0.0']
+    assert new_name != worker.name
+
+
+def test_departure_ends_with_the_incarnation_that_announced_it() -> None:
+    harness = two_workers()
+    harness.pass_time(0.3)
+    worker = harness.workers['w1']
+    harness.cut_off.add('w1')
+    depart(harness, worker)
+    worker.crash()
+    worker.draining = False
+    harness.cut_off.clear()
+    harness.apply(AdmitWorker(worker=worker.make_record()))
+    harness.engine.admit_worker(worker.make_record(), harness.now)
+    harness.pass_time(0.3)
+    assert harness.engine.workers['w1'].is_open()
--- a/testing/jobs/test_service.py
+++ b/testing/jobs/test_service.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 import io
 
+import gevent
 import msgspec
 import pytest
 
@@ -177,6 +178,59 @@
     assert 'w1' not in running.state.workers
 
 
+def run_on_departing_worker(
+    running: RunningLeader, service: JobService
+) -> tuple[FakeWorker, FakeWorker]:
+    """Let a worker that runs a task drain.
+
+    :returns: the worker and the one that has no task.
+    """
+    running.submit('j')
+    eventually(lambda: running.is_running('j.0.0.0'))
+    worker, other = sorted(
+        running.workers.values(), key=lambda worker: not worker.running
+    )
+    worker.draining = True
+    service.accept_heartbeat(make_heartbeat(worker, 1))
+    return worker, other
+
+
+def test_acknowledged_departure_moves_the_tasks_at_once(
+    running: RunningLeader, service: JobService
+) -> None:
+    worker, other = run_on_departing_worker(running, service)
+    assert service.retire_worker(worker.name) is True
+    assert worker.name not in running.state.workers
+    assert not worker.running
+    eventually(lambda: 'j.0.0.0' in other.running, seconds=1.0)
+
+
+def test_task_of_a_departing_worker_that_is_silent_runs_once(
+    running: RunningLeader, service: JobService
+) -> None:
+    """The worker may not get the acknowledgement, and go on for seconds."""
+    worker, other = run_on_departing_worker(running, service)
+    worker.is_silent = True
+    assert service.retire_worker(worker.name) is True
+    gevent.sleep(0.5)
+    assert 'j.0.0.0' in worker.running
+    assert 'j.0.0.0' not in other.running
+    assert worker.name in running.state.workers
+
+
+def test_departure_of_an_earlier_incarnation_is_ignored(
+    running: RunningLeader, service: JobService
+) -> None:
+    worker = running.workers['w1']
+    worker.born = 7
+    worker.draining = True
+    service.accept_heartbeat(make_heartbeat(worker, 1))
+    assert service.retire_worker('w1', born=6) is True
+    assert 'w1' in running.state.workers
+    assert service.retire_worker('w1', born=7) is True
+    assert 'w1' not in running.state.workers
+
+
 def test_opened_wave_is_incomplete_and_unknown_wave_is_refused(
     service: JobService,
 ) -> None:
