Wait for the capacity of a restarted worker

A worker that came back as a smaller kind under its name was given more than it has room for: its first list, which is often read before its heartbeat, only moved the start of the incarnation in the record, so that tasks were placed by the capacity of the life before. A late heartbeat of that life could also put its record back.

A list of a later incarnation now keeps tasks off the worker until a heartbeat of that life is admitted, and a record of an earlier one is dropped. The harness sends the heartbeats of restarted workers, which a test can hold back.

A start that was placed before the restart is known is not covered: that needs orders which the next life refuses.

--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -47,6 +47,7 @@
             worker.record = msgspec.structs.replace(
                 worker.record, born=listing.born
             )
+            worker.awaits_record = True
         self._record_answer(worker, listing.clock_ms, now)
         for end in listing.ended:
             if end.position > worker.processed_position:
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -330,12 +330,15 @@
         worker = self.workers.get(record.name)
         if worker is None:
             return self._add_worker(record, now)
+        if worker.record.born > record.born:
+            return worker  # its list has shown a later incarnation
         if worker.record.born != record.born:
             # The runs of the earlier incarnation are dropped when the list of
             # the new one is read: an order that is still on its way may reach
             # either of them.
             self._reset_worker(worker, now)
         worker.record = record
+        worker.awaits_record = False
         if record.draining and not worker.draining:
             worker.draining = True
             self._log.info('worker_drains', worker=record.name)
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -129,6 +129,8 @@
     :param cold_until: local time until which it is slow after its start.
     :param closing_for: ``wave`` or ``move`` while it gets no new tasks for
         one of these, or empty.
+    :param awaits_record: a list has shown a later incarnation than its record
+        is of, so that its capacity and labels are not known.
     :param departing: it has announced its end, so its lease is not extended.
         It may go on for a while, and it is removed once its runs are over.
     :param retiring: its removal from the replicated state was proposed. The
@@ -158,6 +160,7 @@
     cold_until: float = 0.0
     admitted_at: float = 0.0
     closing_for: str = ''
+    awaits_record: bool = False
     departing: bool = False
     retiring: bool = False
     health: Health = field(default_factory=Health)
@@ -177,6 +180,7 @@
             and not self.lease_expired
             and not self.draining
             and not self.closing_for
+            and not self.awaits_record
             and not self.departing
             and not self.retiring
             and self.silent_since is None
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -72,6 +72,7 @@
         self.cut_off: set[str] = set()
         self.delaying_orders: set[str] = set()
         self.late_orders: list[LateOrder] = []
+        self.holding_heartbeats: set[str] = set()
         self.log = Log('test', stream=io.StringIO())
         self.apply(
             Configure(
@@ -158,6 +159,17 @@
         for worker in list(self.engine.workers.values()):
             if worker.has_left():
                 self.retire(worker.name)
+        self.send_heartbeats()
+
+    def send_heartbeats(self) -> None:
+        """Admit the workers that have changed since they were admitted."""
+        for name, worker in self.workers.items():
+            is_heard = name not in self.cut_off | self.holding_heartbeats
+            record = worker.make_record()
+            known = self.state.workers.get(name)
+            if is_heard and known is not None and known != record:
+                self.apply(AdmitWorker(worker=record))
+                self.engine.admit_worker(record, self.now)
 
     def poll_all(self) -> None:
         for name in list(self.workers):
--- a/testing/jobs/test_releases.py
+++ b/testing/jobs/test_releases.py
@@ -186,3 +186,34 @@
     harness.engine.admit_worker(worker.make_record(), harness.now)
     harness.pass_time(0.3)
     assert harness.engine.workers['w1'].is_open()
+
+
+def test_restarted_worker_gets_tasks_only_by_its_own_capacity() -> None:
+    """Its list can be read before the heartbeat that tells its capacity."""
+    worker = FakeWorker(name='w1', resources=Resources(4000, 32768, 0))
+    harness = Harness(worker)
+    harness.pass_time(0.3)
+    worker.crash()
+    worker.resources = Resources(1000, 32768, 0)
+    harness.holding_heartbeats.add('w1')
+    harness.pass_time(0.3)
+    harness.submit('j', make_job(Step(count=4, cpu=1000, estimate_ms=1000)))
+    harness.pass_time(1.0)
+    assert len(worker.running) <= 1
+
+    harness.holding_heartbeats.clear()
+    harness.pass_time(0.5)
+    assert len(worker.running) == 1
+
+
+def test_record_of_an_earlier_incarnation_is_not_used_again() -> None:
+    worker = FakeWorker(name='w1', resources=Resources(4000, 32768, 0))
+    harness = Harness(worker)
+    earlier = worker.make_record()
+    harness.pass_time(0.3)
+    worker.crash()
+    harness.holding_heartbeats.add('w1')
+    harness.pass_time(0.3)
+    harness.engine.admit_worker(earlier, harness.now)
+    assert harness.engine.workers['w1'].record.born == worker.born
+    assert not harness.engine.workers['w1'].is_open()
