Keep a departing worker until its ends are stored

A task that was done could run again: its worker departed once its list of ends was read, and the leader failed before it had stored them. The worker now stays until they are stored, and the answer to its notice waits for that too.

The test failed before, as the worker counted as left before the commit.

--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -187,9 +187,15 @@
         )
 
     def has_left(self) -> bool:
-        """Return whether a worker that departs certainly runs nothing."""
+        """Return whether a worker that departs certainly runs nothing.
+
+        The ends that it has listed are stored then.
+        """
         is_empty = self.has_listed and not self.runs
-        return self.departing and (is_empty or self.lease_expired)
+        is_stored = self.stored_position >= self.processed_position
+        return self.departing and (
+            self.lease_expired or (is_empty and is_stored)
+        )
 
     def has_room(self, step: Step) -> bool:
         """Return whether a task of a step fits beside the worker's runs."""
--- a/testing/jobs/test_releases.py
+++ b/testing/jobs/test_releases.py
@@ -173,6 +173,22 @@
     assert new_name != worker.name
 
 
+def test_departing_worker_stays_until_its_ends_are_stored() -> None:
+    """Otherwise a leader that fails then would lose them with the worker."""
+    harness = two_workers()
+    harness.submit('j')
+    harness.pass_time(0.3)
+    fake = harness.find_worker('j.0.0.0')
+    worker = harness.engine.workers[fake.name]
+    depart(harness, fake)
+    fake.end('j.0.0.0', EndKind.DONE)
+    harness.poll(fake.name)
+    assert not worker.runs
+    assert not worker.has_left()
+    harness.store_ends()
+    assert worker.has_left()
+
+
 def test_departure_ends_with_the_incarnation_that_announced_it() -> None:
     harness = two_workers()
     harness.pass_time(0.3)
