Keep the latest time up to which a start may be carried out

A task could run twice: each try of a start replaced the time of the try before, although a try that got no answer may still arrive. A late answer puts the estimate of the worker's clock back, so the later try can carry the earlier time, and the run counted as over while the first one could still start it.

With the time of the last try the test found the run gone from the tables 2 s too early.

--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -5,6 +5,7 @@
 from galenareel._jobs.tables import EngineTables
 from galenareel._jobs.tables import LEASE_S
 from galenareel._jobs.tables import MIN_CLOCK_RATE
+from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import Worker
 
 MAX_LEASE_MS = 10_000  # longest lease that a worker accepts
@@ -42,6 +43,19 @@
         self._update_lease_end(worker)
         return until_ms
 
+    def extend_for_start(self, run: Run, now: float) -> int | None:
+        """Extend a worker's lease for one try of a start.
+
+        A later try may carry an earlier time, as the estimate of the clock
+        can go back; the start may be carried out until the latest one.
+
+        :returns: the same as :meth:`extend_lease`.
+        """
+        until_ms = self.extend_lease(run.worker, now)
+        if until_ms is not None:
+            run.until_ms = max(run.until_ms, until_ms)
+        return until_ms
+
     def _update_lease_end(self, worker: Worker) -> None:
         """Set the local time at which the lease has certainly expired.
 
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -390,9 +390,8 @@
         tries = 0
         while _is_wanted(run) and self.wait_for_leader_lease():
             tries += 1
-            until_ms = self.engine.extend_lease(run.worker, self.now())
+            until_ms = self.engine.extend_for_start(run, self.now())
             if until_ms is not None:
-                run.until_ms = until_ms
                 answer = client.start(
                     task=run.task,
                     number=run.number,
--- a/testing/jobs/test_releases.py
+++ b/testing/jobs/test_releases.py
@@ -8,13 +8,16 @@
 
 import pytest
 
+from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Listing
+from galenareel._jobs.clients import Outcome
 from galenareel._jobs.clients import RunningRow
 from galenareel._jobs.commands import AdmitWorker
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
 from galenareel._jobs.tables import LEASE_S
+from galenareel._scheduling.tables import StartTask
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
 from testing.standins.worker import FakeWorker
@@ -233,3 +236,26 @@
     harness.engine.admit_worker(earlier, harness.now)
     assert harness.engine.workers['w1'].record.born == worker.born
     assert not harness.engine.workers['w1'].is_open()
+
+
+def test_latest_time_of_an_unanswered_start_decides_when_it_is_over() -> None:
+    """A late answer puts the estimate of the worker's clock back."""
+    harness = Harness(FakeWorker(name='w1'))
+    harness.pass_time(0.3)
+    harness.submit('j')
+    harness.engine.place(harness.now)
+    (order,) = harness.engine.take_orders()
+    assert isinstance(order, StartTask)
+    run = order.run
+    first_ms = harness.engine.extend_for_start(run, harness.now)
+    assert first_ms is not None
+    run.worker.clock_ms -= 2000
+    second_ms = harness.engine.extend_for_start(run, harness.now)
+    assert second_ms == first_ms - 2000
+    harness.engine.handle_start_answer(
+        run, Answer(outcome=Outcome.NO_ANSWER), harness.now
+    )
+    apply_list(harness, 'w1', clock_ms=second_ms + 1)
+    assert run.worker.runs
+    apply_list(harness, 'w1', clock_ms=first_ms + 1)
+    assert not run.worker.runs
