--- a/testing/adapter/test_http.py
+++ b/testing/adapter/test_http.py
@@ -1,16 +1,23 @@
-"""The HTTP client keeps its connections, however many there are."""
+"""The HTTP client: kept connections, and what a failed call proves."""
 
 from __future__ import annotations
 
 from collections.abc import Iterator
+import errno
 import select
 import socket
+import struct
 from typing import Any
 
 from adapter.http import HttpCaller
+import gevent
 from gevent.pywsgi import WSGIServer
+import gevent.socket
 import pytest
 
+from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import Outcome
+
 
 class CountingServer(WSGIServer):
     """Answers every request, and counts the connections."""
@@ -77,3 +84,56 @@
         ours.close()
         theirs.close()
     assert not pool._is_socket_alive(ours)
+
+
+class ResettingServer:
+    """Reads a request, resets its connection and refuses further ones."""
+
+    def __init__(self) -> None:
+        self.listener = gevent.socket.socket()
+        self.listener.bind(('127.0.0.1', 0))
+        self.listener.listen()
+        self.port = self.listener.getsockname()[1]
+        self.requests: list[bytes] = []
+
+    def serve_once(self) -> None:
+        sock, _ = self.listener.accept()
+        self.listener.close()
+        self.requests.append(sock.recv(65536))
+        linger = struct.pack('ii', 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
+
+
+def test_only_a_refused_connection_proves_that_nothing_was_sent() -> None:
+    """A request that was read isn't sent again on another connection."""
+    server = ResettingServer()
+    caller = HttpCaller(
+        f'127.0.0.1:{server.port}', timeout_s=2.0, connections=1
+    )
+    greenlet = gevent.spawn(server.serve_once)
+    outcomes = []
+    for _ in range(2):
+        answer = caller.post('/', {}, {})
+        assert isinstance(answer, Answer)
+        outcomes.append(answer.outcome)
+    greenlet.join()
+    caller.close()
+    assert outcomes == [Outcome.NO_ANSWER, Outcome.NOT_SENT]
+    assert len(server.requests) == 1
+
+
+def test_refusal_on_an_open_connection_proves_nothing(
+    caller: HttpCaller, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The error can be that of a late ICMP message."""
+
+    def fail(*_args: object) -> None:
+        raise ConnectionRefusedError(errno.ECONNREFUSED, 'refused')
+
+    assert caller.post('/', {}, {}) == (200, b'{}')
+    monkeypatch.setattr(gevent.socket.socket, 'recv', fail)
+    monkeypatch.setattr(gevent.socket.socket, 'recv_into', fail)
+    answer = caller.post('/', {}, {})
+    assert isinstance(answer, Answer)
+    assert answer.outcome is Outcome.NO_ANSWER
