--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -35,7 +35,7 @@
     ) -> None:
         """Update a run after the answer to its start order."""
         worker = run.worker
-        if worker.runs.get(run.task) is not run:
+        if worker.runs.get(run.key) is not run:
             return
         if answer.outcome is Outcome.NO_ANSWER:
             if run.state is RunState.ORDERED:
@@ -98,8 +98,8 @@
 
         It may have waited for a connection or for the leader lease.
         """
-        run = order.worker.runs.get(order.task)
-        if run is None or run.number != order.number:
+        run = order.worker.runs.get((order.task, order.number))
+        if run is None:
             return False
         if run.stop_asked_at is None or run.stop_answered_at is not None:
             return False
@@ -116,8 +116,8 @@
         if answer.outcome is Outcome.FENCED:
             self.fenced = True
             return
-        run = worker.runs.get(order.task)
-        if run is None or run.number != order.number:
+        run = worker.runs.get((order.task, order.number))
+        if run is None:
             return
         if answer.outcome is Outcome.DONE:
             self._record_answer(worker, answer.clock_ms, now)
--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -29,12 +29,13 @@
         """Extend a worker's lease; the caller sends it the new end.
 
         :returns: end of the lease in ms of the worker's clock. ``None`` if
-            its clock is not known, or if it is silent or being retired: a
-            call with a later end might still arrive and keep its runs alive.
+            its clock is not known, or if it is silent, departing or being
+            retired: a call with a later end might still arrive and keep its
+            runs alive.
         """
         if not worker.clock_ms or worker.silent_since is not None:
             return None
-        if worker.retiring:
+        if worker.departing or worker.retiring:
             return None
         elapsed_ms = (now - worker.clock_at) * 1000
         until_ms = int(worker.clock_ms + elapsed_ms + LEASE_S * 1000)
@@ -43,13 +44,15 @@
         return until_ms
 
     def begin_start(self, run: Run, now: float) -> int | None:
-        """Extend the lease of a run's worker for a start that is sent now.
+        """Extend the lease of a run's worker for a try that is sent now.
+
+        A later try may carry an earlier time, as the estimate of the clock
+        can go back; the start may be carried out until the latest one.
 
         :returns: end of the lease as for :meth:`extend_lease`.
         """
         until_ms = self.extend_lease(run.worker, now)
         if until_ms is not None:
-            # Any of the tries may be the one that is carried out.
             run.until_ms = max(run.until_ms, until_ms)
             run.start_asked_at = now
         return until_ms
--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -20,6 +20,7 @@
 from galenareel._scheduling.health import record_run_end
 from galenareel._scheduling.health import record_run_time
 from galenareel._scheduling.tables import Run
+from galenareel._scheduling.tables import RunKey
 from galenareel._scheduling.tables import RunState
 from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import Worker
@@ -46,22 +47,26 @@
             worker.record = msgspec.structs.replace(
                 worker.record, born=listing.born
             )
+            worker.awaits_record = True
         self._record_answer(worker, listing.clock_ms, now)
         for end in listing.ended:
             if end.position > worker.processed_position:
                 worker.processed_position = end.position
                 self._handle_end(worker, end, now)
         self._record_position(worker)
-        listed: set[TaskId] = set()
+        listed: set[RunKey] = set()
         for row in listing.running:
-            task = self._update_run(worker, row, now)
-            if task is not None:
-                listed.add(task)
+            key = self._update_run(worker, row, now)
+            if key is not None:
+                listed.add(key)
+        worker.lease_expired = False
+        if not listing.has_all_ends:
+            # A run that is not listed may have ended, even as done.
+            return
         self._release_vanished(worker, listed, listing.clock_ms, sent_at, now)
         self._report_overfull(worker)
         is_first = not worker.has_listed
         worker.has_listed = True
-        worker.lease_expired = False
         self._clear_unread(worker.name)
         if is_first:
             self._log.info(
@@ -101,10 +106,11 @@
 
     def _update_run(
         self, worker: Worker, row: RunningRow, now: float
-    ) -> TaskId | None:
+    ) -> RunKey | None:
         """Update a run from its row; adopt or stop one that is not known.
 
-        :returns: task of the run, or ``None`` if the row names none.
+        :returns: task and number of the run, or ``None`` if the row names no
+            task.
         """
         task = TaskId.parse(row.task)
         if task is None:
@@ -112,13 +118,14 @@
                 'unknown_task_listed', worker=worker.name, task=row.task
             )
             return None
-        run = worker.runs.get(task)
-        if run is None or run.number != row.number:
+        key = (task, row.number)
+        run = worker.runs.get(key)
+        if run is None:
             if worker.name not in self._unread_workers:
                 self._report_unexpected(worker, task, row.number)
             run = self._adopt_run(worker, task, row, now)
             if run is None:
-                return task
+                return key
         if run.state in (RunState.ORDERED, RunState.UNSURE):
             run.state = RunState.RUNNING
         if run.confirmed_at is None:
@@ -128,7 +135,7 @@
         run.reading = row.reading
         if row.saved:
             run.checkpoint = row.saved
-        return task
+        return key
 
     def _report_unexpected(
         self, worker: Worker, task: TaskId, number: int
@@ -184,10 +191,10 @@
                 worker, task, row.number, job, 'other_run', now
             )
             return None
-        for known_run in list(known_runs):
-            if known_run.worker is worker:
-                self._forget_run(known_run)
-            elif not step.step.speculative:
+        if not step.step.speculative:
+            # A worker may have both runs at once, so the earlier one counts
+            # until it is known to be over.
+            for known_run in list(known_runs):
                 self._stop_run(known_run, now, 'newer_run')
         run = self._new_run(worker, step, task, row.number, now)
         run.state = RunState.RUNNING
@@ -208,8 +215,6 @@
 
         If its job is unknown, it counts as using the whole worker.
         """
-        if task in worker.runs:
-            return
         capacity = worker.record.resources
         run = Run(
             task=task,
@@ -236,7 +241,7 @@
     def _release_vanished(
         self,
         worker: Worker,
-        listed: set[TaskId],
+        listed: set[RunKey],
         clock_ms: int,
         sent_at: float,
         now: float,
@@ -248,7 +253,7 @@
         answer is over once the worker's clock has passed the order's expiry.
         """
         for run in list(worker.runs.values()):
-            if run.task in listed:
+            if run.key in listed:
                 continue
             confirmed_at = run.confirmed_at
             if confirmed_at is not None and confirmed_at < sent_at:
@@ -265,11 +270,9 @@
         if task is None:
             return
         self._metrics.ends.add(1, {'how': end.kind.value})
-        run = worker.runs.get(task)
-        if run is not None and run.number == end.number:
+        run = worker.runs.get((task, end.number))
+        if run is not None:
             self._forget_run(run)
-        else:
-            run = None
         job = self._state.jobs.get(task.job)
         work = self.jobs.get(task.job)
         if work is None or job is None or not has_task(job, task):
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -333,18 +333,30 @@
         worker = self.workers.get(record.name)
         if worker is None:
             return self._add_worker(record, now)
+        if worker.record.born > record.born:
+            return worker  # its list has shown a later incarnation
         if worker.record.born != record.born:
             # The runs of the earlier incarnation are dropped when the list of
             # the new one is read: an order that is still on its way may reach
             # either of them.
             self._reset_worker(worker, now)
         worker.record = record
+        worker.awaits_record = False
         if record.draining and not worker.draining:
             worker.draining = True
             self._log.info('worker_drains', worker=record.name)
         self.wake_pool(record.pool)
         return worker
 
+    def begin_departure(self, worker: Worker, now: float) -> None:
+        """Stop the runs of a worker that has announced its end.
+
+        It may go on for seconds, so each run counts until it is over.
+        """
+        worker.departing = True
+        for run in worker.runs.values():
+            self._stop_run(run, now, 'worker_departs')
+
     def begin_retirement(self, worker: Worker) -> None:
         """Keep tasks and leases off a worker whose retirement is proposed."""
         worker.retiring = True
@@ -388,6 +400,7 @@
         worker.clock_ms = 0
         worker.lease_until_ms = 0
         worker.draining = False
+        worker.departing = False
         worker.retiring = False
         worker.leaves_at = None
         worker.health = type(worker.health)()
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -24,6 +24,9 @@
 SLACK_WEIGHT = 0.1  # weight of a new job in the moving mean of the slack
 
 
+RunKey = tuple[TaskId, int]  # task and number of a run
+
+
 class RunState(enum.Enum):
     """State of a run on its worker, as far as the leader knows."""
 
@@ -84,6 +87,10 @@
     memory_mb: int = 0
     gpus: int = 0
 
+    @property
+    def key(self) -> RunKey:
+        return self.task, self.number
+
 
 @dataclass(slots=True, kw_only=True)
 class Health:
@@ -122,6 +129,8 @@
     :param processed_position: position of the last end that was handled.
     :param stored_position: position of the last end that is replicated, which
         the worker may forget.
+    :param runs: all runs that it may have or may still start, also several
+        of one task.
     :param cpu_used: processor reserved by its runs, in thousandths of a core.
     :param instance: name of its instance, or empty if it is not known.
     :param leaves_at: local time before which a draining worker does not leave,
@@ -130,6 +139,10 @@
     :param closing_for: ``wave`` or ``move`` while it gets no new tasks for
         one of these, or empty.
     :param overfull: its last list took more than its room.
+    :param awaits_record: a list has shown a later incarnation than its record
+        is of, so that its capacity and labels are not known.
+    :param departing: it has announced its end, so its lease is not extended.
+        It may go on for a while, and it is removed once its runs are over.
     :param retiring: its removal from the replicated state was proposed. The
         commit releases its runs, so until then it gets no tasks and no lease.
     """
@@ -147,7 +160,7 @@
     lease_expires_at: float = 0.0
     processed_position: int = 0
     stored_position: int = 0
-    runs: dict[TaskId, Run] = field(default_factory=dict)
+    runs: dict[RunKey, Run] = field(default_factory=dict)
     cpu_used: int = 0
     memory_used: int = 0
     gpus_used: int = 0
@@ -158,6 +171,8 @@
     admitted_at: float = 0.0
     closing_for: str = ''
     overfull: bool = False
+    awaits_record: bool = False
+    departing: bool = False
     retiring: bool = False
     health: Health = field(default_factory=Health)
 
@@ -176,10 +191,23 @@
             and not self.lease_expired
             and not self.draining
             and not self.closing_for
+            and not self.awaits_record
+            and not self.departing
             and not self.retiring
             and self.silent_since is None
         )
 
+    def has_left(self) -> bool:
+        """Return whether a worker that departs certainly runs nothing.
+
+        The ends that it has listed are stored then.
+        """
+        is_empty = self.has_listed and not self.runs
+        is_stored = self.stored_position >= self.processed_position
+        return self.departing and (
+            self.lease_expired or (is_empty and is_stored)
+        )
+
     def has_room(self, step: Step) -> bool:
         """Return whether a task of a step fits beside the worker's runs."""
         capacity = self.record.resources
@@ -210,13 +238,13 @@
         )
 
     def add_run(self, run: Run) -> None:
-        self.runs[run.task] = run
+        self.runs[run.key] = run
         self.cpu_used += run.cpu
         self.memory_used += run.memory_mb
         self.gpus_used += run.gpus
 
     def remove_run(self, run: Run) -> None:
-        del self.runs[run.task]
+        del self.runs[run.key]
         self.cpu_used -= run.cpu
         self.memory_used -= run.memory_mb
         self.gpus_used -= run.gpus
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -72,6 +72,7 @@
         self.cut_off: set[str] = set()
         self.delaying_orders: set[str] = set()
         self.late_orders: list[LateOrder] = []
+        self.holding_heartbeats: set[str] = set()
         self.log_text = io.StringIO()
         self.log = Log('test', stream=self.log_text)
         self.apply(
@@ -133,6 +134,12 @@
         self.apply(RetireWorker(name=name, born=record.born))
         self.engine.retire_worker(name, record.born, self.now)
 
+    def announce_end(self, name: str) -> None:
+        """Pass the notice of a draining worker that it is about to end."""
+        worker = self.engine.workers.get(name)
+        if worker is not None:
+            self.engine.begin_departure(worker, self.now)
+
     def pass_time(self, seconds: float, step: float = 0.1) -> None:
         """Advance the time in steps, with a scheduling round in each."""
         end = self.now + seconds
@@ -150,6 +157,20 @@
         self.poll_all()
         self.engine.place(self.now)
         self.carry_out()
+        for worker in list(self.engine.workers.values()):
+            if worker.has_left():
+                self.retire(worker.name)
+        self.send_heartbeats()
+
+    def send_heartbeats(self) -> None:
+        """Admit the workers that have changed since they were admitted."""
+        for name, worker in self.workers.items():
+            is_heard = name not in self.cut_off | self.holding_heartbeats
+            record = worker.make_record()
+            known = self.state.workers.get(name)
+            if is_heard and known is not None and known != record:
+                self.apply(AdmitWorker(worker=record))
+                self.engine.admit_worker(record, self.now)
 
     def poll_all(self) -> None:
         for name in list(self.workers):
--- a/testing/jobs/test_stops.py
+++ b/testing/jobs/test_stops.py
@@ -169,7 +169,7 @@
     run = restart_without_answers(harness, 'w0')
     harness.starts.clear()
     harness.pass_time(2 * LEASE_S)
-    assert run.worker.runs.get(run.task) is not run
+    assert run.worker.runs.get(run.key) is not run
     assert harness.stops == []
     assert len(harness.starts) < 2 * LEASE_S
 
@@ -269,5 +269,5 @@
     run = restart_without_answers(harness, 'w0')
     harness.workers['w0'].crash()
     harness.pass_time(2.5 * LEASE_S)
-    assert run.worker.runs.get(run.task) is not run
+    assert run.worker.runs.get(run.key) is not run
     assert harness.stops == []
