Send no stop within a budget to a silent worker

A stop for maintenance, or for a start without an answer, went out while the worker was silent. It may be carried out seconds later, when the task works and others of its step are away: the decision is then as old as the one that was repeated.

A task of a step with a budget is not stopped as long as its worker is silent. Either the worker answers, and the stop is decided on its list, or its lease runs out.

Before, the two tests added to testing/jobs/test_stops.py count two stops to a silent worker that closes, and four to one whose start has no answer (expected none).

--- a/src/galenareel/_scheduling/availability.py
+++ b/src/galenareel/_scheduling/availability.py
@@ -53,6 +53,8 @@
     work = run.step
     if work is None or not has_budget(work):
         return True
+    if run.worker.silent_since is not None:
+        return False  # the stop may arrive much later
     # The run counts as working even if its worker last listed it otherwise:
     # it may have started to work since.
     return (
--- a/testing/jobs/test_stops.py
+++ b/testing/jobs/test_stops.py
@@ -271,3 +271,29 @@
     harness.pass_time(2.5 * LEASE_S)
     assert run.worker.runs.get(run.task) is not run
     assert harness.stops == []
+
+
+def test_no_stop_is_sent_to_a_silent_worker_within_a_budget(
+    harness: LossyHarness,
+) -> None:
+    """It might be carried out when other tasks are away."""
+    harness.cut_off.add('w0')
+    harness.pass_time(0.8)
+    harness.close_worker('w0')
+    harness.pass_time(1.5)
+    assert harness.stops == []
+
+    harness.cut_off.clear()
+    harness.pass_time(0.3)
+    harness.close_worker('w0')
+    harness.carry_out()
+    assert [name for _, name in harness.stops] == ['w0']
+
+
+def test_unanswered_start_on_a_silent_worker_is_not_stopped(
+    harness: LossyHarness,
+) -> None:
+    restart_without_answers(harness, 'w0')
+    harness.cut_off.add('w0')
+    harness.pass_time(LEASE_S - 1.0)
+    assert harness.stops == []
