Maintain no instance before its worker has been read

A new leader took a worker that it hadn't read for empty, so it could order the maintenance of an instance that ran tasks, and then count the runs as over. It now waits for the worker's list or for the end of its lease.

Before, the test got an order for m0 right after the change of leader.

--- a/src/galenareel/_scheduling/fleet.py
+++ b/src/galenareel/_scheduling/fleet.py
@@ -314,7 +314,10 @@
 ) -> bool:
     """Return whether an instance runs no tasks and gets no new ones."""
     worker = workers.get(instance.row.worker)
-    return worker is None or (worker.closing_for != '' and not worker.runs)
+    if worker is None:
+        return True
+    is_known = worker.has_listed or worker.lease_expired
+    return is_known and worker.closing_for != '' and not worker.runs
 
 
 def compute_demand(
--- a/testing/scheduling/test_fleet.py
+++ b/testing/scheduling/test_fleet.py
@@ -117,6 +117,31 @@
     assert order.instance == 'm0'
 
 
+def test_instance_is_not_maintained_before_its_worker_is_read(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    """A new leader doesn't know yet what runs there."""
+    harness.submit('j', make_job(Step(count=6, cpu=8000, estimate_ms=9000)))
+    harness.pass_time(0.3)
+    harness.cut_off.add('w0')
+    worker = harness.take_over('c2').workers['w0']
+    worker.closing_for = WAVE
+    tables = make_tables(platform)
+    tables.instances['m0'].closing_for = WAVE
+    workers = harness.engine.workers
+    plan = make_wave('m0')
+    assert not plan_maintenance(tables, [plan], workers, harness.now)
+    harness.cut_off.clear()
+    harness.pass_time(0.1)
+    assert not plan_maintenance(tables, [plan], workers, harness.now)
+
+    harness.cut_off.add('w0')
+    harness.pass_time(9.0, step=0.5)
+    assert worker.lease_expired
+    (order,) = plan_maintenance(tables, [plan], workers, harness.now)
+    assert order.instance == 'm0'
+
+
 def test_two_waves_order_an_instance_once_at_a_time(
     harness: Harness, platform: FakePlatform
 ) -> None:
