Retire no worker by a list that is older than its last answer

A task could run twice: a slow list of instances that showed the life before of a restarted worker retired the new one if that was silent by then, and its tasks started elsewhere. A list now counts only if it was requested after the worker was last heard of; a heartbeat of a new life counts as that.

An instance that is listed as moving or in maintenance shows the end of its silent worker too, so its tasks don't wait for the lease.

Before, the late list removed w1 from the log while it ran the task, and the task of a silent worker whose instance was moving waited for its lease.

--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -52,6 +52,8 @@
 # The platform takes at least this long.
 MIN_MAINTENANCE_S = 2.0
 MIN_MOVE_S = 1.5
+# States of an instance whose worker an order has ended.
+_ORDERED_AWAY = (InstanceState.MOVING, InstanceState.MAINTENANCE)
 
 
 class Fleet:
@@ -166,7 +168,7 @@
             if name not in listed:
                 del self._tables.instances[name]
         self._record_gone_instances(listed)
-        self._retire_lost_workers()
+        self._retire_lost_workers(self._list_requested_at)
 
     def _has_silent_workers(self) -> bool:
         return any(
@@ -174,16 +176,25 @@
             for worker in self._engine.workers.values()
         )
 
-    def _retire_lost_workers(self) -> None:
-        """Retire silent workers whose instance is down or has a new worker."""
+    def _retire_lost_workers(self, asked_at: float) -> None:
+        """Retire silent workers whose instance is down or has a new worker.
+
+        :param asked_at: when the list was requested. A worker that was heard
+            of since then may be later than the list.
+        """
         rows = [instance.row for instance in self._tables.instances.values()]
         down = {row.worker for row in rows if row.state is InstanceState.DOWN}
-        current = {row.name: row.worker for row in rows if row.worker}
+        current = {row.name: row for row in rows}
         for worker in list(self._engine.workers.values()):
-            if worker.silent_since is None:
+            is_older = worker.heard_at < asked_at
+            if worker.silent_since is None or not is_older or worker.retiring:
                 continue
-            current_name = current.get(worker.instance, worker.name)
-            if worker.name in down or current_name != worker.name:
+            row = current.get(worker.instance)
+            has_ended = row is not None and (
+                row.state in _ORDERED_AWAY
+                or row.worker not in ('', worker.name)
+            )
+            if worker.name in down or has_ended:
                 self._retire(
                     worker, 'its instance is down or has another worker'
                 )
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -390,6 +390,7 @@
 
     def _reset_worker(self, worker: Worker, now: float) -> None:
         """Drop what was known of the earlier incarnation of a worker."""
+        worker.heard_at = now
         worker.has_listed = False
         worker.lease_expired = False
         worker.processed_position = 0
--- a/testing/jobs/test_leader.py
+++ b/testing/jobs/test_leader.py
@@ -25,6 +25,7 @@
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import FleetClient
 from galenareel._jobs.clients import InstanceRow
+from galenareel._jobs.clients import InstanceState
 from galenareel._jobs.clients import Listing
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.clients import PlacementTickets
@@ -590,6 +591,79 @@
         running.leader.close()
 
 
+class LateList(FakePlatform):
+    """Reads the list at once, but answers when the test allows."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.may_answer = Event()
+        self.may_answer.set()
+        self.is_waiting = False
+
+    def list_instances(self) -> list[InstanceRow] | Answer:
+        rows = super().list_instances()
+        self.is_waiting = not self.may_answer.is_set()
+        self.may_answer.wait()
+        self.is_waiting = False
+        return rows
+
+
+def test_list_that_is_older_than_a_worker_does_not_retire_it() -> None:
+    """A slow platform lists the life before that of the restarted worker."""
+    platform = LateList()
+    running = RunningLeader(lambda: platform)
+    for number in (1, 2):
+        platform.add(f'm{number}', 'lots', worker=f'w{number}')
+    running.start()
+    worker, other = running.workers['w1'], running.workers['w2']
+    try:
+        eventually(lambda: running.leader.engine is not None)
+        engine = running.leader.engine
+        assert engine is not None
+        eventually(lambda: engine.workers['w1'].instance == 'm1')
+        other.is_silent = worker.is_silent = True
+        platform.may_answer.clear()
+        platform.set_state('m1', InstanceState.DOWN)
+        eventually(lambda: platform.is_waiting)
+
+        worker.crash()
+        worker.is_silent = False
+        running.propose(AdmitWorker(worker=worker.make_record()))
+        running.submit('j')
+        eventually(lambda: 'j.0.0.0' in worker.running)
+        worker.is_silent = True
+        eventually(lambda: engine.workers['w1'].silent_since is not None)
+        other.is_silent = False
+        platform.set_state('m1', InstanceState.UP)
+        platform.may_answer.set()
+        gevent.sleep(0.5)
+        assert 'w1' in running.state.workers
+        assert not other.running
+    finally:
+        running.leader.close()
+
+
+def test_instance_that_is_listed_as_moving_ends_its_silent_worker() -> None:
+    """Its tasks don't wait for the lease."""
+    platform = FakePlatform()
+    running = RunningLeader(lambda: platform)
+    platform.add('m1', 'lots', worker='w1')
+    worker, other = running.workers['w1'], running.workers['w2']
+    other.is_silent = True
+    running.start()
+    try:
+        eventually(lambda: running.leader.engine is not None)
+        running.submit('j')
+        eventually(lambda: 'j.0.0.0' in worker.running)
+        worker.is_silent = True
+        platform.set_state('m1', InstanceState.MOVING)
+        other.is_silent = False
+        eventually(lambda: 'j.0.0.0' in other.running, seconds=4.0)
+        assert 'w1' not in running.state.workers
+    finally:
+        running.leader.close()
+
+
 def test_queued_starts_are_placed_again_after_a_change_of_address(
     running: RunningLeader, monkeypatch: pytest.MonkeyPatch
 ) -> None:
