Release no run by an order that may have been done before

A task could run twice: the platform answers an order that it carried out before as done, and the leader then released the runs of the worker that the instance has by now. A worker with runs is now removed only once it is silent and the list of instances or its lease shows its end; orders go to empty workers, so the others are removed at once as before.

Before, the test found w1 removed from the log while it ran a task.

--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -457,8 +457,10 @@
             instance.down_until = now + MIN_MOVE_S
             if instance.row.pool != order.pool:
                 instance.row = _make_moved_row(instance.row, order.pool)
-        if worker is not None:
-            # Maintenance and moves end the worker's incarnation.
+        if worker is not None and not worker.runs:
+            # Maintenance and moves end the worker's incarnation, but an order
+            # that was carried out before has ended an earlier one. With runs,
+            # its silence and the list of instances decide.
             self._retire(worker, 'its instance was ordered away')
 
     def _drop_order(
--- a/testing/jobs/test_leader.py
+++ b/testing/jobs/test_leader.py
@@ -643,6 +643,37 @@
         running.leader.close()
 
 
+def test_order_that_was_done_before_does_not_release_runs() -> None:
+    """The platform answers it as done, and the worker goes on."""
+    platform = LatePlatform()
+    running = RunningLeader(lambda: platform)
+    platform.add('m1', 'lots', worker='w1')
+    running.propose(
+        OpenWave(
+            number=1, instances=('m1',), limit=1, duration_ms=9000, now_ms=1
+        )
+    )
+    running.start()
+    worker, other = running.workers['w1'], running.workers['w2']
+    try:
+        eventually(lambda: bool(platform.orders))
+        platform.finish_order('m1', 'w1')
+        running.submit('j')
+        eventually(lambda: 'j.0.0.0' in other.running)
+        task = TaskId('j', 0, 0, 0)
+        other.crash()
+        other.is_silent = True
+        worker.start(task, 5, until_ms=9000, token=running.state.epoch)
+        engine = running.leader.engine
+        assert engine is not None
+        eventually(lambda: bool(engine.workers['w1'].runs))
+        platform.may_answer.set()
+        gevent.sleep(0.5)
+        assert 'w1' in running.state.workers
+    finally:
+        running.leader.close()
+
+
 def test_instance_that_is_listed_as_moving_ends_its_silent_worker() -> None:
     """Its tasks don't wait for the lease."""
     platform = FakePlatform()
