Let workers depart and list few ends under random faults

The state machine gets departures whose answer is lost, lists that hold one end, and heartbeats that come late, with a check that no task starts while a worker with a lease still lists it as done.

--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -73,6 +73,7 @@
         self.delaying_orders: set[str] = set()
         self.late_orders: list[LateOrder] = []
         self.holding_heartbeats: set[str] = set()
+        self.retired: dict[str, int] = {}  # last incarnation, by worker
         self.log = Log('test', stream=io.StringIO())
         self.apply(
             Configure(
@@ -129,9 +130,10 @@
             self.engine.end_job(name, self.now, 'cancelled')
 
     def retire(self, name: str) -> None:
-        record = self.state.workers[name]
-        self.apply(RetireWorker(name=name, born=record.born))
-        self.engine.retire_worker(name, record.born, self.now)
+        born = self.engine.workers[name].record.born
+        self.apply(RetireWorker(name=name, born=born))
+        self.retired[name] = born
+        self.engine.retire_worker(name, born, self.now)
 
     def announce_end(self, name: str) -> None:
         """Pass the notice of a draining worker that it is about to end."""
@@ -164,10 +166,12 @@
     def send_heartbeats(self) -> None:
         """Admit the workers that have changed since they were admitted."""
         for name, worker in self.workers.items():
-            is_heard = name not in self.cut_off | self.holding_heartbeats
             record = worker.make_record()
-            known = self.state.workers.get(name)
-            if is_heard and known is not None and known != record:
+            if name in self.cut_off | self.holding_heartbeats:
+                continue
+            if record.born <= self.retired.get(name, 0):
+                continue
+            if self.state.workers.get(name) != record:
                 self.apply(AdmitWorker(worker=record))
                 self.engine.admit_worker(record, self.now)
 
--- a/testing/jobs/test_random_faults.py
+++ b/testing/jobs/test_random_faults.py
@@ -1,13 +1,14 @@
 """Run the engine under random faults, and check what the workers see.
 
 A state machine crashes workers, loses answers, delays orders, cuts workers
-off and changes the leader. To show that each check works, further tests break
+off, lets them depart, shortens their lists and changes the leader. To show that each check works, further tests break
 the engine and expect the check to fail.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from hypothesis import HealthCheck
 from hypothesis import settings
@@ -21,6 +22,7 @@
 from hypothesis.strategies import sampled_from
 import pytest
 
+from galenareel._jobs.clients import Listing
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Resources
@@ -64,6 +66,8 @@
                 raise Violation(f'{name} runs twice, again as run {number}')
         if any(name in other.acknowledged_tasks for other in self.workers):
             raise Violation(f'{name} starts after its end was acknowledged')
+        if any(_has_done(other, name) for other in self.workers):
+            raise Violation(f'{name} starts after it was done')
         if task.job in self.cancelled:
             raise Violation(f'{name} starts after it was cancelled')
         for earlier in STEPS[task.step].after:
@@ -78,6 +82,13 @@
             raise Violation(f'{worker.name} uses {used} millicores')
 
 
+def _has_done(worker: FakeWorker, name: str) -> bool:
+    """Return whether a worker with a lease still lists a task as done."""
+    return worker.clock_ms <= worker.lease_end_ms and any(
+        row.task == name and row.kind is EndKind.DONE for row in worker.ended
+    )
+
+
 class JobMachine(RuleBasedStateMachine):
     """Jobs, workers and leaders, with random faults."""
 
@@ -142,8 +153,26 @@
     def cut_off(self, name: str) -> None:
         self.harness.cut_off.add(name)
 
+    @rule(name=sampled_from(NAMES))
+    def depart(self, name: str) -> None:
+        """Let a worker announce its end, and go on until it crashes."""
+        self.harness.workers[name].draining = True
+        self.harness.send_heartbeats()
+        self.harness.announce_end(name)
+
+    @rule(name=sampled_from(NAMES))
+    def shorten_lists(self, name: str) -> None:
+        self.harness.workers[name].max_listed_ends = 1
+
+    @rule(name=sampled_from(NAMES))
+    def hold_heartbeats(self, name: str) -> None:
+        self.harness.holding_heartbeats.add(name)
+
     @rule()
     def end_faults(self) -> None:
+        self.harness.holding_heartbeats.clear()
+        for worker in self.harness.workers.values():
+            worker.max_listed_ends = 500
         self.harness.cut_off.clear()
         self.harness.losing_answers.clear()
         self.harness.delaying_orders.clear()
@@ -170,6 +199,9 @@
             return
         self.end_faults()
         self.harness.late_orders.clear()
+        for worker in self.harness.workers.values():
+            if worker.draining:
+                worker.crash()
         for _ in range(int(SETTLE_S)):
             self.harness.pass_time(1.0, step=0.25)
             for name in NAMES:
@@ -258,6 +290,41 @@
     machine.wait(2.0)
 
 
+def depart_without_answer(machine: JobMachine, name: str) -> None:
+    machine.cut_off(name)
+    machine.depart(name)
+    machine.wait(2.0)
+
+
+def end_more_than_a_list(machine: JobMachine, name: str) -> None:
+    for _ in range(2):
+        machine.submit()
+    machine.wait(0.5)
+    workers = machine.harness.workers.values()
+    busiest = max(workers, key=lambda worker: len(worker.running))
+    machine.shorten_lists(busiest.name)
+    machine.end_tasks(busiest.name, True)
+    machine.wait(0.5)
+
+
+def without_waiting_for_departures(patch: pytest.MonkeyPatch) -> None:
+    """Take the runs of a worker that announces its end for over."""
+    patch.setattr(Worker, 'has_left', lambda worker: worker.departing)
+
+
+def without_missing_ends(patch: pytest.MonkeyPatch) -> None:
+    """Take each list of ends for complete."""
+    apply_listing = Engine.apply_listing
+
+    def apply_as_complete(
+        engine: Engine, worker: Worker, listing: Listing, **times: float
+    ) -> None:
+        complete = replace(listing, has_all_ends=True)
+        apply_listing(engine, worker, complete, **times)
+
+    patch.setattr(Engine, 'apply_listing', apply_as_complete)
+
+
 def without_lease_wait(patch: pytest.MonkeyPatch) -> None:
     """Take the lease of a silent worker as expired at once."""
     detect_silence = Engine._detect_silence
@@ -325,6 +392,8 @@
     (without_step_order, run_first_step, 'before step'),
     (without_resource_check, fill_workers, 'millicores'),
     (without_requeue, crash_worker, 'lost jobs'),
+    (without_waiting_for_departures, depart_without_answer, 'runs twice'),
+    (without_missing_ends, end_more_than_a_list, 'after it was done'),
     (without_end_of_job, fail_and_cancel, 'cancelled'),
 ]
 
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -139,6 +139,7 @@
     def crash(self) -> None:
         """Restart as a new incarnation without runs, lease and token."""
         self.born += 1
+        self.draining = False
         self.clock_ms = 1000.0
         self.lease_end_ms = 0.0
         self.token = 0
