Expect the longest lease of a restarted worker

A task ran twice: a poll that is on its way when a worker restarts under its name has a lease end on the old clock, which the next life takes for far ahead and shortens to the limit, 10 s. Unless runs were known at its first answer, the engine forgot that and counted 6 s from its own extensions. If the worker was cut off within 4 s, its tasks started elsewhere up to 4 s too early.

The first answer after a restart now always sets the expected end of the lease to the limit. Before, the test found j.0.0.0 on w1 and w2 at once.

--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -105,6 +105,7 @@
                 # A lease end of the old clock may have reached the new
                 # incarnation, which accepts at most ``MAX_LEASE_MS`` of it.
                 worker.lease_until_ms = clock_ms + MAX_LEASE_MS
+            worker.was_restarted = False
             worker.clock_ms = clock_ms
             worker.clock_at = now
             if worker.lease_until_ms:
@@ -115,7 +116,7 @@
     ) -> bool:
         """Return whether the worker was restarted and has a new clock."""
         if not worker.clock_ms:
-            return bool(worker.runs)
+            return worker.was_restarted
         elapsed_ms = (now - worker.clock_at) * 1000
         off_ms = abs(clock_ms - worker.clock_ms - elapsed_ms)
         return off_ms > MAX_ANSWER_DELAY_MS + elapsed_ms * (1 - MIN_CLOCK_RATE)
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -396,6 +396,7 @@
         worker.processed_position = 0
         worker.stored_position = 0
         worker.clock_ms = 0
+        worker.was_restarted = True
         worker.lease_until_ms = 0
         worker.draining = False
         worker.departing = False
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -113,6 +113,7 @@
         be answered, if ``awaits_answer`` is set.
     :param clock_ms: the worker's clock at local time ``clock_at``, or 0 if it
         is not known.
+    :param was_restarted: it has a new clock that is not known yet.
     :param lease_until_ms: time on the worker's clock up to which its lease
         was extended.
     :param lease_expires_at: local time at which all leases granted to it have
@@ -146,6 +147,7 @@
     silent_since: float | None = None
     clock_ms: int = 0
     clock_at: float = 0.0
+    was_restarted: bool = False
     lease_until_ms: int = 0
     lease_expires_at: float = 0.0
     processed_position: int = 0
--- a/testing/jobs/test_releases.py
+++ b/testing/jobs/test_releases.py
@@ -21,6 +21,7 @@
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
 from testing.standins.worker import FakeWorker
+from testing.standins.worker import MAX_LEASE_MS
 
 
 def make_row(task: str, number: int) -> RunningRow:
@@ -259,3 +260,24 @@
     assert run.worker.runs
     apply_list(harness, 'w1', clock_ms=first_ms + 1)
     assert not run.worker.runs
+
+
+def test_lease_that_a_restarted_worker_got_by_its_old_clock_is_waited_for() -> (
+    None
+):
+    """A poll on its way at the restart extends the new lease to the limit."""
+    harness = Harness(FakeWorker(name='w1'))
+    harness.pass_time(20.0)
+    worker = harness.workers['w1']
+    worker.crash()
+    harness.pass_time(0.2)
+    harness.submit('j')
+    harness.pass_time(0.2)
+    assert worker.lease_end_ms == 1100.0 + MAX_LEASE_MS
+    harness.cut_off.add('w1')
+    harness.workers['w2'] = FakeWorker(name='w2')
+    while worker.running:
+        harness.pass_time(0.2)
+        assert harness.list_running().get('j.0.0.0') in (['w1'], None)
+    harness.pass_time(1.0)
+    assert harness.list_running() == {'j.0.0.0': ['w2']}
