Don't repeat a retirement for a later incarnation

A task could run twice: a retirement whose outcome was not known was proposed again with the start of the incarnation at that time. If the worker had been restarted meanwhile, the new life was removed from the log and its runs counted as over while they went on.

It is repeated only while the worker still waits for it, which a restart ends. Before, the test saw the second proposal after the new life ran a task.

--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -494,7 +494,9 @@
         self, unresolved: list[Worker], lost: list[Worker]
     ) -> None:
         for worker in unresolved:
-            self._retire(worker, 'unknown outcome before')
+            # A worker that was restarted meanwhile is in use again.
+            if worker.retiring:
+                self._retire(worker, 'unknown outcome before')
         for worker in lost:
             # It may have answered since it was found lost.
             if self._is_lost(worker, self.now()):
--- a/testing/jobs/test_leader.py
+++ b/testing/jobs/test_leader.py
@@ -20,6 +20,7 @@
 
 from galenareel._common.clock import SystemClock
 from galenareel._common.log import Log
+from galenareel._common.sentinels import Unreachable
 from galenareel._consensus.interface import Replicator
 from galenareel._jobs.clients import Advisor
 from galenareel._jobs.clients import Answer
@@ -537,6 +538,40 @@
     eventually(lambda: 'j.0.0.0' in worker.running)
 
 
+def test_unresolved_retirement_does_not_retire_a_later_incarnation(
+    lost: LostWorker, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The first proposal had no outcome; the worker is restarted meanwhile."""
+    propose = lost.log.propose
+    is_retried = Event()
+
+    def time_out(command: bytes, *, timeout_s: float) -> Any:
+        if not isinstance(decode(command), RetireWorker):
+            return propose(command, timeout_s=timeout_s)
+        lost.log.held_commands += 1
+        if lost.log.held_commands > 1:
+            is_retried.set()
+        lost.may_commit.wait()
+        if lost.log.held_commands > 1:
+            return propose(command, timeout_s=timeout_s)
+        return Unreachable(reason='timeout')
+
+    monkeypatch.setattr(lost.log, 'propose', time_out)
+    lost.begin_retirement()
+    monkeypatch.setattr('galenareel._jobs.term.RETIRE_AFTER_S', 60.0)
+    lost.silence('w2')
+    worker = lost.workers['w1']
+    worker.crash()
+    worker.is_silent = False
+    lost.propose(AdmitWorker(worker=worker.make_record()))
+    lost.submit('j')
+    eventually(lambda: 'j.0.0.0' in worker.running)
+    lost.may_commit.set()
+    gevent.sleep(0.5)
+    assert not is_retried.is_set()
+    assert 'w1' in lost.state.workers
+
+
 class LatePlatform(FakePlatform):
     """Carries out maintenance at once, but answers when the test allows."""
 
