Ignore the clock of another worker that answers at an address

A start that reached another worker at a reused address put that worker's clock and time of answer into the tables, so that a lease could be taken for shorter than it is, by up to the 3 s that clocks may seem to differ.

--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -33,7 +33,7 @@
             if run.state is RunState.ORDERED:
                 run.state = RunState.UNSURE
             return
-        if answer.outcome is not Outcome.NOT_SENT:
+        if answer.outcome not in (Outcome.NOT_SENT, Outcome.OTHER_LIFE):
             self._record_answer(worker, answer.clock_ms, now)
         if answer.outcome is Outcome.DONE:
             if run.state in (RunState.ORDERED, RunState.UNSURE):
--- a/testing/jobs/test_releases.py
+++ b/testing/jobs/test_releases.py
@@ -281,3 +281,20 @@
         assert harness.list_running().get('j.0.0.0') in (['w1'], None)
     harness.pass_time(1.0)
     assert harness.list_running() == {'j.0.0.0': ['w2']}
+
+
+def test_clock_of_another_worker_at_the_address_is_not_used() -> None:
+    harness = Harness(FakeWorker(name='w1'))
+    harness.pass_time(0.3)
+    harness.submit('j')
+    harness.engine.place(harness.now)
+    (order,) = harness.engine.take_orders()
+    assert isinstance(order, StartTask)
+    worker = order.run.worker
+    before = (worker.clock_ms, worker.heard_at, worker.lease_expires_at)
+    answer = Answer(outcome=Outcome.OTHER_LIFE, clock_ms=worker.clock_ms + 900)
+    harness.now += 0.1
+    harness.engine.handle_start_answer(order.run, answer, harness.now)
+    after = (worker.clock_ms, worker.heard_at, worker.lease_expires_at)
+    assert after == before
+    assert not worker.runs
