--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -393,11 +393,13 @@
 
     def _reset_worker(self, worker: Worker, now: float) -> None:
         """Drop what was known of the earlier incarnation of a worker."""
+        worker.heard_at = now
         worker.has_listed = False
         worker.lease_expired = False
         worker.processed_position = 0
         worker.stored_position = 0
         worker.clock_ms = 0
+        worker.was_restarted = True
         worker.lease_until_ms = 0
         worker.draining = False
         worker.departing = False
--- a/testing/jobs/test_leader.py
+++ b/testing/jobs/test_leader.py
@@ -20,11 +20,13 @@
 
 from galenareel._common.clock import SystemClock
 from galenareel._common.log import Log
+from galenareel._common.sentinels import Unreachable
 from galenareel._consensus.interface import Replicator
 from galenareel._jobs.clients import Advisor
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import FleetClient
 from galenareel._jobs.clients import InstanceRow
+from galenareel._jobs.clients import InstanceState
 from galenareel._jobs.clients import Listing
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.clients import PlacementTickets
@@ -536,6 +538,40 @@
     eventually(lambda: 'j.0.0.0' in worker.running)
 
 
+def test_unresolved_retirement_does_not_retire_a_later_incarnation(
+    lost: LostWorker, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The first proposal had no outcome; the worker is restarted meanwhile."""
+    propose = lost.log.propose
+    is_retried = Event()
+
+    def time_out(command: bytes, *, timeout_s: float) -> Any:
+        if not isinstance(decode(command), RetireWorker):
+            return propose(command, timeout_s=timeout_s)
+        lost.log.held_commands += 1
+        if lost.log.held_commands > 1:
+            is_retried.set()
+        lost.may_commit.wait()
+        if lost.log.held_commands > 1:
+            return propose(command, timeout_s=timeout_s)
+        return Unreachable(reason='timeout')
+
+    monkeypatch.setattr(lost.log, 'propose', time_out)
+    lost.begin_retirement()
+    monkeypatch.setattr('galenareel._jobs.term.RETIRE_AFTER_S', 60.0)
+    lost.silence('w2')
+    worker = lost.workers['w1']
+    worker.crash()
+    worker.is_silent = False
+    lost.propose(AdmitWorker(worker=worker.make_record()))
+    lost.submit('j')
+    eventually(lambda: 'j.0.0.0' in worker.running)
+    lost.may_commit.set()
+    gevent.sleep(0.5)
+    assert not is_retried.is_set()
+    assert 'w1' in lost.state.workers
+
+
 class LatePlatform(FakePlatform):
     """Carries out maintenance at once, but answers when the test allows."""
 
@@ -590,6 +626,110 @@
         running.leader.close()
 
 
+class LateList(FakePlatform):
+    """Reads the list at once, but answers when the test allows."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.may_answer = Event()
+        self.may_answer.set()
+        self.is_waiting = False
+
+    def list_instances(self) -> list[InstanceRow] | Answer:
+        rows = super().list_instances()
+        self.is_waiting = not self.may_answer.is_set()
+        self.may_answer.wait()
+        self.is_waiting = False
+        return rows
+
+
+def test_list_that_is_older_than_a_worker_does_not_retire_it() -> None:
+    """A slow platform lists the life before that of the restarted worker."""
+    platform = LateList()
+    running = RunningLeader(lambda: platform)
+    for number in (1, 2):
+        platform.add(f'm{number}', 'lots', worker=f'w{number}')
+    running.start()
+    worker, other = running.workers['w1'], running.workers['w2']
+    try:
+        eventually(lambda: running.leader.engine is not None)
+        engine = running.leader.engine
+        assert engine is not None
+        eventually(lambda: engine.workers['w1'].instance == 'm1')
+        other.is_silent = worker.is_silent = True
+        platform.may_answer.clear()
+        platform.set_state('m1', InstanceState.DOWN)
+        eventually(lambda: platform.is_waiting)
+
+        worker.crash()
+        worker.is_silent = False
+        running.propose(AdmitWorker(worker=worker.make_record()))
+        running.submit('j')
+        eventually(lambda: 'j.0.0.0' in worker.running)
+        worker.is_silent = True
+        eventually(lambda: engine.workers['w1'].silent_since is not None)
+        other.is_silent = False
+        platform.set_state('m1', InstanceState.UP)
+        platform.may_answer.set()
+        gevent.sleep(0.5)
+        assert 'w1' in running.state.workers
+        assert not other.running
+    finally:
+        running.leader.close()
+
+
+def test_order_that_was_done_before_does_not_release_runs() -> None:
+    """The platform answers it as done, and the worker goes on."""
+    platform = LatePlatform()
+    running = RunningLeader(lambda: platform)
+    platform.add('m1', 'lots', worker='w1')
+    running.propose(
+        OpenWave(
+            number=1, instances=('m1',), limit=1, duration_ms=9000, now_ms=1
+        )
+    )
+    running.start()
+    worker, other = running.workers['w1'], running.workers['w2']
+    try:
+        eventually(lambda: bool(platform.orders))
+        platform.finish_order('m1', 'w1')
+        running.submit('j')
+        eventually(lambda: 'j.0.0.0' in other.running)
+        task = TaskId('j', 0, 0, 0)
+        other.crash()
+        other.is_silent = True
+        worker.start(task, 5, until_ms=9000, token=running.state.epoch)
+        engine = running.leader.engine
+        assert engine is not None
+        eventually(lambda: bool(engine.workers['w1'].runs))
+        platform.may_answer.set()
+        gevent.sleep(0.5)
+        assert 'w1' in running.state.workers
+    finally:
+        running.leader.close()
+
+
+def test_instance_that_is_listed_as_moving_ends_its_silent_worker() -> None:
+    """Its tasks don't wait for the lease."""
+    platform = FakePlatform()
+    running = RunningLeader(lambda: platform)
+    platform.add('m1', 'lots', worker='w1')
+    worker, other = running.workers['w1'], running.workers['w2']
+    other.is_silent = True
+    running.start()
+    try:
+        eventually(lambda: running.leader.engine is not None)
+        running.submit('j')
+        eventually(lambda: 'j.0.0.0' in worker.running)
+        worker.is_silent = True
+        platform.set_state('m1', InstanceState.MOVING)
+        other.is_silent = False
+        eventually(lambda: 'j.0.0.0' in other.running, seconds=4.0)
+        assert 'w1' not in running.state.workers
+    finally:
+        running.leader.close()
+
+
 def test_queued_starts_are_placed_again_after_a_change_of_address(
     running: RunningLeader, monkeypatch: pytest.MonkeyPatch
 ) -> None:
