Release a run whose start has expired although its stop has no answer

Callers waited: a task stayed on a worker that lists its runs but answers no order. Its start had no answer, nor had any of the stops that followed, and only a stop that was answered, or a start that was not being stopped, could end the wait. Once the worker's clock has passed the time up to which the start may be carried out, a list without the run proves that it never runs.

--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -250,7 +250,8 @@
 
         A run that is not listed is over if the poll was sent after the run
         was confirmed or after its stop was answered. A run whose start got no
-        answer is over once the worker's clock has passed the order's expiry.
+        answer is over once the worker's clock has passed the order's expiry,
+        even if its stop got none either.
         """
         for run in list(worker.runs.values()):
             if run.key in listed:
@@ -261,7 +262,10 @@
             elif run.stop_answered_at is not None:
                 if run.stop_answered_at < sent_at:
                     self._release_run(run, now, 'not_started')
-            elif run.state is RunState.UNSURE and clock_ms > run.until_ms:
+            elif (
+                run.state in (RunState.UNSURE, RunState.STOPPING)
+                and clock_ms > run.until_ms
+            ):
                 self._release_run(run, now, 'order_expired')
 
     def _handle_end(self, worker: Worker, end: EndedRow, now: float) -> None:
--- a/testing/jobs/test_stops.py
+++ b/testing/jobs/test_stops.py
@@ -164,6 +164,7 @@
     harness: LossyHarness,
 ) -> None:
     harness.workers['w3'] = FakeWorker(name='w3')
+    harness.holding_heartbeats.add('w3')
     harness.cut_off.add('w1')
     harness.pass_time(0.8)
     run = restart_without_answers(harness, 'w0')
@@ -174,6 +175,17 @@
     assert len(harness.starts) < 2 * LEASE_S
 
 
+def test_task_leaves_a_worker_that_answers_no_stops_either(
+    harness: LossyHarness,
+) -> None:
+    harness.workers['w3'] = FakeWorker(name='w3')
+    harness.pass_time(0.5)
+    run = restart_without_answers(harness, 'w0')
+    harness.pass_time(2 * LEASE_S)
+    assert harness.stops
+    assert run.worker.runs.get(run.key) is not run
+
+
 def test_start_of_a_step_without_a_budget_is_stopped() -> None:
     step = Step(count=3, cpu=1000, lasting=True, per_worker=1)
     harness = make_harness(step)
