Release no run by the answer to a repeated start

Tasks ran twice, and their workers got more than they have room for: a start without an answer is repeated, and the refusal of the repeat released the run unless its state was still that of an unanswered start. It isn't when a list has shown the run meanwhile, or when the run is stopped, which happens 1 s after the order, while the second try is on its way (each try waits 0.7 s). An unhealthy worker, a refused connection, or the answer that the number is too low because the stop came first then gave the run's room away and started its task elsewhere, while the first try had been carried out.

A run now remembers that one of its tries got no answer. What the worker answers to another one doesn't release it; its lists, the answer to its stop and the lease do.

Before, all four answers released a run that was being stopped, and both of the two that were tried released one that its worker listed.

--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -30,6 +30,7 @@
         if worker.runs.get(run.key) is not run:
             return
         if answer.outcome is Outcome.NO_ANSWER:
+            run.may_have_started = True
             if run.state is RunState.ORDERED:
                 run.state = RunState.UNSURE
             return
@@ -60,9 +61,9 @@
         if outcome is Outcome.FENCED:
             self.fenced = True
             return
-        if run.state is RunState.UNSURE:
-            # An earlier attempt got no answer: it may have started the run,
-            # or may still do so.
+        if run.may_have_started:
+            # An earlier try may have started the run or may still do so. Only
+            # the worker's lists show its end, also while it is being stopped.
             return
         if step is not None:
             if outcome in (Outcome.UNHEALTHY, Outcome.REFUSED):
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -46,6 +46,8 @@
     :param step: step of the task, or ``None`` once its job is over.
     :param until_ms: time on the worker's clock until which it may carry out
         the start.
+    :param may_have_started: a try of the start got no answer, so what the
+        worker answers to another try proves nothing.
     :param confirmed_at: when the worker was first known to run it.
     :param percent: progress; for a lasting task the share of its work that
         it does.
@@ -65,6 +67,7 @@
     ordered_at: float
     until_ms: int = 0
     state: RunState = RunState.ORDERED
+    may_have_started: bool = False
     confirmed_at: float | None = None
     stop_asked_at: float | None = None
     stop_answered_at: float | None = None
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -29,6 +29,7 @@
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.state import JobState
 from galenareel._scheduling.tables import PaceTask
+from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import StartTask
 from galenareel._scheduling.tables import StopTask
 from testing.standins.worker import FakeWorker
@@ -72,6 +73,7 @@
         self.cut_off: set[str] = set()
         self.delaying_orders: set[str] = set()
         self.late_orders: list[LateOrder] = []
+        self.retried: list[Run] = []  # starts without an answer
         self.holding_heartbeats: set[str] = set()
         self.retired: dict[str, int] = {}  # last incarnation, by worker
         self.log = Log('test', stream=io.StringIO())
@@ -262,6 +264,16 @@
         if name in self.losing_answers:
             answer = Answer(outcome=Outcome.NO_ANSWER)
         self.engine.handle_start_answer(run, answer, self.now)
+        if answer.outcome is Outcome.NO_ANSWER:
+            self.retried.append(run)
+
+    def refuse_retries(self, outcome: Outcome) -> None:
+        """Answer the second tries of the starts that got no answer."""
+        runs, self.retried = self.retried, []
+        for run in runs:
+            if run.worker is self.engine.workers.get(run.worker.name):
+                answer = Answer(outcome=outcome)
+                self.engine.handle_start_answer(run, answer, self.now)
 
     def _stop(self, order: StopTask) -> None:
         name = order.worker.name
--- a/testing/jobs/test_random_faults.py
+++ b/testing/jobs/test_random_faults.py
@@ -22,7 +22,9 @@
 from hypothesis.strategies import sampled_from
 import pytest
 
+from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Listing
+from galenareel._jobs.clients import Outcome
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Resources
@@ -30,6 +32,7 @@
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.state import Job
 from galenareel._scheduling.placement import Candidates
+from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import Worker
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
@@ -181,6 +184,10 @@
     def lose_answers(self, name: str) -> None:
         self.harness.losing_answers.add(name)
 
+    @rule(outcome=sampled_from([Outcome.UNHEALTHY, Outcome.NOT_SENT]))
+    def refuse_retries(self, outcome: Outcome) -> None:
+        self.harness.refuse_retries(outcome)
+
     @rule(name=sampled_from(NAMES))
     def delay_orders(self, name: str) -> None:
         self.harness.delaying_orders.add(name)
@@ -290,6 +297,28 @@
     machine.wait(2.0)
 
 
+def refuse_retry_of_a_run(machine: JobMachine, name: str) -> None:
+    for other in NAMES:
+        machine.lose_answers(other)
+    machine.submit()
+    machine.wait(0.1)
+    machine.refuse_retries(Outcome.NOT_SENT)
+    machine.wait(0.5)
+
+
+def without_lost_answers(patch: pytest.MonkeyPatch) -> None:
+    """Take the answer to a retry for that to the first try."""
+    handle_start_answer = Engine.handle_start_answer
+
+    def handle_as_first(
+        engine: Engine, run: Run, answer: Answer, now: float
+    ) -> None:
+        run.may_have_started = False
+        handle_start_answer(engine, run, answer, now)
+
+    patch.setattr(Engine, 'handle_start_answer', handle_as_first)
+
+
 def depart_without_answer(machine: JobMachine, name: str) -> None:
     machine.cut_off(name)
     machine.depart(name)
@@ -392,6 +421,7 @@
     (without_step_order, run_first_step, 'before step'),
     (without_resource_check, fill_workers, 'millicores'),
     (without_requeue, crash_worker, 'lost jobs'),
+    (without_lost_answers, refuse_retry_of_a_run, 'runs twice'),
     (without_waiting_for_departures, depart_without_answer, 'runs twice'),
     (without_missing_ends, end_more_than_a_list, 'after it was done'),
     (without_end_of_job, fail_and_cancel, 'cancelled'),
--- a/testing/jobs/test_releases.py
+++ b/testing/jobs/test_releases.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from galenareel._jobs.answers import UNANSWERED_START_LIMIT_S
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Listing
 from galenareel._jobs.clients import Outcome
@@ -17,9 +18,11 @@
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
 from galenareel._jobs.tables import LEASE_S
+from galenareel._scheduling.tables import RunState
 from galenareel._scheduling.tables import StartTask
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
+from testing.jobs.harness import TASK
 from testing.standins.worker import FakeWorker
 from testing.standins.worker import MAX_LEASE_MS
 
@@ -298,3 +301,68 @@
     after = (worker.clock_ms, worker.heard_at, worker.lease_expires_at)
     assert after == before
     assert not worker.runs
+
+
+@pytest.mark.parametrize(
+    'outcome',
+    [
+        Outcome.UNHEALTHY,
+        Outcome.NOT_SENT,
+        Outcome.NO_ROOM,
+        Outcome.SUPERSEDED,
+    ],
+)
+def test_refused_retry_does_not_release_a_run_that_is_being_stopped(
+    outcome: Outcome,
+) -> None:
+    """The first try may have started it, and its stop takes a while.
+
+    The stop goes out while the second try is on its way, so that the worker
+    may refuse that one as it has the stop.
+    """
+    harness = two_workers()
+    harness.pass_time(0.3)
+    harness.submit('j')
+    harness.engine.place(harness.now)
+    (order,) = harness.engine.take_orders()
+    assert isinstance(order, StartTask)
+    run = order.run
+    engine = harness.engine
+    until_ms = engine.extend_for_start(run, harness.now)
+    assert until_ms is not None
+    harness.workers[run.worker.name].start(
+        run.task, run.number, until_ms=until_ms, token=engine.epoch
+    )
+    lost = Answer(outcome=Outcome.NO_ANSWER)
+    engine.handle_start_answer(run, lost, harness.now)
+    harness.now += UNANSWERED_START_LIMIT_S
+    engine.housekeep(harness.now, 0)
+    assert run.state is RunState.STOPPING
+
+    engine.handle_start_answer(run, Answer(outcome=outcome), harness.now)
+    assert list(run.worker.runs.values()) == [run]
+    assert run.worker.cpu_used == TASK.cpu
+    harness.pass_time(2.5)
+    assert len(harness.list_running()['j.0.0.0']) == 1
+
+
+@pytest.mark.parametrize('outcome', [Outcome.UNHEALTHY, Outcome.NOT_SENT])
+def test_refused_retry_does_not_release_a_run_that_is_listed(
+    outcome: Outcome,
+) -> None:
+    """The list comes while the second try is on its way."""
+    harness = two_workers()
+    harness.pass_time(0.3)
+    harness.submit('j')
+    harness.engine.place(harness.now)
+    (order,) = harness.engine.take_orders()
+    assert isinstance(order, StartTask)
+    run = order.run
+    engine = harness.engine
+    engine.extend_for_start(run, harness.now)
+    lost = Answer(outcome=Outcome.NO_ANSWER)
+    engine.handle_start_answer(run, lost, harness.now)
+    apply_list(harness, run.worker.name, make_row('j.0.0.0', run.number))
+
+    engine.handle_start_answer(run, Answer(outcome=outcome), harness.now)
+    assert list(run.worker.runs.values()) == [run]
