--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -47,6 +47,8 @@
     :param until_ms: time on the worker's clock until which it may carry out
         any try of the start.
     :param start_asked_at: when its start was last ordered or sent.
+    :param may_have_started: a try of the start got no answer, so what the
+        worker answers to another try proves nothing.
     :param confirmed_at: when the worker was first known to run it.
     :param stop_reason: reason of the stop that is ordered, or empty.
     :param stop_asked_at: when a stop was last ordered, or ``None`` if none is.
@@ -72,6 +74,7 @@
     until_ms: int = 0
     state: RunState = RunState.ORDERED
     start_asked_at: float = 0.0
+    may_have_started: bool = False
     confirmed_at: float | None = None
     stop_reason: str = ''
     stop_asked_at: float | None = None
