--- a/testing/jobs/test_releases.py
+++ b/testing/jobs/test_releases.py
@@ -326,7 +326,7 @@
     assert isinstance(order, StartTask)
     run = order.run
     engine = harness.engine
-    until_ms = engine.extend_for_start(run, harness.now)
+    until_ms = engine.begin_start(run, harness.now)
     assert until_ms is not None
     harness.workers[run.worker.name].start(
         run.task, run.number, until_ms=until_ms, token=engine.epoch
@@ -357,7 +357,7 @@
     assert isinstance(order, StartTask)
     run = order.run
     engine = harness.engine
-    engine.extend_for_start(run, harness.now)
+    engine.begin_start(run, harness.now)
     lost = Answer(outcome=Outcome.NO_ANSWER)
     engine.handle_start_answer(run, lost, harness.now)
     apply_list(harness, run.worker.name, make_row('j.0.0.0', run.number))
