Give each life of a worker its own fencing token

Cause: a call without an answer may be carried out seconds later. A worker that has restarted under its name has another clock and has seen neither a token nor a run number, so it did all that was sent to its former life: the delayed first try of a start whose second try was answered, or a poll with the former position and lease. The leader kept using its epoch as the token for both lives.

Evidence, testing/jobs/test_worker_restart.py on the code before:

test_late_start_does_not_run_a_task_again_on_a_restarted_worker {'j.0.0.0': ['w1', 'w2']} == {'j.0.0.0': ['w2']} test_late_start_does_not_run_a_task_that_is_done {'j.0.0.0': ['w1']} == {} test_late_start_does_not_overload_a_restarted_worker assert 2 == 1 (w1, with room for one, ran next1.0.0.0 and j.0.0.0) test_late_poll_does_not_drop_ends_of_a_restarted_worker the end `done` of j3 was forgotten unseen, and j3 had not ended test_late_poll_does_not_extend_the_lease_of_a_restarted_worker 2 <= 1 (j.0.0.0 on w1 and w2)

Its harness delivered late starts only to workers that had not restarted, and no late try beside an answered one; it now delays stops and polls as well, and delivers to each life that a leader has read, or in whose tables the run still counts.

Change: when the leader notices another life under a name, by a heartbeat or a list, or a name that it retired in the last minute, it sends that worker nothing until it has taken a further epoch through the log with the existing TakeOver command. The worker gets that epoch as its token; one serves all workers that wait. Its runs and their room count until its first list under that token. Answers to calls with an earlier token say nothing of the present life and are taken as lost, so a late `fence` doesn't end the term.

Why it works: a token that no call has carried before is higher than that of every call to the former life, so the worker refuses those from its first contact on, and its list from then shows all that it carried out earlier. A proposal whose result is lost leaves its epoch unused. The time of the previous leader is now read once, when a leader begins, since a further epoch moves it.

--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -22,6 +22,22 @@
 class OrderAnswers(Listings):
     """Handles the answers to orders and resends unanswered stops."""
 
+    def screen_answer(
+        self, worker: Worker, answer: Answer, *, token: int
+    ) -> Answer:
+        """Return an answer, or none if it says nothing of the worker now.
+
+        An order that was sent to an earlier incarnation may have been carried
+        out or refused by either one. The first list of the present one, under
+        a higher token, tells which.
+
+        :param token: token with which the order was sent.
+        """
+        is_known = self.workers.get(worker.name) is worker
+        if is_known and token == worker.token:
+            return answer
+        return Answer(outcome=Outcome.NO_ANSWER, detail='worker restarted')
+
     def handle_start_answer(
         self, run: Run, answer: Answer, now: float
     ) -> None:
--- a/src/galenareel/_jobs/commands.py
+++ b/src/galenareel/_jobs/commands.py
@@ -22,7 +22,10 @@
 
 
 class TakeOver(Command, frozen=True):
-    """Begin the epoch of a new leader, one above the last epoch."""
+    """Begin the epoch of a new leader, one above the last epoch.
+
+    A leader also takes further epochs, as tokens for restarted workers.
+    """
 
     node: str
 
--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -87,6 +87,8 @@
         self._fail = fail
         self._may_order = may_order
         self._holder = holder
+        # A further epoch of this leader changes the value in the state.
+        self._previous_leader_ms = state.previous_leader_ms
         self._clock = clock
         self._log = log
         self._tables = FleetTables()
@@ -130,7 +132,7 @@
             return
         wall_ms = self._clock.wall() * 1000
         if (
-            order_age_s(last, self._state.previous_leader_ms, wall_ms)
+            order_age_s(last, self._previous_leader_ms, wall_ms)
             < RECENT_ORDER_S
         ):
             safe_at = self._started_at + TAKE_OVER_WAIT_S
--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -28,9 +28,12 @@
         """Extend a worker's lease; the caller sends it the new end.
 
         :returns: end of the lease in ms of the worker's clock. ``None`` if
-            its clock is not known, or if it is silent or being retired: a
-            call with a later end might still arrive and keep its runs alive.
+            its clock or token is not known, or if it is silent or being
+            retired: a call with a later end might still arrive and keep its
+            runs alive.
         """
+        if not worker.token:
+            return None
         if not worker.clock_ms or worker.silent_since is not None:
             return None
         if worker.retiring:
--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -33,11 +33,16 @@
     ) -> None:
         """Update the tables from one answer of a worker.
 
+        The first list of another incarnation only shows that the worker was
+        restarted. The next one is sent with a token of its own.
+
         :param sent_at: when the poll was sent; the list may lack what was
             ordered later.
         """
         if self.workers.get(worker.name) is not worker or worker.retiring:
             return
+        if not worker.token:
+            return
         born = worker.record.born
         if listing.born and born and listing.born != born:
             if listing.born < born:
@@ -46,12 +51,14 @@
             worker.record = msgspec.structs.replace(
                 worker.record, born=listing.born
             )
+            return
         self._record_answer(worker, listing.clock_ms, now)
         for end in listing.ended:
             if end.position > worker.processed_position:
                 worker.processed_position = end.position
                 self._handle_end(worker, end, now)
         self._record_position(worker)
+        self._release_former_runs(worker, listing, now)
         listed: set[TaskId] = set()
         for row in listing.running:
             task = self._update_run(worker, row, now)
@@ -68,6 +75,24 @@
             )
             self.wake_pool(worker.pool)
 
+    def _release_former_runs(
+        self, worker: Worker, listing: Listing, now: float
+    ) -> None:
+        """Release the runs of earlier incarnations that a worker lacks.
+
+        It has seen its own token, so it won't start them any more. A run that
+        it lists was started by a late order, and goes on.
+        """
+        listed = {(row.task, row.number) for row in listing.running}
+        for run in list(worker.runs.values()):
+            if run.token == worker.token:
+                continue
+            if (str(run.task), run.number) in listed:
+                run.token = worker.token
+                run.confirmed_at = None
+            else:
+                self._release_run(run, now, 'worker_restarted')
+
     def _record_position(self, worker: Worker) -> None:
         """Add a worker's last end to the batch, unless it is stored."""
         if worker.processed_position > worker.stored_position:
@@ -162,6 +187,7 @@
             worker=worker,
             step=None,
             ordered_at=0.0,
+            token=worker.token,
             state=RunState.STOPPING,
             confirmed_at=0.0,
             cpu=capacity.cpu,
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -211,7 +211,10 @@
 
     @property
     def previous_leader_ms(self) -> int:
-        """Last wall time that an earlier leader recorded, in ms since 1970."""
+        """Last wall time that was recorded before this epoch, in ms.
+
+        Read it when a leader begins: it changes with each further epoch.
+        """
         return self._tables.former_ms
 
     def _take_over(self, cmd: TakeOver) -> int:
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -38,6 +38,8 @@
 # took over.
 TAKE_OVER_MARGIN_S = 1.0
 FIRST_ANSWER_TIMEOUT_S = 0.8  # time for a new worker to answer its first poll
+# A retired name is known for longer than any call to it may be delayed.
+KEEP_RETIRED_NAME_S = 60.0
 
 
 @dataclass(slots=True)
@@ -62,7 +64,8 @@
     """Tables of one epoch.
 
     :param state: replicated state; it is only read here.
-    :param epoch: number of the epoch, sent with orders as fencing token.
+    :param epoch: number of the epoch, sent with orders as fencing token. The
+        next incarnation of a worker gets a higher token.
     :param now: monotonic time in seconds.
     """
 
@@ -90,6 +93,9 @@
         self._due_occurrences: list[tuple[int, str, int]] = []
         # Workers of a previous epoch whose runs are not known yet.
         self._unread_workers: set[str] = set()
+        self._workers_without_token: set[str] = set()
+        # By name, the time at which a worker was retired.
+        self._retired_names: dict[str, float] = {}
         self._retry_due = 0.0
         for record in state.workers.values():
             worker = self._add_worker(record, now)
@@ -329,11 +335,11 @@
         """Add a worker, or update it from a changed record."""
         worker = self.workers.get(record.name)
         if worker is None:
-            return self._add_worker(record, now)
+            worker = self._add_worker(record, now)
+            if record.name in self._retired_names:
+                self._withdraw_token(worker)
+            return worker
         if worker.record.born != record.born:
-            # The runs of the earlier incarnation are dropped when the list of
-            # the new one is read: an order that is still on its way may reach
-            # either of them.
             self._reset_worker(worker, now)
         worker.record = record
         if record.draining and not worker.draining:
@@ -360,6 +366,11 @@
         if worker is None or worker.record.born > born:
             return
         del self.workers[name]
+        self._workers_without_token.discard(name)
+        self._retired_names[name] = now
+        for other, retired_at in list(self._retired_names.items()):
+            if now - retired_at > KEEP_RETIRED_NAME_S:
+                del self._retired_names[other]
         self._clear_unread(name)
         for run in list(worker.runs.values()):
             self._release_run(run, now, 'worker_gone')
@@ -367,6 +378,7 @@
     def _add_worker(self, record: WorkerRecord, now: float) -> Worker:
         worker = Worker(
             record=record,
+            token=self.epoch,
             draining=record.draining,
             admitted_at=now,
             heard_at=now,
@@ -377,7 +389,17 @@
         return worker
 
     def _reset_worker(self, worker: Worker, now: float) -> None:
-        """Drop what was known of the earlier incarnation of a worker."""
+        """Drop what was known of the earlier incarnation of a worker.
+
+        Its runs are kept until the list of the new incarnation is read under
+        a token of its own: until then an order that is still on its way may
+        reach either of them.
+        """
+        self._withdraw_token(worker)
+        worker.heard_at = now
+        worker.silent_since = None
+        worker.awaits_answer = True
+        worker.answer_due = now + FIRST_ANSWER_TIMEOUT_S
         worker.has_listed = False
         worker.lease_expired = False
         worker.processed_position = 0
@@ -390,6 +412,30 @@
         worker.health = type(worker.health)()
         self._log.info('worker_restarted', worker=worker.name)
 
+    def _withdraw_token(self, worker: Worker) -> None:
+        """Let no call be sent to a worker before it gets another token.
+
+        Its name had an earlier incarnation. What was sent to that one carries
+        a lower token, so the worker refuses it once it has seen the other.
+        """
+        worker.token = 0
+        self._workers_without_token.add(worker.name)
+
+    def needs_token(self) -> bool:
+        """Return whether a worker waits for a higher fencing token."""
+        return bool(self._workers_without_token)
+
+    def grant_token(self, token: int) -> None:
+        """Give a token to all workers that wait for one.
+
+        :param token: a further epoch of this leader, which no call has
+            carried yet.
+        """
+        for name in sorted(self._workers_without_token):
+            self.workers[name].token = token
+            self._log.info('worker_token_raised', worker=name, token=token)
+        self._workers_without_token.clear()
+
     def wake_pool(self, name: str) -> None:
         """Let the next pass place the waiting tasks of a pool."""
         pool = self.pools.get(name)
@@ -464,6 +510,7 @@
         run = Run(
             task=task,
             number=number,
+            token=worker.token,
             worker=worker,
             step=step,
             ordered_at=now,
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -32,6 +32,7 @@
 from galenareel._jobs.commands import RecordEnds
 from galenareel._jobs.commands import RecordLoads
 from galenareel._jobs.commands import RetireWorker
+from galenareel._jobs.commands import TakeOver
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.fleet import Fleet
 from galenareel._jobs.metrics import JobMetrics
@@ -62,7 +63,7 @@
     """Leads for one epoch, with its greenlets and clients.
 
     :param name: name of this member, sent as the holder in orders for
-        instances.
+        instances and recorded with each further epoch.
     :param propose: commits a command and returns its result or error.
     :param leads_term: returns whether this member leads, even if its lease
         has expired.
@@ -88,6 +89,7 @@
     ) -> None:
         self._metrics = metrics
         self.engine = engine
+        self._name = name
         self.heartbeat_times: dict[str, float] = {}
         self._state = state
         self._propose = propose
@@ -105,6 +107,7 @@
         self._links: dict[str, WorkerLink] = {}
         self._greenlets: list[gevent.Greenlet] = []
         self._retirement: gevent.Greenlet | None = None
+        self._token_request: gevent.Greenlet | None = None
         self._unresolved_retirements: list[Worker] = []
         self._forget_due = 0.0
         self._over_since: dict[str, float] = {}
@@ -162,6 +165,8 @@
         gevent.killall(self._greenlets, block=False)
         if self._retirement is not None:
             self._retirement.kill(block=False)
+        if self._token_request is not None:
+            self._token_request.kill(block=False)
         for link in self._links.values():
             link.close()
         self._links.clear()
@@ -209,6 +214,7 @@
         elif isinstance(command, AdmitWorker):
             engine.admit_worker(command.worker, now)
             self._update_links()
+            self._request_token()
         elif isinstance(command, RetireWorker):
             engine.retire_worker(command.name, command.born, now)
             self._update_links()
@@ -260,6 +266,7 @@
         self._metrics.polls.add(1, {'outcome': outcome})
         if isinstance(reply, Listing):
             self.engine.apply_listing(worker, reply, sent_at=sent_at, now=now)
+            self._request_token()
             self._ends_ready.set()
             self._wake.set()
             if worker.stored_position < worker.processed_position:
@@ -269,6 +276,27 @@
         if reply.outcome is Outcome.OTHER_LIFE:
             self._retire(worker, 'another worker answers at its address')
 
+    def _request_token(self) -> None:
+        """Take a further epoch if workers were restarted."""
+        if not self.engine.needs_token():
+            return
+        if self._token_request is None or self._token_request.dead:
+            self._token_request = spawn_part(self.fail, self._take_token)
+
+    def _take_token(self) -> None:
+        """Take a further epoch as the token of restarted workers.
+
+        Workers that restart meanwhile get the same one. An epoch whose commit
+        has an unknown outcome is left unused. The other workers and the
+        platform keep seeing the epoch with which this term began.
+        """
+        while self.engine.needs_token() and self.wait_for_leader_lease():
+            epoch = self._propose(TakeOver(node=self._name))
+            if isinstance(epoch, int) and self.is_active():
+                self.engine.grant_token(epoch)
+            else:
+                gevent.sleep(LEASE_POLL_S)
+
     def _retire(self, worker: Worker, reason: str) -> None:
         """Retire a worker whose incarnation or lease has ended.
 
@@ -322,14 +350,20 @@
         """Send one order once the lease allows it, and record its answer."""
         if not self.wait_for_leader_lease():
             return
+        worker = _get_worker(order)
+        if worker is None or not worker.token:
+            self._report_unsent(order)
+            return
+        token = worker.token
         started_at = self.now()
         if isinstance(order, StartTask):
             answer = self._start(order, client)
             self._count_order('start', answer, started_at)
         elif isinstance(order, StopTask):
             answer = client.stop(
-                task=order.task, number=order.number, token=self.engine.epoch
+                task=order.task, number=order.number, token=token
             )
+            answer = self.engine.screen_answer(worker, answer, token=token)
             self._log.info(
                 'task_stopped',
                 task=str(order.task),
@@ -346,8 +380,9 @@
                 task=run.task,
                 number=run.number,
                 percent=order.percent,
-                token=self.engine.epoch,
+                token=token,
             )
+            answer = self.engine.screen_answer(worker, answer, token=token)
             self._count_order('pace', answer, started_at)
             self.engine.handle_pace_answer(order, answer)
         self._wake.set()
@@ -366,7 +401,10 @@
         tries = 0
         while _is_wanted(run) and self.wait_for_leader_lease():
             tries += 1
-            until_ms = self.engine.extend_lease(run.worker, self.now())
+            token = run.token
+            until_ms = None
+            if token == run.worker.token:
+                until_ms = self.engine.extend_lease(run.worker, self.now())
             if until_ms is not None:
                 run.until_ms = until_ms
                 answer = client.start(
@@ -374,10 +412,13 @@
                     number=run.number,
                     specification=order.specification,
                     until_ms=until_ms,
-                    token=self.engine.epoch,
+                    token=token,
                     checkpoint=order.checkpoint,
                     ticket=order.ticket,
                 )
+                answer = self.engine.screen_answer(
+                    run.worker, answer, token=token
+                )
             self.engine.handle_start_answer(run, answer, self.now())
             if (
                 answer.outcome is not Outcome.NO_ANSWER
--- a/src/galenareel/_jobs/worker_link.py
+++ b/src/galenareel/_jobs/worker_link.py
@@ -25,6 +25,7 @@
 IDLE_POLL_WAIT_MS = 1800  # while nothing runs on the worker
 SHARED_POLL_WAIT_MS = 350  # while filling tasks run beside serving ones
 POLL_RETRY_S = 0.15  # delay after a failed poll
+TOKEN_CHECK_S = 0.02  # interval of checks while the worker has no token
 
 if TYPE_CHECKING:
     from galenareel._jobs.term import Term
@@ -83,6 +84,10 @@
             if not self._term.wait_for_leader_lease():
                 return
             worker = self.worker
+            token = worker.token
+            if not token:
+                gevent.sleep(TOKEN_CHECK_S)
+                continue
             sent_at = self._term.now()
             wait_ms = _get_poll_wait_ms(worker)
             self._term.engine.note_poll_sent(worker, sent_at, wait_ms / 1000)
@@ -90,11 +95,12 @@
                 until_ms=self._term.engine.extend_lease(worker, sent_at),
                 acknowledged=worker.stored_position,
                 wait_ms=wait_ms,
-                token=self._term.engine.epoch,
+                token=token,
             )
             if not self._open:
                 return
-            self._term.handle_poll_reply(self, reply, sent_at)
+            if token == worker.token:
+                self._term.handle_poll_reply(self, reply, sent_at)
             if not isinstance(reply, Listing):
                 gevent.sleep(POLL_RETRY_S)
 
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -40,6 +40,7 @@
     Times that end in ``_at`` are local and monotonic, in seconds.
 
     :param number: increases with each run of the task.
+    :param token: fencing token of the worker's incarnation that was given it.
     :param step: step of the task, or ``None`` once its job is over.
     :param until_ms: time on the worker's clock until which it may carry out
         the start.
@@ -60,6 +61,7 @@
     worker: Worker
     step: StepWork | None
     ordered_at: float
+    token: int = 0
     until_ms: int = 0
     state: RunState = RunState.ORDERED
     confirmed_at: float | None = None
@@ -100,6 +102,8 @@
 class Worker:
     """A worker and its runs.
 
+    :param token: fencing token of all calls to this incarnation, or 0 while
+        it has none. No call is sent to it then.
     :param has_listed: this leader has read its list of runs in this epoch.
     :param lease_expired: its lease expired while it was silent.
     :param answer_due: local time by which the oldest unanswered poll should
@@ -125,6 +129,7 @@
     """
 
     record: WorkerRecord
+    token: int = 0
     has_listed: bool = False
     lease_expired: bool = False
     heard_at: float = 0.0
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
+import functools
 import io
 
 from opentelemetry.metrics import NoOpMeter
@@ -29,8 +31,10 @@
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.state import JobState
 from galenareel._scheduling.tables import PaceTask
+from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import StartTask
 from galenareel._scheduling.tables import StopTask
+from galenareel._scheduling.tables import Worker
 from testing.standins.worker import FakeWorker
 
 WALL_MS = 1_000_000
@@ -42,21 +46,28 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class LateOrder:
-    """A start order that reaches its worker late."""
+class LateCall:
+    """A call that reaches its worker late.
+
+    :param born: incarnation of the worker to which it was sent.
+    :param task: task that it starts, or ``None`` for any other call.
+    :param number: run number of that task.
+    :param carry_out: makes the call, on whichever incarnation is there.
+    """
 
     worker: str
     born: int
-    task: TaskId
+    task: TaskId | None
     number: int
-    until_ms: int
-    token: int
+    carry_out: Callable[[FakeWorker], object]
 
 
 class Harness:
     """A leader's engine, the replicated state and some workers.
 
-    All jobs go to the queue ``view``. Faults are set by worker name.
+    All jobs go to the queue ``view``. Faults are set by worker name: calls
+    that are lost or delayed get no answer. A start is tried twice while its
+    first try is delayed. No further epoch is committed while tokens are held.
 
     :param max_attempts: attempts that the queue gives each task.
     :param priority: priority of the queue.
@@ -71,7 +82,13 @@
         self.losing_answers: set[str] = set()
         self.cut_off: set[str] = set()
         self.delaying_orders: set[str] = set()
-        self.late_orders: list[LateOrder] = []
+        self.delaying_first_tries: set[str] = set()
+        self.delaying_stops: set[str] = set()
+        self.delaying_polls: set[str] = set()
+        self.holding_tokens = False
+        self.late_calls: list[LateCall] = []
+        # By worker name, the last incarnation that a leader has read.
+        self.read_lives: dict[str, int] = {}
         self.log = Log('test', stream=io.StringIO())
         self.apply(
             Configure(
@@ -116,6 +133,13 @@
         )
         return self.engine
 
+    def take_token(self) -> None:
+        """Take a further epoch for restarted workers, as the leader does."""
+        if self.engine.needs_token() and not self.holding_tokens:
+            epoch = self.apply(TakeOver(node='c1'))
+            assert isinstance(epoch, int)
+            self.engine.grant_token(epoch)
+
     def submit(self, name: str, req: JobRequest | None = None) -> None:
         command = AcceptJob(
             name=name, queue='view', request=req or make_job(), now_ms=WALL_MS
@@ -132,6 +156,12 @@
         self.apply(RetireWorker(name=name, born=record.born))
         self.engine.retire_worker(name, record.born, self.now)
 
+    def announce(self, name: str) -> None:
+        """Let a worker's heartbeat arrive."""
+        command = AdmitWorker(worker=self.workers[name].make_record())
+        if self.apply(command) is True:
+            self.engine.admit_worker(command.worker, self.now)
+
     def pass_time(self, seconds: float, step: float = 0.1) -> None:
         """Advance the time in steps, with a scheduling round in each."""
         end = self.now + seconds
@@ -157,22 +187,30 @@
 
     def poll(self, name: str) -> None:
         """Poll a worker and pass its reply to the engine."""
+        self.take_token()
         worker = self.engine.workers.get(name)
-        if worker is None:
+        if worker is None or not worker.token:
             return
         self.engine.note_poll_sent(worker, self.now, 0.1)
         until = self.engine.extend_lease(worker, self.now)
         if name in self.cut_off:
             return
-        reply = self.workers[name].poll(
+        call = functools.partial(
+            FakeWorker.poll,
             until_ms=until,
             acknowledged=worker.stored_position,
-            token=self.engine.epoch,
+            token=worker.token,
         )
+        if name in self.delaying_polls:
+            self._delay(worker, call)
+            return
+        reply = call(self.workers[name])
         if isinstance(reply, Listing):
             self.engine.apply_listing(
                 worker, reply, sent_at=self.now - 0.001, now=self.now
             )
+            if worker.has_listed and worker.record.born == reply.born:
+                self.read_lives[name] = reply.born
         else:
             self.engine.handle_failed_poll(worker, reply, self.now)
 
@@ -204,62 +242,111 @@
             elif isinstance(order, PaceTask):
                 run = order.run
                 worker = self.workers[run.worker.name]
-                answer = worker.pace(
-                    run.task,
-                    run.number,
-                    percent=order.percent,
-                    token=self.engine.epoch,
-                )
+                token = run.worker.token
+                if not token:
+                    answer = Answer(outcome=Outcome.NOT_SENT)
+                else:
+                    answer = worker.pace(
+                        run.task,
+                        run.number,
+                        percent=order.percent,
+                        token=token,
+                    )
                 self.engine.handle_pace_answer(order, answer)
 
     def _start(self, order: StartTask) -> None:
         run = order.run
         name = run.worker.name
-        until = self.engine.extend_lease(run.worker, self.now)
-        assert until is not None, 'start order for a worker without a lease'
-        run.until_ms = until
+        if run.token != run.worker.token:
+            answer = Answer(outcome=Outcome.NOT_SENT)
+            self.engine.handle_start_answer(run, answer, self.now)
+            return
+        if name in self.delaying_first_tries:
+            self._delay(run.worker, self._prepare_start(run), run)
+            answer = Answer(outcome=Outcome.NO_ANSWER)
+            self.engine.handle_start_answer(run, answer, self.now)
+        call = self._prepare_start(run)
         answer = Answer(outcome=Outcome.NO_ANSWER)
         if name in self.delaying_orders:
-            self.late_orders.append(
-                LateOrder(
-                    worker=name,
-                    born=run.worker.record.born,
-                    task=run.task,
-                    number=run.number,
-                    until_ms=until,
-                    token=self.engine.epoch,
-                )
-            )
+            self._delay(run.worker, call, run)
         elif name not in self.cut_off:
-            answer = self.workers[name].start(
-                run.task, run.number, until_ms=until, token=self.engine.epoch
-            )
+            answer = call(self.workers[name])
         if name in self.losing_answers:
             answer = Answer(outcome=Outcome.NO_ANSWER)
         self.engine.handle_start_answer(run, answer, self.now)
 
+    def _prepare_start(self, run: Run) -> Callable[[FakeWorker], Answer]:
+        until = self.engine.extend_lease(run.worker, self.now)
+        assert until is not None, 'start order for a worker without a lease'
+        run.until_ms = until
+        return functools.partial(
+            FakeWorker.start,
+            task=run.task,
+            number=run.number,
+            until_ms=until,
+            token=run.token,
+        )
+
     def _stop(self, order: StopTask) -> None:
         name = order.worker.name
         if name in self.cut_off or name not in self.workers:
             return
-        answer = self.workers[name].stop(
-            order.task, order.number, token=self.engine.epoch
+        if not order.worker.token:
+            return
+        call = functools.partial(
+            FakeWorker.stop,
+            task=order.task,
+            number=order.number,
+            token=order.worker.token,
         )
+        if name in self.delaying_stops:
+            self._delay(order.worker, call)
+            return
+        answer = call(self.workers[name])
         if name not in self.losing_answers:
             self.engine.handle_stop_answer(order, answer, self.now)
 
+    def _delay(
+        self,
+        worker: Worker,
+        call: Callable[[FakeWorker], object],
+        run: Run | None = None,
+    ) -> None:
+        self.late_calls.append(
+            LateCall(
+                worker=worker.name,
+                born=worker.record.born,
+                task=run.task if run is not None else None,
+                number=run.number if run is not None else 0,
+                carry_out=call,
+            )
+        )
+
     def deliver_late(self) -> None:
-        """Deliver the delayed orders to workers that have not restarted."""
-        orders, self.late_orders = self.late_orders, []
-        for order in orders:
-            worker = self.workers[order.worker]
-            if worker.born == order.born:
-                worker.start(
-                    order.task,
-                    order.number,
-                    until_ms=order.until_ms,
-                    token=order.token,
-                )
+        """Deliver the delayed calls, also to workers that have restarted.
+
+        A call that reaches an incarnation which no leader has read yet can't
+        be refused, so it stays delayed. It is delivered if it starts a run
+        that the leader keeps in its tables for that incarnation.
+        """
+        calls, self.late_calls = self.late_calls, []
+        for call in calls:
+            worker = self.workers[call.worker]
+            is_read = worker.born == self.read_lives.get(call.worker)
+            if worker.born == call.born or is_read or self._is_kept(call):
+                call.carry_out(worker)
+            else:
+                self.late_calls.append(call)
+
+    def _is_kept(self, call: LateCall) -> bool:
+        """Return whether the leader still counts with a late start."""
+        worker = self.engine.workers.get(call.worker)
+        if worker is None or call.task is None:
+            return False
+        if worker.record.born != self.workers[call.worker].born:
+            return False  # it does not know of the restart yet
+        run = worker.runs.get(call.task)
+        return run is not None and run.number == call.number
 
     def list_running(self) -> dict[str, list[str]]:
         """Return the names of the workers that run each task."""
--- a/testing/jobs/test_random_faults.py
+++ b/testing/jobs/test_random_faults.py
@@ -1,7 +1,7 @@
 """Run the engine under random faults, and check what the workers see.
 
-A state machine crashes workers, loses answers, delays orders, cuts workers
-off and changes the leader. To show that each check works, further tests break
+A state machine crashes workers, loses answers, delays calls, cuts workers off
+and changes the leader. To show that each check works, further tests break
 the engine and expect the check to fail.
 """
 
@@ -115,10 +115,10 @@
         self.harness.cancel(name)
         # A delayed start may still arrive after the cancellation, which is
         # allowed as the engine then stops the task.
-        self.harness.late_orders = [
-            order
-            for order in self.harness.late_orders
-            if order.task.job != name
+        self.harness.late_calls = [
+            call
+            for call in self.harness.late_calls
+            if call.task is None or call.task.job != name
         ]
         self.checker.cancelled.add(name)
 
@@ -134,9 +134,22 @@
             if done:
                 self.checker.done.add(task)
 
+    @rule(name=sampled_from(NAMES), seconds=sampled_from([0.0, 0.5]))
+    def crash(self, name: str, seconds: float) -> None:
+        self.harness.workers[name].crash()
+        self.harness.pass_time(seconds)
+
     @rule(name=sampled_from(NAMES))
-    def crash(self, name: str) -> None:
+    def announce(self, name: str) -> None:
+        self.harness.announce(name)
+
+    @rule(name=sampled_from(NAMES))
+    def crash_and_retire(self, name: str) -> None:
+        """Let a worker return after its name was retired."""
         self.harness.workers[name].crash()
+        if name in self.harness.state.workers:
+            self.harness.retire(name)
+        self.harness.announce(name)
 
     @rule(name=sampled_from(NAMES))
     def cut_off(self, name: str) -> None:
@@ -147,6 +160,10 @@
         self.harness.cut_off.clear()
         self.harness.losing_answers.clear()
         self.harness.delaying_orders.clear()
+        self.harness.delaying_first_tries.clear()
+        self.harness.delaying_stops.clear()
+        self.harness.delaying_polls.clear()
+        self.harness.holding_tokens = False
 
     @rule(name=sampled_from(NAMES))
     def lose_answers(self, name: str) -> None:
@@ -156,6 +173,20 @@
     def delay_orders(self, name: str) -> None:
         self.harness.delaying_orders.add(name)
 
+    @rule()
+    def delay_first_tries(self) -> None:
+        self.harness.delaying_first_tries.update(NAMES)
+
+    @rule(name=sampled_from(NAMES), stops=booleans())
+    def delay_stops_or_polls(self, name: str, stops: bool) -> None:
+        harness = self.harness
+        faults = harness.delaying_stops if stops else harness.delaying_polls
+        faults.add(name)
+
+    @rule()
+    def hold_tokens(self) -> None:
+        self.harness.holding_tokens = True
+
     @rule()
     def deliver_late(self) -> None:
         self.harness.deliver_late()
@@ -169,7 +200,7 @@
         if not hasattr(self, 'harness'):
             return
         self.end_faults()
-        self.harness.late_orders.clear()
+        self.harness.late_calls.clear()
         for _ in range(int(SETTLE_S)):
             self.harness.pass_time(1.0, step=0.25)
             for name in NAMES:
@@ -248,7 +279,7 @@
 
 
 def crash_worker(machine: JobMachine, name: str) -> None:
-    machine.crash(name)
+    machine.crash(name, 0.0)
     machine.teardown()
 
 
@@ -308,6 +339,36 @@
     patch.setattr(Candidates, 'might_fit', lambda *_: True)
 
 
+def without_token_of_a_life(patch: pytest.MonkeyPatch) -> None:
+    """Send orders to each incarnation of a worker with the same token."""
+    patch.setattr(Engine, '_withdraw_token', lambda *_: None)
+
+
+def without_retired_names(patch: pytest.MonkeyPatch) -> None:
+    """Take a worker whose name was retired for one with a new name."""
+    retire_worker = Engine.retire_worker
+
+    def retire_and_forget(
+        engine: Engine, name: str, born: int, now: float
+    ) -> None:
+        retire_worker(engine, name, born, now)
+        engine._retired_names.clear()
+
+    patch.setattr(Engine, 'retire_worker', retire_and_forget)
+
+
+def without_list_of_a_life(patch: pytest.MonkeyPatch) -> None:
+    """Release the runs of a restarted worker before its list is read."""
+    reset_worker = Engine._reset_worker
+
+    def reset_and_release(engine: Engine, worker: Worker, now: float) -> None:
+        reset_worker(engine, worker, now)
+        for run in list(worker.runs.values()):
+            engine._release_run(run, now, 'restarted')
+
+    patch.setattr(Engine, '_reset_worker', reset_and_release)
+
+
 def without_requeue(patch: pytest.MonkeyPatch) -> None:
     """Don't queue released tasks again."""
     patch.setattr(Engine, '_requeue', lambda *_: None)
@@ -318,6 +379,60 @@
     patch.setattr(Engine, 'end_job', lambda *_: None)
 
 
+def delay_start_until_restart(machine: JobMachine) -> str:
+    """Start a job whose first tries are delayed, and restart a worker of it.
+
+    :returns: name of the worker, which its leader has not read yet.
+    """
+    for worker in machine.harness.workers.values():
+        worker.work_s = 1.0  # a stalled task would be moved
+    machine.harness.pass_time(20.0)
+    machine.delay_first_tries()
+    machine.submit()
+    machine.wait(0.5)
+    machine.end_faults()
+    (name,) = machine.harness.list_running()['j2.0.0.0']
+    machine.crash(name, 0.0)
+    return name
+
+
+def deliver_late_to(machine: JobMachine, name: str) -> None:
+    """Deliver the delayed calls, also if no leader has read the worker."""
+    calls = machine.harness.late_calls
+    machine.harness.late_calls = []
+    for call in calls:
+        if call.worker == name:
+            call.carry_out(machine.harness.workers[name])
+
+
+def restart_before_late_start(machine: JobMachine, name: str) -> None:
+    name = delay_start_until_restart(machine)
+    machine.harness.workers[name].resources = Resources(0, 0, 0)
+    machine.announce(name)
+    machine.wait(0.5)
+    machine.deliver_late()
+    machine.teardown()
+
+
+def retire_before_late_start(machine: JobMachine, name: str) -> None:
+    name = delay_start_until_restart(machine)
+    machine.harness.workers[name].resources = Resources(0, 0, 0)
+    machine.harness.retire(name)
+    machine.announce(name)
+    machine.wait(0.5)
+    machine.deliver_late()
+    machine.teardown()
+
+
+def deliver_late_start_before_list(machine: JobMachine, name: str) -> None:
+    name = delay_start_until_restart(machine)
+    machine.hold_tokens()
+    machine.announce(name)
+    machine.wait(0.5)
+    deliver_late_to(machine, name)
+    machine.teardown()
+
+
 BROKEN_ENGINES = [
     (without_lease_wait, cut_off_for_a_lease, 'runs twice'),
     (without_reading_workers, cut_off_and_change_leader, 'runs twice'),
@@ -326,6 +441,9 @@
     (without_resource_check, fill_workers, 'millicores'),
     (without_requeue, crash_worker, 'lost jobs'),
     (without_end_of_job, fail_and_cancel, 'cancelled'),
+    (without_token_of_a_life, restart_before_late_start, 'runs twice'),
+    (without_retired_names, retire_before_late_start, 'runs twice'),
+    (without_list_of_a_life, deliver_late_start_before_list, 'runs twice'),
 ]
 
 
--- /dev/null
+++ b/testing/jobs/test_worker_restart.py
@@ -0,0 +1,431 @@
+"""Calls to an earlier incarnation of a worker that the next one carries out.
+
+A worker that restarts under its name has another clock and knows no fencing
+token and no run numbers, so it refuses nothing that was sent before.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import gevent
+from gevent.event import Event
+import pytest
+
+from galenareel._common.sentinels import Unreachable
+from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import InstanceRow
+from galenareel._jobs.clients import Outcome
+from galenareel._jobs.commands import AdmitWorker
+from galenareel._jobs.commands import CancelJob
+from galenareel._jobs.commands import decode
+from galenareel._jobs.commands import OpenWave
+from galenareel._jobs.commands import RecordOrders
+from galenareel._jobs.commands import RetireWorker
+from galenareel._jobs.commands import TakeOver
+from galenareel._jobs.model import EndKind
+from galenareel._jobs.model import Resources
+from galenareel._jobs.model import Step
+from galenareel._jobs.placing import RUNS_PER_EPOCH
+from galenareel._scheduling.tables import PaceTask
+from testing.jobs.harness import Harness
+from testing.jobs.harness import make_job
+from testing.jobs.test_leader import Client
+from testing.jobs.test_leader import eventually
+from testing.jobs.test_leader import RunningLeader
+from testing.standins.instances import FakePlatform
+from testing.standins.worker import FakeWorker
+
+
+def restart_with_late_first_try(harness: Harness) -> str:
+    """Restart the worker of a task while a try of its start is delayed.
+
+    :returns: name of the worker.
+    """
+    harness.delaying_first_tries.update(harness.workers)
+    harness.submit('j')
+    harness.pass_time(0.3)
+    harness.delaying_first_tries.clear()
+    worker = harness.find_worker('j.0.0.0')
+    worker.crash()
+    return worker.name
+
+
+def two_workers(cpu: int = 8000) -> Harness:
+    room = Resources(cpu, 32768, 0)
+    harness = Harness(
+        FakeWorker(name='w1', resources=room),
+        FakeWorker(name='w2', resources=room),
+    )
+    harness.pass_time(0.3)
+    return harness
+
+
+def test_late_start_does_not_run_a_task_again_on_a_restarted_worker() -> None:
+    harness = two_workers()
+    name = restart_with_late_first_try(harness)
+    harness.workers[name].resources = Resources(0, 0, 0)
+    harness.announce(name)
+    harness.pass_time(1.0)
+    (other,) = harness.list_running()['j.0.0.0']
+    assert other != name
+
+    harness.deliver_late()
+    assert harness.list_running() == {'j.0.0.0': [other]}
+
+
+def test_late_start_does_not_run_a_task_that_is_done() -> None:
+    harness = Harness(FakeWorker(name='w1'))
+    harness.pass_time(0.3)
+    name = restart_with_late_first_try(harness)
+    harness.pass_time(0.5)
+    harness.find_worker('j.0.0.0').end('j.0.0.0', EndKind.DONE)
+    harness.pass_time(0.5)
+    harness.workers[name].crash()
+    harness.pass_time(0.5)
+
+    harness.deliver_late()
+    assert harness.list_running() == {}
+
+
+def test_late_start_does_not_overload_a_restarted_worker() -> None:
+    harness = two_workers(cpu=1000)
+    harness.delaying_first_tries.update(harness.workers)
+    harness.submit('j')
+    harness.pass_time(0.3)
+    harness.delaying_first_tries.clear()
+    worker = harness.find_worker('j.0.0.0')
+    worker.end('j.0.0.0', EndKind.DONE)
+    harness.pass_time(0.3)
+    worker.crash()
+    for number in (1, 2):
+        harness.submit(f'next{number}')
+    harness.pass_time(0.5)
+    assert len(worker.running) == 1
+
+    harness.deliver_late()
+    assert len(worker.running) == 1
+
+
+def test_late_poll_does_not_drop_ends_of_a_restarted_worker() -> None:
+    harness = Harness(FakeWorker(name='w1'))
+    harness.pass_time(0.3)
+    worker = harness.workers['w1']
+    for number in (1, 2):
+        harness.submit(f'j{number}')
+    harness.pass_time(0.3)
+    for task in list(worker.running):
+        worker.end(task, EndKind.DONE)
+    harness.pass_time(0.3)
+    harness.delaying_polls.add('w1')
+    harness.poll('w1')
+    harness.delaying_polls.clear()
+    worker.crash()
+    harness.pass_time(0.5)
+
+    harness.submit('j3')
+    harness.pass_time(0.3)
+    worker.end('j3.0.0.0', EndKind.DONE)
+    harness.deliver_late()
+    harness.pass_time(0.5)
+    assert harness.state.jobs['j3'].has_ended
+    assert worker.starts.count(('j3.0.0.0', 1)) == 1
+    assert ('j3.0.0.0', 2) not in worker.starts
+
+
+def test_late_poll_does_not_extend_the_lease_of_a_restarted_worker() -> None:
+    harness = two_workers()
+    harness.pass_time(20.0)
+    harness.delaying_polls.update(harness.workers)
+    harness.poll_all()
+    harness.delaying_polls.clear()
+    for worker in harness.workers.values():
+        worker.crash()
+    harness.pass_time(12.0)
+    harness.submit('j', make_job(Step(count=1, cpu=1000, lasting=True)))
+    harness.pass_time(0.5)
+    (name,) = harness.list_running()['j.0.0.0']
+    harness.cut_off.add(name)
+    harness.deliver_late()
+    for _ in range(60):
+        assert len(harness.list_running().get('j.0.0.0', ())) <= 1
+        harness.pass_time(0.2)
+
+
+def start_late_before_first_list(harness: Harness, name: str) -> None:
+    """Let a worker carry out the delayed calls before any leader reads it."""
+    calls, harness.late_calls = harness.late_calls, []
+    for call in calls:
+        assert call.worker == name
+        call.carry_out(harness.workers[name])
+
+
+def test_late_start_before_the_first_list_is_kept() -> None:
+    harness = two_workers()
+    name = restart_with_late_first_try(harness)
+    harness.announce(name)
+    start_late_before_first_list(harness, name)
+    harness.pass_time(0.5)
+    assert harness.list_running() == {'j.0.0.0': [name]}
+    starts = [start for w in harness.workers.values() for start in w.starts]
+    assert starts == [('j.0.0.0', 1), ('j.0.0.0', 1)]
+
+
+def test_run_is_kept_until_the_token_of_its_worker_is_committed() -> None:
+    harness = two_workers()
+    name = restart_with_late_first_try(harness)
+    harness.holding_tokens = True
+    harness.pass_time(5.0)
+    start_late_before_first_list(harness, name)
+    harness.pass_time(0.5)
+    assert harness.list_running() == {'j.0.0.0': [name]}
+
+    harness.holding_tokens = False
+    harness.pass_time(0.5)
+    assert harness.list_running() == {'j.0.0.0': [name]}
+    harness.workers[name].end('j.0.0.0', EndKind.DONE)
+    harness.pass_time(0.5)
+    assert harness.state.jobs['j'].has_ended
+
+
+def test_late_start_before_the_first_list_takes_room_until_stopped() -> None:
+    harness = Harness(
+        FakeWorker(name='w1', resources=Resources(1000, 9000, 0))
+    )
+    harness.pass_time(0.3)
+    harness.delaying_first_tries.add('w1')
+    harness.submit('j')
+    harness.pass_time(0.3)
+    harness.delaying_first_tries.clear()
+    worker = harness.workers['w1']
+    worker.end('j.0.0.0', EndKind.DONE)
+    harness.pass_time(0.3)
+    worker.crash()
+    start_late_before_first_list(harness, 'w1')
+    harness.announce('w1')
+    harness.submit('next')
+    harness.delaying_stops.add('w1')
+    harness.pass_time(1.0)
+    assert list(worker.running) == ['j.0.0.0']
+
+    harness.delaying_stops.clear()
+    harness.pass_time(2.0)
+    assert list(worker.running) == ['next.0.0.0']
+
+
+def test_workers_that_restart_together_share_one_epoch() -> None:
+    harness = two_workers()
+    harness.holding_tokens = True
+    for worker in harness.workers.values():
+        worker.crash()
+    harness.pass_time(0.5)
+    harness.announce('w1')
+    harness.holding_tokens = False
+    harness.pass_time(0.5)
+    assert harness.state.epoch == 2
+    assert [worker.token for worker in harness.workers.values()] == [2, 2]
+    assert harness.engine.epoch == 1
+
+
+def test_worker_that_did_not_restart_keeps_its_token() -> None:
+    harness = two_workers()
+    harness.workers['w1'].crash()
+    harness.pass_time(0.5)
+    assert [worker.token for worker in harness.workers.values()] == [2, 1]
+
+
+def test_next_leader_numbers_runs_above_those_of_a_job_of_a_later_epoch() -> (
+    None
+):
+    # A job that is accepted after a restart has a higher epoch than the
+    # engine that starts its tasks.
+    harness = two_workers()
+    for _ in range(3):
+        harness.workers['w1'].crash()
+        harness.pass_time(0.5)
+    harness.submit('j')
+    harness.pass_time(0.3)
+    worker = harness.find_worker('j.0.0.0')
+    assert worker.starts[-1] == ('j.0.0.0', 1)
+
+    harness.take_over('c2')
+    worker.crash()
+    harness.pass_time(2.0)
+    number = harness.find_worker('j.0.0.0').starts[-1][1]
+    assert number > RUNS_PER_EPOCH
+
+
+@pytest.fixture
+def running() -> Iterator[RunningLeader]:
+    running = RunningLeader()
+    running.start()
+    eventually(lambda: running.leader.engine is not None)
+    engine = running.leader.engine
+    assert engine is not None
+    eventually(lambda: all(w.has_listed for w in engine.workers.values()))
+    yield running
+    running.leader.close()
+
+
+def restart_silently(running: RunningLeader, name: str) -> FakeWorker:
+    """Restart a worker, which is announced and then answers."""
+    worker = running.workers[name]
+    worker.is_silent = True
+    gevent.sleep(0.05)  # until no poll is on its way
+    worker.crash()
+    running.propose(AdmitWorker(worker=worker.make_record()))
+    worker.is_silent = False
+    return worker
+
+
+def test_leader_calls_no_restarted_worker_before_it_has_a_token(
+    running: RunningLeader, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    stop = Client.stop
+    tokens: list[int] = []
+
+    def note_token(client: Client, **fields: Any) -> Answer:
+        tokens.append(fields['token'])
+        return stop(client, **fields)
+
+    monkeypatch.setattr(Client, 'stop', note_token)
+    running.submit('cancelled')
+    eventually(lambda: running.is_running('cancelled.0.0.0'))
+    may_commit = Event()
+    running.log.hold(TakeOver, may_commit)
+    workers = [restart_silently(running, name) for name in ('w1', 'w2')]
+    running.submit('j')
+    running.propose(CancelJob(name='cancelled', now_ms=1))
+    gevent.sleep(0.3)
+    assert [worker.token for worker in workers] == [0, 0]
+    assert not tokens
+    assert not running.is_running('j.0.0.0')
+
+    may_commit.set()
+    eventually(lambda: running.is_running('j.0.0.0'))
+    eventually(lambda: [worker.token for worker in workers] == [2, 2])
+    assert running.state.epoch == 2
+
+
+def test_token_is_taken_again_after_a_commit_of_unknown_outcome(
+    running: RunningLeader, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    propose = running.log.propose
+    lost: list[bytes] = []
+
+    def lose_first(command: bytes, *, timeout_s: float) -> Any:
+        result = propose(command, timeout_s=timeout_s)
+        if isinstance(decode(command), TakeOver) and not lost:
+            lost.append(command)
+            return Unreachable(reason='timeout')
+        return result
+
+    monkeypatch.setattr(running.log, 'propose', lose_first)
+    worker = restart_silently(running, 'w1')
+    eventually(lambda: worker.token == 3)
+    assert running.workers['w2'].token == 1
+
+
+@pytest.mark.parametrize('method', ['start', 'stop', 'pace', 'poll'])
+def test_late_fence_of_a_restarted_worker_does_not_end_the_term(
+    running: RunningLeader, monkeypatch: pytest.MonkeyPatch, method: str
+) -> None:
+    """A call that was sent before the restart carries a lower token."""
+    running.propose(RetireWorker(name='w2', born=1))
+    may_arrive = Event()
+    held: list[dict[str, Any]] = []
+    call = getattr(Client, method)
+
+    def hold_first(client: Client, **fields: Any) -> Any:
+        if not held:
+            held.append(fields)
+            may_arrive.wait()
+        return call(client, **fields)
+
+    engine = running.leader.engine
+    assert engine is not None
+    if method in ('stop', 'pace'):
+        running.submit('j')
+        eventually(lambda: running.is_running('j.0.0.0'))
+    monkeypatch.setattr(Client, method, hold_first)
+    if method == 'start':
+        running.submit('j')
+    elif method == 'stop':
+        running.propose(CancelJob(name='j', now_ms=1))
+    elif method == 'pace':
+        (run,) = engine.workers['w1'].runs.values()
+        order = PaceTask(run=run, percent=50, previous_pace=100)
+        engine._orders.append(order)
+        running.leader.wake()
+    eventually(lambda: bool(held))
+    worker = running.workers['w1']
+    worker.crash()
+    worker.token = 2  # as if a call had arrived before the held one
+    with monkeypatch.context() as patch:
+        if method != 'poll':
+            no_answer = Answer(outcome=Outcome.NO_ANSWER)
+            patch.setattr(Client, 'poll', lambda *_, **__: no_answer)
+        running.propose(AdmitWorker(worker=worker.make_record()))
+        eventually(lambda: engine.workers['w1'].token == 2)
+        may_arrive.set()
+        gevent.sleep(0.2)
+    running.submit('next')
+    eventually(lambda: running.is_running('next.0.0.0'))
+    assert running.state.epoch == 2
+    assert running.leader.engine is engine
+    assert not engine.fenced
+    assert [start[0] for start in worker.starts].count('j.0.0.0') <= 2
+
+
+class HeldPlatform(FakePlatform):
+    """Lists its instances when the test allows."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.may_list = Event()
+
+    def list_instances(self) -> list[InstanceRow] | Answer:
+        self.may_list.wait()
+        return super().list_instances()
+
+
+def test_further_epoch_keeps_the_last_time_of_the_previous_leader() -> None:
+    """Guards against an order beside one that may still be on its way.
+
+    The wall clock of this leader is an hour ahead of the previous one.
+    """
+    platform = HeldPlatform()
+    for number in range(2):
+        platform.add(f'm{number}', 'spare')
+    running = RunningLeader(lambda: platform)
+    now_ms = running.leader.wall_ms()
+    running.propose(TakeOver(node='c0'))
+    running.propose(
+        OpenWave(
+            number=1,
+            instances=('m0', 'm1'),
+            limit=2,
+            duration_ms=9000,
+            now_ms=now_ms,
+        )
+    )
+    running.propose(
+        RecordOrders(holder='c0', instances=('m0',), now_ms=now_ms)
+    )
+    running.clock.step_s = 3600.0
+    running.start()
+    try:
+        eventually(lambda: running.leader.engine is not None)
+        later_ms = running.leader.wall_ms()
+        running.submit('j')
+        running.propose(CancelJob(name='j', now_ms=later_ms))
+        worker = restart_silently(running, 'w1')
+        eventually(lambda: worker.token == 3)
+        platform.may_list.set()
+        eventually(lambda: bool(platform.orders))
+        gevent.sleep(0.5)
+        assert [order.instance for order in platform.orders] == ['m1']
+        assert [order.token for order in platform.orders] == [2]
+    finally:
+        running.leader.close()
