Count the lease of late calls to a restarted worker

Cause: a call to the former life of a worker that reaches the next one before the leader's first call extends its lease by up to the longest one, 10 s. The leader counted that only if it knew runs on the worker, and otherwise from the lease that it granted itself, 6 s. A task that was then placed there went on for up to 4 s after the leader released it.

Evidence, on the code before:

test_lease_of_a_late_poll_before_the_first_list_is_counted assert 0 >= 11100.0 (the leader's lease end and the worker's)

Change: the first clock that is read from a life whose name had another one sets the lease to the longest possible. `without_lease_of_late_calls` breaks that in the random-fault tests, and the task runs twice.

--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -103,7 +103,7 @@
     ) -> bool:
         """Return whether the worker was restarted and has a new clock."""
         if not worker.clock_ms:
-            return bool(worker.runs)
+            return worker.has_former_life or bool(worker.runs)
         elapsed_ms = (now - worker.clock_at) * 1000
         off_ms = abs(clock_ms - worker.clock_ms - elapsed_ms)
         return off_ms > MAX_ANSWER_DELAY_MS + elapsed_ms * (1 - MIN_CLOCK_RATE)
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -337,6 +337,7 @@
         if worker is None:
             worker = self._add_worker(record, now)
             if record.name in self._retired_names:
+                worker.has_former_life = True
                 self._withdraw_token(worker)
             return worker
         if worker.record.born != record.born:
@@ -396,6 +397,7 @@
         reach either of them.
         """
         self._withdraw_token(worker)
+        worker.has_former_life = True
         worker.heard_at = now
         worker.silent_since = None
         worker.awaits_answer = True
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -104,6 +104,8 @@
 
     :param token: fencing token of all calls to this incarnation, or 0 while
         it has none. No call is sent to it then.
+    :param has_former_life: calls to an earlier incarnation of its name may
+        have reached it.
     :param has_listed: this leader has read its list of runs in this epoch.
     :param lease_expired: its lease expired while it was silent.
     :param answer_due: local time by which the oldest unanswered poll should
@@ -130,6 +132,7 @@
 
     record: WorkerRecord
     token: int = 0
+    has_former_life: bool = False
     has_listed: bool = False
     lease_expired: bool = False
     heard_at: float = 0.0
--- a/testing/jobs/test_random_faults.py
+++ b/testing/jobs/test_random_faults.py
@@ -369,6 +369,20 @@
     patch.setattr(Engine, '_reset_worker', reset_and_release)
 
 
+def without_lease_of_late_calls(patch: pytest.MonkeyPatch) -> None:
+    """Count only the lease that a restarted worker was granted itself."""
+    has_other_clock = Engine._has_other_clock
+
+    def has_known_clock(
+        engine: Engine, worker: Worker, clock_ms: int, now: float
+    ) -> bool:
+        return bool(worker.clock_ms) and has_other_clock(
+            engine, worker, clock_ms, now
+        )
+
+    patch.setattr(Engine, '_has_other_clock', has_known_clock)
+
+
 def without_requeue(patch: pytest.MonkeyPatch) -> None:
     """Don't queue released tasks again."""
     patch.setattr(Engine, '_requeue', lambda *_: None)
@@ -433,6 +447,22 @@
     machine.teardown()
 
 
+def deliver_late_poll_before_list(machine: JobMachine, name: str) -> None:
+    machine.end_tasks(name, True)
+    machine.harness.pass_time(20.0)
+    machine.delay_stops_or_polls(name, False)
+    machine.harness.poll(name)
+    machine.end_faults()
+    machine.crash(name, 0.0)
+    deliver_late_to(machine, name)
+    machine.wait(0.5)
+    machine.submit()
+    machine.wait(0.5)
+    machine.cut_off(name)
+    machine.wait(6.0)
+    machine.wait(2.0)
+
+
 BROKEN_ENGINES = [
     (without_lease_wait, cut_off_for_a_lease, 'runs twice'),
     (without_reading_workers, cut_off_and_change_leader, 'runs twice'),
@@ -444,6 +474,11 @@
     (without_token_of_a_life, restart_before_late_start, 'runs twice'),
     (without_retired_names, retire_before_late_start, 'runs twice'),
     (without_list_of_a_life, deliver_late_start_before_list, 'runs twice'),
+    (
+        without_lease_of_late_calls,
+        deliver_late_poll_before_list,
+        'runs twice',
+    ),
 ]
 
 
--- a/testing/jobs/test_worker_restart.py
+++ b/testing/jobs/test_worker_restart.py
@@ -214,6 +214,21 @@
     assert list(worker.running) == ['next.0.0.0']
 
 
+def test_lease_of_a_late_poll_before_the_first_list_is_counted() -> None:
+    harness = Harness(FakeWorker(name='w1'))
+    harness.pass_time(20.0)
+    harness.delaying_polls.add('w1')
+    harness.poll('w1')
+    harness.delaying_polls.clear()
+    worker = harness.workers['w1']
+    worker.crash()
+    start_late_before_first_list(harness, 'w1')
+    harness.pass_time(0.2)
+    known = harness.engine.workers['w1']
+    assert worker.lease_end_ms > worker.clock_ms + 9000
+    assert known.lease_until_ms >= worker.lease_end_ms
+
+
 def test_workers_that_restart_together_share_one_epoch() -> None:
     harness = two_workers()
     harness.holding_tokens = True
