Wait for late orders to a restarted worker that can't be reached

Cause: a worker that restarted and can't be reached hasn't seen its token, so the delayed start of a task still begins there, on a clock that the end of the order's time doesn't fit. The leader released the task when the lease of the former life ran out.

Change: if a try of a start on that worker has no answer yet, its runs are held for the longest delay of a call, 12 s, and the longest lease after that. Runs whose tries were all answered wait for their lease as before.

--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -46,6 +46,7 @@
         if worker.runs.get(run.task) is not run:
             return
         if answer.outcome is Outcome.NO_ANSWER:
+            run.lost_answer = True
             if run.state is RunState.ORDERED:
                 run.state = RunState.UNSURE
             return
--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -4,10 +4,10 @@
 
 from galenareel._jobs.tables import EngineTables
 from galenareel._jobs.tables import LEASE_S
+from galenareel._jobs.tables import MAX_LEASE_MS
 from galenareel._jobs.tables import MIN_CLOCK_RATE
 from galenareel._scheduling.tables import Worker
 
-MAX_LEASE_MS = 10_000  # longest lease that a worker accepts
 # An answer may be delayed this long. If a worker's clock is off by more, the
 # worker was restarted and has another clock.
 MAX_ANSWER_DELAY_MS = 3_000
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -38,6 +38,10 @@
 # took over.
 TAKE_OVER_MARGIN_S = 1.0
 FIRST_ANSWER_TIMEOUT_S = 0.8  # time for a new worker to answer its first poll
+MAX_LEASE_MS = 10_000  # longest lease that a worker accepts
+# A call without an answer may be carried out this much later, also by the
+# next incarnation of its worker.
+MAX_CALL_DELAY_S = 12.0
 # A retired name is known for longer than any call to it may be delayed.
 KEEP_RETIRED_NAME_S = 60.0
 
@@ -412,6 +416,14 @@
         worker.retiring = False
         worker.leaves_at = None
         worker.health = type(worker.health)()
+        if any(
+            run.lost_answer or run.state is RunState.ORDERED
+            for run in worker.runs.values()
+        ):
+            longest_s = MAX_LEASE_MS / 1000 / MIN_CLOCK_RATE
+            worker.lease_expires_at = max(
+                worker.lease_expires_at, now + MAX_CALL_DELAY_S + longest_s
+            )
         self._log.info('worker_restarted', worker=worker.name)
 
     def _withdraw_token(self, worker: Worker) -> None:
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -44,6 +44,7 @@
     :param step: step of the task, or ``None`` once its job is over.
     :param until_ms: time on the worker's clock until which it may carry out
         the start.
+    :param lost_answer: a try of its start got no answer.
     :param confirmed_at: when the worker was first known to run it.
     :param percent: progress; for a lasting task the share of its work that
         it does.
@@ -63,6 +64,7 @@
     ordered_at: float
     token: int = 0
     until_ms: int = 0
+    lost_answer: bool = False
     state: RunState = RunState.ORDERED
     confirmed_at: float | None = None
     stop_asked_at: float | None = None
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -30,6 +30,7 @@
 from galenareel._jobs.model import Step
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.state import JobState
+from galenareel._jobs.tables import MAX_CALL_DELAY_S
 from galenareel._scheduling.tables import PaceTask
 from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import StartTask
@@ -50,6 +51,7 @@
     """A call that reaches its worker late.
 
     :param born: incarnation of the worker to which it was sent.
+    :param sent_at: time at which it was sent.
     :param task: task that it starts, or ``None`` for any other call.
     :param number: run number of that task.
     :param carry_out: makes the call, on whichever incarnation is there.
@@ -57,6 +59,7 @@
 
     worker: str
     born: int
+    sent_at: float
     task: TaskId | None
     number: int
     carry_out: Callable[[FakeWorker], object]
@@ -262,10 +265,10 @@
             self.engine.handle_start_answer(run, answer, self.now)
             return
         if name in self.delaying_first_tries:
-            self._delay(run.worker, self._prepare_start(run), run)
+            self._delay(run.worker, self.prepare_start(run), run)
             answer = Answer(outcome=Outcome.NO_ANSWER)
             self.engine.handle_start_answer(run, answer, self.now)
-        call = self._prepare_start(run)
+        call = self.prepare_start(run)
         answer = Answer(outcome=Outcome.NO_ANSWER)
         if name in self.delaying_orders:
             self._delay(run.worker, call, run)
@@ -275,7 +278,7 @@
             answer = Answer(outcome=Outcome.NO_ANSWER)
         self.engine.handle_start_answer(run, answer, self.now)
 
-    def _prepare_start(self, run: Run) -> Callable[[FakeWorker], Answer]:
+    def prepare_start(self, run: Run) -> Callable[[FakeWorker], Answer]:
         until = self.engine.extend_lease(run.worker, self.now)
         assert until is not None, 'start order for a worker without a lease'
         run.until_ms = until
@@ -316,6 +319,7 @@
             LateCall(
                 worker=worker.name,
                 born=worker.record.born,
+                sent_at=self.now,
                 task=run.task if run is not None else None,
                 number=run.number if run is not None else 0,
                 carry_out=call,
@@ -345,6 +349,8 @@
             return False
         if worker.record.born != self.workers[call.worker].born:
             return False  # it does not know of the restart yet
+        if self.now - call.sent_at > MAX_CALL_DELAY_S:
+            return False
         run = worker.runs.get(call.task)
         return run is not None and run.number == call.number
 
--- a/testing/jobs/test_random_faults.py
+++ b/testing/jobs/test_random_faults.py
@@ -369,6 +369,20 @@
     patch.setattr(Engine, '_reset_worker', reset_and_release)
 
 
+def without_wait_for_late_calls(patch: pytest.MonkeyPatch) -> None:
+    """Wait only for the lease of a worker's earlier incarnation."""
+    reset_worker = Engine._reset_worker
+
+    def reset_with_former_lease(
+        engine: Engine, worker: Worker, now: float
+    ) -> None:
+        expires_at = worker.lease_expires_at
+        reset_worker(engine, worker, now)
+        worker.lease_expires_at = expires_at
+
+    patch.setattr(Engine, '_reset_worker', reset_with_former_lease)
+
+
 def without_lease_of_late_calls(patch: pytest.MonkeyPatch) -> None:
     """Count only the lease that a restarted worker was granted itself."""
     has_other_clock = Engine._has_other_clock
@@ -447,6 +461,18 @@
     machine.teardown()
 
 
+def deliver_late_start_to_silent_worker(
+    machine: JobMachine, name: str
+) -> None:
+    name = delay_start_until_restart(machine)
+    machine.cut_off(name)
+    machine.announce(name)
+    machine.wait(6.0)
+    machine.wait(2.0)
+    deliver_late_to(machine, name)
+    machine.wait(2.0)
+
+
 def deliver_late_poll_before_list(machine: JobMachine, name: str) -> None:
     machine.end_tasks(name, True)
     machine.harness.pass_time(20.0)
@@ -474,6 +500,11 @@
     (without_token_of_a_life, restart_before_late_start, 'runs twice'),
     (without_retired_names, retire_before_late_start, 'runs twice'),
     (without_list_of_a_life, deliver_late_start_before_list, 'runs twice'),
+    (
+        without_wait_for_late_calls,
+        deliver_late_start_to_silent_worker,
+        'runs twice',
+    ),
     (
         without_lease_of_late_calls,
         deliver_late_poll_before_list,
--- a/testing/jobs/test_worker_restart.py
+++ b/testing/jobs/test_worker_restart.py
@@ -28,6 +28,8 @@
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
 from galenareel._jobs.placing import RUNS_PER_EPOCH
+from galenareel._jobs.tables import LEASE_S
+from galenareel._jobs.tables import MAX_CALL_DELAY_S
 from galenareel._scheduling.tables import PaceTask
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
@@ -214,6 +216,21 @@
     assert list(worker.running) == ['next.0.0.0']
 
 
+def test_late_start_on_an_unreachable_restarted_worker_is_waited_for() -> None:
+    harness = two_workers()
+    harness.pass_time(20.0)
+    name = restart_with_late_first_try(harness)
+    harness.announce(name)
+    harness.cut_off.add(name)
+    harness.pass_time(MAX_CALL_DELAY_S - 0.5)
+    start_late_before_first_list(harness, name)
+    for _ in range(100):
+        harness.pass_time(0.2)
+        assert len(harness.list_running().get('j.0.0.0', ())) <= 1
+    (other,) = harness.list_running()['j.0.0.0']
+    assert other != name
+
+
 def test_lease_of_a_late_poll_before_the_first_list_is_counted() -> None:
     harness = Harness(FakeWorker(name='w1'))
     harness.pass_time(20.0)
@@ -229,6 +246,40 @@
     assert known.lease_until_ms >= worker.lease_end_ms
 
 
+def test_start_on_its_way_to_a_restarted_worker_is_waited_for() -> None:
+    harness = two_workers()
+    harness.pass_time(20.0)
+    harness.submit('j')
+    harness.engine.place(harness.now)
+    (order,) = harness.engine.take_orders()
+    run = order.run  # type: ignore[union-attr]
+    call = harness.prepare_start(run)
+    name = run.worker.name
+    harness.workers[name].crash()
+    harness.announce(name)
+    no_answer = Answer(outcome=Outcome.NO_ANSWER)
+    harness.engine.handle_start_answer(run, no_answer, harness.now)
+    harness.cut_off.add(name)
+    harness.pass_time(MAX_CALL_DELAY_S - 0.5)
+    call(harness.workers[name])
+    for _ in range(100):
+        harness.pass_time(0.2)
+        assert len(harness.list_running().get('j.0.0.0', ())) <= 1
+
+
+def test_answered_start_is_not_waited_for_longer_than_its_lease() -> None:
+    harness = two_workers()
+    harness.submit('j')
+    harness.pass_time(0.3)
+    worker = harness.find_worker('j.0.0.0')
+    worker.crash()
+    harness.announce(worker.name)
+    harness.cut_off.add(worker.name)
+    harness.pass_time(LEASE_S + 1.0)
+    (other,) = harness.list_running()['j.0.0.0']
+    assert other != worker.name
+
+
 def test_workers_that_restart_together_share_one_epoch() -> None:
     harness = two_workers()
     harness.holding_tokens = True
