Stop a run again if its worker restarts after the stop

A task of a cancelled job could run on.

Cause: the leader repeats a stop until it is answered. If the answer came from the former life of a worker, and a late start then began the run on the next one, the list showed a run whose stop had been answered, so it was neither stopped again nor released.

Evidence, on the code before:

test_stop_is_repeated_to_a_restarted_worker assert not {'j.0.0.0': RunningTask(task='j.0.0.0', number=1, ...)}

Change: an answer to a stop is dropped with the life that gave it.

--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -416,6 +416,8 @@
         worker.retiring = False
         worker.leaves_at = None
         worker.health = type(worker.health)()
+        for run in worker.runs.values():
+            run.stop_answered_at = None
         if any(
             run.lost_answer or run.state is RunState.ORDERED
             for run in worker.runs.values()
--- a/testing/jobs/test_worker_restart.py
+++ b/testing/jobs/test_worker_restart.py
@@ -216,6 +216,24 @@
     assert list(worker.running) == ['next.0.0.0']
 
 
+def test_stop_is_repeated_to_a_restarted_worker() -> None:
+    # The earlier incarnation has answered the stop, but not listed the end.
+    harness = two_workers()
+    harness.delaying_first_tries.update(harness.workers)
+    harness.submit('j')
+    harness.pass_time(0.3)
+    harness.delaying_first_tries.clear()
+    worker = harness.find_worker('j.0.0.0')
+    harness.cancel('j')
+    harness.carry_out()
+    assert not worker.running
+    worker.crash()
+    start_late_before_first_list(harness, worker.name)
+    assert worker.running
+    harness.pass_time(2.0)
+    assert not worker.running
+
+
 def test_late_start_on_an_unreachable_restarted_worker_is_waited_for() -> None:
     harness = two_workers()
     harness.pass_time(20.0)
