Ignore the record of an earlier life of a worker

Cause: a list can show a restart before the heartbeat of the new life is committed. A record of the former life that is committed after the list, such as that of its drain, then counted as another restart: the leader dropped what it knew of the worker and took it for the former life.

Evidence, on the code before:

test_late_record_of_an_earlier_incarnation_is_ignored assert 4 == 2 (epochs: two more were taken, for each change of life)

Change: a record with an earlier start than the known one is ignored, as lists of earlier lives are.

--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -336,7 +336,10 @@
             pool.waiting[self._step_key(step)] = step
 
     def admit_worker(self, record: WorkerRecord, now: float) -> Worker:
-        """Add a worker, or update it from a changed record."""
+        """Add a worker, or update it from a changed record.
+
+        A record of an earlier incarnation than the known one is ignored.
+        """
         worker = self.workers.get(record.name)
         if worker is None:
             worker = self._add_worker(record, now)
@@ -344,7 +347,9 @@
                 worker.has_former_life = True
                 self._withdraw_token(worker)
             return worker
-        if worker.record.born != record.born:
+        if record.born < worker.record.born:
+            return worker
+        if record.born > worker.record.born:
             self._reset_worker(worker, now)
         worker.record = record
         if record.draining and not worker.draining:
--- a/testing/jobs/test_worker_restart.py
+++ b/testing/jobs/test_worker_restart.py
@@ -319,6 +319,17 @@
     assert [worker.token for worker in harness.workers.values()] == [2, 1]
 
 
+def test_late_record_of_an_earlier_incarnation_is_ignored() -> None:
+    harness = two_workers()
+    record = harness.workers['w1'].make_record()
+    harness.workers['w1'].crash()
+    harness.pass_time(0.5)
+    harness.engine.admit_worker(record, harness.now)
+    harness.pass_time(0.5)
+    assert harness.state.epoch == 2
+    assert harness.engine.workers['w1'].record.born == 2
+
+
 def test_next_leader_numbers_runs_above_those_of_a_job_of_a_later_epoch() -> (
     None
 ):
