Don't retire a worker that restarted after an unresolved retirement

Cause: a retirement whose outcome is unknown is proposed again 0.1 s later, with the start of the life that the worker has by then. If the worker had restarted under its name in between, its new life was retired: its runs were released and started elsewhere, while it went on.

Evidence, on the code before:

test_unresolved_retirement_spares_the_next_incarnation assert [1, 2] == [1] (starts of the lives that were retired)

Change: a retirement is proposed again only while the worker still counts as being retired, which a restart ends.

--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -512,7 +512,8 @@
         self, unresolved: list[Worker], lost: list[Worker]
     ) -> None:
         for worker in unresolved:
-            self._retire(worker, 'unknown outcome before')
+            if worker.retiring:  # not if it has restarted since
+                self._retire(worker, 'unknown outcome before')
         for worker in lost:
             # It may have answered since it was found lost.
             if self._is_lost(worker, self.now()):
--- a/testing/jobs/test_worker_restart.py
+++ b/testing/jobs/test_worker_restart.py
@@ -524,3 +524,39 @@
         assert [order.token for order in platform.orders] == [2]
     finally:
         running.leader.close()
+
+
+def test_unresolved_retirement_spares_the_next_incarnation(
+    running: RunningLeader, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against released runs of a worker that has just restarted."""
+    propose = running.log.propose
+    retired: list[int] = []
+
+    def lose_first(command: bytes, *, timeout_s: float) -> Any:
+        decoded = decode(command)
+        if isinstance(decoded, RetireWorker):
+            retired.append(decoded.born)
+            if len(retired) == 1:
+                worker = running.workers['w1']
+                worker.crash()
+                running.propose(AdmitWorker(worker=worker.make_record()))
+                return Unreachable(reason='timeout')
+        return propose(command, timeout_s=timeout_s)
+
+    monkeypatch.setattr(running.log, 'propose', lose_first)
+    engine = running.leader.engine
+    assert engine is not None
+    worker = engine.workers['w1']
+    running.workers['w1'].is_silent = True
+    eventually(lambda: worker.silent_since is not None)
+    worker.lease_expires_at = 0.0
+    term = running.leader._term
+    assert term is not None
+    term.heartbeat_times['w1'] = 0.0
+    eventually(lambda: bool(retired))
+    running.workers['w1'].is_silent = False
+    gevent.sleep(0.5)
+    assert retired == [1]
+    assert running.state.workers['w1'].born == 2
+    assert worker.has_listed
