Let a worker that was silent drop no ends before it is read

Cause: after a silence the first poll may reach a new life of the worker, of which the leader doesn't know. It named the position up to which the former life could drop its ends, and those of the new life count from 1 again. The end of a late start that the new life had carried out was dropped unseen, and the task was started again.

Evidence, on the code before:

test_poll_after_a_silence_does_not_drop_ends_of_a_restarted_worker assert False: j has not ended, as its end `done` was dropped

Change: a poll of a silent worker acknowledges nothing. The next one, after its answer, does.

--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -44,6 +44,14 @@
         self._update_lease_end(worker)
         return until_ms
 
+    def get_acknowledged_position(self, worker: Worker) -> int:
+        """Return the position up to which a poll lets a worker drop ends.
+
+        0 for a silent worker: it may have restarted, and its positions count
+        anew then.
+        """
+        return 0 if worker.silent_since is not None else worker.stored_position
+
     def _update_lease_end(self, worker: Worker) -> None:
         """Set the local time at which the lease has certainly expired.
 
--- a/src/galenareel/_jobs/worker_link.py
+++ b/src/galenareel/_jobs/worker_link.py
@@ -90,10 +90,11 @@
                 continue
             sent_at = self._term.now()
             wait_ms = _get_poll_wait_ms(worker)
-            self._term.engine.note_poll_sent(worker, sent_at, wait_ms / 1000)
+            engine = self._term.engine
+            engine.note_poll_sent(worker, sent_at, wait_ms / 1000)
             reply = self._client.poll(
-                until_ms=self._term.engine.extend_lease(worker, sent_at),
-                acknowledged=worker.stored_position,
+                until_ms=engine.extend_lease(worker, sent_at),
+                acknowledged=engine.get_acknowledged_position(worker),
                 wait_ms=wait_ms,
                 token=token,
             )
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -201,7 +201,7 @@
         call = functools.partial(
             FakeWorker.poll,
             until_ms=until,
-            acknowledged=worker.stored_position,
+            acknowledged=self.engine.get_acknowledged_position(worker),
             token=worker.token,
         )
         if name in self.delaying_polls:
--- a/testing/jobs/test_worker_restart.py
+++ b/testing/jobs/test_worker_restart.py
@@ -136,6 +136,30 @@
     assert ('j3.0.0.0', 2) not in worker.starts
 
 
+def test_poll_after_a_silence_does_not_drop_ends_of_a_restarted_worker() -> (
+    None
+):
+    # A late start is carried out and ends before the first call of the leader,
+    # which takes the worker for the one that it knew.
+    harness = Harness(FakeWorker(name='w1'))
+    harness.pass_time(20.0)
+    worker = harness.workers['w1']
+    harness.submit('before')
+    harness.pass_time(0.3)
+    worker.end('before.0.0.0', EndKind.DONE)
+    harness.pass_time(0.3)
+    restart_with_late_first_try(harness)
+    harness.cut_off.add('w1')
+    harness.pass_time(8.0)
+    start_late_before_first_list(harness, 'w1')
+    worker.end('j.0.0.0', EndKind.DONE)
+    harness.cut_off.clear()
+    harness.pass_time(1.0)
+    assert harness.state.jobs['j'].has_ended
+    assert worker.starts.count(('j.0.0.0', 1)) == 2
+    assert worker.starts[-1] == ('j.0.0.0', 1)
+
+
 def test_late_poll_does_not_extend_the_lease_of_a_restarted_worker() -> None:
     harness = two_workers()
     harness.pass_time(20.0)
