--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -4,11 +4,11 @@
 
 from galenareel._jobs.tables import EngineTables
 from galenareel._jobs.tables import LEASE_S
+from galenareel._jobs.tables import MAX_LEASE_MS
 from galenareel._jobs.tables import MIN_CLOCK_RATE
 from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import Worker
 
-MAX_LEASE_MS = 10_000  # longest lease that a worker accepts
 # An answer may be delayed this long. If a worker's clock is off by more, the
 # worker was restarted and has another clock.
 MAX_ANSWER_DELAY_MS = 3_000
@@ -29,10 +29,12 @@
         """Extend a worker's lease; the caller sends it the new end.
 
         :returns: end of the lease in ms of the worker's clock. ``None`` if
-            its clock is not known, or if it is silent, departing or being
-            retired: a call with a later end might still arrive and keep its
-            runs alive.
+            its clock or token is not known, or if it is silent, departing or
+            being retired: a call with a later end might still arrive and keep
+            its runs alive.
         """
+        if not worker.token:
+            return None
         if not worker.clock_ms or worker.silent_since is not None:
             return None
         if worker.departing or worker.retiring:
@@ -57,6 +59,14 @@
             run.start_asked_at = now
         return until_ms
 
+    def get_acknowledged_position(self, worker: Worker) -> int:
+        """Return the position up to which a poll lets a worker drop ends.
+
+        0 for a silent worker: it may have restarted, and its positions count
+        anew then.
+        """
+        return 0 if worker.silent_since is not None else worker.stored_position
+
     def _update_lease_end(self, worker: Worker) -> None:
         """Set the local time at which the lease has certainly expired.
 
@@ -108,7 +118,6 @@
                 worker.lease_until_ms = clock_ms + MAX_LEASE_MS
                 for run in worker.runs.values():
                     run.until_ms = min(run.until_ms, worker.lease_until_ms)
-            worker.was_restarted = False
             worker.clock_ms = clock_ms
             worker.clock_at = now
             if worker.lease_until_ms:
@@ -119,7 +128,7 @@
     ) -> bool:
         """Return whether the worker was restarted and has a new clock."""
         if not worker.clock_ms:
-            return worker.was_restarted
+            return worker.has_former_life or bool(worker.runs)
         elapsed_ms = (now - worker.clock_at) * 1000
         off_ms = abs(clock_ms - worker.clock_ms - elapsed_ms)
         return off_ms > MAX_ANSWER_DELAY_MS + elapsed_ms * (1 - MIN_CLOCK_RATE)
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -41,6 +41,12 @@
 # took over.
 TAKE_OVER_MARGIN_S = 1.0
 FIRST_ANSWER_TIMEOUT_S = 0.8  # time for a new worker to answer its first poll
+MAX_LEASE_MS = 10_000  # longest lease that a worker accepts
+# A call without an answer may be carried out this much later, also by the
+# next incarnation of its worker.
+MAX_CALL_DELAY_S = 12.0
+# A retired name is known for longer than any call to it may be delayed.
+KEEP_RETIRED_NAME_S = 60.0
 
 
 @dataclass(slots=True)
@@ -65,7 +71,8 @@
     """Tables of one epoch.
 
     :param state: replicated state; it is only read here.
-    :param epoch: number of the epoch, sent with orders as fencing token.
+    :param epoch: number of the epoch, sent with orders as fencing token. The
+        next incarnation of a worker gets a higher token.
     :param now: monotonic time in seconds.
     """
 
@@ -93,6 +100,9 @@
         self._due_occurrences: list[tuple[int, str, int]] = []
         # Workers of a previous epoch whose runs are not known yet.
         self._unread_workers: set[str] = set()
+        self._workers_without_token: set[str] = set()
+        # By name, the time at which a worker was retired.
+        self._retired_names: dict[str, float] = {}
         self._retry_due = 0.0
         for record in state.workers.values():
             worker = self._add_worker(record, now)
@@ -329,16 +339,20 @@
             pool.waiting[self._step_key(step)] = step
 
     def admit_worker(self, record: WorkerRecord, now: float) -> Worker:
-        """Add a worker, or update it from a changed record."""
+        """Add a worker, or update it from a changed record.
+
+        A record of an earlier incarnation than the known one is ignored.
+        """
         worker = self.workers.get(record.name)
         if worker is None:
-            return self._add_worker(record, now)
-        if worker.record.born > record.born:
+            worker = self._add_worker(record, now)
+            if record.name in self._retired_names:
+                worker.has_former_life = True
+                self._withdraw_token(worker)
+            return worker
+        if record.born < worker.record.born:
             return worker  # its list has shown a later incarnation
-        if worker.record.born != record.born:
-            # The runs of the earlier incarnation are dropped when the list of
-            # the new one is read: an order that is still on its way may reach
-            # either of them.
+        if record.born > worker.record.born:
             self._reset_worker(worker, now)
         worker.record = record
         worker.awaits_record = False
@@ -375,6 +389,11 @@
         if worker is None or worker.record.born > born:
             return
         del self.workers[name]
+        self._workers_without_token.discard(name)
+        self._retired_names[name] = now
+        for other, retired_at in list(self._retired_names.items()):
+            if now - retired_at > KEEP_RETIRED_NAME_S:
+                del self._retired_names[other]
         self._clear_unread(name)
         for run in list(worker.runs.values()):
             self._release_run(run, now, 'worker_gone')
@@ -382,6 +401,7 @@
     def _add_worker(self, record: WorkerRecord, now: float) -> Worker:
         worker = Worker(
             record=record,
+            token=self.epoch,
             draining=record.draining,
             admitted_at=now,
             heard_at=now,
@@ -392,22 +412,65 @@
         return worker
 
     def _reset_worker(self, worker: Worker, now: float) -> None:
-        """Drop what was known of the earlier incarnation of a worker."""
+        """Drop what was known of the earlier incarnation of a worker.
+
+        Its runs are kept until the list of the new incarnation is read under
+        a token of its own: until then an order that is still on its way may
+        reach either of them.
+        """
+        self._withdraw_token(worker)
+        worker.has_former_life = True
         worker.heard_at = now
+        worker.silent_since = None
+        worker.awaits_answer = True
+        worker.answer_due = now + FIRST_ANSWER_TIMEOUT_S
         worker.has_listed = False
         worker.lease_expired = False
         worker.processed_position = 0
         worker.stored_position = 0
         worker.clock_ms = 0
-        worker.was_restarted = True
         worker.lease_until_ms = 0
         worker.draining = False
         worker.departing = False
         worker.retiring = False
         worker.leaves_at = None
         worker.health = type(worker.health)()
+        for run in worker.runs.values():
+            run.stop_answered_at = None
+        if any(
+            run.may_have_started or run.state is RunState.ORDERED
+            for run in worker.runs.values()
+        ):
+            longest_s = MAX_LEASE_MS / 1000 / MIN_CLOCK_RATE
+            worker.lease_expires_at = max(
+                worker.lease_expires_at, now + MAX_CALL_DELAY_S + longest_s
+            )
         self._log.info('worker_restarted', worker=worker.name)
 
+    def _withdraw_token(self, worker: Worker) -> None:
+        """Let no call be sent to a worker before it gets another token.
+
+        Its name had an earlier incarnation. What was sent to that one carries
+        a lower token, so the worker refuses it once it has seen the other.
+        """
+        worker.token = 0
+        self._workers_without_token.add(worker.name)
+
+    def needs_token(self) -> bool:
+        """Return whether a worker waits for a higher fencing token."""
+        return bool(self._workers_without_token)
+
+    def grant_token(self, token: int) -> None:
+        """Give a token to all workers that wait for one.
+
+        :param token: a further epoch of this leader, which no call has
+            carried yet.
+        """
+        for name in sorted(self._workers_without_token):
+            self.workers[name].token = token
+            self._log.info('worker_token_raised', worker=name, token=token)
+        self._workers_without_token.clear()
+
     def wake_pool(self, name: str) -> None:
         """Let the next pass place the waiting tasks of a pool."""
         pool = self.pools.get(name)
@@ -483,6 +546,7 @@
         run = Run(
             task=task,
             number=number,
+            token=worker.token,
             worker=worker,
             step=step,
             ordered_at=now,
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -43,6 +43,7 @@
     Times that end in ``_at`` are local and monotonic, in seconds.
 
     :param number: increases with each run of the task.
+    :param token: fencing token of the worker's incarnation that was given it.
     :param step: step of the task, or ``None`` once its job is over.
     :param until_ms: time on the worker's clock until which it may carry out
         any try of the start.
@@ -71,6 +72,7 @@
     worker: Worker
     step: StepWork | None
     ordered_at: float
+    token: int = 0
     until_ms: int = 0
     state: RunState = RunState.ORDERED
     start_asked_at: float = 0.0
@@ -119,13 +121,16 @@
 class Worker:
     """A worker and its runs.
 
+    :param token: fencing token of all calls to this incarnation, or 0 while
+        it has none. No call is sent to it then.
+    :param has_former_life: calls to an earlier incarnation of its name may
+        have reached it.
     :param has_listed: this leader has read its list of runs in this epoch.
     :param lease_expired: its lease expired while it was silent.
     :param answer_due: local time by which the oldest unanswered poll should
         be answered, if ``awaits_answer`` is set.
     :param clock_ms: the worker's clock at local time ``clock_at``, or 0 if it
         is not known.
-    :param was_restarted: it has a new clock that is not known yet.
     :param lease_until_ms: time on the worker's clock up to which its lease
         was extended.
     :param lease_expires_at: local time at which all leases granted to it have
@@ -152,6 +157,8 @@
     """
 
     record: WorkerRecord
+    token: int = 0
+    has_former_life: bool = False
     has_listed: bool = False
     lease_expired: bool = False
     heard_at: float = 0.0
@@ -160,7 +167,6 @@
     silent_since: float | None = None
     clock_ms: int = 0
     clock_at: float = 0.0
-    was_restarted: bool = False
     lease_until_ms: int = 0
     lease_expires_at: float = 0.0
     processed_position: int = 0
