--- a/testing/jobs/test_leader.py
+++ b/testing/jobs/test_leader.py
@@ -387,6 +387,19 @@
     assert before == after
 
 
+def test_stop_is_decided_again_when_it_is_sent(
+    running: RunningLeader, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    running.submit('j')
+    eventually(lambda: running.is_running('j.0.0.0'))
+    with monkeypatch.context() as patch:
+        patch.setattr(Engine, 'begin_stop', lambda *_: False)
+        running.propose(CancelJob(name='j', now_ms=running.leader.wall_ms()))
+        gevent.sleep(0.3)
+        assert running.is_running('j.0.0.0')
+    eventually(lambda: not running.is_running('j.0.0.0'))
+
+
 def test_step_of_the_wall_clock_does_not_forget_ended_jobs(
     running: RunningLeader, monkeypatch: pytest.MonkeyPatch
 ) -> None:
