Look again at a run after the wait for the leader lease

A task could run twice: before the repeat of a start, the leader looked first whether the run was still wanted and then waited for its lease, for seconds in a cut of the core. A run that was released meanwhile was started then, beside the next run of its task.

The run is looked at after the wait. The lease of a worker now counts from before the check of the leader lease: a process that is frozen right after the check would else extend it from the time at which it goes on, past the time that the next leader waits for.

--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -185,16 +185,20 @@
         """
         return self.is_active() and self._may_act()
 
-    def wait_for_leader_lease(self) -> bool:
+    def wait_for_leader_lease(self) -> float | None:
         """Wait until orders may be sent.
 
-        :returns: false if the term is over.
+        :returns: local time before the check, or ``None`` if the term is over.
+            Leases of workers count from that time: the process may be frozen
+            after the check, until another member leads.
         """
-        while not self.may_order():
+        while True:
+            checked_at = self.now()
+            if self.may_order():
+                return checked_at
             if not self.is_active():
-                return False
+                return None
             gevent.sleep(LEASE_POLL_S)
-        return True
 
     def handle_applied(self, command: AnyCommand) -> None:
         """Update the engine after a committed command has changed the state.
@@ -344,7 +348,7 @@
 
     def carry_out(self, order: Order, client: WorkerClient) -> None:
         """Send one order once the lease allows it, and record its answer."""
-        if not self.wait_for_leader_lease():
+        if self.wait_for_leader_lease() is None:
             return
         started_at = self.now()
         if isinstance(order, StartTask):
@@ -388,9 +392,12 @@
         run = order.run
         answer = Answer(outcome=Outcome.NOT_SENT)
         tries = 0
-        while _is_wanted(run) and self.wait_for_leader_lease():
+        while True:
+            checked_at = self.wait_for_leader_lease()
+            if checked_at is None or not _is_wanted(run):
+                break
             tries += 1
-            until_ms = self.engine.extend_for_start(run, self.now())
+            until_ms = self.engine.extend_for_start(run, checked_at)
             if until_ms is not None:
                 answer = client.start(
                     task=run.task,
@@ -441,7 +448,7 @@
                 if result is True:
                     self._metrics.store_s.record(self.now() - started_at)
                     break
-                if not self.wait_for_leader_lease():
+                if self.wait_for_leader_lease() is None:
                     return
                 gevent.sleep(LEASE_POLL_S)
             if ends is not None:
--- a/src/galenareel/_jobs/worker_link.py
+++ b/src/galenareel/_jobs/worker_link.py
@@ -80,10 +80,10 @@
 
     def _poll_loop(self) -> None:
         while self._open:
-            if not self._term.wait_for_leader_lease():
+            sent_at = self._term.wait_for_leader_lease()
+            if sent_at is None:
                 return
             worker = self.worker
-            sent_at = self._term.now()
             wait_ms = _get_poll_wait_ms(worker)
             self._term.engine.note_poll_sent(worker, sent_at, wait_ms / 1000)
             reply = self._client.poll(
--- a/testing/jobs/test_leader.py
+++ b/testing/jobs/test_leader.py
@@ -757,6 +757,51 @@
     eventually(lambda: len(running.workers['w1'].running) == task_count)
 
 
+def test_start_of_a_run_that_is_given_up_meanwhile_is_not_sent_again(
+    running: RunningLeader, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The leader lease is lost after the first try and returns later."""
+    tries: list[int] = []
+
+    def lose_lease(client: Client, **fields: Any) -> Answer:
+        tries.append(fields['number'])
+        running.log.lease = False
+        return Answer(outcome=Outcome.NO_ANSWER)
+
+    monkeypatch.setattr(Client, 'start', lose_lease)
+    eventually(lambda: running.leader.engine is not None)
+    running.submit('j')
+    eventually(lambda: bool(tries))
+    running.propose(CancelJob(name='j', now_ms=1))
+    running.log.lease = True
+    gevent.sleep(0.3)
+    assert tries == [1]
+
+
+def test_lease_of_a_worker_counts_from_before_the_check_of_the_leader_lease(
+    running: RunningLeader, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The process may be frozen after the check, until another one leads."""
+    eventually(lambda: running.leader.engine is not None)
+    term = running.leader._term
+    assert term is not None
+    clock = running.clock
+    frozen_s = 0.0
+    monotonic = clock.monotonic
+
+    def freeze() -> bool:
+        nonlocal frozen_s
+        frozen_s += 5.0
+        return True
+
+    monkeypatch.setattr(clock, 'monotonic', lambda: monotonic() + frozen_s)
+    monkeypatch.setattr(term, '_may_act', freeze)
+    before = clock.monotonic()
+    checked_at = term.wait_for_leader_lease()
+    assert checked_at is not None
+    assert before <= checked_at < before + 1.0
+
+
 def test_each_term_has_its_own_client_of_the_platform(
     running: RunningLeader,
 ) -> None:
