--- a/testing/jobs/test_random_faults.py
+++ b/testing/jobs/test_random_faults.py
@@ -1,8 +1,9 @@
 """Run the engine under random faults, and check what the workers see.
 
-A state machine crashes workers, loses answers, delays orders, cuts workers
-off, lets them depart, shortens their lists and changes the leader. To show that each check works, further tests break
-the engine and expect the check to fail.
+A state machine crashes workers, loses answers, refuses repeats, delays orders,
+cuts workers off, lets them depart, shortens their lists, holds back their
+heartbeats and changes the leader. To show that each check works, further tests
+break the engine and expect the check to fail.
 """
 
 from __future__ import annotations
--- a/testing/jobs/test_releases.py
+++ b/testing/jobs/test_releases.py
@@ -265,9 +265,7 @@
     assert not run.worker.runs
 
 
-def test_lease_that_a_restarted_worker_got_by_its_old_clock_is_waited_for() -> (
-    None
-):
+def test_lease_that_a_restarted_worker_got_by_its_old_clock_counts() -> None:
     """A poll on its way at the restart extends the new lease to the limit."""
     harness = Harness(FakeWorker(name='w1'))
     harness.pass_time(20.0)
