--- a/src/galenareel/_jobs/worker_link.py
+++ b/src/galenareel/_jobs/worker_link.py
@@ -81,14 +81,14 @@
 
     def _poll_loop(self) -> None:
         while self._open:
-            if not self._term.wait_for_leader_lease():
+            sent_at = self._term.wait_for_leader_lease()
+            if sent_at is None:
                 return
             worker = self.worker
             token = worker.token
             if not token:
                 gevent.sleep(TOKEN_CHECK_S)
                 continue
-            sent_at = self._term.now()
             wait_ms = _get_poll_wait_ms(worker)
             engine = self._term.engine
             engine.note_poll_sent(worker, sent_at, wait_ms / 1000)
