--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -32,6 +32,7 @@
         self._blocked: frozenset[str] = frozenset()
         self._open_events = {'there': Event(), 'back': Event()}
         self._socket_pairs: set[tuple[Socket, Socket]] = set()
+        self._silent_sockets: set[Socket] = set()
         self._server = StreamServer(
             _parse_address(address),
             self._handle_connection,
@@ -77,6 +78,11 @@
                 _reset_socket(sock)
         self._socket_pairs.clear()
 
+    def silence_open(self) -> None:
+        """Lose all further data of the open connections, which stay open."""
+        for pair in self._socket_pairs:
+            self._silent_sockets.update(pair)
+
     def _handle_connection(self, client: Socket, _address: object) -> None:
         try:
             server = create_connection(
@@ -97,6 +103,7 @@
         finally:
             back.kill()
             self._socket_pairs.discard(pair)
+            self._silent_sockets.difference_update(pair)
             for sock in pair:
                 sock.close()
 
@@ -106,7 +113,8 @@
                 if self.delay_s:
                     gevent.sleep(self.delay_s)
                 self._open_events[direction].wait()
-                sink.sendall(data)
+                if sink not in self._silent_sockets:
+                    sink.sendall(data)
             self._open_events[direction].wait()
             sink.shutdown(socket.SHUT_WR)
         except OSError:
--- a/testing/soak/test_proxy.py
+++ b/testing/soak/test_proxy.py
@@ -119,6 +119,20 @@
     assert echo.sock.recv(100) == b'a'
 
 
+def test_silent_connection_loses_data_while_new_ones_work(
+    echo: ProxiedEchoServer,
+) -> None:
+    assert echo.exchange(b'a') == b'a'
+    echo.proxy.silence_open()
+    assert echo.exchange(b'b') == b''
+    assert echo.received == b'a'
+    host, _, port = echo.proxy.address.rpartition(':')
+    with create_connection((host, int(port)), ANSWER_TIMEOUT_S) as sock:
+        sock.sendall(b'c')
+        assert sock.recv(100) == b'c'
+    assert echo.exchange(b'd') == b''
+
+
 def test_connections_are_reset(echo: ProxiedEchoServer) -> None:
     echo.exchange(b'a')
     echo.proxy.reset()
