Let the soak's workers stop slowly and carry out late calls

A stop takes up to 0.8 s and counts as running until then, a list has at most 500 ends, and an address may carry out a share of its calls late, also by the next incarnation under the same name, or without an answer. What workers did and which faults were active is kept in soak.log beside the processes' logs.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -413,12 +413,14 @@
         """
         self.counts[kind] += 1
         self._affected.update(names)
+        self._target.checker.record_event(f'fault {kind} {list(names)}')
         if not is_planned:
             self._fault_free_timer.begin_fault()
         try:
             yield
         finally:
             self._affected.difference_update(names)
+            self._target.checker.record_event(f'over {kind} {list(names)}')
             if not is_planned:
                 self._fault_free_timer.end_fault()
 
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
+from io import BytesIO
 import json
 from random import Random
 import time
@@ -15,6 +17,7 @@
 
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Listing
+from galenareel._jobs.clients import Outcome
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import TaskId
@@ -35,14 +38,76 @@
 # How long a long-running task takes to be at work.
 LONG_RUNNING_STARTUP_S = 0.3
 WORKER_CAPACITY = Resources(4000, 4096, 0)
+MAX_STOP_S = 0.8
+# How many ends a worker lists at a time.
+MAX_LISTED_ENDS = 500
+# How much later a call may be carried out than it was sent.
+LATE_CALL_S = (2.0, 12.0)
+# A call that gets no answer keeps its connection open for this time, which is
+# longer than any caller waits.
+UNANSWERED_CALL_S = 5.0
+HEARTBEAT_TIMEOUT_S = 0.25
 
 
 class WatchedWorker(FakeWorker):
-    """A worker that reports acknowledged ends of runs to the checker."""
+    """A worker that reports acknowledged ends of runs to the checker.
 
-    __slots__ = ('checker',)
+    Its stops take a while; until then, the run is listed as running.
 
-    checker: PromiseChecker
+    :param rng: draws how long each stop takes.
+
+    ``max_listed_ends`` limits the ends in a list, ``listed_position`` is the
+    highest position that was listed so far.
+    """
+
+    __slots__ = (
+        'checker',
+        'max_listed_ends',
+        'listed_position',
+        '_rng',
+        '_stop_ends_ms',
+    )
+
+    def __init__(
+        self, checker: PromiseChecker, rng: Random, **fields: Any
+    ) -> None:
+        super().__init__(**fields)
+        self.checker = checker
+        self.max_listed_ends = MAX_LISTED_ENDS
+        self.listed_position = 0
+        self._rng = rng
+        self._stop_ends_ms: dict[str, float] = {}
+
+    def is_stopping(self, task: str) -> bool:
+        return task in self._stop_ends_ms
+
+    def advance(self, seconds: float) -> None:
+        super().advance(seconds)
+        for task, end_ms in list(self._stop_ends_ms.items()):
+            if self.clock_ms >= end_ms:
+                self.end(task, EndKind.STOPPED)
+
+    def end(self, task: str, kind: EndKind, saved: str = '') -> None:
+        self._stop_ends_ms.pop(task, None)
+        number = self.running[task].number
+        self.checker.record_event(
+            f'{self.name} ends {task} run {number} {kind}'
+        )
+        super().end(task, kind, saved)
+
+    def stop(self, task: TaskId, number: int, *, token: int) -> Answer:
+        name = str(task)
+        run = self.running.get(name)
+        if token < self.token or run is None or run.number > number:
+            return super().stop(task, number, token=token)
+        self.token = token
+        self.refused_numbers[name] = max(
+            self.refused_numbers.get(name, 0), number
+        )
+        if not self.is_stopping(name):
+            stop_ms = self._rng.uniform(0.0, MAX_STOP_S) * 1000
+            self._stop_ends_ms[name] = self.clock_ms + stop_ms
+        return self._answer(Outcome.DONE)
 
     def get_work_s(self, task: str) -> float:
         return self.checker.get_duration_s(task) or LONG_RUNNING_STARTUP_S
@@ -50,39 +115,136 @@
     def poll(
         self, *, until_ms: int | None, acknowledged: int, token: int
     ) -> Listing | Answer:
-        if token >= self.token:
+        # A position above all that were listed was one of a former
+        # incarnation; the system has not seen the ends that it removes.
+        if token >= self.token and acknowledged <= self.listed_position:
             for row in self.ended:
                 if row.position <= acknowledged:
                     self.checker.record_acknowledged_end(row.task, row.kind)
-        return super().poll(
+        reply = super().poll(
             until_ms=until_ms, acknowledged=acknowledged, token=token
         )
+        if isinstance(reply, Listing):
+            ended = reply.ended[: self.max_listed_ends]
+            reply = replace(reply, ended=ended)
+            if ended:
+                self.listed_position = ended[-1].position
+        return reply
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """An address of workers, and what happens to the calls that reach it.
+
+    :param address: address on which a worker listens.
+    :param proxy: the proxy at which others reach the address.
+    :param late_share: share of calls that get no answer and are carried out
+        late, by whichever worker has the address then.
+    :param lost_share: share of calls whose answer is lost.
+    :param server: the server that has the address now.
+    """
+
+    address: str
+    proxy: Proxy
+    rng: Random
+    late_share: float = 0.0
+    lost_share: float = 0.0
+    server: SoakWorker | None = None
+
+    def carry_out_late(
+        self, env: dict[str, Any], body: bytes, addressee: tuple[str, int]
+    ) -> None:
+        """Carry out a call after a time, without an answer.
+
+        :param addressee: name and start of the worker that it was sent to.
+        """
+        sent_at = time.monotonic()
+        gevent.sleep(self.rng.uniform(*LATE_CALL_S))
+        server = self.server
+        if server is not None:
+            server.carry_out(env, body, addressee, sent_at)
 
 
 class SoakWorker(WorkerServer):
-    """Serves a worker of an instance, from its start to its end.
+    """Serves a worker of an instance, from its start to its end."""
 
-    :param address: address on which it listens.
-    :param advertised: address of the proxy, at which others reach it.
-    """
+    worker: WatchedWorker
 
     def __init__(
         self,
-        worker: FakeWorker,
-        address: str,
-        advertised: str,
+        worker: WatchedWorker,
+        endpoint: Endpoint,
         checker: PromiseChecker,
     ) -> None:
-        super().__init__(worker, address, 0.0, advertised_address=advertised)
+        super().__init__(
+            worker,
+            endpoint.address,
+            0.0,
+            advertised_address=endpoint.proxy.address,
+        )
+        self._endpoint = endpoint
         self._checker = checker
         self.drained_at = 0.0
 
+    @property
+    def life(self) -> tuple[str, int]:
+        return self.worker.name, self.worker.born
+
+    def send_late_heartbeat(self, controls: list[str]) -> None:
+        """Send one more heartbeat after the end of the worker."""
+        greenlet = gevent.spawn(self._send_heartbeats, controls)
+        greenlet.join(HEARTBEAT_TIMEOUT_S)
+        greenlet.kill()
+
+    def carry_out(
+        self,
+        env: dict[str, Any],
+        body: bytes,
+        addressee: tuple[str, int],
+        sent_at: float,
+    ) -> None:
+        """Carry out a call that gets no answer.
+
+        :param addressee: name and start of the worker that it was sent to.
+        """
+        fields = {
+            **json.loads(body or b'{}'),
+            'sentAt': sent_at,
+            'isMisdirected': addressee != self.life,
+        }
+        self._checker.record_event(
+            f'{self.worker.name} carries out {env["PATH_INFO"]} of'
+            f' {time.monotonic() - sent_at:.1f} s before, {fields}'
+        )
+        env = {**env, 'wsgi.input': BytesIO(json.dumps(fields).encode())}
+        super()._application(env, lambda *_: None)
+
+    def _application(self, env: dict[str, Any], start: Start) -> list[bytes]:
+        endpoint = self._endpoint
+        draw = endpoint.rng.random()
+        if draw >= endpoint.late_share + endpoint.lost_share:
+            return super()._application(env, start)
+        body = env['wsgi.input'].read()
+        if draw < endpoint.late_share:
+            gevent.spawn(endpoint.carry_out_late, env, body, self.life)
+        else:
+            self.carry_out(env, body, self.life, time.monotonic())
+        gevent.sleep(UNANSWERED_CALL_S)
+        return respond(start, 503, {})
+
+    def _answer_poll(
+        self, fields: dict[str, Any], token: int, start: Start
+    ) -> list[bytes]:
+        if token >= self.worker.token and 'sentAt' not in fields:
+            self._checker.record_poll(self.worker, token, time.monotonic())
+        return super()._answer_poll(fields, token, start)
+
     def get_run_end(self, task: str, age_s: float) -> EndKind | None:
         task_id = TaskId.parse(task)
         job = self._checker.jobs.get(task_id.job) if task_id else None
         if task_id is None or job is None or self.worker.is_stalled:
             return None
-        if job.is_long_running:
+        if job.is_long_running or self.worker.is_stopping(task):
             return None
         if age_s < self._checker.get_duration_s(task):
             return None
@@ -102,7 +264,17 @@
             self._checker.drained_at[self.worker.name] = self.drained_at
 
     def start_run(self, task: TaskId, fields: dict[str, Any]) -> Answer:
-        self._checker.check_start_order(self.worker, fields, time.monotonic())
+        now = time.monotonic()
+        sent_at = fields.get('sentAt', now)
+        self._checker.check_start_order(self.worker, fields, sent_at)
+        is_misdirected = fields.get('isMisdirected', False)
+
+        def check_run(worker: FakeWorker, name: str, number: int) -> None:
+            self._checker.check_run(
+                worker, name, number, now=now, is_late=is_misdirected
+            )
+
+        self.worker.on_start = check_run
         return super().start_run(task, fields)
 
 
@@ -110,15 +282,13 @@
 class Instance:
     """An instance of the platform, with its worker if one is running.
 
-    :param address: address on which its worker listens.
     :param clock_rate: speed of its clock relative to true time.
     :param worker_number: makes the names of its workers differ.
     :param worker_lock: lets only one start or stop of a worker go on.
     """
 
     name: str
-    address: str
-    proxy: Proxy
+    endpoint: Endpoint
     checker: PromiseChecker
     control_addresses: list[str]
     clock_rate: float = 1.0
@@ -134,6 +304,12 @@
             if self.is_in_service() and self.server is None:
                 self._start_worker(keep_name=keep_name)
 
+    def swap_addresses(self, other: Instance) -> None:
+        """Exchange the addresses of two instances without workers."""
+        with self.worker_lock, other.worker_lock:
+            if self.server is None and other.server is None:
+                self.endpoint, other.endpoint = other.endpoint, self.endpoint
+
     def is_in_service(self) -> bool:
         return self.pool != 'spare' and self.state == 'up'
 
@@ -141,17 +317,20 @@
         if not keep_name:
             self.worker_number += 1
         worker = WatchedWorker(
+            self.checker,
+            self.endpoint.rng,
             name=f'{self.name}-{self.worker_number}',
             born=time.time_ns() // 1_000_000,
             pool=self.pool,
             resources=WORKER_CAPACITY,
             clock_rate=self.clock_rate,
         )
-        worker.checker = self.checker
-        worker.on_start = self.checker.check_run
-        self.server = SoakWorker(
-            worker, self.address, self.proxy.address, self.checker
+        self.checker.drained_at.pop(worker.name, None)
+        self.checker.record_event(
+            f'{worker.name} born {worker.born} at {self.endpoint.address}'
         )
+        self.server = SoakWorker(worker, self.endpoint, self.checker)
+        self.endpoint.server = self.server
         self.checker.workers.append(worker)
         self.server.start(self.control_addresses)
 
@@ -165,26 +344,37 @@
             workers[:] = [
                 worker for worker in workers if worker is not server.worker
             ]
+            self.endpoint.server = None
+            self.checker.record_event(f'{server.worker.name} is gone')
             server.close()
             # Closing kills the open calls but leaves their connections open.
-            self.proxy.reset()
+            self.endpoint.proxy.reset()
+
+    def drain_and_deregister(self, *, unheard_s: float = 0.0) -> None:
+        """Drain the worker, deregister it and end it.
 
-    def drain_and_deregister(self) -> None:
-        """Drain the worker, deregister it and end it."""
+        :param unheard_s: how long the worker runs on as the acknowledgement
+            of its departure is lost; 0 if it is not lost.
+        """
         server = self.server
         if server is None:
             return
         server.worker.draining = True
+        self.checker.record_event(f'{server.worker.name} drains')
         deadline = time.monotonic() + 2 * DRAIN_DURATION_S
         while not server.drained_at and time.monotonic() < deadline:
             gevent.sleep(0.1)
         gevent.sleep(DRAIN_DURATION_S)
         if self.server is server:
             path = f'/api/instances/{server.worker.name}/deregister'
+            fields = {'born': server.worker.born}
             for address in self.control_addresses:
-                if call(address, 'POST', path, {})[0] == 200:
+                if call(address, 'POST', path, fields)[0] == 200:
                     break
-            self.stop_worker()
+            self.checker.record_event(f'{server.worker.name} deregistered')
+            gevent.sleep(unheard_s)
+            if self.server is server:
+                self.stop_worker()
 
     def make_row(self) -> dict[str, Any]:
         """Return the instance's row in the platform's list of machines."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,6 +19,7 @@
 from soak.links import Links
 from soak.links import make_machine_links
 from soak.platform import draw_clock_rate
+from soak.platform import Endpoint
 from soak.platform import Instance
 from soak.platform import SoakCloud
 from soak.promises import CANCEL_EFFECT_S
@@ -76,7 +77,8 @@
             f'{block}.1:{FIRST_PROXY_PORT}', cloud_address
         )
         self._instances = [
-            self._make_instance(n, block, rng) for n in range(workers + 1)
+            self._make_instance(seed, n, block, rng)
+            for n in range(workers + 1)
         ]
         self._instances[-1].pool = 'spare'
         self._cloud = SoakCloud(cloud_address, self._instances, self.checker)
@@ -127,15 +129,16 @@
             )
         return links
 
-    def _make_instance(self, number: int, block: str, rng: Random) -> Instance:
+    def _make_instance(
+        self, seed: int, number: int, block: str, rng: Random
+    ) -> Instance:
         name = f'm{number}'
         address = f'{block}.2:{FIRST_PROXY_PORT + number}'
         proxy = Proxy(f'{block}.3:{FIRST_PROXY_PORT + number}', address)
         self._links['cores', name] = proxy
         return Instance(
             name=name,
-            address=address,
-            proxy=proxy,
+            endpoint=Endpoint(address, proxy, Random(f'{seed} {name}')),
             checker=self.checker,
             control_addresses=self._system.controls,
             clock_rate=draw_clock_rate(rng),
@@ -190,8 +193,13 @@
         self._stop_all()
 
     def save_logs(self, folder: Path) -> None:
-        """Write the log of each process to a file in this folder."""
+        """Write the log of each process to a file in this folder.
+
+        What workers did and which faults were active is in ``soak.log``.
+        """
         folder.mkdir(parents=True, exist_ok=True)
+        events = '\n'.join(self.checker.events)
+        (folder / 'soak.log').write_text(events + '\n')
         for machine in self._system.iterate_machines():
             path = folder / f'{machine.name}.log'
             path.write_bytes(bytes(machine.log))
