Play faults of workers and of the calls to them in the soak

Late calls, lost answers, restarts under the same name while calls are late, connections that go silent, workers that exchange addresses, departures whose acknowledgement is lost, and short lists are drawn from the seed in a series of their own, beside the existing one, whose draws stay as they were.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -92,6 +92,7 @@
         self._target = target
         self._fault_free_timer = fault_free_timer
         self._rng = rng
+        self._mean_gap_s = MEAN_FAULT_GAP_S
         self._affected: set[str] = set()
         # When a core last joined again after its disk was lost; infinite
         # until it has joined.
@@ -131,7 +132,7 @@
     def run(self) -> None:
         """Start faults until killed; ``wait`` then waits for their end."""
         while True:
-            gevent.sleep(self._rng.expovariate(1 / MEAN_FAULT_GAP_S))
+            gevent.sleep(self._rng.expovariate(1 / self._mean_gap_s))
             fault = self._rng.choice(self._faults)
             self._greenlets.append(gevent.spawn(fault))
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -27,6 +27,7 @@
 from soak.promises import PromiseChecker
 from soak.promises import SoakJob
 from soak.proxy import Proxy
+from soak.worker_faults import WorkerFaults
 from testing.standins.platform_http import call
 from testing.standins.system import CLOUD_PORT
 from testing.standins.system import FRONT_PORT
@@ -96,6 +97,12 @@
             target.clock_files[machine.name] = path
         self._target = target
         self._faults = Faults(target, Random(rng.random()), fault_free_timer)
+        self._worker_faults = WorkerFaults(
+            target,
+            Random(f'{seed} workers'),
+            fault_free_timer,
+            beside=self._faults,
+        )
         front_addresses = [
             self._links['callers', front.name].address
             for front in self._system.fronts
@@ -178,14 +185,18 @@
         ]
         clients = [gevent.spawn(loop) for loop in client_loops]
         watch = gevent.spawn(self._watch_processes)
-        faults = gevent.spawn(self._faults.run)
-        self._greenlets += [*clients, watch, faults]
+        faults = [
+            gevent.spawn(self._faults.run),
+            gevent.spawn(self._worker_faults.run),
+        ]
+        self._greenlets += [*clients, watch, *faults]
         gevent.sleep(seconds)
         for greenlet in self._greenlets:
             if greenlet.dead:
                 greenlet.get()  # raises its error, a fault of the soak itself
-        faults.kill()
+        gevent.killall(faults)
         self._faults.wait()
+        self._worker_faults.wait()
         gevent.killall(clients)
         self._check_recovery()
         self._check_cancelled()
