--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,6 +38,7 @@
     workers: int = 5,
     logs: str = '',
     regressions: bool = False,
+    machine_faults: bool = True,
 ) -> None:
     """Play seeds one after another; exit with 1 if a promise was broken.
 
@@ -45,6 +46,8 @@
     :param seconds: how long faults are started with each seed.
     :param logs: folder in which the logs of a seed that failed are kept.
     :param regressions: play the seeds that failed before instead.
+    :param machine_faults: whether there are faults besides those of workers
+        and of the calls to them.
     """
     seed_count = job_count = 0
     fault_counts: collections.Counter[str] = collections.Counter()
@@ -56,7 +59,12 @@
     for seed in seeds:
         with tempfile.TemporaryDirectory() as folder:
             run = SoakRun(
-                seed, Path(folder), cores=cores, fronts=fronts, workers=workers
+                seed,
+                Path(folder),
+                cores=cores,
+                fronts=fronts,
+                workers=workers,
+                machine_faults=machine_faults,
             )
             try:
                 run.start()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -25,6 +25,8 @@
 MEAN_THINK_TIME_S = 0.15
 MAX_OPERATOR_PAUSE_S = 1.5
 MAX_OPEN_JOBS = 8  # jobs of one caller; more would overload the workers
+MAX_OPEN_LONG_JOBS = 3
+LONG_TASK_S = (2.0, 5.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +117,8 @@
 class Caller:
     """Submits jobs, asks for their states and cancels some."""
 
+    max_open_jobs = MAX_OPEN_JOBS
+
     def __init__(
         self,
         number: int,
@@ -139,7 +143,7 @@
             gevent.sleep(self._rng.expovariate(1 / MEAN_THINK_TIME_S))
             open_jobs = [job for job in self.jobs if not self.is_finished(job)]
             draw = self._rng.random()
-            if draw < 0.5 and len(open_jobs) < MAX_OPEN_JOBS:
+            if draw < 0.5 and len(open_jobs) < self.max_open_jobs:
                 self.submit(self._draw_job())
             elif draw < 0.9 and self.jobs:
                 self.query(self._rng.choice(open_jobs or self.jobs))
@@ -237,6 +241,26 @@
         )
 
 
+class LongTaskCaller(Caller):
+    """Submits jobs with tasks that outlast late calls to their workers."""
+
+    max_open_jobs = MAX_OPEN_LONG_JOBS
+
+    def _draw_job(self) -> SoakJob:
+        rng = self._rng
+        self._job_count += 1
+        name = f'{self._number:04x}{self._job_count:012x}'
+        duration_s = rng.uniform(*LONG_TASK_S)
+        step = {
+            'count': rng.randint(1, 3),
+            'cpu': rng.choice((800, 1500, 3000)),
+            'memoryRequestMb': 64,
+            'estimatedMs': int(duration_s * 1000),
+        }
+        body = {'specification': f'job {name}', 'steps': [step]}
+        return SoakJob(name, body, (duration_s,))
+
+
 class Operator:
     """Changes the configuration, and reads it from cores and fronts."""
 
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -47,6 +47,7 @@
 # longer than any caller waits.
 UNANSWERED_CALL_S = 5.0
 HEARTBEAT_TIMEOUT_S = 0.25
+POLL_PATH = '/api/hold'
 
 
 class WatchedWorker(FakeWorker):
@@ -140,6 +141,7 @@
     :param proxy: the proxy at which others reach the address.
     :param late_share: share of calls that get no answer and are carried out
         late, by whichever worker has the address then.
+    :param delays_polls: whether polls may be late, besides orders.
     :param lost_share: share of calls whose answer is lost.
     :param server: the server that has the address now.
     """
@@ -148,6 +150,7 @@
     proxy: Proxy
     rng: Random
     late_share: float = 0.0
+    delays_polls: bool = True
     lost_share: float = 0.0
     server: SoakWorker | None = None
 
@@ -224,8 +227,12 @@
         draw = endpoint.rng.random()
         if draw >= endpoint.late_share + endpoint.lost_share:
             return super()._application(env, start)
+        is_late = draw < endpoint.late_share
+        is_poll = env['PATH_INFO'] == POLL_PATH
+        if is_late and is_poll and not endpoint.delays_polls:
+            return super()._application(env, start)
         body = env['wsgi.input'].read()
-        if draw < endpoint.late_share:
+        if is_late:
             gevent.spawn(endpoint.carry_out_late, env, body, self.life)
         else:
             self.carry_out(env, body, self.life, time.monotonic())
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -170,7 +170,8 @@
         self._contacted_at: dict[tuple[str, int], float] = {}
         # Runs that late orders have started before the system could know of
         # the incarnation that carried them out: its name and start, the task.
-        self._unforeseen_runs: set[tuple[str, int, str]] = set()
+        # The value is the time of the next poll there, which lists the run.
+        self._unforeseen_runs: dict[tuple[str, int, str], float | None] = {}
         self._acknowledged_versions: list[tuple[float, int]] = []
         self._instances_down: collections.defaultdict[int, set[str]] = (
             collections.defaultdict(set)
@@ -213,6 +214,9 @@
             if life not in self._contacted_at:
                 self.record_event(f'{worker.name} first polled, token {token}')
             self._contacted_at.setdefault(life, now)
+            for key, listed_at in self._unforeseen_runs.items():
+                if key[:2] == life and listed_at is None:
+                    self._unforeseen_runs[key] = now
 
     def _is_known(self, worker: FakeWorker, now: float) -> bool:
         """Return whether the system has had time to make a worker safe."""
@@ -237,19 +241,22 @@
             beside another one, after its end and without room.
         """
         is_unforeseen = is_late and not self._is_known(worker, now)
-        late = f' by a late order, unforeseen={is_unforeseen}' * is_late
-        self.record_event(f'{worker.name} starts {task} run {number}{late}')
+        late = ' by a late order' * is_late
+        self.record_event(
+            f'{worker.name} starts {task} run {number}{late}'
+            + ', unforeseen' * is_unforeseen
+        )
         key = (worker.name, worker.born, task)
         if is_unforeseen:
-            self._unforeseen_runs.add(key)
+            self._unforeseen_runs[key] = None
         else:
-            self._unforeseen_runs.discard(key)
+            self._unforeseen_runs.pop(key, None)
         task_id = TaskId.parse(task)
         job = self.jobs.get(task_id.job) if task_id else None
         if task_id is None or job is None or task not in job.list_tasks():
             self.expect('unasked', False, f'{task} belongs to no known job')
             return
-        start = f'{task} run {number} began on {worker.name}'
+        start = f'{task} run {number} began on {worker.name}{late}'
         step = job.steps[task_id.step]
         others = [
             other.name
@@ -263,7 +270,7 @@
                 'once', not others, f'{start} while it runs on {others}'
             )
             self._check_need(step, task, start)
-            self._check_resources(worker, start)
+            self._check_resources(worker, start, now)
             self._check_spread(worker, task, start)
         missing = [
             other
@@ -296,7 +303,10 @@
     def _is_hidden(self, worker: FakeWorker, task: str, now: float) -> bool:
         """Return whether the system can't know yet that a task runs."""
         key = (worker.name, worker.born, task)
-        return key in self._unforeseen_runs and not self._is_known(worker, now)
+        if key not in self._unforeseen_runs:
+            return False
+        listed_at = self._unforeseen_runs[key]
+        return listed_at is None or now <= listed_at + CONTACT_EFFECT_S
 
     def _check_need(self, step: dict[str, Any], task: str, start: str) -> None:
         """Check that a task may still run."""
@@ -333,10 +343,14 @@
                 f'{start}, which now runs {same_step} tasks of the step',
             )
 
-    def _check_resources(self, worker: FakeWorker, start: str) -> None:
+    def _check_resources(
+        self, worker: FakeWorker, start: str, now: float
+    ) -> None:
         cpu = memory_mb = 0
         for task in worker.running:
             # What is being stopped is listed as running until its end.
+            if self._is_hidden(worker, task, now):
+                continue
             job, _, step, _ = task.split('.')
             fields = self.jobs[job].steps[int(step)]
             cpu += fields['cpu']
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 import gevent
 
 from soak.callers import Caller
+from soak.callers import LongTaskCaller
 from soak.callers import make_probe_job
 from soak.callers import Operator
 from soak.faults import Faults
@@ -50,6 +51,8 @@
     """The programs with their platform, workers, callers and faults.
 
     :param folder: for settings, data and clock files.
+    :param machine_faults: whether there are faults besides those of workers
+        and of the calls to them.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         cores: int = 3,
         fronts: int = 2,
         workers: int = 5,
+        machine_faults: bool = True,
     ) -> None:
         rng = Random(seed)
         block = get_loopback_prefix()
@@ -96,6 +100,7 @@
             set_clock_shift(path, 0.0)
             target.clock_files[machine.name] = path
         self._target = target
+        self._has_machine_faults = machine_faults
         self._faults = Faults(target, Random(rng.random()), fault_free_timer)
         self._worker_faults = WorkerFaults(
             target,
@@ -111,6 +116,14 @@
             Caller(n, Random(rng.random()), front_addresses, self.checker)
             for n in range(CALLER_COUNT)
         ]
+        self._callers.append(
+            LongTaskCaller(
+                CALLER_COUNT,
+                Random(f'{seed} long tasks'),
+                front_addresses,
+                self.checker,
+            )
+        )
         self._operator = Operator(
             Random(rng.random()),
             self._system.controls,
@@ -185,10 +198,9 @@
         ]
         clients = [gevent.spawn(loop) for loop in client_loops]
         watch = gevent.spawn(self._watch_processes)
-        faults = [
-            gevent.spawn(self._faults.run),
-            gevent.spawn(self._worker_faults.run),
-        ]
+        faults = [gevent.spawn(self._worker_faults.run)]
+        if self._has_machine_faults:
+            faults.append(gevent.spawn(self._faults.run))
         self._greenlets += [*clients, watch, *faults]
         gevent.sleep(seconds)
         for greenlet in self._greenlets:
--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -65,6 +65,7 @@
         """Carry out some calls to about half of the workers late."""
         with self._begin_fault('late_calls'):
             share = self._rng.uniform(0.05, MAX_CALL_FAULT_SHARE)
+            delays_polls = self._rng.random() < 0.5
             endpoints = [
                 instance.endpoint
                 for instance in self._target.instances
@@ -72,6 +73,7 @@
             ]
             for endpoint in endpoints:
                 endpoint.late_share = share
+                endpoint.delays_polls = delays_polls
             self._sleep()
             for endpoint in endpoints:
                 endpoint.late_share = 0.0
@@ -98,6 +100,7 @@
                 return
             endpoint = instance.endpoint
             endpoint.late_share = self._rng.uniform(0.2, 0.9)
+            endpoint.delays_polls = self._rng.random() < 0.3
             gevent.sleep(self._rng.uniform(0.5, MAX_LATE_BEFORE_RESTART_S))
             with self._restart(instance, keep_name=True):
                 endpoint.late_share = 0.0
