--- a/soak/platform.py
+++ b/soak/platform.py
@@ -242,9 +242,10 @@
     def _answer_poll(
         self, fields: dict[str, Any], token: int, start: Start
     ) -> list[bytes]:
+        reply = super()._answer_poll(fields, token, start)
         if token >= self.worker.token and 'sentAt' not in fields:
             self._checker.record_poll(self.worker, token, time.monotonic())
-        return super()._answer_poll(fields, token, start)
+        return reply
 
     def get_run_end(self, task: str, age_s: float) -> EndKind | None:
         task_id = TaskId.parse(task)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -29,7 +29,7 @@
 # No start may be ordered on a worker later than this after the system has
 # acknowledged its drain.
 DRAIN_EFFECT_S = 2.5
-# How long after its first poll of an incarnation the system may take to keep
+# How long after the first answer of an incarnation the system may take to keep
 # late orders to the former one from having an effect there.
 CONTACT_EFFECT_S = 1.0
 # A configuration has to be in force everywhere after this time.
@@ -166,7 +166,7 @@
         self.latest_version = 0
         self._holders: dict[int, str] = {}
         self._highest_token = 0
-        # When each incarnation, by name and start, was polled first.
+        # When each incarnation, by name and start, first answered a poll.
         self._contacted_at: dict[tuple[str, int], float] = {}
         # Runs that late orders have started before the system could know of
         # the incarnation that carried them out: its name and start, the task.
@@ -204,7 +204,7 @@
         return job.durations_s[task_id.step]
 
     def record_poll(self, worker: FakeWorker, token: int, now: float) -> None:
-        """Record that an incarnation of a worker was polled.
+        """Record that an incarnation of a worker answers a poll.
 
         A poll of a former leader does not tell the present one.
         """
@@ -212,7 +212,9 @@
         if token == self._highest_token:
             life = (worker.name, worker.born)
             if life not in self._contacted_at:
-                self.record_event(f'{worker.name} first polled, token {token}')
+                self.record_event(
+                    f'{worker.name} has answered its first poll, token {token}'
+                )
             self._contacted_at.setdefault(life, now)
             for key, listed_at in self._unforeseen_runs.items():
                 if key[:2] == life and listed_at is None:
