Find a start after an end that is acknowledged later

Such a start breaks after_done unless the lease of the worker that ended the run has expired in between. A stop takes up to 0.4 s, an address is used again after 2 s, and a worker that leaves may get no order meanwhile, as the bounds of the deployments have it.

--- a/soak/platform.py
+++ b/soak/platform.py
@@ -38,7 +38,7 @@
 # How long a long-running task takes to be at work.
 LONG_RUNNING_STARTUP_S = 0.3
 WORKER_CAPACITY = Resources(4000, 4096, 0)
-MAX_STOP_S = 0.8
+MAX_STOP_S = 0.4
 # How many ends a worker lists at a time.
 MAX_LISTED_ENDS = 500
 # How much later a call may be carried out than it was sent.
@@ -67,6 +67,8 @@
         'listed_position',
         '_rng',
         '_stop_ends_ms',
+        '_ended_at',
+        '_lapsed_at',
     )
 
     def __init__(
@@ -78,12 +80,17 @@
         self.listed_position = 0
         self._rng = rng
         self._stop_ends_ms: dict[str, float] = {}
+        self._ended_at: dict[int, float] = {}
+        # When the lease was last found to have expired.
+        self._lapsed_at = 0.0
 
     def is_stopping(self, task: str) -> bool:
         return task in self._stop_ends_ms
 
     def advance(self, seconds: float) -> None:
         super().advance(seconds)
+        if self.clock_ms > self.lease_end_ms:
+            self._lapsed_at = time.monotonic()
         for task, end_ms in list(self._stop_ends_ms.items()):
             if self.clock_ms >= end_ms:
                 self.end(task, EndKind.STOPPED)
@@ -95,6 +102,7 @@
             f'{self.name} ends {task} run {number} {kind}'
         )
         super().end(task, kind, saved)
+        self._ended_at[self.position] = time.monotonic()
 
     def stop(self, task: TaskId, number: int, *, token: int) -> Answer:
         name = str(task)
@@ -121,7 +129,13 @@
         if token >= self.token and acknowledged <= self.listed_position:
             for row in self.ended:
                 if row.position <= acknowledged:
-                    self.checker.record_acknowledged_end(row.task, row.kind)
+                    ended_at = self._ended_at[row.position]
+                    has_lapsed = self._lapsed_at > ended_at
+                    self.checker.record_acknowledged_end(
+                        row.task,
+                        row.kind,
+                        ended_at=None if has_lapsed else ended_at,
+                    )
         reply = super().poll(
             until_ms=until_ms, acknowledged=acknowledged, token=token
         )
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -176,6 +176,8 @@
         self._instances_down: collections.defaultdict[int, set[str]] = (
             collections.defaultdict(set)
         )
+        # When the last run of each task began, without unforeseen runs.
+        self._last_starts: dict[str, tuple[float, str]] = {}
         self._get_fault_free_s = get_fault_free_s
         self._get_time = get_time
 
@@ -268,6 +270,7 @@
             and not self._is_hidden(other, task, now)
         ]
         if not is_unforeseen:
+            self._last_starts[task] = (now, start)
             self.expect(
                 'once', not others, f'{start} while it runs on {others}'
             )
@@ -401,10 +404,24 @@
                 f' {now - drained_at:.1f} s after its drain was acknowledged',
             )
 
-    def record_acknowledged_end(self, task: str, kind: EndKind) -> None:
-        """Record that the system has told a worker to forget a run's end."""
+    def record_acknowledged_end(
+        self, task: str, kind: EndKind, *, ended_at: float | None = None
+    ) -> None:
+        """Record that the system has told a worker to forget a run's end.
+
+        :param ended_at: when the run ended, or ``None`` if the worker's lease
+            has expired since, so that the task may have begun again.
+        """
         if kind is EndKind.DONE:
             self.acknowledged_done.add(task)
+            started_at, start = self._last_starts.get(task, (0.0, ''))
+            if ended_at is not None:
+                self.expect(
+                    'after_done',
+                    started_at <= ended_at,
+                    f'{start} after an end of the task that was'
+                    ' acknowledged later',
+                )
         elif kind is EndKind.FAILED:
             self.acknowledged_failures[task] += 1
 
--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -28,6 +28,8 @@
 # How much later a message of a worker that has ended may arrive.
 MAX_MESSAGE_DELAY_S = 4.0
 MAX_UNHEARD_S = 6.0
+# How long an address is not used after the end of its worker.
+MIN_ADDRESS_REUSE_S = 2.0
 
 
 class WorkerFaults(Faults):
@@ -119,6 +121,7 @@
                 self._restart(second, keep_name=keep_name),
             ):
                 first.swap_addresses(second)
+                gevent.sleep(MIN_ADDRESS_REUSE_S)
 
     def _silence_connections(self) -> None:
         """Lose what the open connections to workers carry; reset some."""
@@ -131,14 +134,21 @@
                     instance.endpoint.proxy.reset()
 
     def _leave_unheard(self) -> None:
-        """Let a worker leave without hearing the acknowledgement."""
+        """Let a worker leave without hearing the acknowledgement.
+
+        In half of the cases, no order reaches it while it leaves.
+        """
         with self._begin_instance_fault('worker_leave_unheard') as instance:
             if instance is None or instance.server is None:
                 return
             name = instance.server.worker.name
             fields = {'born': instance.server.worker.born}
             unheard_s = self._rng.uniform(1.0, MAX_UNHEARD_S)
+            proxy = instance.endpoint.proxy
+            if self._rng.random() < 0.5:
+                proxy.block(frozenset({'there'}))
             instance.drain_and_deregister(unheard_s=unheard_s)
+            proxy.heal()
             gevent.sleep(self._rng.uniform(0.1, MAX_RESTART_S))
             instance.start_worker(keep_name=self._rng.random() < 0.5)
             if self._rng.random() < 0.5:
--- a/testing/soak/test_platform.py
+++ b/testing/soak/test_platform.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 import json
 from random import Random
+import time
 from typing import Any
 
 import gevent
@@ -169,6 +170,21 @@
     assert checker.acknowledged_done == {'j.0.0.0'}
 
 
+@pytest.mark.parametrize(('lapses', 'violations'), [(False, 1), (True, 0)])
+def test_end_that_is_acknowledged_after_the_next_start_is_found(
+    checker: PromiseChecker, lapses: bool, violations: int
+) -> None:
+    worker, other = make_worker(checker), make_worker(checker)
+    worker.end('j.0.0.0', EndKind.DONE)
+    poll(worker, 0)
+    gevent.sleep(0.001)
+    checker.check_run(other, 'j.0.0.0', 2, now=time.monotonic())
+    if lapses:
+        worker.advance(10.0)
+    poll(worker, 1)
+    assert len(checker.violations) == violations
+
+
 def test_position_of_former_incarnation_acknowledges_nothing(
     checker: PromiseChecker,
 ) -> None:
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -110,6 +110,16 @@
     scenario.run('j.0.0.0', 1, 2)
 
 
+def acknowledge_end_after_next_start(scenario: Scenario) -> None:
+    scenario.run('j.0.0.0', now=10.0)
+    scenario.workers[0].running.pop('j.0.0.0')
+    scenario.run('j.0.0.0', 1, 2, now=12.0)
+    assert not scenario.get_broken_promises()
+    scenario.checker.record_acknowledged_end(
+        'j.0.0.0', EndKind.DONE, ended_at=11.0
+    )
+
+
 def start_before_previous_step_ended(scenario: Scenario) -> None:
     scenario.run('j.0.1.0')
 
@@ -276,6 +286,7 @@
     start_beside_late_run_that_is_listed: 'once',
     start_on_new_incarnation_before_first_poll: 'once',
     start_after_acknowledged_end: 'after_done',
+    acknowledge_end_after_next_start: 'after_done',
     start_before_previous_step_ended: 'order',
     start_repetition_early: 'on_time',
     start_after_max_attempts: 'attempts',
