Cut off restarted workers for longer than a lease in the soak

The clocks of the first workers are up to 100 s ahead of those of restarted ones, as if they had run before, so that a late call can extend the lease of the next incarnation.

--- a/soak/platform.py
+++ b/soak/platform.py
@@ -39,6 +39,10 @@
 LONG_RUNNING_STARTUP_S = 0.3
 WORKER_CAPACITY = Resources(4000, 4096, 0)
 MAX_STOP_S = 0.4
+# Reading of a worker's clock at its start, and for how long at most a worker
+# under a new name has run before.
+FIRST_CLOCK_MS = 1000.0
+MAX_AGE_MS = 100_000.0
 # How many ends a worker lists at a time.
 MAX_LISTED_ENDS = 500
 # How much later a call may be carried out than it was sent.
@@ -338,9 +342,12 @@
     def _start_worker(self, *, keep_name: bool) -> None:
         if not keep_name:
             self.worker_number += 1
+        rng = self.endpoint.rng
+        age_ms = 0.0 if keep_name else rng.uniform(0.0, MAX_AGE_MS)
         worker = WatchedWorker(
             self.checker,
-            self.endpoint.rng,
+            rng,
+            clock_ms=FIRST_CLOCK_MS + age_ms,
             name=f'{self.name}-{self.worker_number}',
             born=time.time_ns() // 1_000_000,
             pool=self.pool,
--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -25,6 +25,9 @@
 # How long calls may be late before their worker restarts.
 MAX_LATE_BEFORE_RESTART_S = 3.0
 MAX_RESTART_S = 2.0
+CUT_SHARE = 0.4
+MAX_BEFORE_CUT_S = 6.0
+CUT_S = (6.0, 13.0)
 # How much later a message of a worker that has ended may arrive.
 MAX_MESSAGE_DELAY_S = 4.0
 MAX_UNHEARD_S = 6.0
@@ -96,7 +99,10 @@
                 endpoint.lost_share = 0.0
 
     def _restart_after_late_calls(self) -> None:
-        """Restart a worker under its name while calls to it are late."""
+        """Restart a worker under its name while calls to it are late.
+
+        It may be cut off soon after, for longer than it holds a lease.
+        """
         with self._begin_instance_fault('worker_restart') as instance:
             if instance is None:
                 return
@@ -106,6 +112,12 @@
             gevent.sleep(self._rng.uniform(0.5, MAX_LATE_BEFORE_RESTART_S))
             with self._restart(instance, keep_name=True):
                 endpoint.late_share = 0.0
+            if endpoint.rng.random() < CUT_SHARE:
+                gevent.sleep(endpoint.rng.uniform(0.0, MAX_BEFORE_CUT_S))
+                endpoint.proxy.block(frozenset({'there'}))
+                gevent.sleep(endpoint.rng.uniform(*CUT_S))
+                endpoint.proxy.heal()
+                endpoint.proxy.reset()
 
     def _swap_addresses(self) -> None:
         """Let two instances end and start with each other's address."""
--- a/testing/soak/test_platform.py
+++ b/testing/soak/test_platform.py
@@ -62,7 +62,7 @@
 
 def start_run(instance: Instance, name: str) -> int:
     """Order a start; return the status of the answer."""
-    fields = {**ORDER, 'untilMs': 9_000, 'fencingToken': 7}
+    fields = {**ORDER, 'untilMs': 200_000, 'fencingToken': 7}
     body = json.dumps(fields).encode()
     head = (
         f'POST /api/run-start HTTP/1.1\r\nHost: x\r\nConnection: close\r\n'
