--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 import gevent
 
 from soak.callers import Caller
+from soak.callers import LongTaskCaller
 from soak.callers import make_probe_job
 from soak.callers import Operator
 from soak.faults import Faults
@@ -19,6 +20,7 @@
 from soak.links import Links
 from soak.links import make_machine_links
 from soak.platform import draw_clock_rate
+from soak.platform import Endpoint
 from soak.platform import Instance
 from soak.platform import SoakCloud
 from soak.promises import CANCEL_EFFECT_S
@@ -26,6 +28,7 @@
 from soak.promises import PromiseChecker
 from soak.promises import SoakJob
 from soak.proxy import Proxy
+from soak.worker_faults import WorkerFaults
 from testing.standins.platform_http import call
 from testing.standins.system import CLOUD_PORT
 from testing.standins.system import FRONT_PORT
@@ -48,6 +51,8 @@
     """The programs with their platform, workers, callers and faults.
 
     :param folder: for settings, data and clock files.
+    :param machine_faults: whether there are faults besides those of workers
+        and of the calls to them.
     """
 
     def __init__(
@@ -58,6 +63,7 @@
         cores: int = 3,
         fronts: int = 2,
         workers: int = 5,
+        machine_faults: bool = True,
     ) -> None:
         rng = Random(seed)
         block = get_loopback_prefix()
@@ -76,7 +82,8 @@
             f'{block}.1:{FIRST_PROXY_PORT}', cloud_address
         )
         self._instances = [
-            self._make_instance(n, block, rng) for n in range(workers + 1)
+            self._make_instance(seed, n, block, rng)
+            for n in range(workers + 1)
         ]
         self._instances[-1].pool = 'spare'
         self._cloud = SoakCloud(cloud_address, self._instances, self.checker)
@@ -93,7 +100,14 @@
             set_clock_shift(path, 0.0)
             target.clock_files[machine.name] = path
         self._target = target
+        self._has_machine_faults = machine_faults
         self._faults = Faults(target, Random(rng.random()), fault_free_timer)
+        self._worker_faults = WorkerFaults(
+            target,
+            Random(f'{seed} workers'),
+            fault_free_timer,
+            beside=self._faults,
+        )
         front_addresses = [
             self._links['callers', front.name].address
             for front in self._system.fronts
@@ -102,6 +116,14 @@
             Caller(n, Random(rng.random()), front_addresses, self.checker)
             for n in range(CALLER_COUNT)
         ]
+        self._callers.append(
+            LongTaskCaller(
+                CALLER_COUNT,
+                Random(f'{seed} long tasks'),
+                front_addresses,
+                self.checker,
+            )
+        )
         self._operator = Operator(
             Random(rng.random()),
             self._system.controls,
@@ -127,15 +149,16 @@
             )
         return links
 
-    def _make_instance(self, number: int, block: str, rng: Random) -> Instance:
+    def _make_instance(
+        self, seed: int, number: int, block: str, rng: Random
+    ) -> Instance:
         name = f'm{number}'
         address = f'{block}.2:{FIRST_PROXY_PORT + number}'
         proxy = Proxy(f'{block}.3:{FIRST_PROXY_PORT + number}', address)
         self._links['cores', name] = proxy
         return Instance(
             name=name,
-            address=address,
-            proxy=proxy,
+            endpoint=Endpoint(address, proxy, Random(f'{seed} {name}')),
             checker=self.checker,
             control_addresses=self._system.controls,
             clock_rate=draw_clock_rate(rng),
@@ -175,14 +198,17 @@
         ]
         clients = [gevent.spawn(loop) for loop in client_loops]
         watch = gevent.spawn(self._watch_processes)
-        faults = gevent.spawn(self._faults.run)
-        self._greenlets += [*clients, watch, faults]
+        faults = [gevent.spawn(self._worker_faults.run)]
+        if self._has_machine_faults:
+            faults.append(gevent.spawn(self._faults.run))
+        self._greenlets += [*clients, watch, *faults]
         gevent.sleep(seconds)
         for greenlet in self._greenlets:
             if greenlet.dead:
                 greenlet.get()  # raises its error, a fault of the soak itself
-        faults.kill()
+        gevent.killall(faults)
         self._faults.wait()
+        self._worker_faults.wait()
         gevent.killall(clients)
         self._check_recovery()
         self._check_cancelled()
@@ -190,8 +216,13 @@
         self._stop_all()
 
     def save_logs(self, folder: Path) -> None:
-        """Write the log of each process to a file in this folder."""
+        """Write the log of each process to a file in this folder.
+
+        What workers did and which faults were active is in ``soak.log``.
+        """
         folder.mkdir(parents=True, exist_ok=True)
+        events = '\n'.join(self.checker.events)
+        (folder / 'soak.log').write_text(events + '\n')
         for machine in self._system.iterate_machines():
             path = folder / f'{machine.name}.log'
             path.write_bytes(bytes(machine.log))
