Count a run that is being stopped until its end is listed

The first list without it released it, and its room was given away at once.

Such a run is now released only if the lists of 0.5 s lack it. Its listed end still releases it at once, so only runs whose end is not listed wait longer.

Before, the test found no processor in use right after the stop, for a run that was confirmed and for one whose start had no answer.

--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -26,6 +26,9 @@
 from galenareel._scheduling.tables import Worker
 
 
+MAX_STOP_S = 0.5  # a worker takes less time for a stop
+
+
 class Listings(Leases):
     """Keeps the tables in line with what the workers list."""
 
@@ -194,10 +197,18 @@
         A run that is not listed is over if the poll was sent after the run
         was confirmed or after its stop was answered. A run whose start got no
         answer is over once the worker's clock has passed the order's expiry.
+        A run that is being stopped may be in neither list for a while, so the
+        lists of ``MAX_STOP_S`` have to lack it.
         """
         for run in list(worker.runs.values()):
             if run.key in listed:
+                run.missing_since = None
                 continue
+            if run.stop_asked_at is not None:
+                if run.missing_since is None:
+                    run.missing_since = sent_at
+                if sent_at - run.missing_since < MAX_STOP_S:
+                    continue
             confirmed_at = run.confirmed_at
             if confirmed_at is not None and confirmed_at < sent_at:
                 self._release_run(run, now, 'vanished')
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -49,6 +49,8 @@
     :param may_have_started: a try of the start got no answer, so what the
         worker answers to another try proves nothing.
     :param confirmed_at: when the worker was first known to run it.
+    :param missing_since: when the first of the last lists that lack it was
+        asked for, while it is being stopped.
     :param percent: progress; for a lasting task the share of its work that
         it does.
     :param percent_at: when ``percent`` was last reported.
@@ -71,6 +73,7 @@
     confirmed_at: float | None = None
     stop_asked_at: float | None = None
     stop_answered_at: float | None = None
+    missing_since: float | None = None
     percent: int = 0
     percent_at: float = 0.0
     checkpoint: str = ''
--- a/testing/jobs/test_releases.py
+++ b/testing/jobs/test_releases.py
@@ -14,12 +14,14 @@
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.clients import RunningRow
 from galenareel._jobs.commands import AdmitWorker
+from galenareel._jobs.listings import MAX_STOP_S
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
 from galenareel._jobs.tables import LEASE_S
 from galenareel._scheduling.tables import RunState
 from galenareel._scheduling.tables import StartTask
+from galenareel._scheduling.tables import StopTask
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
 from testing.jobs.harness import TASK
@@ -364,3 +366,32 @@
 
     engine.handle_start_answer(run, Answer(outcome=outcome), harness.now)
     assert list(run.worker.runs.values()) == [run]
+
+
+@pytest.mark.parametrize('is_confirmed', [True, False])
+def test_run_that_is_being_stopped_uses_resources_until_its_end(
+    is_confirmed: bool,
+) -> None:
+    """It may be listed neither as running nor as ended in between."""
+    harness = Harness(FakeWorker(name='w1'))
+    harness.pass_time(0.3)
+    harness.submit('j')
+    harness.engine.place(harness.now)
+    (order,) = harness.engine.take_orders()
+    assert isinstance(order, StartTask)
+    run = order.run
+    engine = harness.engine
+    engine.extend_for_start(run, harness.now)
+    outcome = Outcome.DONE if is_confirmed else Outcome.NO_ANSWER
+    engine.handle_start_answer(run, Answer(outcome=outcome), harness.now)
+    harness.cancel('j')
+    (stop,) = engine.take_orders()
+    assert isinstance(stop, StopTask)
+    engine.handle_stop_answer(stop, Answer(outcome=Outcome.DONE), harness.now)
+
+    harness.now += 0.1
+    apply_list(harness, 'w1')
+    assert run.worker.cpu_used == TASK.cpu
+    harness.now += MAX_STOP_S + 0.1
+    apply_list(harness, 'w1')
+    assert run.worker.cpu_used == 0
