--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -199,6 +199,7 @@
         )
         run.stop_asked_at = None
         run.stop_reason = ''
+        run.missing_since = None
         is_known = run.confirmed_at is not None
         run.state = RunState.RUNNING if is_known else RunState.UNSURE
         return True
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -56,6 +56,8 @@
     :param stop_sent_at: when a stop was last sent; it stays if the stop is
         withdrawn, which its worker may not know.
     :param stop_answered_at: when the worker has confirmed a stop.
+    :param missing_since: when the first of the last lists that lack it was
+        asked for, while it is being stopped.
     :param percent: progress; for a lasting task the share of its work that
         it does.
     :param percent_at: when ``percent`` was last reported.
@@ -82,6 +84,7 @@
     stop_asked_at: float | None = None
     stop_sent_at: float | None = None
     stop_answered_at: float | None = None
+    missing_since: float | None = None
     percent: int = 0
     percent_at: float = 0.0
     checkpoint: str = ''
