Fill up the short lists of the soak to the limit of a list

A worker lists at most 500 ends at a time; the soak let it list 1 to 3, which can't be told from a complete list. A list that leaves ends out now has 500 rows, as on the platform: known ends fill it up. The test checks the rows.

--- a/soak/platform.py
+++ b/soak/platform.py
@@ -16,6 +16,7 @@
 from gevent.lock import BoundedSemaphore
 
 from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import EndedRow
 from galenareel._jobs.clients import Listing
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.model import EndKind
@@ -45,6 +46,14 @@
 MAX_AGE_MS = 100_000.0
 # How many ends a worker lists at a time.
 MAX_LISTED_ENDS = 500
+# Fills up a list from which ends are left out, as only full ones may lack any.
+KNOWN_END = EndedRow(
+    position=0,
+    task='0000000000000000.0.0.0',
+    number=1,
+    kind=EndKind.STOPPED,
+    saved='',
+)
 # How much later a call may be carried out than it was sent.
 LATE_CALL_S = (2.0, 12.0)
 # A call that gets no answer keeps its connection open for this time, which is
@@ -61,13 +70,11 @@
 
     :param rng: draws how long each stop takes.
 
-    ``max_listed_ends`` limits the ends in a list, ``listed_position`` is the
-    highest position that was listed so far.
+    ``listed_position`` is the highest position that was listed so far.
     """
 
     __slots__ = (
         'checker',
-        'max_listed_ends',
         'listed_position',
         '_rng',
         '_stop_ends_ms',
@@ -80,7 +87,6 @@
     ) -> None:
         super().__init__(**fields)
         self.checker = checker
-        self.max_listed_ends = MAX_LISTED_ENDS
         self.listed_position = 0
         self._rng = rng
         self._stop_ends_ms: dict[str, float] = {}
@@ -144,10 +150,12 @@
             until_ms=until_ms, acknowledged=acknowledged, token=token
         )
         if isinstance(reply, Listing):
-            ended = reply.ended[: self.max_listed_ends]
-            reply = replace(reply, ended=ended)
+            ended = reply.ended
             if ended:
                 self.listed_position = ended[-1].position
+            if not reply.has_all_ends:
+                ended = (KNOWN_END,) * (MAX_LISTED_ENDS - len(ended)) + ended
+            reply = replace(reply, ended=ended)
         return reply
 
 
--- a/testing/soak/test_platform.py
+++ b/testing/soak/test_platform.py
@@ -22,6 +22,8 @@
 import soak.platform
 from soak.platform import Endpoint
 from soak.platform import Instance
+from soak.platform import KNOWN_END
+from soak.platform import MAX_LISTED_ENDS
 from soak.platform import MAX_STOP_S
 from soak.platform import WatchedWorker
 from soak.promises import PromiseChecker
@@ -165,8 +167,11 @@
     worker.max_listed_ends = 1
     for index in range(2):
         worker.end(f'j.0.0.{index}', EndKind.DONE)
-    assert [row.position for row in poll(worker, 0).ended] == [1]
-    assert [row.position for row in poll(worker, 1).ended] == [2]
+    for acknowledged in (0, 1):
+        ended = poll(worker, acknowledged).ended
+        assert len(ended) == MAX_LISTED_ENDS
+        new_rows = [row for row in ended if row != KNOWN_END]
+        assert [row.position for row in new_rows] == [acknowledged + 1]
     assert checker.acknowledged_done == {'j.0.0.0'}
 
 
