Release no run of a former life by a list that may lack ends

Cause: the first list of a restarted worker under its own token releases the runs of its former life that it lacks. If it doesn't hold all ends, such a run may have been started late and have ended, even as done.

Evidence, on the code before:

test_run_that_a_short_list_lacks_is_kept other.starts == [] failed: j2.0.0.0 and j3.0.0.0, both done on the restarted worker, were started again as run 2

Change: these runs are kept until a list with all ends.

--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -104,7 +104,8 @@
         """Release the runs of earlier incarnations that a worker lacks.
 
         It has seen its own token, so it won't start them any more. A run that
-        it lists was started by a late order, and goes on.
+        it lists was started by a late order, and goes on. One that is missing
+        may have ended, even as done, if the list lacks ends.
         """
         listed = {(row.task, row.number) for row in listing.running}
         for run in list(worker.runs.values()):
@@ -113,7 +114,7 @@
             if (str(run.task), run.number) in listed:
                 run.token = worker.token
                 run.confirmed_at = None
-            else:
+            elif listing.has_all_ends:
                 self._release_run(run, now, 'worker_restarted')
 
     def _record_position(self, worker: Worker) -> None:
--- a/testing/jobs/test_worker_restart.py
+++ b/testing/jobs/test_worker_restart.py
@@ -240,6 +240,31 @@
     assert list(worker.running) == ['next.0.0.0']
 
 
+def test_run_that_a_short_list_lacks_is_kept() -> None:
+    # Late starts have ended before the first list, which shows one end only.
+    other = FakeWorker(name='w2', resources=Resources(0, 0, 0))
+    harness = Harness(FakeWorker(name='w1'), other)
+    harness.pass_time(0.3)
+    worker = harness.workers['w1']
+    harness.delaying_first_tries.add('w1')
+    for name in ('j1', 'j2', 'j3'):
+        harness.submit(name)
+    harness.pass_time(0.3)
+    harness.delaying_first_tries.clear()
+    worker.crash()
+    worker.max_listed_ends = 1
+    start_late_before_first_list(harness, 'w1')
+    for task in list(worker.running):
+        worker.end(task, EndKind.DONE)
+    starts = list(worker.starts)
+    other.resources = worker.resources
+    harness.announce('w2')
+    harness.pass_time(2.0)
+    assert worker.starts == starts
+    assert other.starts == []
+    assert all(job.has_ended for job in harness.state.jobs.values())
+
+
 def test_stop_is_repeated_to_a_restarted_worker() -> None:
     # The earlier incarnation has answered the stop, but not listed the end.
     harness = two_workers()
