Let the job harness treat restarted workers as the leader does

The leader checks the token of a worker before it decides on a stop, and takes the answer to a try that was sent with an earlier token as lost; the harness did neither for stops while a token is held and for the refused second tries.

--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -268,7 +268,9 @@
             if isinstance(order, StartTask):
                 self._start(order)
             elif isinstance(order, StopTask):
-                if self.engine.begin_stop(order, self.now):
+                if order.worker.token and self.engine.begin_stop(
+                    order, self.now
+                ):
                     self._stop(order)
             elif isinstance(order, PaceTask):
                 run = order.run
@@ -313,7 +315,9 @@
         runs, self.retried = self.retried, []
         for run in runs:
             if run.worker is self.engine.workers.get(run.worker.name):
-                answer = Answer(outcome=outcome)
+                answer = self.engine.screen_answer(
+                    run.worker, Answer(outcome=outcome), token=run.token
+                )
                 self.engine.handle_start_answer(run, answer, self.now)
 
     def prepare_start(self, run: Run) -> Callable[[FakeWorker], Answer]:
@@ -331,8 +335,6 @@
         name = order.worker.name
         if name in self.cut_off or name not in self.workers:
             return
-        if not order.worker.token:
-            return
         call = functools.partial(
             FakeWorker.stop,
             task=order.task,
