--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -45,17 +45,9 @@
         """
         if self.workers.get(worker.name) is not worker or worker.retiring:
             return
-        if not worker.token:
-            return
-        born = worker.record.born
-        if listing.born and born and listing.born != born:
-            if listing.born < born:
-                return  # late answer of an earlier incarnation
-            self._reset_worker(worker, now)
-            worker.record = msgspec.structs.replace(
-                worker.record, born=listing.born
-            )
-            worker.awaits_record = True
+        if not worker.token or not self._is_of_known_life(
+            worker, listing, now
+        ):
             return
         self._record_answer(worker, listing.clock_ms, now)
         for end in listing.ended:
@@ -75,15 +67,32 @@
             return
         self._release_vanished(worker, listed, listing.clock_ms, sent_at, now)
         self._report_overfull(worker)
-        is_first = not worker.has_listed
-        worker.has_listed = True
-        self._clear_unread(worker.name)
-        if is_first:
+        if not worker.has_listed:
+            worker.has_listed = True
+            self._clear_unread(worker.name)
             self._log.info(
                 'worker_read', worker=worker.name, runs=len(worker.runs)
             )
             self.wake_pool(worker.pool)
 
+    def _is_of_known_life(
+        self, worker: Worker, listing: Listing, now: float
+    ) -> bool:
+        """Return whether the known incarnation of a worker has answered.
+
+        A list of a later one shows that the worker was restarted.
+        """
+        known = worker.record.born
+        if not listing.born or not known or listing.born == known:
+            return True
+        if listing.born > known:
+            self._reset_worker(worker, now)
+            worker.record = msgspec.structs.replace(
+                worker.record, born=listing.born
+            )
+            worker.awaits_record = True
+        return False
+
     def _report_overfull(self, worker: Worker) -> None:
         """Log when the runs of a worker begin to take more than its room."""
         was_overfull = worker.overfull
