Count a run in the rack in which it was started

The leader's term ended with a KeyError if a worker came back under its name in another rack or zone: its runs were taken off the counts of the present rack. Found by reading; the test failed with KeyError before. A run now keeps the rack and zone in which it was counted.

--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -548,6 +548,8 @@
             number=number,
             token=worker.token,
             worker=worker,
+            rack=worker.record.rack,
+            zone=worker.record.zone,
             step=step,
             ordered_at=now,
             cpu=0 if step.step.fills else step.step.cpu,
@@ -559,10 +561,8 @@
         step.last_run[task.index] = max(
             step.last_run.get(task.index, 0), number
         )
-        rack = worker.record.rack
-        step.runs_per_rack[rack] = step.runs_per_rack.get(rack, 0) + 1
-        zone = worker.record.zone
-        step.runs_per_zone[zone] = step.runs_per_zone.get(zone, 0) + 1
+        step.runs_per_rack[run.rack] = step.runs_per_rack.get(run.rack, 0) + 1
+        step.runs_per_zone[run.zone] = step.runs_per_zone.get(run.zone, 0) + 1
         name = worker.name
         step.runs_per_worker[name] = step.runs_per_worker.get(name, 0) + 1
         return run
@@ -578,8 +578,8 @@
         runs.remove(run)
         if not runs:
             step.runs.pop(run.task.index, None)
-        step.runs_per_rack[run.worker.record.rack] -= 1
-        step.runs_per_zone[run.worker.record.zone] -= 1
+        step.runs_per_rack[run.rack] -= 1
+        step.runs_per_zone[run.zone] -= 1
         step.runs_per_worker[run.worker.name] -= 1
 
     def _stop_run(self, run: Run, now: float, reason: str) -> None:
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -44,6 +44,9 @@
 
     :param number: increases with each run of the task.
     :param token: fencing token of the worker's incarnation that was given it.
+    :param rack: rack of the worker when it was given the run; its next
+        incarnation may be in another one.
+    :param zone: availability zone of the worker, likewise.
     :param step: step of the task, or ``None`` once its job is over.
     :param until_ms: time on the worker's clock until which it may carry out
         any try of the start.
@@ -75,6 +78,8 @@
     step: StepWork | None
     ordered_at: float
     token: int = 0
+    rack: str = ''
+    zone: str = ''
     until_ms: int = 0
     state: RunState = RunState.ORDERED
     start_asked_at: float = 0.0
--- a/testing/jobs/test_releases.py
+++ b/testing/jobs/test_releases.py
@@ -395,3 +395,14 @@
     harness.now += MAX_STOP_S + 0.1
     apply_list(harness, 'w1')
     assert run.worker.cpu_used == 0
+
+
+def test_worker_that_returns_in_another_rack_and_zone_loses_its_runs() -> None:
+    harness = Harness(FakeWorker(name='w1'))
+    harness.submit('j')
+    harness.pass_time(0.5)
+    worker = harness.workers['w1']
+    worker.crash()
+    worker.rack, worker.zone = 'r9', 'z9'
+    harness.pass_time(1.0)
+    assert worker.starts == [('j.0.0.0', 1), ('j.0.0.0', 2)]
