Keep the room of a run until a withdrawn or late stop has ended it

A worker could be given more than it has room for, and a task run twice. A run that is being stopped counted for 0.5 s after the first list without it only while a stop was wanted. One whose stop was withdrawn and is carried out late was released by the first list; so was one whose lists lacked it before its late start, with the stop right behind it. Found in a review. Both tests failed before: no processor in use right after the stop. Now the time counts from the last of the list, the confirmation and the answer to the stop, and for each run to which a stop was sent.

--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -26,7 +26,8 @@
 from galenareel._scheduling.tables import Worker
 
 
-MAX_STOP_S = 0.5  # a worker takes less time for a stop
+# Longer than a worker takes for a stop. Until then it may not list the run.
+MAX_STOP_S = 0.5
 
 
 class Listings(Leases):
@@ -298,20 +299,17 @@
             if run.key in listed:
                 run.missing_since = None
                 continue
-            if run.stop_asked_at is not None:
-                if run.missing_since is None:
-                    run.missing_since = sent_at
-                if sent_at - run.missing_since < MAX_STOP_S:
-                    continue
+            if _may_be_stopping(run, sent_at):
+                continue
             confirmed_at = run.confirmed_at
             if confirmed_at is not None and confirmed_at < sent_at:
                 self._release_run(run, now, 'vanished')
             elif run.stop_answered_at is not None:
                 if run.stop_answered_at < sent_at:
                     self._release_run(run, now, 'not_started')
-            elif (
-                run.state in (RunState.UNSURE, RunState.STOPPING)
-                and clock_ms > run.until_ms
+            elif clock_ms > _get_latest_end_ms(run) and run.state in (
+                RunState.UNSURE,
+                RunState.STOPPING,
             ):
                 self._release_run(run, now, 'order_expired')
 
@@ -415,3 +413,32 @@
             )
             step.avoided_workers.setdefault(task.index, set()).add(worker.name)
         record_run_end(worker, failed=True, now=now)
+
+
+def _get_latest_end_ms(run: Run) -> float:
+    """Return when a run that isn't listed is over at the latest.
+
+    The time is that of its worker's clock. Its start may be carried out just
+    before it expires, and be followed by its stop.
+    """
+    if run.stop_sent_at is None:
+        return run.until_ms
+    return run.until_ms + MAX_STOP_S * 1000
+
+
+def _may_be_stopping(run: Run, sent_at: float) -> bool:
+    """Return whether a run that is not listed may still be ending.
+
+    While a worker carries out a stop, also one that was withdrawn, it may
+    list the run neither as running nor as ended.
+
+    :param sent_at: when the poll was sent whose list lacks the run.
+    """
+    if run.stop_asked_at is None and run.stop_sent_at is None:
+        return False
+    if run.missing_since is None:
+        run.missing_since = sent_at
+    latest = max(
+        run.missing_since, run.confirmed_at or 0.0, run.stop_answered_at or 0.0
+    )
+    return sent_at - latest < MAX_STOP_S
--- a/testing/jobs/test_releases.py
+++ b/testing/jobs/test_releases.py
@@ -406,3 +406,35 @@
     worker.rack, worker.zone = 'r9', 'z9'
     harness.pass_time(1.0)
     assert worker.starts == [('j.0.0.0', 1), ('j.0.0.0', 2)]
+
+
+def test_run_whose_withdrawn_stop_is_carried_out_keeps_its_room() -> None:
+    """It may be listed neither as running nor as ended in between."""
+    harness = Harness(FakeWorker(name='w1'))
+    harness.submit('j')
+    harness.pass_time(0.5)
+    (run,) = harness.engine.workers['w1'].runs.values()
+    run.stop_sent_at = harness.now
+
+    harness.now += 0.1
+    apply_list(harness, 'w1')
+    assert run.worker.cpu_used == TASK.cpu
+    harness.now += MAX_STOP_S + 0.1
+    apply_list(harness, 'w1')
+    assert run.worker.cpu_used == 0
+
+
+def test_late_run_that_is_stopped_at_once_keeps_its_room() -> None:
+    """Lists that lacked it before it began don't count."""
+    harness = Harness(FakeWorker(name='w1'))
+    harness.pass_time(0.3)
+    harness.delaying_orders.add('w1')
+    harness.delaying_stops.add('w1')
+    harness.submit('j')
+    harness.pass_time(2.0)
+    (run,) = harness.engine.workers['w1'].runs.values()
+    run.stop_answered_at = harness.now
+
+    harness.now += 0.1
+    apply_list(harness, 'w1')
+    assert run.worker.cpu_used == TASK.cpu
