Spare the next life from the departure of the former one

A late notice of the former life stopped the runs of the next one and retired it, if only a list had shown the restart yet: the notice was compared with the replicated record. Found in a review. The test failed before: the worker was gone from the tables. The engine now compares the start of the life.

--- a/src/galenareel/_jobs/leader.py
+++ b/src/galenareel/_jobs/leader.py
@@ -96,10 +96,13 @@
         if self._term is not None:
             self._term.heartbeat_times[worker] = self._clock.monotonic()
 
-    def end_worker(self, name: str) -> None:
-        """Stop the runs of a worker that departs, and wait a moment."""
+    def end_worker(self, name: str, born: int) -> None:
+        """Stop the runs of a worker that departs, and wait a moment.
+
+        :param born: start of the incarnation that departs.
+        """
         if self._term is not None:
-            self._term.end_worker(name)
+            self._term.end_worker(name, born)
 
     def wake(self) -> None:
         if self._term is not None:
--- a/src/galenareel/_jobs/service.py
+++ b/src/galenareel/_jobs/service.py
@@ -276,7 +276,7 @@
             self._log.warning('departure_ignored', worker=name)
             return True
         self._log.info('worker_left', worker=name)
-        self._leader.end_worker(name)
+        self._leader.end_worker(name, known.born)
         return True
 
     def configure(self, config: Configuration) -> bool | NoResult:
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -324,16 +324,18 @@
         elif not result:
             self.engine.cancel_retirement(worker)
 
-    def end_worker(self, name: str) -> None:
+    def end_worker(self, name: str, born: int) -> None:
         """Stop the runs of a worker that departs, and retire it after them.
 
         Its process may end as soon as the caller acknowledges the departure,
         and only the end of its lease would prove the end of its runs then. So
         wait a moment for the worker to list them as ended; the housekeeping
         retires it otherwise.
+
+        :param born: start of the incarnation that departs.
         """
         worker = self.engine.workers.get(name)
-        if worker is None:
+        if worker is None or worker.record.born > born:
             return
         deadline = self.now() + DEPARTURE_WAIT_S
         self.engine.begin_departure(worker, self.now())
--- a/testing/jobs/test_service.py
+++ b/testing/jobs/test_service.py
@@ -231,6 +231,20 @@
     assert 'w1' not in running.state.workers
 
 
+def test_departure_spares_an_incarnation_that_only_a_list_has_shown(
+    running: RunningLeader, service: JobService
+) -> None:
+    worker = running.workers['w1']
+    worker.draining = True
+    service.accept_heartbeat(make_heartbeat(worker, 1))
+    engine = running.leader.engine
+    assert engine is not None
+    worker.crash()
+    eventually(lambda: engine.workers['w1'].record.born == worker.born)
+    assert service.retire_worker('w1', born=worker.born - 1) is True
+    assert not engine.workers['w1'].departing
+
+
 def test_opened_wave_is_incomplete_and_unknown_wave_is_refused(
     service: JobService,
 ) -> None:
