Shorten the time of a start only by the first clock of a life

An old answer that is read after a freeze can look like another clock, also within one life, and shortened the time up to which a start may be carried out by up to a second.

--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -116,8 +116,9 @@
                 # A lease end of the old clock may have reached the new
                 # incarnation, which accepts at most ``MAX_LEASE_MS`` of it.
                 worker.lease_until_ms = clock_ms + MAX_LEASE_MS
-                for run in worker.runs.values():
-                    run.until_ms = min(run.until_ms, worker.lease_until_ms)
+                if not worker.clock_ms:
+                    for run in worker.runs.values():
+                        run.until_ms = min(run.until_ms, worker.lease_until_ms)
             worker.clock_ms = clock_ms
             worker.clock_at = now
             if worker.lease_until_ms:
