Count a stalled task as restarted only if its stop is ordered

A task that stalls was never moved if the one stop that it may get was not ordered, as another stop had been withdrawn within the last second: the task counted as restarted all the same. Found in a review; the test failed before.

--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -110,7 +110,9 @@
                     step.job.queue.name, step.step
                 )
                 was_restarted = run.task.index in step.restarted_tasks
-                if not was_restarted and is_stalled(run, expected_s, now):
+                if was_restarted or not is_stalled(run, expected_s, now):
+                    continue
+                if self._stop_run(run, now, STALLED):
                     # Only once: a task that is slow on each worker is long,
                     # not stalled.
                     step.restarted_tasks.add(run.task.index)
@@ -118,7 +120,6 @@
                     step.avoided_workers.setdefault(run.task.index, set()).add(
                         worker.name
                     )
-                    self._stop_run(run, now, STALLED)
 
     def stop_lasting_tasks(self, worker: Worker, now: float) -> None:
         """Stop lasting tasks of a closing worker, within their budgets.
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -582,27 +582,29 @@
         step.runs_per_zone[run.zone] -= 1
         step.runs_per_worker[run.worker.name] -= 1
 
-    def _stop_run(self, run: Run, now: float, reason: str) -> None:
+    def _stop_run(self, run: Run, now: float, reason: str) -> bool:
         """Order a run to be stopped, once.
 
         :param reason: reason in the log, e.g. ``cancelled``.
+        :returns: whether a stop was ordered now.
         """
         is_voluntary = reason in VOLUNTARY_REASONS
         if run.stop_asked_at is not None:
             if not is_voluntary:
                 run.stop_reason = reason
-            return
+            return False
         sent_at = run.stop_sent_at
         if (
             is_voluntary
             and sent_at is not None
             and now - sent_at < STOP_RESEND_S
         ):
-            return
+            return False
         run.state = RunState.STOPPING
         run.stop_reason = reason
         run.stop_asked_at = now
         self._order_stop(run.worker, run.task, run.number, reason)
+        return True
 
     def _order_start(self, run: Run, *, is_repeat: bool = False) -> None:
         assert run.step is not None, 'a run to be started has a step'
--- a/testing/jobs/test_stops.py
+++ b/testing/jobs/test_stops.py
@@ -309,3 +309,17 @@
     harness.cut_off.add('w0')
     harness.pass_time(LEASE_S - 1.0)
     assert harness.stops == []
+
+
+def test_stalled_task_is_restarted_after_a_stop_was_withdrawn() -> None:
+    harness = LossyHarness(FakeWorker(name='w0'), FakeWorker(name='w1'))
+    harness.submit('j', make_job(Step(count=1, cpu=1000, estimate_ms=1000)))
+    harness.pass_time(0.2)
+    (name,) = harness.list_running()['j.0.0.0']
+    harness.workers[name].is_stalled = True
+    run = harness.get_run_on(name)
+    run.stop_sent_at = harness.now + 1.0  # of a stop that was withdrawn
+    harness.pass_time(2.0)
+    assert harness.stops == []
+    harness.pass_time(2.0)
+    assert [worker for _, worker in harness.stops] == [name]
