Wait for late orders only after starts that may still be late

Tasks waited 22 s instead of 6 s for a restarted worker that can't be reached, if any of its runs had ever lost an answer, also long before. A start that stops before its first answer was not waited for at all. Only tries of the last 12 s count now.

--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -438,7 +438,8 @@
         for run in worker.runs.values():
             run.stop_answered_at = None
         if any(
-            run.may_have_started or run.state is RunState.ORDERED
+            now - run.start_asked_at < MAX_CALL_DELAY_S
+            and (run.may_have_started or run.confirmed_at is None)
             for run in worker.runs.values()
         ):
             longest_s = MAX_LEASE_MS / 1000 / MIN_CLOCK_RATE
