Give new workers the latest token of the epoch

The term ended with a false 'fenced' if a worker that had a token of its own came back more than a minute after its retirement: it was given the epoch, which it refuses. Found in a review; the test failed before. The test of the wait for late orders lands here, too.

--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -101,6 +101,7 @@
         # Workers of a previous epoch whose runs are not known yet.
         self._unread_workers: set[str] = set()
         self._workers_without_token: set[str] = set()
+        self._latest_token = epoch
         # By name, the time at which a worker was retired.
         self._retired_names: dict[str, float] = {}
         self._retry_due = 0.0
@@ -401,7 +402,7 @@
     def _add_worker(self, record: WorkerRecord, now: float) -> Worker:
         worker = Worker(
             record=record,
-            token=self.epoch,
+            token=self._latest_token,
             draining=record.draining,
             admitted_at=now,
             heard_at=now,
@@ -467,6 +468,7 @@
         :param token: a further epoch of this leader, which no call has
             carried yet.
         """
+        self._latest_token = token
         for name in sorted(self._workers_without_token):
             self.workers[name].token = token
             self._log.info('worker_token_raised', worker=name, token=token)
--- a/testing/jobs/test_worker_restart.py
+++ b/testing/jobs/test_worker_restart.py
@@ -28,6 +28,7 @@
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
 from galenareel._jobs.placing import RUNS_PER_EPOCH
+from galenareel._jobs.tables import KEEP_RETIRED_NAME_S
 from galenareel._jobs.tables import LEASE_S
 from galenareel._jobs.tables import MAX_CALL_DELAY_S
 from galenareel._scheduling.tables import PaceTask
@@ -609,3 +610,38 @@
     assert retired == [1]
     assert running.state.workers['w1'].born == 2
     assert worker.has_listed
+
+
+def test_worker_that_returns_after_its_retirement_does_not_end_the_term() -> (
+    None
+):
+    """It has seen a higher token than the epoch of its leader."""
+    harness = two_workers()
+    harness.workers['w1'].crash()
+    harness.pass_time(0.5)
+    harness.cut_off.add('w1')
+    harness.retire('w1')
+    harness.pass_time(KEEP_RETIRED_NAME_S + 1.0, step=1.0)
+    harness.retire('w2')
+    harness.cut_off.clear()
+    harness.announce('w1')
+    harness.poll('w1')
+    assert not harness.engine.fenced
+    assert harness.engine.workers['w1'].has_listed
+
+
+def test_old_lost_answer_does_not_lengthen_the_wait_for_a_worker() -> None:
+    harness = two_workers()
+    harness.losing_answers.update(harness.workers)
+    harness.submit('j', make_job(Step(count=1, estimate_ms=600_000)))
+    harness.run_round()
+    harness.losing_answers.clear()
+    for worker in harness.workers.values():
+        worker.work_s = 1000.0
+    harness.pass_time(30.0)
+    name = harness.find_worker('j.0.0.0').name
+    harness.workers[name].crash()
+    harness.announce(name)
+    harness.cut_off.add(name)
+    harness.pass_time(MAX_CALL_DELAY_S)
+    assert 'j.0.0.0' in harness.list_running()
