--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -25,7 +25,6 @@
 from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import Worker
 
-
 # Longer than a worker takes for a stop. Until then it may not list the run.
 MAX_STOP_S = 0.5
 
