--- a/src/galenareel/_jobs/clients.py
+++ b/src/galenareel/_jobs/clients.py
@@ -115,7 +115,7 @@
         """Start a run; ``DONE`` if the worker already runs it.
 
         :param until_ms: end of the worker's lease by the worker's clock.
-        :param token: fencing token, an epoch of the leader.
+        :param token: fencing token of this incarnation of the worker.
         :param checkpoint: where to resume, or empty.
         :param ticket: the advisor's permission, or empty.
         """
@@ -147,7 +147,7 @@
             forget the ends up to it.
         :param wait_ms: how long the worker may wait for a run to end before
             it answers.
-        :param token: fencing token, an epoch of the leader.
+        :param token: fencing token of this incarnation of the worker.
         """
 
     @abstractmethod
--- a/src/galenareel/_scheduling/availability.py
+++ b/src/galenareel/_scheduling/availability.py
@@ -7,7 +7,8 @@
 from galenareel._scheduling.tables import StepWork
 
 WORKING_PERCENT = 100  # reported by a lasting task that does all of its work
-# A stop that got no answer may still be carried out within this time.
+# A run whose stop got no answer counts as away for this time. The stop may be
+# carried out even later, but a longer time would hold up maintenance.
 LATE_STOP_S = 5.0
 
 
