--- a/testing/jobs/test_worker_restart.py
+++ b/testing/jobs/test_worker_restart.py
@@ -27,6 +27,7 @@
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
+from galenareel._jobs.model import TaskId
 from galenareel._jobs.placing import RUNS_PER_EPOCH
 from galenareel._jobs.tables import KEEP_RETIRED_NAME_S
 from galenareel._jobs.tables import LEASE_S
@@ -645,3 +646,28 @@
     harness.cut_off.add(name)
     harness.pass_time(MAX_CALL_DELAY_S)
     assert 'j.0.0.0' in harness.list_running()
+
+
+def test_new_leader_waits_for_a_lease_by_the_clock_before_a_restart() -> None:
+    harness = two_workers()
+    for worker in harness.workers.values():
+        worker.work_s = 1000.0
+        worker.crash()
+        worker.start(
+            TaskId('old', 0, 0, 0),
+            1,
+            until_ms=10**9,
+            token=harness.engine.epoch,
+        )  # sent before the restart
+    harness.announce('w1')
+    harness.announce('w2')
+    harness.take_over('c2')
+    harness.pass_time(0.5)
+    harness.submit('j', make_job(Step(count=1, estimate_ms=600_000)))
+    harness.pass_time(0.3)
+    name = harness.find_worker('j.0.0.0').name
+    harness.cut_off.add(name)
+    for _ in range(120):
+        harness.pass_time(0.1)
+        assert len(harness.list_running().get('j.0.0.0', ())) <= 1
+    assert harness.list_running()['j.0.0.0'] != [name]
