Log each membership in effect, and silent voters whenever their number changes

Each member now logs the voters, the learners and the quorum of each membership, and the leader the losses that are left with each of them.

--- a/src/galenareel/_consensus/member_log.py
+++ b/src/galenareel/_consensus/member_log.py
@@ -21,6 +21,7 @@
         self._log = log
         self._metrics = metrics
         self._leader: str | None = None
+        self._membership = Membership()
         self._campaigns = 0
         self._granted: frozenset[int] = frozenset()
         self._refused: frozenset[int] = frozenset()
@@ -45,11 +46,12 @@
         )
 
     def log_changes(self, st: RaftState, leader: str | None) -> None:
-        """Log a change of the leader and the outcome of a campaign.
+        """Log changes of the leader and the members, and lost campaigns.
 
         :param leader: address of the leader, or ``None`` without one.
         """
         self._log_leader(st, leader)
+        self._log_membership(st)
         self._log_campaigns(st)
 
     def _log_leader(self, st: RaftState, leader: str | None) -> None:
@@ -60,6 +62,23 @@
         if self._metrics is not None:
             self._metrics.leader_changes.add(1, {'known': bool(leader)})
 
+    def _log_membership(self, st: RaftState) -> None:
+        """Log the members in effect, which may not be committed yet."""
+        membership = st.membership
+        if membership == self._membership:
+            return
+        self._membership = membership
+        voters = membership.voter_ids()
+        learners = {member.identity for member in membership.members} - voters
+        self._log.info(
+            'membership_changed',
+            index=st.membership_history[-1][0],
+            term=st.term,
+            voters=_format_names(membership, voters),
+            learners=_format_names(membership, learners),
+            quorum=membership.quorum_size(),
+        )
+
     def _log_campaigns(self, st: RaftState) -> None:
         if st.campaigns > self._campaigns > 0:
             self._log_failed_campaign(st)
--- a/src/galenareel/_jobs/joining.py
+++ b/src/galenareel/_jobs/joining.py
@@ -87,7 +87,7 @@
         self._log = log
         self._members: tuple[str, ...] = ()
         self._asked_leaders: set[str] = set()
-        self._silent_voters: frozenset[str] = frozenset()
+        self._silent_voters: tuple[frozenset[str], int] = (frozenset(), 0)
         self._asking: dict[str, gevent.Greenlet] = {}
         self._greenlet: gevent.Greenlet | None = None
 
@@ -158,7 +158,7 @@
         :param silent_s: silence after which any other voter counts as lost.
         """
         if not self._driver.leads_term():
-            self._silent_voters = frozenset()
+            self._silent_voters = (frozenset(), 0)
             return
         members = self._driver.list_members()
         count = sum(member.voter for member in members)
@@ -200,14 +200,15 @@
         return silent
 
     def _log_silent_voters(self, voters: int) -> None:
-        """Log which voters are silent, whenever that changes.
+        """Log which voters are silent, whenever that or their number changes.
 
         :param voters: number of all voters.
         """
         silent = frozenset(self._driver.list_silent_voters(SILENT_S))
-        if silent == self._silent_voters:
+        known, known_voters = self._silent_voters
+        self._silent_voters = (silent, voters)
+        if silent == known and (not silent or voters == known_voters):
             return
-        self._silent_voters = silent
         quorum = get_quorum_size(voters)
         self._log.warning(
             'voters_silent',
--- a/testing/consensus/test_member_log.py
+++ b/testing/consensus/test_member_log.py
@@ -16,8 +16,11 @@
 from galenareel._common.log import Log
 from galenareel._common.metrics_text import TextMeter
 from galenareel._consensus.member_log import MemberLog
+from galenareel._consensus.messages import AppendEntries
 from galenareel._consensus.messages import PreVoteReply
 from galenareel._consensus.metrics import MemberMetrics
+from galenareel._consensus.records import make_membership_entry
+from galenareel._consensus.records import MemberInfo
 from testing.consensus.processes import find_leader
 from testing.consensus.processes import Process
 from testing.consensus.processes import wait_for
@@ -97,3 +100,24 @@
     log.log_changes(raft.state, None)
     assert 'event=campaign_failed campaigns=1 ' in stream.getvalue()
     assert 'granted="" refused=b silent=c' in stream.getvalue()
+
+
+def test_log_names_the_voters_whenever_they_change() -> None:
+    raft = make_raft(now=100.0)
+    stream = io.StringIO()
+    log = MemberLog(Log('1', stream=stream))
+    for _ in range(2):
+        log.log_changes(raft.state, None)
+    entry = make_membership_entry(
+        2,
+        1,
+        raft.state.membership.with_member(
+            MemberInfo(4, 'd', 'd', voter=False)
+        ),
+    )
+    raft.step(make_envelope(AppendEntries(1, 1, 1, 0, (entry,))), 100.1)
+    log.log_changes(raft.state, None)
+    lines = stream.getvalue().splitlines()
+    first, second = [line for line in lines if 'membership_changed' in line]
+    assert 'voters=a,b,c learners="" quorum=2' in first
+    assert 'index=2 term=1 voters=a,b,c learners=d quorum=2' in second
--- a/testing/jobs/test_joining.py
+++ b/testing/jobs/test_joining.py
@@ -639,6 +639,11 @@
     (line,) = [line for line in lines if ' event=voters_silent ' in line]
     assert f'silent={lost.name} voters=4 quorum=3 losses_left=0' in line
 
+    wait_for(lambda: leader.driver.change_members(remove='d'))
+    joiner.remove_lost_voter()
+    last = stream.getvalue().splitlines()[-1]
+    assert f'silent={lost.name} voters=3 quorum=2 losses_left=0' in last
+
 
 def test_new_member_is_added_although_the_first_question_was_lost(
     tmp_path: Path,
