Tests that fail: a silent voter counts on after its successor has a vote

Three voters that bear one loss, one of them gone for good, become four when the successor is promoted: three of four have to agree, and no further loss is borne until another part has seen 2 s of silence in the same term. A leader that is lost in this time leaves the next one with the same four voters.

--- a/testing/consensus/test_odd_voters.py
+++ b/testing/consensus/test_odd_voters.py
@@ -20,6 +20,8 @@
 from galenareel._consensus.records import make_membership_entry
 from galenareel._consensus.records import MemberInfo
 from galenareel._consensus.records import Membership
+from galenareel._consensus.state import ELECTION_MIN_S
+from galenareel._consensus.state import HEARTBEAT_INTERVAL_S
 from galenareel._consensus.storage import LoadedState
 from galenareel._consensus.storage import MemberFile
 
@@ -30,7 +32,14 @@
 class Group:
     """A leader with identity 1 and members that answer unless silent."""
 
-    def __init__(self, voters: int, learners: int = 0) -> None:
+    def __init__(
+        self,
+        voters: int,
+        learners: int = 0,
+        *,
+        enough: int = ENOUGH,
+        silent: frozenset[int] = frozenset(),
+    ) -> None:
         members = tuple(
             MemberInfo(number, f'c{number}', f'a{number}', number <= voters)
             for number in range(1, voters + learners + 1)
@@ -39,16 +48,17 @@
         member = MemberFile(1, cluster=CLUSTER, initial_members=members)
         loaded = LoadedState(member, term=1, entries=[first])
         self.now = 100.0
-        self.silent: set[int] = set()
+        self.silent = set(silent)
         self.sizes: list[tuple[int, int]] = []
         self.raft = Raft(
-            loaded, rng=Random(1), now=self.now, enough_voters=ENOUGH
+            loaded, rng=Random(1), now=self.now, enough_voters=enough
         )
         self.now += 2.1
         self.raft.tick(self.now)
-        for sender in range(2, voters + 1):
+        others = set(range(2, voters + 1)) - self.silent
+        for sender in others:
             self._reply(sender, PreVoteReply(2, True), term=1)
-        for sender in range(2, voters + 1):
+        for sender in others:
             self._reply(sender, VoteReply(True))
         assert self.raft.state.is_leader()
 
@@ -129,3 +139,34 @@
     assert group.raft.state.is_leader()
     assert group.raft.read_index(group.now) is not None
     assert group.voters == {1, 2, 3, 4, 5}
+
+
+def test_silent_voter_counts_no_longer_once_its_successor_votes() -> None:
+    """The next loss may come as soon as the successor has caught up."""
+    group = Group(3, 1, enough=3)
+    group.run(2.0)
+    group.silent = {3}
+    group.sizes.clear()
+    group.run(ELECTION_MIN_S + 2 * HEARTBEAT_INTERVAL_S)
+    assert group.voters == {1, 2, 4}
+    assert all(alive >= quorum for alive, quorum in group.sizes)
+
+
+@pytest.mark.parametrize(
+    ('voters', 'enough'), [(4, 3), (6, 5)], ids=['one-loss', 'two-losses']
+)
+def test_short_term_leaves_no_even_number_with_a_silent_voter(
+    voters: int, enough: int
+) -> None:
+    """Its former leader was lost after it had made the last one a voter."""
+    group = Group(voters, enough=enough, silent=frozenset({voters}))
+    group.run(ELECTION_MIN_S + 2 * HEARTBEAT_INTERVAL_S)
+    assert group.voters == set(range(1, voters))
+
+
+def test_silent_voter_of_a_number_that_is_just_enough_stays() -> None:
+    """Without it the losses to be borne could leave no majority."""
+    group = Group(3, enough=3)
+    group.silent = {3}
+    group.run(10.0)
+    assert group.voters == {1, 2, 3}
