Remove a silent voter as soon as its successor has its vote

Cause: once there are enough voters, a learner gets its vote before the silent voter is removed, and the removal was left to another part, which waits for 2 s of silence in its own term and looks every 0.25 s. In this time four voters, one of them gone for good, need three.

The leader now takes the second step with the commit of the first one: the silent voter is the surplus one of an even number, as a healthy one is in a cluster of an earlier build.

--- a/src/galenareel/_consensus/membership.py
+++ b/src/galenareel/_consensus/membership.py
@@ -9,7 +9,10 @@
 
 With enough voters their number stays odd: an even one bears no more losses,
 and without it no half of a partition has a majority. A learner that would
-make it even waits, and takes over from the next voter that is silent.
+make it even waits, and takes over from the next voter that is silent: first it
+gets its vote, then the silent one is removed. Both steps follow each other at
+once, in the first term that comes to them: in between, the loss of one more
+voter may leave no majority for good.
 """
 
 from __future__ import annotations
@@ -92,32 +95,43 @@
         return
 
 
-def demote_surplus_voter(st: RaftState, now: float) -> None:
-    """Make a voter a learner if the number of voters is even and enough.
+def drop_surplus_voter(st: RaftState, now: float) -> None:
+    """Take a vote away if the number of voters is even and more than enough.
 
-    Clusters of earlier builds have such a number. A voter that does not answer
-    is left to the removal of lost ones.
+    A silent voter is removed, and asks to be added again if it returns. If all
+    of them answer, as in a cluster of an earlier build, one becomes a learner.
     """
     count = len(st.membership.voter_ids())
     if not st.enough_voters or count <= st.enough_voters or count % 2:
         return
     if st.membership_history[-1][0] > st.commit_index:
         return
-    if _list_unheard_voters(st) or _list_silent_voters(st, now):
-        return
+    if any(
+        not _is_silent(st, other, now) for other in _list_unheard_voters(st)
+    ):
+        return  # it may answer yet, or turn out to be silent
+    silent = _list_silent_voters(st, now)
+    if silent:
+        target = st.membership.without(silent[0].identity)
+    else:
+        target = _demote_voter(st)
+    if _can_commit(st, target, now):
+        _propose_membership(st, target, now)
+
+
+def _demote_voter(st: RaftState) -> Membership:
+    """Return the membership with one of the other voters as a learner."""
     others = st.membership.voter_ids() - {st.identity}
     member = st.membership.find(max(others))
     assert member is not None, 'a voter is a member'
     learner = MemberInfo(
         member.identity, member.name, member.address, voter=False
     )
-    target = st.membership.with_member(learner)
-    if _can_commit(st, target, now):
-        _propose_membership(st, target, now)
+    return st.membership.with_member(learner)
 
 
-def handle_committed_removal(st: RaftState, now: float) -> None:
-    """Stop tracking members whose removal is committed.
+def handle_committed_change(st: RaftState, now: float) -> None:
+    """Stop tracking members whose removal is committed; take the next step.
 
     If the leader itself was removed, it steps down.
     """
@@ -134,9 +148,11 @@
         del st.progress[identity]
     if not membership.is_voter(st.identity):
         st.become_follower(st.term, 0, now)
-    elif removed:
-        # A learner may wait for this, and until then fewer losses are borne.
+        return
+    # Until the next step of a replacement, fewer losses are borne.
+    if removed:
         promote_learners(st, now)
+    drop_surplus_voter(st, now)
 
 
 def _promote_learner(st: RaftState, member: MemberInfo, now: float) -> None:
@@ -155,8 +171,8 @@
             replaced = silent
         elif not silent:
             return
-        # Otherwise the silent one is removed once it is lost: with fewer
-        # voters, the losses to be borne could leave no majority.
+        # Otherwise the silent one is removed after this: with fewer voters,
+        # the losses to be borne could leave no majority.
     if replaced:
         target = st.membership.without(replaced[0].identity)
     else:
--- a/src/galenareel/_consensus/raft.py
+++ b/src/galenareel/_consensus/raft.py
@@ -23,8 +23,8 @@
 from galenareel._consensus.log import RaftLog
 from galenareel._consensus.membership import add_learner
 from galenareel._consensus.membership import ChangeResult
-from galenareel._consensus.membership import demote_surplus_voter
-from galenareel._consensus.membership import handle_committed_removal
+from galenareel._consensus.membership import drop_surplus_voter
+from galenareel._consensus.membership import handle_committed_change
 from galenareel._consensus.membership import promote_learners
 from galenareel._consensus.membership import remove_member
 from galenareel._consensus.messages import AppendEntries
@@ -111,7 +111,7 @@
             elif now >= st.heartbeat_due:
                 send_heartbeats(st, now)
                 promote_learners(st, now)
-                demote_surplus_voter(st, now)
+                drop_surplus_voter(st, now)
         elif now >= st.election_due:
             start_pre_vote(st, now)
         return self._take_effects(now)
@@ -190,7 +190,7 @@
         return st.commit_index
 
     def _take_effects(self, now: float) -> Effects:
-        handle_committed_removal(self.state, now)
+        handle_committed_change(self.state, now)
         effects = self.state.effects
         self.state.effects = Effects()
         return effects
