Count the silence of a former leader from when it was heard last

What callers would see: no leader for good.

Cause: a new leader takes every member for heard at its election, also the leader whose silence made it campaign. A machine that is gone for good so counts for 1 s more in each term, and with leaders that last for less it counts on until one more disk is lost.

The member that is elected knows when it heard the former leader last. The time is kept apart from last_leader_contact, which is moved back when the leader's process has ended, so that one that is back at once keeps its vote. A former leader that votes for the next one has just been heard.

--- a/src/galenareel/_consensus/election.py
+++ b/src/galenareel/_consensus/election.py
@@ -158,6 +158,11 @@
     st.heartbeat_due = now + HEARTBEAT_INTERVAL_S
     st.progress.clear()
     track_new_members(st, now)
+    former = st.progress.get(st.heard_leader_id)
+    if former is not None and st.heard_leader_id not in st.votes_granted:
+        # Its silence began before this term. If it is gone for good, it must
+        # not count again for as long as a short term lasts.
+        former.last_reply_at = st.heard_leader_at
     # Entries of earlier terms are committed only together with a later entry
     # of this term.
     entry = Entry(st.log.last_index + 1, st.term, EntryKind.NOOP)
--- a/src/galenareel/_consensus/state.py
+++ b/src/galenareel/_consensus/state.py
@@ -111,6 +111,10 @@
         received. No vote is granted for ``ELECTION_MIN_S`` after it; the
         leader lease relies on this.
     :param leader_id: identity of the leader, or 0 if it is unknown.
+    :param heard_leader_id: identity of the leader that was heard last, also of
+        an earlier term; 0 before.
+    :param heard_leader_at: when that leader was heard last. Unlike
+        ``last_leader_contact``, it says nothing about leases.
     :param enough_voters: number of voters from which on a learner that would
         make their number even stays a learner; 0 for no such number.
     :param campaigns: campaigns of this member since a leader was last known.
@@ -129,6 +133,8 @@
     last_leader_contact: float
     role: Role = Role.FOLLOWER
     leader_id: int = 0
+    heard_leader_id: int = 0
+    heard_leader_at: float = 0.0
     enough_voters: int = 0
     campaigns: int = 0
     votes_granted: set[int] = field(default_factory=set)
@@ -224,6 +230,8 @@
         if self.role is not Role.FOLLOWER or self.leader_id != sender:
             self.become_follower(self.term, sender, now)
         self.last_leader_contact = now
+        self.heard_leader_id = sender
+        self.heard_leader_at = now
         self.campaigns = 0
         self.reset_election_timer(now)
 
