Refuse what a worker says of itself beyond stated bounds

Cause: a heartbeat's address was only split at its port, and its numbers were bounded by what 64 bits carry. `a b:80`, `h\r\nX: y:80`, `é:80`, a capacity of 2**53, a start in the year 287396, a cold start of 1e305 s, zones of 100 kB and names with line breaks were admitted and stored.

What callers saw: such a worker is in the replicated state of all members. The HTTP client refused to send the host and the name with a line break, so no request was split, and each call failed for good. The capacity counted in the pool's sums, so that the pool seemed to have room for everything. A heartbeat with a `sequence` or `born` of 2**53 hid all later ones of its worker.

--- a/testing/adapter/test_wire.py
+++ b/testing/adapter/test_wire.py
@@ -408,3 +408,95 @@
     body = {'specification': 'x', 'steps': [{'count': 1, 'cpu': number}]}
     with pytest.raises(InvalidMessage):
         decode_job(json.dumps(body).encode())
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        'a b:80',
+        'h\r\nX: y:80',
+        '10.1.2.3\n:80',
+        '10.1.2.3:80\n',
+        'h\0:80',
+        'é:80',
+        '256.1.2.3:80',
+        '10.1:80',
+        '::1:80',
+        '[::1]:80',
+        'user@h:80',
+        'h/x:80',
+        '.:80',
+        'a..b:80',
+        'a' * 64 + ':80',
+        'a.' * 127 + ':80',
+        ':80',
+    ],
+)
+def test_heartbeat_with_an_unusable_host_is_refused(address: str) -> None:
+    """Guards against a host that splits the head of a request."""
+    body = json.dumps(make_heartbeat(address=address)).encode()
+    with pytest.raises(InvalidMessage) as raised:
+        decode_heartbeat('w', body)
+    assert [item.place for item in raised.value.findings] == ['address']
+
+
+@pytest.mark.parametrize(
+    'address',
+    ['10.1.2.3:1', 'localhost:65535', 'node-1_a.rack2.example:8080', '1a:80'],
+)
+def test_usable_address_of_a_heartbeat_is_kept(address: str) -> None:
+    body = json.dumps(make_heartbeat(address=address)).encode()
+    assert decode_heartbeat('w', body).worker.address == address
+
+
+@pytest.mark.parametrize(
+    ('field', 'highest'),
+    [('cpu', 16_384_000), ('memoryRequestMb', 2**28), ('gpus', 1024)],
+)
+def test_capacity_beyond_any_machine_is_refused(
+    field: str, highest: int
+) -> None:
+    """Guards against a worker that takes all tasks of its pool."""
+    whole = {'cpu': 16000, 'memoryRequestMb': 32768, 'gpus': 0}
+    beat = make_heartbeat(capacity={**whole, field: highest})
+    assert decode_heartbeat('w', json.dumps(beat).encode())
+    for value in (highest + 1, 2**53):
+        beat = make_heartbeat(capacity={**whole, field: value})
+        with pytest.raises(InvalidMessage) as raised:
+            decode_heartbeat('w', json.dumps(beat).encode())
+        (finding,) = raised.value.findings
+        assert finding.place == f'capacity.{field}'
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'born': 2**53},
+        {'sequence': 2**53},
+        {'coldRemainingMs': 1e308},
+        {'coldRemainingMs': -1e308},
+        {'remainingMs': 1e308},
+        {'remainingMs': -1e308},
+        {'zone': 'z' * 100_000},
+        {'zone': 'z\r\n'},
+        {'service': 's' * 100_000},
+        {'service': 's\n'},
+        {'labels': ['x'] * 5000},
+        {'labels': ['kind', 'x' * 100_000]},
+    ],
+)
+def test_heartbeat_out_of_bounds_is_refused(changes: dict[str, Any]) -> None:
+    """Guards against what would be stored, or hide later heartbeats."""
+    with pytest.raises(InvalidMessage) as raised:
+        decode_heartbeat('w', json.dumps(make_heartbeat(**changes)).encode())
+    assert len(str(raised.value)) < 500
+
+
+@pytest.mark.parametrize(
+    'name', ['w\r\nX: y', 'w x', 'w\n', 'é', '\udc80', 'w' * 257, '']
+)
+def test_heartbeat_of_a_name_that_no_header_can_carry_is_refused(
+    name: str,
+) -> None:
+    with pytest.raises(InvalidMessage, match='the id in the path'):
+        decode_heartbeat(name, json.dumps(make_heartbeat()).encode())
