Place nothing by a stored capacity that can't be true

Cause: what an older build had stored of a worker was used as it stood. A capacity of 2**53 let its worker take all tasks of its pool, on workers that don't guard their capacity as well, and hid that the pool was short. For a stored address or name that no request can carry, a client was opened and its calls were tried for good.

What callers saw: tasks piled up on one worker while sound ones were idle.

Change: the leader's tables drop a capacity beyond any machine and let its worker wait for its next valid report; it is read as the others are, so that its runs go on. No client is opened for an address or name that can't be used, and the worker counts as silent. What is stored stays as it is, so that members of both builds hold the same state.

--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -35,6 +35,7 @@
 from galenareel._jobs.state import Job
 from galenareel._jobs.state import JobState
 from galenareel._jobs.unread_workers import UnreadWorkers
+from galenareel._jobs.worker_checks import drop_false_room
 from galenareel._jobs.worker_entries import create_worker
 from galenareel._jobs.worker_entries import LEASE_S
 from galenareel._jobs.worker_entries import MIN_CLOCK_RATE
@@ -370,9 +371,10 @@
             return worker  # its list has shown a later incarnation
         if record.born > worker.record.born:
             self._reset_worker(worker, now)
-        self._report_capacity(worker, record)
-        worker.record = record
-        worker.awaits_record = False
+        usable = self._drop_false_room(record)
+        self._report_capacity(worker, usable)
+        worker.record = usable
+        worker.awaits_record = usable is not record
         if record.draining and not worker.draining:
             worker.draining = True
             self._log.info('worker_drains', worker=record.name)
@@ -433,10 +435,22 @@
             self._release_run(run, now, 'worker_gone')
 
     def _add_worker(self, record: WorkerRecord, now: float) -> Worker:
-        worker = create_worker(record, self._tokens.latest, now)
+        usable = self._drop_false_room(record)
+        worker = create_worker(usable, self._tokens.latest, now)
+        worker.awaits_record = usable is not record
         self.workers[record.name] = worker
         return worker
 
+    def _drop_false_room(self, record: WorkerRecord) -> WorkerRecord:
+        usable = drop_false_room(record)
+        if usable is not record:
+            self._log.error(
+                'worker_capacity_invalid',
+                worker=record.name,
+                resources=str(record.resources),
+            )
+        return usable
+
     def _reset_worker(self, worker: Worker, now: float) -> None:
         """Drop what was known of the earlier incarnation of a worker.
 
--- a/src/galenareel/_jobs/worker_checks.py
+++ b/src/galenareel/_jobs/worker_checks.py
@@ -4,6 +4,8 @@
 
 import re
 
+import msgspec
+
 from galenareel._common.addresses import ADDRESS_RULE
 from galenareel._common.addresses import is_address
 from galenareel._common.findings import Findings
@@ -68,6 +70,29 @@
     return found
 
 
+def find_link_problem(record: WorkerRecord) -> str:
+    """Return why no request can be sent to a worker, or an empty text."""
+    return '; '.join(
+        str(item)
+        for item in check_worker(record).items
+        if item.place in ('name', 'address')
+    )
+
+
+def drop_false_room(record: WorkerRecord) -> WorkerRecord:
+    """Return a record, without room if no machine can have what it says.
+
+    An older build may have stored such a record. Its worker may run tasks,
+    so it is read as the others are, but gets no further ones.
+    """
+    if all(
+        0 <= getattr(record.resources, name) <= getattr(MAX_RESOURCES, name)
+        for name in Resources.__struct_fields__
+    ):
+        return record
+    return msgspec.structs.replace(record, resources=Resources(0, 0))
+
+
 def check_amount(
     found: Findings, place: str, value: object, high: int
 ) -> None:
--- a/src/galenareel/_jobs/worker_links.py
+++ b/src/galenareel/_jobs/worker_links.py
@@ -8,6 +8,7 @@
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.clients import WorkerDialer
+from galenareel._jobs.worker_checks import find_link_problem
 from galenareel._jobs.worker_link import WorkerLink
 from galenareel._scheduling.tables import Order
 from galenareel._scheduling.tables import PaceTask
@@ -78,6 +79,8 @@
         so that the tasks of earlier epochs do not wait for its list forever.
         """
         try:
+            if problem := find_link_problem(worker.record):
+                raise ValueError(problem)
             client = self._dialer.open(worker.record)
         except ValueError as exc:
             if worker.record.address not in self._invalid_addresses:
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -236,7 +236,8 @@
         before it gets tasks, or ``None``. While it was silent, its capacity
         may have shrunk.
     :param awaits_record: a list has shown a later incarnation than its record
-        is of, so that its capacity and labels are not known.
+        is of, or the stored capacity can't be true, so that its capacity and
+        labels are not known.
     :param departing: it has announced its end, so its lease is not extended.
         It may go on for a while, and it is removed once its runs are over.
     :param retiring: its removal from the replicated state was proposed. The
--- a/testing/jobs/test_malformed.py
+++ b/testing/jobs/test_malformed.py
@@ -17,9 +17,14 @@
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.commands import AdmitWorker
+from galenareel._jobs.commands import encode
 from galenareel._jobs.model import check_job
+from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
 from galenareel._jobs.model import WorkerRecord
+from galenareel._jobs.state import JobState
+from galenareel._jobs.worker_checks import check_worker
+from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
 from testing.jobs.test_leader import Client
 from testing.jobs.test_leader import Dialer
@@ -27,6 +32,8 @@
 from testing.jobs.test_leader import RunningLeader
 from testing.standins.worker import FakeWorker
 
+FALSE_ROOM = Resources(2**53, 2**53, 2**53)
+
 
 @pytest.fixture
 def running() -> Iterator[RunningLeader]:
@@ -102,3 +109,85 @@
     assert [item.place for item in check_job(req).items] == ['repetitions']
     req = msgspec.structs.replace(req, repetitions=64)
     assert not check_job(req).items
+
+
+@pytest.mark.parametrize('address', ['h\r\nX: y:80', 'a b:80', 'é:80'])
+def test_no_client_is_opened_for_a_stored_address_that_is_unusable(
+    running: RunningLeader,
+    log_text: io.StringIO,
+    monkeypatch: pytest.MonkeyPatch,
+    address: str,
+) -> None:
+    opened = []
+
+    def open_noted(dialer: Dialer, worker: WorkerRecord) -> Client:
+        opened.append(worker.name)
+        return Client(dialer.workers[worker.name])
+
+    monkeypatch.setattr(Dialer, 'open', open_noted)
+    running.workers['w3'] = FakeWorker(name='w3')
+    record = running.workers['w3'].make_record()
+    record = msgspec.structs.replace(record, address=address)
+    running.propose(AdmitWorker(worker=record))
+    running.start()
+    eventually(lambda: running.leader.engine is not None)
+    engine = running.leader.engine
+    assert engine is not None
+    running.submit('j')
+    eventually(lambda: running.is_running('j.0.0.0'))
+    eventually(lambda: engine.workers['w3'].silent_since is not None)
+    assert sorted(set(opened)) == ['w1', 'w2']
+    assert running.log.transfers == 0
+    assert log_text.getvalue().count('worker_address_invalid') == 1
+
+
+@pytest.mark.parametrize('unit', ['cpu', 'memory_mb', 'gpus'])
+def test_stored_capacity_beyond_any_machine_gets_no_tasks(unit: str) -> None:
+    """An older build has stored it; its worker would take all tasks."""
+    harness = Harness(
+        FakeWorker(name='w1', work_s=1000.0),
+        FakeWorker(name='w2', resources=FALSE_ROOM, work_s=1000.0),
+    )
+    harness.proves_jobs = True
+    harness.pass_time(0.3)
+    for number in range(6):
+        harness.submit(
+            f'j{number}', make_job(Step(count=1, cpu=4000, memory_mb=8))
+        )
+    harness.pass_time(1.0)
+    assert not harness.workers['w2'].starts
+    assert len(harness.workers['w1'].running) == 2
+    total = sum(
+        getattr(worker.record.resources, unit)
+        for worker in harness.engine.workers.values()
+    )
+    assert total == getattr(harness.workers['w1'].resources, unit)
+
+    harness.take_over('c2')
+    harness.workers['w2'].resources = Resources(8000, 32768)
+    harness.announce('w2')
+    harness.pass_time(1.0)
+    assert len(harness.workers['w2'].running) == 2
+
+
+def test_state_with_values_out_of_bounds_loads_again() -> None:
+    """Guards against a snapshot that no member can restore."""
+    odd = WorkerRecord(
+        name='w\r\nX: y',
+        born=2**53,
+        address='h\r\nX: y:80',
+        pool='lots',
+        zone='z' * 100_000,
+        resources=FALSE_ROOM,
+        labels=('x',) * 5000,
+    )
+    state = JobState()
+    sound = FakeWorker(name='w1').make_record()
+    for index, record in enumerate((odd, sound)):
+        state.apply(index, encode(AdmitWorker(worker=record)))
+    restored = JobState()
+    restored.restore(2, state.snapshot())
+    assert dict(restored.workers) == {odd.name: odd, 'w1': sound}
+    found = {item.place for item in check_worker(odd).items}
+    assert found >= {'name', 'born', 'address', 'zone', 'resources.cpu'}
+    assert not check_worker(sound).items
