Take an address that can't be used for one that can't be reached

Cause: `connect` reported errors of the socket, and raised those of the address: ValueError for a missing port, OverflowError for one of 30 digits, UnicodeError for a host that has no DNS form. A port from 65536 on connected to another one, modulo 65536. Addresses come from other processes: leader hints, members of a view, senders of peer messages.

What callers saw: the loop that tried the address failed and began anew (`loop_failed`), or its greenlet wrote a trace to standard error, which blocks once nobody reads it.

Change: `parse_address` accepts ports from 0 to 65535 in ASCII digits and hosts that can be looked up; `connect` returns `connect_failed` for any other.

--- a/src/galenareel/_common/addresses.py
+++ b/src/galenareel/_common/addresses.py
@@ -6,6 +6,7 @@
 import re
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 MAX_HOST_CHARS = 253  # of a host name in DNS
 ADDRESS_RULE = (
     'an IPv4 address, or a host name of ASCII letters, digits, "-", "." and '
@@ -13,7 +14,9 @@
 )
 
 _LABEL = r'[A-Za-z0-9_-]{1,63}'
-_ADDRESS = re.compile(rf'({_LABEL}(?:\.{_LABEL})*):([0-9]{{1,5}})')
+_ADDRESS = re.compile(
+    rf'({_LABEL}(?:\.{_LABEL})*):([0-9]{{1,{MAX_PORT_DIGITS}}})'
+)
 
 
 def is_address(text: str) -> bool:
--- a/src/galenareel/_common/frames.py
+++ b/src/galenareel/_common/frames.py
@@ -20,6 +20,9 @@
 from gevent.socket import create_connection
 import msgspec
 
+from galenareel._common.addresses import MAX_HOST_CHARS
+from galenareel._common.addresses import MAX_PORT
+from galenareel._common.addresses import MAX_PORT_DIGITS
 from galenareel._common.events import HybridClock
 from galenareel._common.log import Log
 from galenareel._common.messages import AnyMessage
@@ -70,11 +73,16 @@
 def parse_address(text: str) -> tuple[str, int]:
     """Split ``host:port`` into host and port.
 
-    :raises ValueError: if the port is missing or not a number.
+    :raises ValueError: if the port is missing or not from 0 to 65535, or if
+        the host is no name that can be looked up.
     """
     host, colon, port = text.rpartition(':')
-    if not colon or not host:
-        raise ValueError(f'{text!r} is not host:port')
+    is_number = port.isascii() and port.isdigit()
+    if not colon or not host or not is_number or len(port) > MAX_PORT_DIGITS:
+        raise ValueError(f'{text[:MAX_HOST_CHARS]!r} is not host:port')
+    if int(port) > MAX_PORT:
+        raise ValueError(f'port {port} is above {MAX_PORT}')
+    host.encode('idna')
     return host, int(port)
 
 
@@ -394,7 +402,8 @@
 ) -> Link | Unreachable:
     """Open a link and start its reading greenlet.
 
-    :param address: ``host:port`` to connect to.
+    :param address: ``host:port`` to connect to. Another process may have
+        named it, so one that is invalid counts as one that can't be reached.
     :param timeout_s: limit of the connect only, not of later requests.
     :param aborts: see :class:`Link`.
     :param log: see :class:`Link`.
@@ -403,7 +412,7 @@
     """
     try:
         sock = create_connection(parse_address(address), timeout_s)
-    except OSError as exc:
+    except (OSError, ValueError) as exc:
         return Unreachable(reason='connect_failed', detail=str(exc))
     sock.settimeout(None)
     link = Link(
--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -254,7 +254,7 @@
         """
         try:
             env = decode(msg.body)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             self._log.warning(
                 'peer_message_not_understood',
                 peer=msg.sender,
--- a/testing/common/test_frames.py
+++ b/testing/common/test_frames.py
@@ -157,6 +157,36 @@
     assert reply == Unreachable(reason='link_closed', not_sent=True)
 
 
+@pytest.mark.parametrize(
+    'address',
+    [
+        'nowhere',
+        ':80',
+        'h:',
+        'h:x',
+        '127.0.0.1:²',
+        '127.0.0.1:+80',
+        '127.0.0.1:8_0',
+        '127.0.0.1:-1',
+        '127.0.0.1:65536',
+        '127.0.0.1:' + '9' * 30,
+        '127.0.0.1:' + '9' * 5000,
+        'a' * 300 + ':80',
+        'é' * 100 + ':80',
+        '\ud800:80',
+    ],
+)
+def test_invalid_address_returns_unreachable(
+    address: str, clock: HybridClock, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """Another process has named it; a loop that tries it must go on."""
+    link = connect(address, clock=clock, handler=answer_hello)
+    assert isinstance(link, Unreachable)
+    assert link.reason == 'connect_failed'
+    assert len(link.detail) < 500
+    assert not capfd.readouterr().err
+
+
 def test_refused_connection_returns_unreachable(clock: HybridClock) -> None:
     link = connect(allocate_address(), clock=clock, handler=answer_hello)
     assert isinstance(link, Unreachable)
