Drop a message of a member whose term is out of range

Cause: the term of a message was any integer of 64 bits. A member adopts a higher term and stores it; the term of its next election, one above 2**64 - 1, can't be encoded.

What callers saw: the storing of the member failed with an OverflowError, the member ended, and did so again after each start, as the term is on its disk.

Change: an envelope with a term below 0 or above 2**62 is not understood.

--- a/src/galenareel/_consensus/messages.py
+++ b/src/galenareel/_consensus/messages.py
@@ -6,12 +6,18 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from galenareel._consensus.records import Entry
 from galenareel._consensus.records import MemberInfo
 from galenareel._consensus.records import SnapshotMeta
 
+# No cluster gets there. A member that adopted the largest number of 64 bits
+# could not store the term of its next election.
+MAX_TERM = 2**62
+
 
 class PreVoteRequest(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Ask whether the receiver would vote for the sender in ``term``.
@@ -152,7 +158,7 @@
     cluster: int
     sender: int
     to: int
-    term: int
+    term: Annotated[int, msgspec.Meta(ge=0, le=MAX_TERM)]
     body: Body
 
 
--- a/testing/consensus/test_driver.py
+++ b/testing/consensus/test_driver.py
@@ -14,8 +14,10 @@
 import struct
 import threading
 import time
+from typing import Any
 
 import gevent
+import msgspec
 import pytest
 
 from galenareel._common.clock import SystemClock
@@ -26,6 +28,7 @@
 from galenareel._common.log import Log
 from galenareel._common.messages import AnyMessage
 from galenareel._common.messages import Hello
+from galenareel._common.messages import PeerMessage
 from galenareel._common.messages import Welcome
 from galenareel._common.sentinels import NotLeader
 from galenareel._common.sentinels import Refused
@@ -35,6 +38,12 @@
 from galenareel._consensus.errors import StorageError
 from galenareel._consensus.member import Batch
 from galenareel._consensus.member import Member
+from galenareel._consensus.messages import AppendEntries
+from galenareel._consensus.messages import AppendEntriesReply
+from galenareel._consensus.messages import encode
+from galenareel._consensus.messages import Envelope
+from galenareel._consensus.messages import TimeoutNow
+from galenareel._consensus.messages import VoteRequest
 from galenareel._consensus.peers import Peers
 from galenareel._consensus.state import ELECTION_MIN_S
 from galenareel._consensus.state import HEARTBEAT_INTERVAL_S
@@ -622,3 +631,56 @@
         wait_for(process.driver.is_leader)
     finally:
         process.close()
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'term': 2**64 - 1},
+        {'term': -1},
+        {'body': AppendEntries(-5, 1, 2**64 - 1, 1)},
+        {'body': AppendEntries(1, 1, 2**64 - 1, 1)},
+        {'body': AppendEntriesReply(False, 0, 1, hint=-1)},
+        {'body': VoteRequest(2**64 - 1, 2**64 - 1)},
+        {'cluster': 2**64 - 1, 'sender': -1},
+    ],
+)
+def test_numbers_out_of_range_end_no_member(
+    members: dict[str, str], tmp_path: Path, change: dict[str, Any]
+) -> None:
+    """Guards against a term that no member can store one more of."""
+    cluster = start_cluster(members, tmp_path)
+    sender = cluster[0].driver._member
+    try:
+        for process in cluster[1:]:
+            member = process.driver._member
+            assert member is not None and sender is not None
+            env = Envelope(
+                cluster=member.raft.state.cluster,
+                sender=sender.raft.state.identity,
+                to=member.raft.state.identity,
+                term=member.raft.state.term,
+                body=TimeoutNow(),
+            )
+            odd = msgspec.structs.replace(env, **change)
+            body = msgspec.msgpack.encode(odd)
+            process.driver.receive(PeerMessage(sender='x:1', body=body))
+        gevent.sleep(2 * ELECTION_MIN_S)
+        leader = wait_for_leader(cluster)
+        assert leader.driver.propose(b'two', timeout_s=5) == 2
+        for process in cluster:
+            wait_for(lambda process=process: len(process.machine.commands) > 1)
+            assert process.failures == 0
+    finally:
+        for process in cluster:
+            process.close()
+
+
+def test_message_nested_too_deeply_is_logged(
+    cluster: list[Process],
+) -> None:
+    leader = wait_for_leader(cluster)
+    known = encode(Envelope(1, 1, 1, 1, TimeoutNow()))
+    body = b'\x96' + known[1:] + b'\x91' * 100_000 + b'\xc0'
+    leader.driver.receive(PeerMessage(sender='x:1', body=body))
+    assert len(leader.find_lines('peer_message_not_understood')) == 1
