Refuse an announcement with a finding whatever is odd in it

Cause: the RecursionError of a body that is nested 8,000 deep was not caught, the address was only split at its port, and `$` in the pattern of texts matches before a line break at the end. A connection to a server whose address can't be parsed raised a ValueError where callers expect an OSError.

What callers saw: 500 instead of 422; an instance or incarnation that ends with a line break, `h/x:80`, `user@h:80` and `256.1.2.3:80` were accepted and passed on to the other entries and to control. A request that was sent to such a server failed with an unexpected error instead of trying another server.

Change: deep nesting is a finding; an address is an IPv4 address or host name with a port; texts end where they end. What an older build has accepted counts as a server that can't be reached.

--- a/src/galenareel/_entry/announcements.py
+++ b/src/galenareel/_entry/announcements.py
@@ -14,8 +14,9 @@
 import falcon
 import msgspec
 
+from galenareel._common.addresses import ADDRESS_RULE
+from galenareel._common.addresses import is_address
 from galenareel._common.findings import Findings
-from galenareel._common.frames import parse_address
 from galenareel._common.messages import Announcement
 
 ANNOUNCEMENTS_PATH = '/v1/announcements'
@@ -26,7 +27,7 @@
 Text = Annotated[
     str,
     msgspec.Meta(
-        min_length=1, max_length=MAX_TEXT_LENGTH, pattern=r'^[!-~]+$'
+        min_length=1, max_length=MAX_TEXT_LENGTH, pattern=r'^[!-~]+\Z'
     ),
 ]
 PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
@@ -160,6 +161,13 @@
             place='body', problem=str(exc), remedy='send one JSON object'
         )
         return findings
+    except RecursionError:
+        findings.add(
+            place='body',
+            problem='it is nested too deeply',
+            remedy='send one JSON object',
+        )
+        return findings
     for name in sorted(set(raw) - set(_FIELDS)):
         findings.add(
             place=name[:MAX_TEXT_LENGTH],
@@ -209,14 +217,9 @@
             problem=f'{raw["instance"]} is not in the zone announced',
             remedy='send the instance as ZONE/NAME',
         )
-    try:
-        _host, port = parse_address(raw['address'])
-        usable = 0 < port < 65536
-    except ValueError:
-        usable = False
-    if not usable:
+    if not is_address(raw['address']):
         findings.add(
             place='address',
             problem=f'{raw["address"]} is not host:port',
-            remedy='send the host:port of the HTTP server',
+            remedy=f'send {ADDRESS_RULE}, of the HTTP server',
         )
--- a/src/galenareel/_entry/backend.py
+++ b/src/galenareel/_entry/backend.py
@@ -84,9 +84,13 @@
             if now - idle_since <= MAX_IDLE_S and _is_usable(sock):
                 return sock
             sock.close()
+        try:
+            address = parse_address(self.address)
+        except ValueError as exc:
+            # An older build has accepted it.
+            raise OSError(f'invalid address: {exc}') from exc
         sock = create_connection(
-            parse_address(self.address),
-            min(limits.connect_timeout_s, timeout_s),
+            address, min(limits.connect_timeout_s, timeout_s)
         )
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return sock
--- a/testing/entry/test_backend_faults.py
+++ b/testing/entry/test_backend_faults.py
@@ -15,6 +15,8 @@
 import gevent
 import pytest
 
+from galenareel._entry.backend import BackendConnections
+from galenareel._entry.settings import Limits
 from testing.entry.fakes import Cluster
 from testing.entry.fakes import FakeBackend
 from testing.entry.fakes import make_reply
@@ -293,3 +295,15 @@
         backend.start()
     assert got.outcome == 'not_run'
     assert not backend.requests
+
+
+@pytest.mark.parametrize('address', ['h:+80', 'h:', 'a' * 300 + ':80'])
+def test_invalid_address_of_a_server_is_a_failed_connection(
+    address: str,
+) -> None:
+    """Guards against another error for what an older build has accepted."""
+    connections = BackendConnections(
+        address, max_idle=1, on_abandoned_end=lambda: None
+    )
+    with pytest.raises(OSError):
+        connections.acquire(must_be_new=True, limits=Limits(), timeout_s=1.0)
