--- a/testing/consensus/processes.py
+++ b/testing/consensus/processes.py
@@ -59,9 +59,10 @@
         *,
         join_existing: bool = False,
         lock_wait_s: float = LOCK_WAIT_S,
+        machine: StateMachine | None = None,
     ) -> None:
         self.name = name
-        self.machine = RecordingMachine()
+        self.machine: Any = machine or RecordingMachine()
         self.is_partitioned = False
         self.log = io.StringIO()
         self.failures = 0
