Take a worker for cold only while its latest heartbeat says so

Cause: `cold_until` was set by heartbeats with time left, and never cleared by a later one with none.

What callers saw: after one heartbeat with a false time, up to the bound of a year, a worker was placed last until the next change of leader.

Change: each later heartbeat sets the time.

Result: test_worker_is_cold_until_its_latest_heartbeat_says_so failed before; testing/jobs/test_service.py passes.

--- a/src/galenareel/_jobs/worker_registry.py
+++ b/src/galenareel/_jobs/worker_registry.py
@@ -123,8 +123,7 @@
             worker.follows_reports = True
         engine.note_report(worker, heartbeat.clock_ms)
         now = self._clock.monotonic()
-        if heartbeat.cold_remaining_s > 0:
-            worker.cold_until = now + heartbeat.cold_remaining_s
+        worker.cold_until = now + max(heartbeat.cold_remaining_s, 0.0)
         if heartbeat.min_stay_s is not None:
             worker.leaves_at = now + heartbeat.min_stay_s
 
--- a/testing/jobs/test_service.py
+++ b/testing/jobs/test_service.py
@@ -218,6 +218,24 @@
     assert running.state.workers['w1'].draining
 
 
+def test_worker_is_cold_until_its_latest_heartbeat_says_so(
+    running: RunningLeader, service: JobService
+) -> None:
+    """Guards against one odd heartbeat that makes a worker slow for good."""
+    worker = running.workers['w1']
+    assert running.leader.engine is not None
+    entry = running.leader.engine.workers['w1']
+    for sequence, cold_s in enumerate((1e6, 0.0, -5.0), start=1):
+        beat = Heartbeat(
+            worker=worker.make_record(),
+            sequence=sequence,
+            cold_remaining_s=cold_s,
+        )
+        assert service.accept_heartbeat(beat) is True
+        is_cold = entry.cold_until > running.clock.monotonic()
+        assert is_cold == (cold_s > 0)
+
+
 def report(
     service: JobService, worker: FakeWorker, sequence: int, clock_ms: int
 ) -> None:
