--- a/testing/adapter/test_control_http.py
+++ b/testing/adapter/test_control_http.py
@@ -128,6 +128,31 @@
     assert 'event=request_failed' in log_text.getvalue()
 
 
+@pytest.mark.parametrize(
+    'path', ['w%0D%0AX:%20y', 'w%20x', '%C3%A9', '%ED%A0%80', 'w' * 4000]
+)
+def test_heartbeat_of_a_name_out_of_bounds_is_refused(path: str) -> None:
+    """Guards against a line break or a long name in requests and the log."""
+    log_text = io.StringIO()
+    service = create_autospec(JobService)
+    body = {
+        'service': 's',
+        'address': '10.1.2.3:80',
+        'zone': 'a',
+        'state': 'ready',
+        'capacity': {'cpu': 8000, 'memoryRequestMb': 100},
+        'sequence': 1,
+    }
+    response = make_client(service, log_text).simulate_post(
+        f'/api/instances/{path}/heartbeat', body=json.dumps(body)
+    )
+    assert response.status_code == 400
+    assert not service.accept_heartbeat.called
+    (line,) = log_text.getvalue().splitlines()
+    assert 'the id in the path' in line
+    assert len(line) < 1000
+
+
 def test_invalid_heartbeat_is_logged_once_until_it_changes() -> None:
     log_text = io.StringIO()
     service = create_autospec(JobService)
