Test that a worker with a false stored start is admitted anew

A start of 2**53 ms, which an older build has stored, makes all heartbeats of its worker late. The worker's lists are of an earlier life than that, so its lease ends; as no heartbeat counts, it is retired, and the next heartbeat admits it.

--- a/testing/jobs/test_service.py
+++ b/testing/jobs/test_service.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterator
 import io
+import itertools
 
 import gevent
 from gevent.event import Event
@@ -218,6 +219,26 @@
     assert running.state.workers['w1'].draining
 
 
+def test_worker_with_a_false_start_is_admitted_anew(
+    running: RunningLeader, service: JobService
+) -> None:
+    """Guards against a stored start that makes all heartbeats late."""
+    worker = running.workers['w1']
+    worker.born = 2**53
+    running.propose(AdmitWorker(worker=worker.make_record()))
+    worker.born = 1
+    beats = itertools.count(1)
+
+    def is_admitted() -> bool:
+        service.accept_heartbeat(make_heartbeat(worker, next(beats)))
+        known = running.state.workers.get('w1')
+        return known is not None and known.born == 1
+
+    eventually(is_admitted, 30.0)
+    assert running.log.transfers == 0
+    assert next(beats) > 2
+
+
 def test_worker_is_cold_until_its_latest_heartbeat_says_so(
     running: RunningLeader, service: JobService
 ) -> None:
