Take a listed task for one of a job only by its exact name

Cause: the numbers of a task's name were read by int(), which also takes blanks, underscores, signs, leading zeros, line breaks and other digits.

What callers saw: the odd end `j.0.0.0_0` or `j. 0.0.0` of another writer, `done`, was recorded as the end of `j.0.0.0`, which was then never run to its end.

Change: a name has to be the one that the task gives.

--- a/src/galenareel/_jobs/model.py
+++ b/src/galenareel/_jobs/model.py
@@ -179,9 +179,11 @@
         if len(parts) != 4:
             return None
         try:
-            return cls(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+            task = cls(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
         except ValueError:
             return None
+        # int() also takes blanks, underscores, signs and other digits.
+        return task if str(task) == text else None
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/testing/jobs/test_malformed.py
+++ b/testing/jobs/test_malformed.py
@@ -15,10 +15,12 @@
 
 from galenareel._common.log import Log
 from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import EndedRow
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.commands import AdmitWorker
 from galenareel._jobs.commands import encode
 from galenareel._jobs.model import check_job
+from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
 from galenareel._jobs.model import WorkerRecord
@@ -141,6 +143,46 @@
     assert log_text.getvalue().count('worker_address_invalid') == 1
 
 
+@pytest.mark.parametrize(
+    'task',
+    [
+        'j. 0.0.0',
+        'j.0.0.0_0',
+        'j.00.0.0',
+        'j.0.+0.0',
+        'j.0.0.\u0660',
+        'j.0.0.0\n',
+        'j.0.99.0',
+        'j.0.-1.0',
+        'j.99.0.0',
+        'j.0.0.9999999',
+        'j.' + '9' * 4000 + '.0.0',
+        'j.' + '9' * 5000 + '.0.0',
+        '',
+    ],
+)
+@pytest.mark.parametrize('kind', [EndKind.DONE, EndKind.FAILED])
+def test_end_of_a_task_that_is_not_there_records_nothing(
+    task: str, kind: EndKind
+) -> None:
+    harness = Harness(FakeWorker(name='w1', work_s=1000.0))
+    harness.proves_jobs = True
+    harness.pass_time(0.3)
+    harness.submit('j')
+    harness.pass_time(0.3)
+    worker = harness.workers['w1']
+    worker.position += 1
+    worker.ended.append(
+        EndedRow(
+            position=worker.position, task=task, number=1, kind=kind, saved=''
+        )
+    )
+    harness.pass_time(0.5)
+    assert not harness.state.jobs['j'].progress
+    assert list(worker.running) == ['j.0.0.0']
+    assert not worker.ended
+
+
 @pytest.mark.parametrize('unit', ['cpu', 'memory_mb', 'gpus'])
 def test_stored_capacity_beyond_any_machine_gets_no_tasks(unit: str) -> None:
     """An older build has stored it; its worker would take all tasks."""
