Refuse a query for events that is nested too deeply

Cause: the body of the operation `events` may have unknown fields, which the decoder skips one level at a time; its RecursionError was not caught. Other operations refuse an unknown field before they look into it.

What callers saw: 500 instead of 422.

--- a/src/galenareel/_entry/operators.py
+++ b/src/galenareel/_entry/operators.py
@@ -178,7 +178,7 @@
     def _answer_events(self, resp: falcon.Response, body: bytes) -> None:
         try:
             query = msgspec.json.decode(body or b'{}', type=_EventsQuery)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             write_error(resp, 422, 'bad_request', str(exc))
             return
         resp.content_type = 'application/json'
--- a/testing/entry/test_ports.py
+++ b/testing/entry/test_ports.py
@@ -196,6 +196,21 @@
     assert not cluster.control.calls
 
 
+DEEP_BODY = b'{"nested": ' + b'[' * 100_000
+
+
+@pytest.mark.parametrize(
+    ('operation', 'status'), [('events', 422), ('submit', 400)]
+)
+def test_body_nested_too_deeply_is_refused(
+    cluster: Cluster, operation: str, status: int
+) -> None:
+    cluster.add_entry('a1')
+    cluster.start()
+    assert post_operation(cluster, operation, DEEP_BODY).status == status
+    assert post_operation(cluster, 'events').status == 200
+
+
 def test_events_of_all_processes(cluster: Cluster) -> None:
     """Guards against timelines that lack a process without saying so."""
     cluster.add_entry('a1')
