--- a/testing/entry/test_ports.py
+++ b/testing/entry/test_ports.py
@@ -71,6 +71,21 @@
         encode_announcement(slots=True),
         encode_announcement(slots=10**9),
         encode_announcement(in_use=-1),
+        encode_announcement(address='h:+80'),
+        encode_announcement(address='h:8_0'),
+        encode_announcement(address='h/x:80'),
+        encode_announcement(address='user@h:80'),
+        encode_announcement(address='%0d%0a:80'),
+        encode_announcement(address='::1:80'),
+        encode_announcement(address='256.1.2.3:80'),
+        encode_announcement(address='h:' + '9' * 200),
+        encode_announcement(instance='a/lots-1\n'),
+        encode_announcement(incarnation='one\n'),
+        encode_announcement(slots=1e308),
+        encode_announcement()[:-1] + b',"slots":' + b'9' * 4300 + b'}',
+        encode_announcement()[:-1] + b',"slots":1e999}',
+        encode_announcement()[:-1] + b',"more":' + b'[' * 8000,
+        encode_announcement()[:-1] + b',"slots":' + b'[' * 8000,
     ],
 )
 def test_invalid_announcement_is_refused(data: bytes) -> None:
@@ -181,6 +196,21 @@
     assert not cluster.control.calls
 
 
+DEEP_BODY = b'{"nested": ' + b'[' * 100_000
+
+
+@pytest.mark.parametrize(
+    ('operation', 'status'), [('events', 422), ('submit', 400)]
+)
+def test_body_nested_too_deeply_is_refused(
+    cluster: Cluster, operation: str, status: int
+) -> None:
+    cluster.add_entry('a1')
+    cluster.start()
+    assert post_operation(cluster, operation, DEEP_BODY).status == status
+    assert post_operation(cluster, 'events').status == 200
+
+
 def test_events_of_all_processes(cluster: Cluster) -> None:
     """Guards against timelines that lack a process without saying so."""
     cluster.add_entry('a1')
--- a/testing/jobs/test_service.py
+++ b/testing/jobs/test_service.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterator
 import io
+import itertools
 
 import gevent
 from gevent.event import Event
@@ -218,6 +219,44 @@
     assert running.state.workers['w1'].draining
 
 
+def test_worker_with_a_false_start_is_admitted_anew(
+    running: RunningLeader, service: JobService
+) -> None:
+    """Guards against a stored start that makes all heartbeats late."""
+    worker = running.workers['w1']
+    worker.born = 2**53
+    running.propose(AdmitWorker(worker=worker.make_record()))
+    worker.born = 1
+    beats = itertools.count(1)
+
+    def is_admitted() -> bool:
+        service.accept_heartbeat(make_heartbeat(worker, next(beats)))
+        known = running.state.workers.get('w1')
+        return known is not None and known.born == 1
+
+    eventually(is_admitted, 30.0)
+    assert running.log.transfers == 0
+    assert next(beats) > 2
+
+
+def test_worker_is_cold_until_its_latest_heartbeat_says_so(
+    running: RunningLeader, service: JobService
+) -> None:
+    """Guards against one odd heartbeat that makes a worker slow for good."""
+    worker = running.workers['w1']
+    assert running.leader.engine is not None
+    entry = running.leader.engine.workers['w1']
+    for sequence, cold_s in enumerate((1e6, 0.0, -5.0), start=1):
+        beat = Heartbeat(
+            worker=worker.make_record(),
+            sequence=sequence,
+            cold_remaining_s=cold_s,
+        )
+        assert service.accept_heartbeat(beat) is True
+        is_cold = entry.cold_until > running.clock.monotonic()
+        assert is_cold == (cold_s > 0)
+
+
 def report(
     service: JobService, worker: FakeWorker, sequence: int, clock_ms: int
 ) -> None:
