Start a task elsewhere if the worker that ranks first does not take it

What callers would see: an accepted task that never runs, with idle workers in its pool (LOST).

Cause: only a failed run and an unhealthy worker kept a task off a worker. After any other refusal, or a start that was never carried out, the ranking picked the same worker again, for as long as that worker did so; its polls show nothing wrong.

A worker that did not take a start is avoided for that task as one on which it failed: for MAX_AVOIDANCE_S, or until no other worker can hold it. One without a connection is closed anyway, and a bad ticket is asked for anew.

--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -5,6 +5,7 @@
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.leases import ANSWER_GRACE_S
+from galenareel._jobs.listings import avoid_worker
 from galenareel._jobs.listings import Listings
 from galenareel._scheduling.availability import has_budget
 from galenareel._scheduling.availability import may_stop
@@ -126,6 +127,10 @@
             worker.awaits_answer = True
             worker.answer_due = now - ANSWER_GRACE_S
         self._release_run(run, now, f'start_{outcome.value}')
+        if outcome not in (Outcome.NOT_SENT, Outcome.BAD_TICKET):
+            # A worker without a connection is closed, and the next start
+            # there takes a new ticket.
+            avoid_worker(run)
         if outcome is Outcome.WITHHELD and step is not None:
             self._withhold_gang(step, now)
 
--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -327,11 +327,13 @@
             elif run.stop_answered_at is not None:
                 if run.stop_answered_at < sent_at:
                     self._release_run(run, now, 'not_started')
+                    avoid_worker(run)
             elif clock_ms > _get_latest_end_ms(run) and run.state in (
                 RunState.UNSURE,
                 RunState.STOPPING,
             ):
                 self._release_run(run, now, 'order_expired')
+                avoid_worker(run)
 
     def _handle_end(self, worker: Worker, end: EndedRow, now: float) -> None:
         """Update the tables from a listed end of a run."""
@@ -445,6 +447,16 @@
         record_run_end(worker, failed=True, now=now)
 
 
+def avoid_worker(run: Run) -> None:
+    """Keep a task off the worker of its run for a while.
+
+    Otherwise the worker that ranks first gets the task again and again.
+    """
+    if run.step is not None:
+        tried = run.step.avoided_workers.setdefault(run.task.index, set())
+        tried.add(run.worker.name)
+
+
 def _get_latest_end_ms(run: Run) -> float:
     """Return when a run that isn't listed is over at the latest.
 
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -403,7 +403,8 @@
 
     :param waiting: indices of the tasks that are not done and have no run.
     :param last_run: highest run number used for each task.
-    :param avoided_workers: workers on which a task has failed or stalled.
+    :param avoided_workers: workers on which a task has failed or stalled, or
+        that did not take its start.
     :param restarted_tasks: tasks that were stopped as stalled; they are not
         stopped for it again.
     :param checkpoint_runs: number of the run that each checkpoint is from.
--- a/testing/jobs/test_bounded_waits.py
+++ b/testing/jobs/test_bounded_waits.py
@@ -11,6 +11,7 @@
 import msgspec
 import pytest
 
+from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.clients import PlacementTickets
 from galenareel._jobs.commands import AdmitWorker
@@ -22,6 +23,7 @@
 from galenareel._jobs.model import Workspace
 from galenareel._scheduling.health import SUSPECT_CONSECUTIVE_FAILURES
 from galenareel._scheduling.tables import AskAdvice
+from galenareel._scheduling.tables import StartTask
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
 from testing.standins.worker import FakeWorker
@@ -343,3 +345,47 @@
     harness.delaying_orders.clear()
     harness.late_calls.clear()
     assert wait_until_running(harness, 'k.0.0.0', LEASE_WAIT_S) is not None
+
+
+class RefusingHarness(Harness):
+    """Workers of which one answers each start alike, and runs nothing."""
+
+    refusal: Outcome | None = None
+
+    def _start(self, order: StartTask) -> None:
+        run = order.run
+        if self.refusal is None or run.worker.name != 'w1':
+            super()._start(order)
+        elif self.engine.may_send_start(run, self.now):
+            self.engine.begin_start(run, self.now)
+            answer = Answer(outcome=self.refusal)
+            self.engine.handle_start_answer(run, answer, self.now)
+
+
+@pytest.mark.parametrize('term_s', [5.0, 1e9])
+@pytest.mark.parametrize('proven', [True, False])
+@pytest.mark.parametrize(
+    'refusal',
+    [
+        Outcome.NO_ROOM,
+        Outcome.NO_ANSWER,
+        Outcome.EXPIRED,
+        Outcome.SUPERSEDED,
+    ],
+)
+def test_task_starts_elsewhere_if_a_worker_does_not_take_it(
+    refusal: Outcome, proven: bool, term_s: float
+) -> None:
+    """It ranks first each time, and its polls show nothing wrong."""
+    harness = RefusingHarness(
+        *[
+            FakeWorker(name=name, resources=ROOM, work_s=1000.0)
+            for name in ('w1', 'w2', 'w3')
+        ]
+    )
+    harness.proves_jobs = proven
+    harness.pass_time(0.3)
+    harness.refusal = refusal
+    harness.submit('j', make_job(LASTING))
+    waited_s = wait_until_running(harness, 'j.0.0.0', 30.0, term_s=term_s)
+    assert waited_s is not None
