Take applied entries for committed only where the disk holds them

Cause: after a failed write the driver opens the log again and passes the index of the last applied entry; the core took all entries on the disk up to that index for committed. Followers apply before they store.

Callers saw: nothing at once. After a restart, or as the source for others, such a member applies other commands than the rest: acknowledged changes are missing there, or changes are in force that were not committed.

Change: the term of the last applied entry goes along with its index.

--- a/bench/node.py
+++ b/bench/node.py
@@ -85,10 +85,13 @@
             return
         self._process_number += 1
         self.machine = self._group.machine()
-        self._open(initial_members, applied_index=0)
+        self._open(initial_members)
 
     def _open(
-        self, initial_members: tuple[MemberInfo, ...], applied_index: int
+        self,
+        initial_members: tuple[MemberInfo, ...],
+        applied_index: int = 0,
+        applied_term: int = 0,
     ) -> None:
         self._storage = Storage(self.disk)
         try:
@@ -108,12 +111,13 @@
                 rng=self._group.rng,
                 now=self.clock.monotonic(),
                 applied_index=applied_index,
+                applied_term=applied_term,
                 snapshot_entries=SNAPSHOT_ENTRIES,
             )
         except StorageError:
             if not (self.disk.full or self.disk.fail_sync):
                 raise  # no disk fault was injected, so data is damaged
-            self._fail(applied_index)
+            self._fail(applied_index, applied_term)
         else:
             self._after(self._process_number, TICK_S, self._tick)
 
@@ -129,7 +133,7 @@
         self.crash()
         self.disk = FakeDisk()
 
-    def _fail(self, applied_index: int) -> None:
+    def _fail(self, applied_index: int, applied_term: int) -> None:
         """Stop the member after a storage error and reopen it later.
 
         The driver does the same. The state machine is kept.
@@ -140,7 +144,7 @@
         self._after(
             self._process_number,
             REOPEN_DELAY_S,
-            lambda: self._open((), applied_index),
+            lambda: self._open((), applied_index, applied_term),
         )
 
     def _after(
@@ -264,7 +268,7 @@
             try:
                 member.store(batch)
             except StorageError:
-                self._fail(member.applied_index)
+                self._fail(member.applied_index, member.applied_term)
                 return
             if self.crash_at_sync == 'after':
                 self.crash()
--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -138,6 +138,7 @@
         )
         self._member: Member | None = None
         self._applied_index = 0
+        self._applied_term = 0
         self._reopen_due = 0.0
         self._store_began: float | None = None
         self._store_wakeup = Event()
@@ -383,6 +384,7 @@
         )
         if self._member is not None:
             self._applied_index = self._member.applied_index
+            self._applied_term = self._member.applied_term
         self._member = None
         self._loaded = None
         self._bootstrap_service.close()
@@ -604,6 +606,7 @@
             rng=self._rng,
             now=self._now(),
             applied_index=self._applied_index,
+            applied_term=self._applied_term,
             enough_voters=self._enough_voters,
         )
         # The state machine and the core hold the data now.
--- a/src/galenareel/_consensus/member.py
+++ b/src/galenareel/_consensus/member.py
@@ -52,7 +52,9 @@
     :param send: called with each message that may be sent now.
     :param on_applied: called with each committed entry and the result of
         ``apply`` (``None`` for entries other than commands).
-    :param applied_index: last entry that the state machine has applied.
+    :param applied_index: last entry that the state machine has applied, also
+        if it is not stored here.
+    :param applied_term: term of that entry.
     :param snapshot_entries: number of applied entries between snapshots.
     :param enough_voters: see :class:`RaftState`.
     """
@@ -68,10 +70,12 @@
         rng: Random,
         now: float,
         applied_index: int = 0,
+        applied_term: int = 0,
         snapshot_entries: int = SNAPSHOT_ENTRIES,
         enough_voters: int = 0,
     ) -> None:
         self.applied_index = applied_index
+        self.applied_term = applied_term
         self._storage = storage
         self._machine = machine
         self._send_message = send
@@ -88,6 +92,7 @@
             rng=rng,
             now=now,
             commit_index=self.applied_index,
+            commit_term=self.applied_term,
             enough_voters=enough_voters,
         )
         self._replay()
@@ -193,12 +198,14 @@
             if item.kind is EntryKind.COMMAND:
                 result = self._machine.apply(item.index, item.data)
             self.applied_index = item.index
+            self.applied_term = item.term
         self._on_applied(item, result)
 
     def _restore(self, snapshot: Snapshot) -> None:
         if snapshot.meta.index > self.applied_index:
             self._machine.restore(snapshot.meta.index, snapshot.data)
             self.applied_index = snapshot.meta.index
+            self.applied_term = snapshot.meta.term
 
     def _take_snapshot_if_due(self) -> None:
         st = self.raft.state
--- a/src/galenareel/_consensus/raft.py
+++ b/src/galenareel/_consensus/raft.py
@@ -67,16 +67,22 @@
         rng: Random,
         now: float,
         commit_index: int = 0,
+        commit_term: int = 0,
         enough_voters: int = 0,
     ) -> None:
         """Restore the state of a member from what its disk holds.
 
         :param now: monotonic time in seconds, as in all methods.
         :param commit_index: last entry that the state machine has applied.
+        :param commit_term: term of that entry.
         :param enough_voters: see :class:`RaftState`.
         """
         meta = loaded.snapshot.meta if loaded.snapshot else SnapshotMeta()
         log = _load_log(meta, loaded.entries)
+        if log.term_at(commit_index) != commit_term:
+            # The disk was full before the applied entries were stored. Those
+            # that it holds instead may be of a leader that failed.
+            commit_index = 0
         self.state = RaftState(
             identity=loaded.member.identity,
             rng=rng,
@@ -86,7 +92,7 @@
             log=log,
             membership_history=_load_history(meta, loaded.entries),
             snapshot_meta=meta,
-            commit_index=min(max(meta.index, commit_index), log.last_index),
+            commit_index=max(meta.index, commit_index),
             synced_index=log.last_index,
             # A leader's lease may depend on a reply that this member sent
             # before it restarted. This keeps the member from voting until
--- /dev/null
+++ b/testing/consensus/test_full_disks.py
@@ -0,0 +1,167 @@
+"""Tests members whose disks are full for a while, one after another."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from galenareel._consensus.bootstrap import make_first_entry
+from galenareel._consensus.errors import DiskError
+from galenareel._consensus.member import Member
+from galenareel._consensus.messages import AppendEntries
+from galenareel._consensus.messages import AppendEntriesReply
+from galenareel._consensus.messages import Body
+from galenareel._consensus.messages import Envelope
+from galenareel._consensus.messages import SnapshotChunk
+from galenareel._consensus.records import Entry
+from galenareel._consensus.records import EntryKind
+from galenareel._consensus.records import MemberInfo
+from galenareel._consensus.records import Membership
+from galenareel._consensus.records import SnapshotMeta
+from galenareel._consensus.storage import Storage
+from testing.consensus.fakes import FakeDisk
+from testing.consensus.processes import RecordingMachine
+
+CLUSTER = 1
+MEMBERS = tuple(
+    MemberInfo(identity, name, name)
+    for identity, name in enumerate(('a', 'b', 'c'), start=1)
+)
+
+
+def make_commands(first: int, last: int, term: int) -> tuple[Entry, ...]:
+    return tuple(
+        Entry(index, term, EntryKind.COMMAND, b'%d/%d' % (index, term))
+        for index in range(first, last + 1)
+    )
+
+
+class Follower:
+    """Member 1 of three on a disk that can be full."""
+
+    def __init__(self) -> None:
+        self.disk = FakeDisk()
+        self.machine = RecordingMachine()
+        self.sent: list[Envelope] = []
+        self.now = 100.0
+        storage = Storage(self.disk)
+        storage.open(1)
+        storage.set_initial_members(CLUSTER, MEMBERS)
+        self.member = self.open()
+
+    def open(self, **applied: int) -> Member:
+        storage = Storage(self.disk)
+        return Member(
+            storage,
+            storage.open(1),
+            self.machine,
+            send=self.sent.append,
+            on_applied=lambda _entry, _result: None,
+            rng=Random(1),
+            now=self.now,
+            **applied,
+        )
+
+    def reopen(self) -> None:
+        """Open the data folder again, as the driver does."""
+        self.disk.full = False
+        self.member = self.open(
+            applied_index=self.member.applied_index,
+            applied_term=self.member.applied_term,
+        )
+
+    def receive(self, sender: int, term: int, body: Body) -> Any:
+        """Handle a message, store what it asks for and return the reply.
+
+        :raises DiskError: if the disk is full.
+        """
+        self.now += 0.1
+        self.sent.clear()
+        env = Envelope(CLUSTER, sender, 1, term, body)
+        self.member.handle_effects(self.member.raft.step(env, self.now))
+        while (batch := self.member.take_batch()) is not None:
+            self.member.store(batch)
+            self.member.finish_batch(batch, self.now)
+        return self.sent[-1].body
+
+
+@pytest.fixture
+def follower() -> Follower:
+    """Return a follower with entries that no majority has stored."""
+    found = Follower()
+    old = make_commands(2, 5, term=2)
+    reply = found.receive(2, 2, AppendEntries(1, 1, 1, 1, old))
+    assert reply == AppendEntriesReply(True, 5, 1)
+    return found
+
+
+def test_entries_that_were_not_replaced_on_the_disk_are_not_committed(
+    follower: Follower,
+) -> None:
+    """Guards against entries of a former leader that count as committed.
+
+    Their successors were applied, but not stored.
+    """
+    new = make_commands(2, 8, term=3)
+    follower.disk.full = True
+    with pytest.raises(DiskError):
+        follower.receive(3, 3, AppendEntries(1, 1, 8, 2, new))
+    assert follower.member.applied_index == 8
+    follower.reopen()
+    later = make_commands(9, 9, term=3)
+    reply = follower.receive(3, 3, AppendEntries(5, 3, 8, 3, new[4:]))
+    assert not reply.success
+    body = AppendEntries(1, 1, 8, 4, new + later)
+    assert follower.receive(3, 3, body).success
+    log = follower.member.raft.state.log
+    assert tuple(log.slice(2, 9)) == new + later
+    follower.receive(3, 3, AppendEntries(9, 3, 9, 5, ()))
+    commands = [entry.data for entry in new + later]
+    assert follower.machine.commands == commands
+    follower.machine = RecordingMachine()
+    follower.member = follower.open()
+    follower.receive(3, 3, AppendEntries(9, 3, 9, 6, ()))
+    assert follower.machine.commands == commands
+
+
+def test_entries_before_a_snapshot_that_was_not_stored_are_not_committed(
+    follower: Follower,
+) -> None:
+    """Guards against a log that does not match the restored snapshot."""
+    source = RecordingMachine()
+    source.commands = [b'from a snapshot']
+    data = source.snapshot()
+    meta = SnapshotMeta(4, 3, Membership(MEMBERS), len(data))
+    follower.disk.full = True
+    with pytest.raises(DiskError):
+        follower.receive(3, 3, SnapshotChunk(meta, 0, data))
+    assert follower.machine.commands == source.commands
+    follower.reopen()
+    st = follower.member.raft.state
+    assert st.commit_index < 2
+    reply = follower.receive(3, 3, SnapshotChunk(meta, 0, data))
+    assert reply == AppendEntriesReply(True, 4, 0)
+    assert (st.log.base_index, st.log.last_index) == (4, 4)
+    follower.machine = RecordingMachine()
+    follower.member = follower.open()
+    assert follower.machine.commands == source.commands
+
+
+def test_stored_entries_that_were_applied_stay_committed(
+    follower: Follower,
+) -> None:
+    """A full disk that comes later takes nothing back."""
+    follower.receive(2, 2, AppendEntries(5, 2, 5, 2, ()))
+    follower.disk.full = True
+    with pytest.raises(DiskError):
+        follower.receive(
+            2, 2, AppendEntries(5, 2, 5, 3, make_commands(6, 6, term=2))
+        )
+    follower.reopen()
+    assert follower.member.raft.state.commit_index == 5
+    assert make_first_entry(MEMBERS) in (
+        follower.member.raft.state.log.slice(1, 5)
+    )
+    assert len(follower.machine.commands) == 4
