Try a folder that could not be written again after 0.25 to 1 s

Cause: a member whose disk was full stayed out for up to 5 s after the disk had room. With full disks one after another, two of three members were out at the same time though never two disks were full at once, so nobody led; and an acting leader that was elected between two of them was the next to go.

Callers saw: changes refused or unanswered for up to 5 s more at each disk, to the end of a series.

Change: the first attempt comes after 0.25 s, and the waits double up to 1 s until a batch is stored. `storage_failed` and `storage_opening` are logged for the first failure and then every 5 s.

Measured: six disks, full for 1.5 s each, one at a time, with torn writes, on three drivers; a command has to be accepted within 4 s at any time.

--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -53,7 +53,12 @@
 from galenareel._consensus.storage import Storage
 
 TICK_S = 0.05
-REOPEN_DELAY_S = 5.0
+# Waits between attempts to use a folder again that could not be written. They
+# are short, as the disk of another member may be the next to fail, and double
+# up to a bound.
+REOPEN_DELAY_S = 0.25
+REOPEN_MAX_DELAY_S = 1.0
+FAILURE_LOG_INTERVAL_S = 5.0
 IDENTITY_RETRY_S = 0.25  # interval of questions to a new member
 CHANGE_TIMEOUT_S = 5.0
 # A leader whose disk takes longer for one batch hands over.
@@ -140,6 +145,9 @@
         self._applied_index = 0
         self._applied_term = 0
         self._reopen_due = 0.0
+        self._reopen_delay_s = 0.0  # 0 while batches can be stored
+        self._failure_log_due = 0.0
+        self._logs_attempt = True
         self._store_began: float | None = None
         self._store_wakeup = Event()
         self._state_changed = Event()
@@ -360,7 +368,8 @@
             log=self._log,
         )
         self._storage = Storage(self._disk)
-        self._log.info('storage_opening', folder=self._data_dir)
+        if self._logs_attempt:
+            self._log.info('storage_opening', folder=self._data_dir)
         # In a thread, so that a disk that hangs stops nothing else.
         self._loaded = self._pool.apply(
             self._storage.open, (self._bootstrap_service.make_identity(),)
@@ -379,16 +388,26 @@
 
     def _suspend(self, problem: str) -> None:
         """Stop the member until the data folder can be used again."""
-        self._log.error(
-            'storage_failed', error=problem, retry_after_s=REOPEN_DELAY_S
+        now = self._now()
+        is_first = not self._reopen_delay_s
+        self._reopen_delay_s = min(
+            max(2 * self._reopen_delay_s, REOPEN_DELAY_S), REOPEN_MAX_DELAY_S
         )
+        self._reopen_due = now + self._reopen_delay_s
+        self._logs_attempt = is_first or now >= self._failure_log_due
+        if self._logs_attempt:
+            self._failure_log_due = now + FAILURE_LOG_INTERVAL_S
+            self._log.error(
+                'storage_failed',
+                error=problem,
+                retry_after_s=self._reopen_delay_s,
+            )
         if self._member is not None:
             self._applied_index = self._member.applied_index
             self._applied_term = self._member.applied_term
         self._member = None
         self._loaded = None
         self._bootstrap_service.close()
-        self._reopen_due = self._now() + REOPEN_DELAY_S
         self._proposals.fail_all('storage_failed')
         self._state_changed.set()
 
@@ -458,6 +477,8 @@
             return False
         finally:
             self._store_began = None
+        if member is self._member:
+            self._reopen_delay_s = 0.0
         self._finish_stored(member, batch)
         return True
 
--- a/testing/consensus/test_full_disks.py
+++ b/testing/consensus/test_full_disks.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+import errno
+import os
+from pathlib import Path
 from random import Random
+import time
 from typing import Any
 
+import gevent
 import pytest
 
 from galenareel._consensus.bootstrap import make_first_entry
+from galenareel._consensus.disk import FolderDisk
 from galenareel._consensus.errors import DiskError
 from galenareel._consensus.member import Member
 from galenareel._consensus.messages import AppendEntries
@@ -22,7 +29,11 @@
 from galenareel._consensus.records import SnapshotMeta
 from galenareel._consensus.storage import Storage
 from testing.consensus.fakes import FakeDisk
+from testing.consensus.processes import find_leader
+from testing.consensus.processes import Process
 from testing.consensus.processes import RecordingMachine
+from testing.consensus.processes import wait_for
+from testing.ports import allocate_address
 
 CLUSTER = 1
 MEMBERS = tuple(
@@ -165,3 +176,91 @@
         follower.member.raft.state.log.slice(1, 5)
     )
     assert len(follower.machine.commands) == 4
+
+
+class FullDisks:
+    """Fills the disk of one process at a time.
+
+    Each write to a full disk ends in the middle.
+    """
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.name = ''
+        append = FolderDisk.append
+
+        def write_part(disk: FolderDisk, name: str, data: bytes) -> None:
+            if os.path.basename(disk._path) != self.name:
+                append(disk, name, data)
+                return
+            append(disk, name, data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, 'No space left on device')
+
+        monkeypatch.setattr(FolderDisk, 'append', write_part)
+
+
+@pytest.fixture
+def processes(tmp_path: Path) -> Iterator[list[Process]]:
+    members = {name: allocate_address() for name in ('a', 'b', 'c')}
+    found = [Process(name, members, tmp_path) for name in members]
+    for process in found:
+        process.start()
+    yield found
+    for process in found:
+        process.close()
+
+
+def propose_until_accepted(
+    processes: list[Process], command: bytes, limit_s: float
+) -> None:
+    """Propose a command until a leader has committed it.
+
+    :raises AssertionError: if no leader did within the limit.
+    """
+    began = time.monotonic()
+    while time.monotonic() - began < limit_s:
+        leader = find_leader(processes)
+        if leader is not None:
+            result = leader.driver.propose(command, timeout_s=1.0)
+            if isinstance(result, int):
+                return
+        gevent.sleep(0.02)
+    raise AssertionError(f'{command!r} was not accepted in {limit_s} s')
+
+
+@pytest.mark.parametrize('victims', ['leader', 'in turn'])
+def test_disks_that_are_full_one_after_another_leave_a_majority(
+    processes: list[Process], monkeypatch: pytest.MonkeyPatch, victims: str
+) -> None:
+    """Guards against members that stay out when their disk has room again.
+
+    Never two disks are full at once, so a majority can always store.
+    """
+    disks = FullDisks(monkeypatch)
+    accepted = [b'before']
+    propose_until_accepted(processes, b'before', 10.0)
+    for number in range(6):
+        leader = wait_for(lambda: find_leader(processes))
+        victim = leader if victims == 'leader' else processes[number % 3]
+        disks.name = victim.name
+        began = time.monotonic()
+        while time.monotonic() - began < 1.5:
+            command = b'%d/%d' % (number, len(accepted))
+            propose_until_accepted(processes, command, 4.0)
+            accepted.append(command)
+            gevent.sleep(0.1)
+    disks.name = ''
+    propose_until_accepted(processes, b'after', 4.0)
+    accepted.append(b'after')
+
+    def have_converged() -> bool:
+        return all(
+            process.machine.commands == processes[0].machine.commands
+            and process.machine.commands[-1] == b'after'
+            for process in processes
+        )
+
+    wait_for(have_converged, timeout_s=3.0)
+    # A command whose outcome was unknown may be there twice.
+    commands = processes[0].machine.commands
+    assert list(dict.fromkeys(commands)) == accepted
+    assert all(process.driver._member for process in processes)
