Report a full disk without an error in the code

Cause: an error that leaves gevent's thread pool is raised in the caller, and also reported as one that nobody has handled.

Users saw: `greenlet_failed`, "an error in the code", with a trace for each attempt while the disk was full, or a trace on standard error of the own control program.

Change: errors of the storage leave the thread as a value and are raised in the caller. Other errors are reported as before.

--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -6,6 +6,7 @@
 from random import Random
 from random import SystemRandom
 from typing import Any
+from typing import TypeVar
 
 import gevent
 from gevent.event import Event
@@ -67,6 +68,8 @@
 CLOSE_TIMEOUT_S = 1.0
 MAX_COMMAND_BYTES = 1024 * 1024
 
+_T = TypeVar('_T')
+
 
 class Driver(Replicator):
     """Runs a member of the replicated log in this process.
@@ -371,8 +374,8 @@
         if self._logs_attempt:
             self._log.info('storage_opening', folder=self._data_dir)
         # In a thread, so that a disk that hangs stops nothing else.
-        self._loaded = self._pool.apply(
-            self._storage.open, (self._bootstrap_service.make_identity(),)
+        self._loaded = self._call_in_thread(
+            self._storage.open, self._bootstrap_service.make_identity()
         )
         self._identity = self._loaded.member.identity
         self._member_log.log_opened(self._loaded)
@@ -386,6 +389,20 @@
         self._bootstrap_service.open(self._storage, self._loaded)
         self._start_member_if_ready()
 
+    def _call_in_thread(self, call: Callable[..., _T], *args: Any) -> _T:
+        """Call a function of the storage in the thread of the pool.
+
+        gevent reports an error that leaves the thread as an unexpected one.
+
+        :raises StorageError: if the call does.
+        """
+        result: _T | StorageError = self._pool.apply(
+            _return_error, (call, *args)
+        )
+        if isinstance(result, StorageError):
+            raise result
+        return result
+
     def _suspend(self, problem: str) -> None:
         """Stop the member until the data folder can be used again."""
         now = self._now()
@@ -470,7 +487,7 @@
             return False
         self._store_began = self._now()
         try:
-            self._pool.apply(member.store, (batch,))
+            self._call_in_thread(member.store, batch)
         except StorageError as exc:
             if member is self._member:
                 self._suspend(str(exc))
@@ -662,3 +679,10 @@
             leader=self.get_leader_address(),
             retry_after_s=0.5,
         )
+
+
+def _return_error(call: Callable[..., _T], *args: Any) -> _T | StorageError:
+    try:
+        return call(*args)
+    except StorageError as exc:
+        return exc
--- a/testing/consensus/test_full_disks.py
+++ b/testing/consensus/test_full_disks.py
@@ -264,3 +264,21 @@
     commands = processes[0].machine.commands
     assert list(dict.fromkeys(commands)) == accepted
     assert all(process.driver._member for process in processes)
+
+
+def test_full_disk_is_logged_once_and_not_as_an_error_in_the_code(
+    processes: list[Process],
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a trace at each attempt to use the disk again."""
+    disks = FullDisks(monkeypatch)
+    propose_until_accepted(processes, b'before', 10.0)
+    leader = wait_for(lambda: find_leader(processes))
+    disks.name = leader.name
+    leader.driver.propose(b'x', timeout_s=2.0)
+    gevent.sleep(3.0)
+    assert len(leader.find_lines('storage_failed')) == 1
+    disks.name = ''
+    wait_for(lambda: leader.find_lines('storage_recovered'))
+    assert 'Traceback' not in capsys.readouterr().err
