Hand over at once when the leader's disk is full

Cause: a leader that could not store dropped its member without a word, so the others waited for an election timeout; and the commands that waited for the failed sync, which were not in the log yet, were answered as unknown.

Callers saw: a second or more without a leader at each full disk of a leader, and 504 for calls that had certainly not run.

Change: the leader gives up its term and asks the most up-to-date follower to take over before it drops its member. Commands that had not reached the log are answered with `not_leader`, which says that they did not run.

Measured: both new tests fail before (no leader within 0.5 s; `Unreachable` for the waiting command) and pass after. test_driver.py and test_full_disks.py pass.

--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -422,9 +422,13 @@
         if self._member is not None:
             self._applied_index = self._member.applied_index
             self._applied_term = self._member.applied_term
+            # Only this message leaves a member whose writes have failed.
+            for env in self._member.raft.transfer_leadership(now).messages:
+                self._send(env)
         self._member = None
         self._loaded = None
         self._bootstrap_service.close()
+        self._proposals.reject_pending(self._make_not_leader())
         self._proposals.fail_all('storage_failed')
         self._state_changed.set()
 
--- a/testing/consensus/test_full_disks.py
+++ b/testing/consensus/test_full_disks.py
@@ -7,15 +7,19 @@
 import os
 from pathlib import Path
 from random import Random
+import threading
 import time
 from typing import Any
 
 import gevent
 import pytest
 
+from galenareel._common.sentinels import NotLeader
+from galenareel._common.sentinels import Unreachable
 from galenareel._consensus.bootstrap import make_first_entry
 from galenareel._consensus.disk import FolderDisk
 from galenareel._consensus.errors import DiskError
+from galenareel._consensus.member import Batch
 from galenareel._consensus.member import Member
 from galenareel._consensus.messages import AppendEntries
 from galenareel._consensus.messages import AppendEntriesReply
@@ -27,6 +31,7 @@
 from galenareel._consensus.records import MemberInfo
 from galenareel._consensus.records import Membership
 from galenareel._consensus.records import SnapshotMeta
+from galenareel._consensus.state import ELECTION_MIN_S
 from galenareel._consensus.storage import Storage
 from testing.consensus.fakes import FakeDisk
 from testing.consensus.processes import find_leader
@@ -282,3 +287,52 @@
     disks.name = ''
     wait_for(lambda: leader.find_lines('storage_recovered'))
     assert 'Traceback' not in capsys.readouterr().err
+
+
+def test_leader_with_a_full_disk_hands_over_at_once(
+    processes: list[Process], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an election timeout without a leader."""
+    disks = FullDisks(monkeypatch)
+    propose_until_accepted(processes, b'before', 10.0)
+    leader = wait_for(lambda: find_leader(processes))
+    others = [process for process in processes if process is not leader]
+    disks.name = leader.name
+    leader.driver.propose(b'x', timeout_s=2.0)
+    wait_for(lambda: leader.find_lines('storage_failed'))
+    wait_for(lambda: find_leader(others), timeout_s=ELECTION_MIN_S / 2)
+
+
+def test_callers_learn_which_commands_did_not_reach_the_log(
+    processes: list[Process], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A command that waited for a sync that failed was certainly not run."""
+    propose_until_accepted(processes, b'before', 10.0)
+    leader = wait_for(lambda: find_leader(processes))
+    others = [process for process in processes if process is not leader]
+    may_fail = threading.Event()
+
+    failing = leader.driver._member
+    store = Member.store
+
+    def fail(member: Member, batch: Batch) -> None:
+        if member is failing:
+            may_fail.wait(5.0)
+            raise DiskError('full')
+        store(member, batch)
+
+    monkeypatch.setattr(Member, 'store', fail)
+    for process in others:
+        process.is_partitioned = True
+    stored = gevent.spawn(leader.driver.propose, b'in log', timeout_s=3.0)
+    gevent.sleep(0.1)
+    waiting = gevent.spawn(leader.driver.propose, b'not run', timeout_s=3.0)
+    gevent.sleep(0.1)
+    may_fail.set()
+    assert isinstance(stored.get(timeout=2.0), Unreachable)
+    assert isinstance(waiting.get(timeout=2.0), NotLeader)
+    for process in others:
+        process.is_partitioned = False
+    propose_until_accepted(processes, b'after', 4.0)
+    wait_for(lambda: leader.machine.commands[-1] == b'after')
+    assert b'not run' not in leader.machine.commands
