Store the first members before a core takes part, also after a full disk

Cause: the first members were stored once, at the start of the process. If the disk was full then, the core logged a warning, and took part without them as soon as its disk had room. If it ended before the cluster existed, it was started without `bootstrap` and knew no members to form the cluster with.

Callers saw: no leader for good, if it was the member that creates the cluster (the first by name): it waited to be added, and the others waited for it.

Change: the driver calls for the first members each time before it reads the data folder, and a failure is retried like that of any other write.

Measured: the new test starts a core process on a disk that is full for 2 s; before, `member` exists without `first-members`; after, both exist.

--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -83,6 +83,8 @@
     :param on_failure: called once, after an unexpected error has stopped the
         member for good. The process should end, so that it is started again
         and loads its state from the disk.
+    :param prepare_folder: called in a thread before the content of the folder
+        is read, again after a ``DiskError``.
     :param enough_voters: number of voters that bear the losses to be borne;
         from there on their number stays odd. 0 makes every member a voter.
     """
@@ -103,6 +105,7 @@
         log: Log | None = None,
         metrics: MemberMetrics | None = None,
         on_failure: Callable[[], None] | None = None,
+        prepare_folder: Callable[[], None] | None = None,
         enough_voters: int = 0,
     ) -> None:
         self._name = name
@@ -117,6 +120,7 @@
         self._log = log or Log(name)
         self._member_log = MemberLog(self._log, metrics)
         self._on_failure = on_failure
+        self._prepare_folder = prepare_folder
         self._enough_voters = enough_voters
         self._has_failed = False
         self._peers = Peers(
@@ -374,6 +378,8 @@
         if self._logs_attempt:
             self._log.info('storage_opening', folder=self._data_dir)
         # In a thread, so that a disk that hangs stops nothing else.
+        if self._prepare_folder is not None:
+            self._call_in_thread(self._prepare_folder)
         self._loaded = self._call_in_thread(
             self._storage.open, self._bootstrap_service.make_identity()
         )
--- a/testing/adapter/test_process.py
+++ b/testing/adapter/test_process.py
@@ -19,6 +19,7 @@
 from gevent.event import Event
 import pytest
 
+from galenareel._consensus.first_members import FILE_NAME
 from testing.adapter.test_settings import CORE
 from testing.ports import allocate_address
 
@@ -182,3 +183,39 @@
     monkeypatch.setattr(adapter_process, 'SETTINGS_WAIT_S', 0.2)
     assert adapter_process.load_watched_settings('core') is None
     assert 'event=setting_invalid' in capfd.readouterr().out
+
+
+FULL_DISK = """
+import errno
+import time
+from adapter import core
+from galenareel._consensus.disk import FolderDisk
+room_at = time.monotonic() + 2.0
+def wrap(call):
+    def call_unless_full(*args):
+        if time.monotonic() < room_at:
+            raise OSError(errno.ENOSPC, 'No space left on device')
+        return call(*args)
+    return call_unless_full
+core.store_first_members = wrap(core.store_first_members)
+FolderDisk.append = wrap(FolderDisk.append)
+"""
+
+
+def test_core_that_starts_on_a_full_disk_stores_its_first_members(
+    start_core: StartCore, tmp_path: Path
+) -> None:
+    """Guards against a member that forgets with whom it forms the cluster.
+
+    If it ends before the cluster exists, it is started without `bootstrap`,
+    and would wait for others to add it, which wait for it.
+    """
+    process, _host = start_core(FULL_DISK)
+    with gevent.Timeout(20.0):
+        while not (tmp_path / 'data' / 'member').exists():
+            gevent.sleep(0.02)
+    assert (tmp_path / 'data' / FILE_NAME).exists()
+    process.terminate()
+    output, _errors = process.communicate(timeout=20)
+    assert process.returncode == 0
+    assert output.count(b'event=storage_failed') == 1
