Wait for room if the data folder can't be created on a full disk

Cause: an error while the folder or its lock was created was taken for a wrong setting, also if the disk was full or faulty, so that the start was not retried.

Users saw: `start_failed` and the end of the process; with a full disk that refuses new files, it ended at each start until there was room.

Change: ENOSPC, EDQUOT and EIO are raised as `DiskError`, which is retried. Others end the start as before.

Measured: the new case of the test of a core on a full disk fails before (the process ends, timeout after 20 s) and passes after.

--- a/src/galenareel/_consensus/disk.py
+++ b/src/galenareel/_consensus/disk.py
@@ -5,6 +5,7 @@
 from abc import ABC
 from abc import abstractmethod
 from contextlib import suppress
+import errno
 import fcntl
 import os
 
@@ -12,6 +13,7 @@
 
 from galenareel._common.clock import Clock
 from galenareel._common.log import Log
+from galenareel._consensus.errors import DiskError
 from galenareel._consensus.errors import FolderInUseError
 from galenareel._consensus.errors import StorageError
 
@@ -20,6 +22,8 @@
 # Time that an earlier process of the member has to end.
 LOCK_WAIT_S = 10.0
 LOCK_POLL_INTERVAL_S = 0.1
+# Errors that end when the disk has room again or is repaired.
+_DISK_ERRNOS = (errno.ENOSPC, errno.EDQUOT, errno.EIO)
 
 
 class Disk(ABC):
@@ -86,6 +90,7 @@
         """Create the folder if needed, and lock it.
 
         :raises FolderInUseError: if another process has locked it.
+        :raises DiskError: if the disk is full or faulty.
         :raises StorageError: if the folder cannot be used.
         """
         self._path = path
@@ -95,6 +100,11 @@
             self._folder = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
             self._lock = self._open_lock()
         except OSError as exc:
+            if exc.errno in _DISK_ERRNOS:
+                raise DiskError(
+                    f'data folder {path} cannot be written: {exc}; free '
+                    'space or repair the disk'
+                ) from exc
             raise StorageError(
                 f'data folder {path} cannot be used: {exc}; check that it '
                 'is a folder this user may write to'
--- a/testing/adapter/test_process.py
+++ b/testing/adapter/test_process.py
@@ -200,17 +200,21 @@
 core.store_first_members = wrap(core.store_first_members)
 FolderDisk.append = wrap(FolderDisk.append)
 """
+FULL_FOR_NEW_FILES = """
+FolderDisk._open_lock = wrap(FolderDisk._open_lock)
+"""
 
 
+@pytest.mark.parametrize('statements', ['', FULL_FOR_NEW_FILES])
 def test_core_that_starts_on_a_full_disk_stores_its_first_members(
-    start_core: StartCore, tmp_path: Path
+    start_core: StartCore, tmp_path: Path, statements: str
 ) -> None:
     """Guards against a member that forgets with whom it forms the cluster.
 
     If it ends before the cluster exists, it is started without `bootstrap`,
     and would wait for others to add it, which wait for it.
     """
-    process, _host = start_core(FULL_DISK)
+    process, _host = start_core(FULL_DISK + statements)
     with gevent.Timeout(20.0):
         while not (tmp_path / 'data' / 'member').exists():
             gevent.sleep(0.02)
