Simulated groups whose disks are full or faulty one after another

After each there is a leader within 5 s; at the end proposals are accepted, all members have applied the same, all are voters, and a restart of all from their disks gives the same history.

--- a/testing/consensus/test_full_disks.py
+++ b/testing/consensus/test_full_disks.py
@@ -14,6 +14,9 @@
 import gevent
 import pytest
 
+from bench.group import Group
+from bench.node import Node
+from bench.node import SYNC_S
 from galenareel._common.sentinels import NotLeader
 from galenareel._common.sentinels import Unreachable
 from galenareel._consensus.bootstrap import make_first_entry
@@ -336,3 +339,90 @@
     propose_until_accepted(processes, b'after', 4.0)
     wait_for(lambda: leader.machine.commands[-1] == b'after')
     assert b'not run' not in leader.machine.commands
+
+
+class Trouble:
+    """Full and faulty disks of a simulated group, one at a time."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = Random(seed)
+        self.group = Group(seed, size=self.rng.choice((3, 3, 5)))
+        self.group.run(4.0)
+
+    def select(self) -> Node:
+        leader = self.group.find_leader()
+        if leader is not None and self.rng.random() < 0.6:
+            return leader
+        return self.rng.choice(list(self.group.nodes.values()))
+
+    def play(self) -> None:
+        """Make one disk full or let its syncs fail, and end that."""
+        node = self.select()
+        fault = self.rng.choice(('full', 'full', 'fail_sync'))
+        event = self.rng.choice(
+            ('', 'writes', 'moment', 'restart', 'restart', 'heal')
+        )
+        if event == 'heal':
+            self.replace_entries(node)
+        setattr(node.disk, fault, True)
+        self.group.run(self.rng.uniform(0.0, 2.0))
+        if event == 'writes':
+            # Enough for a snapshot and a new segment.
+            self.group.write_many(80, limit_s=3.0)
+        elif event == 'moment':
+            setattr(node.disk, fault, False)
+            self.group.run(self.rng.uniform(0.0, 1.2))
+            setattr(node.disk, fault, True)
+            self.group.run(self.rng.uniform(0.0, 1.5))
+        elif event == 'restart':
+            node.crash()
+            self.group.run(self.rng.uniform(0.0, 0.5))
+            if self.rng.random() < 0.5:
+                setattr(node.disk, fault, False)
+            node.start()
+            self.group.run(self.rng.uniform(0.0, 1.5))
+        setattr(node.disk, fault, False)
+
+    def replace_entries(self, node: Node) -> None:
+        """Cut a node off that may lead, until others replace its entries."""
+        blocked = self.group.network.blocked_links
+        for other in self.group.nodes:
+            if other != node.name:
+                blocked |= {(node.name, other), (other, node.name)}
+        self.group.run(self.rng.uniform(2.0, 4.0))
+        blocked.clear()
+        # The disk is slow, so that it is full while it has entries to store.
+        node.sync_s = 0.1
+        self.group.run(self.rng.uniform(0.0, 0.5))
+        node.sync_s = SYNC_S
+
+
+# The last ones reach entries that are replaced while the disk is full.
+@pytest.mark.parametrize('seed', [*range(24), 180, 208, 384, 387])
+def test_group_survives_full_disks_one_after_another(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """No acknowledged entry is lost, and the group goes on after each."""
+    monkeypatch.setattr('galenareel._consensus.segments.SEGMENT_BYTES', 4000)
+    trouble = Trouble(seed)
+    group = trouble.group
+    for _ in range(8):
+        trouble.play()
+        # A member is out for up to a second after its disk has room, and
+        # an election that it is needed for takes up to two more.
+        assert group.run_until(
+            lambda: group.find_leader() is not None, limit_s=5.0
+        )
+    before = max(group.history.acknowledged)
+    group.run(2.0)
+    assert max(group.history.acknowledged) > before
+    group.callers_active = False
+    assert group.run_until(group.has_converged, limit_s=5.0)
+    group.check()
+    members = group.get_members().values()
+    assert all(member.voter for member in members)
+    for node in group.nodes.values():
+        node.crash()
+        node.start()
+    assert group.run_until(group.has_converged, limit_s=10.0)
+    group.check()
