Learners whose disk is full or faulty while they join, as a test

It has to become a voter within 10 s, and the histories have to agree.

No fault of the code was found.

--- a/testing/consensus/test_full_disks.py
+++ b/testing/consensus/test_full_disks.py
@@ -426,3 +426,52 @@
         node.start()
     assert group.run_until(group.has_converged, limit_s=10.0)
     group.check()
+
+
+@pytest.mark.parametrize('fault', ['full', 'fail_sync'])
+@pytest.mark.parametrize('seed', range(12))
+def test_learner_joins_although_its_disk_is_full_meanwhile(
+    seed: int, fault: str
+) -> None:
+    """Its identity, the cluster, a snapshot or its vote are not stored."""
+    rng = Random(seed)
+    group = Group(seed)
+    group.run(4.0)
+    group.write_many(320)
+    lost = rng.choice(list(group.nodes.values()))
+    lost.lose_disk()
+    lost.start()
+    joins = True
+
+    def ask() -> None:
+        leader = group.find_leader()
+        if leader is not None and leader is not lost:
+            info = MemberInfo(lost.identity, lost.name, lost.name)
+            leader.change(add=info)
+        if joins:
+            group.after(0.4, ask)
+
+    ask()
+    for _ in range(4):
+        group.run(rng.choice((0.0, 0.003, 0.01, 0.03, 0.1, 0.4)))
+        setattr(lost.disk, fault, True)
+        group.run(rng.uniform(0.0, 2.0))
+        if rng.random() < 0.4:
+            lost.crash()
+            lost.start()
+            group.run(rng.uniform(0.0, 1.0))
+        setattr(lost.disk, fault, False)
+        group.run(rng.uniform(0.9, 1.5))
+
+    def is_voter() -> bool:
+        found = group.get_members().get(lost.name)
+        return found is not None and found == MemberInfo(
+            lost.identity, lost.name, lost.name
+        )
+
+    assert group.run_until(is_voter, limit_s=10.0)
+    joins = False
+    group.callers_active = False
+    assert group.run_until(group.has_converged, limit_s=5.0)
+    assert len(group.get_members()) == 3
+    group.check()
