Control processes whose disks are full one after another, as a test

Six times the acting leader of three control processes gets no room for 1 s and more, by a limit on the size of its files; documents are submitted and promoted while the disk is full, right after it and long after the last.

--- a/testing/control/test_members.py
+++ b/testing/control/test_members.py
@@ -4,9 +4,11 @@
 
 from collections.abc import Iterator
 from pathlib import Path
+import resource
 import time
 from typing import Any
 
+import gevent
 import pytest
 
 from galenareel._common.messages import Announcement
@@ -115,3 +117,29 @@
     status, body = entry.call('document')
     assert (status, body['version']) == (200, 3)
     assert entry.fake.gaps == 0
+
+
+def test_documents_are_accepted_after_full_disks_of_leaders(
+    members: ControlProcesses, entry: LiveEntry
+) -> None:
+    """Guards against changes that are refused long after the last one.
+
+    A limit on the size of files stands in for a full disk.
+    """
+    no_limit = resource.RLIM_INFINITY
+    promote(entry, make_document(1, 'lots'))
+    for version in range(2, 14, 2):
+        wait_until(lambda: bool(entry.leader))
+        pid = members.running[members.find_name(entry.leader)].pid
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (0, no_limit))
+        began = time.monotonic()
+        promote(entry, make_document(version, 'lots'))
+        assert time.monotonic() - began < 5.0
+        gevent.sleep(1.0)
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (no_limit, no_limit))
+        began = time.monotonic()
+        promote(entry, make_document(version + 1, 'lots'))
+        assert time.monotonic() - began < 5.0
+    gevent.sleep(3.0)
+    promote(entry, make_document(14, 'lots'))
+    assert all(process.poll() is None for process in members.running.values())
