Retry only a full disk when the data folder is created

A retry after a failed sync of the parent would not sync it strictly again, as the folder then exists.

Change: only ENOSPC and EDQUOT are retried; an I/O error ends the start, as it did before. The test is unchanged.

--- a/src/galenareel/_consensus/disk.py
+++ b/src/galenareel/_consensus/disk.py
@@ -22,8 +22,8 @@
 # Time that an earlier process of the member has to end.
 LOCK_WAIT_S = 10.0
 LOCK_POLL_INTERVAL_S = 0.1
-# Errors that end when the disk has room again or is repaired.
-_DISK_ERRNOS = (errno.ENOSPC, errno.EDQUOT, errno.EIO)
+# Errors that end when the disk has room again.
+_FULL_DISK_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
 
 
 class Disk(ABC):
@@ -90,7 +90,7 @@
         """Create the folder if needed, and lock it.
 
         :raises FolderInUseError: if another process has locked it.
-        :raises DiskError: if the disk is full or faulty.
+        :raises DiskError: if the disk is full.
         :raises StorageError: if the folder cannot be used.
         """
         self._path = path
@@ -100,10 +100,9 @@
             self._folder = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
             self._lock = self._open_lock()
         except OSError as exc:
-            if exc.errno in _DISK_ERRNOS:
+            if exc.errno in _FULL_DISK_ERRNOS:
                 raise DiskError(
-                    f'data folder {path} cannot be written: {exc}; free '
-                    'space or repair the disk'
+                    f'data folder {path} cannot be used: {exc}; free space'
                 ) from exc
             raise StorageError(
                 f'data folder {path} cannot be used: {exc}; check that it '
