--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -6,6 +6,7 @@
 from random import Random
 from random import SystemRandom
 from typing import Any
+from typing import TypeVar
 
 import gevent
 from gevent.event import Event
@@ -53,7 +54,12 @@
 from galenareel._consensus.storage import Storage
 
 TICK_S = 0.05
-REOPEN_DELAY_S = 5.0
+# Waits between attempts to use a folder again that could not be written. They
+# are short, as the disk of another member may be the next to fail, and double
+# up to a bound.
+REOPEN_DELAY_S = 0.25
+REOPEN_MAX_DELAY_S = 1.0
+FAILURE_LOG_INTERVAL_S = 5.0
 IDENTITY_RETRY_S = 0.25  # interval of questions to a new member
 CHANGE_TIMEOUT_S = 5.0
 # A leader whose disk takes longer for one batch hands over.
@@ -62,6 +68,8 @@
 CLOSE_TIMEOUT_S = 1.0
 MAX_COMMAND_BYTES = 1024 * 1024
 
+_T = TypeVar('_T')
+
 
 class Driver(Replicator):
     """Runs a member of the replicated log in this process.
@@ -75,6 +83,8 @@
     :param on_failure: called once, after an unexpected error has stopped the
         member for good. The process should end, so that it is started again
         and loads its state from the disk.
+    :param prepare_folder: called in a thread before the content of the folder
+        is read, again after a ``DiskError``.
     :param enough_voters: number of voters that bear the losses to be borne;
         from there on their number stays odd. 0 makes every member a voter.
     """
@@ -95,6 +105,7 @@
         log: Log | None = None,
         metrics: MemberMetrics | None = None,
         on_failure: Callable[[], None] | None = None,
+        prepare_folder: Callable[[], None] | None = None,
         enough_voters: int = 0,
     ) -> None:
         self._name = name
@@ -109,6 +120,7 @@
         self._log = log or Log(name)
         self._member_log = MemberLog(self._log, metrics)
         self._on_failure = on_failure
+        self._prepare_folder = prepare_folder
         self._enough_voters = enough_voters
         self._has_failed = False
         self._peers = Peers(
@@ -138,7 +150,11 @@
         )
         self._member: Member | None = None
         self._applied_index = 0
+        self._applied_term = 0
         self._reopen_due = 0.0
+        self._reopen_delay_s = 0.0  # 0 while batches can be stored
+        self._failure_log_due = 0.0
+        self._logs_attempt = True
         self._store_began: float | None = None
         self._store_wakeup = Event()
         self._state_changed = Event()
@@ -359,10 +375,13 @@
             log=self._log,
         )
         self._storage = Storage(self._disk)
-        self._log.info('storage_opening', folder=self._data_dir)
+        if self._logs_attempt:
+            self._log.info('storage_opening', folder=self._data_dir)
         # In a thread, so that a disk that hangs stops nothing else.
-        self._loaded = self._pool.apply(
-            self._storage.open, (self._bootstrap_service.make_identity(),)
+        if self._prepare_folder is not None:
+            self._call_in_thread(self._prepare_folder)
+        self._loaded = self._call_in_thread(
+            self._storage.open, self._bootstrap_service.make_identity()
         )
         self._identity = self._loaded.member.identity
         self._member_log.log_opened(self._loaded)
@@ -376,17 +395,46 @@
         self._bootstrap_service.open(self._storage, self._loaded)
         self._start_member_if_ready()
 
+    def _call_in_thread(self, call: Callable[..., _T], *args: Any) -> _T:
+        """Call a function of the storage in the thread of the pool.
+
+        gevent reports an error that leaves the thread as an unexpected one.
+
+        :raises StorageError: if the call does.
+        """
+        result: _T | StorageError = self._pool.apply(
+            _return_error, (call, *args)
+        )
+        if isinstance(result, StorageError):
+            raise result
+        return result
+
     def _suspend(self, problem: str) -> None:
         """Stop the member until the data folder can be used again."""
-        self._log.error(
-            'storage_failed', error=problem, retry_after_s=REOPEN_DELAY_S
+        now = self._now()
+        is_first = not self._reopen_delay_s
+        self._reopen_delay_s = min(
+            max(2 * self._reopen_delay_s, REOPEN_DELAY_S), REOPEN_MAX_DELAY_S
         )
+        self._reopen_due = now + self._reopen_delay_s
+        self._logs_attempt = is_first or now >= self._failure_log_due
+        if self._logs_attempt:
+            self._failure_log_due = now + FAILURE_LOG_INTERVAL_S
+            self._log.error(
+                'storage_failed',
+                error=problem,
+                retry_after_s=self._reopen_delay_s,
+            )
         if self._member is not None:
             self._applied_index = self._member.applied_index
+            self._applied_term = self._member.applied_term
+            # Only this message leaves a member whose writes have failed.
+            for env in self._member.raft.transfer_leadership(now).messages:
+                self._send(env)
         self._member = None
         self._loaded = None
         self._bootstrap_service.close()
-        self._reopen_due = self._now() + REOPEN_DELAY_S
+        self._proposals.reject_pending(self._make_not_leader())
         self._proposals.fail_all('storage_failed')
         self._state_changed.set()
 
@@ -449,13 +497,15 @@
             return False
         self._store_began = self._now()
         try:
-            self._pool.apply(member.store, (batch,))
+            self._call_in_thread(member.store, batch)
         except StorageError as exc:
             if member is self._member:
                 self._suspend(str(exc))
             return False
         finally:
             self._store_began = None
+        if member is self._member:
+            self._reopen_delay_s = 0.0
         self._finish_stored(member, batch)
         return True
 
@@ -604,6 +654,7 @@
             rng=self._rng,
             now=self._now(),
             applied_index=self._applied_index,
+            applied_term=self._applied_term,
             enough_voters=self._enough_voters,
         )
         # The state machine and the core hold the data now.
@@ -638,3 +689,10 @@
             leader=self.get_leader_address(),
             retry_after_s=0.5,
         )
+
+
+def _return_error(call: Callable[..., _T], *args: Any) -> _T | StorageError:
+    try:
+        return call(*args)
+    except StorageError as exc:
+        return exc
