Follow the list of machines beside rows that can't be read

Cause: a page of machines was decoded as a whole. A row with labels or an unknown field nested 2,000 deep, with NaN, or without a name made the page invalid. After 200 pages the list counted as complete, also if the pages repeated. An instance whose row turned malformed lost its known pool and worker, kept its place in a wave for good, and no longer counted as being in maintenance.

What callers saw: while such a row stayed, nothing was moved or maintained (instances_not_read every second). A wave with a limit of one waited for an instance that had turned unreadable after it was closed.

Change: rows are decoded one by one; a body that can't be decoded is split by a linear scanner without recursion, up to 1 MiB. A row without a name, a bad token, repeated or endless pages are a gap of the list: no instance that it lacks counts as gone. An unreadable instance keeps what was known, gets no orders, gives up its place in a wave, and counts against the limit of its wave for 15 s if it may be in maintenance. The decoders of all lists move to adapter/lists.py. A worker's list with an odd row is still unreadable as a whole.

Tests: test_list_with_a_machine_without_a_name_is_refused asserted the old reading; test_lists.py asserts the gap for 19 such rows instead. Three cases of test_list_with_a_number_out_of_range_is_refused now assert that the row is left out, the gap is said and no position is passed.

--- a/src/galenareel/_jobs/clients.py
+++ b/src/galenareel/_jobs/clients.py
@@ -53,7 +53,8 @@
     """A run that a worker lists.
 
     :param saved: last checkpoint, or empty.
-    :param percent: progress; 100 for a lasting task that works.
+    :param percent: progress; 100 for a lasting task that works. ``None`` if
+        it is malformed, and the last one holds.
     :param reading: tail latency in milliseconds of a task that serves users,
         processor use of any other, over the last half second.
     """
@@ -61,7 +62,7 @@
     task: str
     number: int
     saved: str
-    percent: int
+    percent: int | None
     reading: float | None = None
 
 
@@ -88,8 +89,12 @@
     :param clock_ms: reading of the worker's clock.
     :param born: start of the incarnation that answered, or 0 if the answer
         does not have it.
-    :param has_all_ends: the list has room for further ends, so none is left
-        out.
+    :param has_all_ends: the list has room for further ends and each could be
+        read, so none is left out.
+    :param acknowledgeable: position up to which ends may be acknowledged, as
+        a later one could not be read; ``None`` without such a limit.
+    :param gap: rows that could not be read, for the log, or empty. A run that
+        is not listed may be one of them.
     """
 
     clock_ms: int
@@ -97,6 +102,8 @@
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
     has_all_ends: bool = True
+    acknowledgeable: int | None = None
+    gap: str = ''
 
 
 class WorkerClient(ABC):
@@ -193,6 +200,18 @@
     worker: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InstanceList:
+    """The list of instances.
+
+    :param gap: why it may lack instances, or empty. While it has a gap, an
+        instance that is missing isn't known to be gone.
+    """
+
+    rows: tuple[InstanceRow, ...]
+    gap: str = ''
+
+
 # Orders for instances that are sent at a time. A client takes this many at
 # once, so that none waits in it after the leader lease was checked.
 MAX_INSTANCE_ORDERS = 2
@@ -207,8 +226,8 @@
     """
 
     @abstractmethod
-    def list_instances(self) -> list[InstanceRow] | Answer:
-        """Return all instances, or the reason why they cannot be read."""
+    def list_instances(self) -> InstanceList | Answer:
+        """Return the instances, or the reason why they cannot be read."""
 
     @abstractmethod
     def move(
@@ -233,10 +252,12 @@
 
     :param tickets: tickets by the names of the workers that may run the step.
     :param valid_s: how long the tickets are valid.
+    :param gap: rows that could not be read, for the log, or empty.
     """
 
     tickets: dict[str, str]
     valid_s: float
+    gap: str = ''
 
 
 class Advisor(ABC):
--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -27,6 +27,7 @@
 from galenareel._jobs.commands import AnyCommand
 from galenareel._jobs.commands import RecordMaintenance
 from galenareel._jobs.engine import Engine
+from galenareel._jobs.instance_lists import InstanceLists
 from galenareel._jobs.order_records import compute_order_wait_s
 from galenareel._jobs.order_records import is_recent
 from galenareel._jobs.order_records import OrderRecords
@@ -98,6 +99,12 @@
         self._clock = clock
         self._log = log
         self._tables = FleetTables()
+        self._lists = InstanceLists(
+            engine=engine,
+            tables=self._tables,
+            delay_recent=self._delay_recent_order,
+            log=log,
+        )
         self._list_received_at = 0.0
         self._list_requested_at = 0.0
         self._started_at = 0.0
@@ -172,26 +179,35 @@
         ):
             return
         self._list_requested_at = now
-        rows = self._client.list_instances()
+        listing = self._client.list_instances()
         now = self._clock.monotonic()
-        if isinstance(rows, Answer):
+        if isinstance(listing, Answer):
             self._log.warning(
                 'instances_not_read',
-                why=rows.outcome.value,
-                detail=rows.detail,
+                why=listing.outcome.value,
+                detail=listing.detail,
                 age_s=round(now - self._list_received_at, 1),
             )
             return
         self._list_received_at = now
-        for row in rows:
-            self._update_instance(row, asked_at=self._list_requested_at)
-        listed = {row.name for row in rows}
-        for name in list(self._tables.instances):
-            if name not in listed:
-                del self._tables.instances[name]
-        self._record_gone_instances(listed)
+        self._lists.apply(
+            listing,
+            wanted=self._find_wanted(),
+            asked_at=self._list_requested_at,
+        )
+        if not listing.gap:
+            self._record_gone_instances(set(self._tables.instances))
         self._retire_lost_workers(self._list_requested_at)
 
+    def _find_wanted(self) -> list[str]:
+        """Return the instances that waves have not maintained yet."""
+        return [
+            name
+            for wave in self._state.waves.values()
+            for name in wave.instances
+            if name not in wave.done
+        ]
+
     def _has_silent_workers(self) -> bool:
         return any(
             worker.silent_since is not None and not worker.lease_expired
@@ -212,9 +228,13 @@
             if worker.silent_since is None or not is_older or worker.retiring:
                 continue
             row = current.get(worker.instance)
-            has_ended = row is not None and (
-                row.state in _ORDERED_AWAY
-                or row.worker not in ('', worker.name)
+            has_ended = (
+                row is not None
+                and row.state is not InstanceState.UNREADABLE
+                and (
+                    row.state in _ORDERED_AWAY
+                    or row.worker not in ('', worker.name)
+                )
             )
             if worker.name in down or has_ended:
                 worker.has_ended = True
@@ -241,41 +261,6 @@
             for instance in instances.values()
         )
 
-    def _update_instance(self, row: InstanceRow, *, asked_at: float) -> None:
-        instance = self._tables.instances.get(row.name)
-        self._report_unreadable(row, instance)
-        if instance is None:
-            instance = Instance(row=row, listed_at=asked_at)
-            self._tables.instances[row.name] = instance
-            self._delay_recent_order(instance)
-        else:
-            instance.row = row
-            instance.listed_at = asked_at
-            if (instance.pending_order, row.state) in (
-                (WAVE, InstanceState.MAINTENANCE),
-                (MOVE, InstanceState.MOVING),
-            ):
-                instance.is_order_seen = True
-            is_over = asked_at >= instance.down_until
-            if (
-                instance.pending_order
-                and is_over
-                and row.state is InstanceState.UP
-            ):
-                instance.pending_order = ''
-        worker = self._engine.workers.get(row.worker)
-        if worker is not None:
-            worker.instance = row.name
-
-    def _report_unreadable(
-        self, row: InstanceRow, known: Instance | None
-    ) -> None:
-        """Log when the row of an instance begins to be malformed."""
-        if row.state is not InstanceState.UNREADABLE:
-            return
-        if known is None or known.row.state is not row.state:
-            self._log.warning('instance_unreadable', instance=row.name)
-
     def _record_gone_instances(self, listed: set[str]) -> None:
         """Record the maintenance of instances that are gone as done."""
         for wave in self._state.waves.values():
--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -173,8 +173,9 @@
         if run.state in (RunState.ORDERED, RunState.UNSURE):
             run.state = RunState.RUNNING
         self._confirm_run(run, now)
-        run.percent = row.percent
-        run.percent_at = now
+        if row.percent is not None:
+            run.percent = row.percent
+            run.percent_at = now
         run.reading = row.reading
         if row.saved:
             run.checkpoint = row.saved
--- a/src/galenareel/_scheduling/instances.py
+++ b/src/galenareel/_scheduling/instances.py
@@ -36,6 +36,9 @@
     :param target: pool to which it is ordered to move, or empty.
     :param is_order_seen: the platform has listed the instance as being
         maintained or moved by the pending order.
+    :param unread_since: when the first of the lists was requested that lack
+        its state, or ``None`` if the last one has it.
+    :param unread_down_until: time until which it may be in maintenance then.
     """
 
     row: InstanceRow
@@ -46,6 +49,8 @@
     closing_for: str = ''
     target: str = ''
     is_order_seen: bool = False
+    unread_since: float | None = None
+    unread_down_until: float = 0.0
 
     def mark_ordered(self, order: str, now: float) -> None:
         """Count the instance as down while an order is under way."""
--- a/src/galenareel/_scheduling/waves.py
+++ b/src/galenareel/_scheduling/waves.py
@@ -123,6 +123,8 @@
 def _is_down_for_wave(instance: Instance, now: float) -> bool:
     if instance.row.state is InstanceState.MAINTENANCE:
         return True
+    if now < instance.unread_down_until:
+        return True
     return instance.pending_order == WAVE and now < instance.down_until
 
 
--- a/testing/standins/instances.py
+++ b/testing/standins/instances.py
@@ -8,6 +8,7 @@
 
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import FleetClient
+from galenareel._jobs.clients import InstanceList
 from galenareel._jobs.clients import InstanceRow
 from galenareel._jobs.clients import InstanceState
 from galenareel._jobs.clients import Outcome
@@ -38,6 +39,7 @@
     :param busy: instances that accept no order now.
     :param lost_answers: number of next orders that are carried out but whose
         answer is lost.
+    :param unnamed: instances whose rows can't be named.
     :param list_calls: number of calls of :meth:`list_instances`.
     """
 
@@ -45,6 +47,7 @@
     tokens: dict[str, int] = field(default_factory=dict)
     orders: list[Order] = field(default_factory=list)
     busy: set[str] = field(default_factory=set)
+    unnamed: set[str] = field(default_factory=set)
     lost_answers: int = 0
     list_calls: int = 0
 
@@ -80,9 +83,16 @@
             self.rows[name], state=InstanceState.UP, worker=worker
         )
 
-    def list_instances(self) -> list[InstanceRow] | Answer:
+    def list_instances(self) -> InstanceList | Answer:
         self.list_calls += 1
-        return list(self.rows.values())
+        return InstanceList(
+            rows=tuple(
+                row
+                for name, row in self.rows.items()
+                if name not in self.unnamed
+            ),
+            gap='a row has no name' if self.unnamed else '',
+        )
 
     def move(
         self, instance: str, pool: str, *, holder: str, token: int
