Go on with a worker that lists a row that can't be read

Cause: one malformed row made a worker's lists unreadable as a whole, as a missing run counts as over and ends after a skipped one would be acknowledged with it. An end with a valid but huge position was believed: all later ends of the worker were below it and never handled. A run number of 1.5 was taken for 1, a number for the name of a task, and an end whose task has no valid name was passed and acknowledged.

What callers saw: the worker was silent while the row stayed, its lease expired, and all its tasks ended (worker_lost, lease_over). Ends that it listed meanwhile were not seen.

Change: rows are decoded one by one. A list with a row that can't be read has a gap: the other rows are applied and the lease is extended, but the worker gets no tasks and no missing run is released. lastSeen stops before an odd end; later ends are handled once and not acknowledged. A worker whose list lacks a run that the odd row can't be for 5 s, or that a new leader has never read completely, is given up as before: its lease expires and its tasks start elsewhere. Lists with a gap are polled each 0.15 s at most. A position above 2^31 and two ends with one position are odd.

--- a/src/galenareel/_jobs/clients.py
+++ b/src/galenareel/_jobs/clients.py
@@ -95,6 +95,7 @@
         a later one could not be read; ``None`` without such a limit.
     :param gap: rows that could not be read, for the log, or empty. A run that
         is not listed may be one of them.
+    :param unread_runs: number of these that are rows of running runs.
     """
 
     clock_ms: int
@@ -104,6 +105,11 @@
     has_all_ends: bool = True
     acknowledgeable: int | None = None
     gap: str = ''
+    unread_runs: int = 0
+
+    def is_complete(self) -> bool:
+        """Return whether a run that is not listed is over."""
+        return self.has_all_ends and not self.gap
 
 
 class WorkerClient(ABC):
--- a/src/galenareel/_jobs/holding.py
+++ b/src/galenareel/_jobs/holding.py
@@ -42,6 +42,7 @@
     RETIRING = 'retiring'
     SILENCE_RECORDED = 'silence_recorded'
     LEASE_RECORDED = 'lease_recorded'
+    LIST_INCOMPLETE = 'list_incomplete'
     SILENT = 'silent'
     UNREACHABLE = 'unreachable'
     ON_TRIAL = 'on_trial'
@@ -95,6 +96,8 @@
         reasons.append(ClosingReason.SILENCE_RECORDED)
     if worker.lease_recorded:
         reasons.append(ClosingReason.LEASE_RECORDED)
+    if worker.gaps.is_open:
+        reasons.append(ClosingReason.LIST_INCOMPLETE)
     if worker.silent_since is not None:
         reasons.append(ClosingReason.SILENT)
     if worker.unreachable_since is not None:
--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -13,7 +13,7 @@
 from galenareel._jobs.clients import RunningRow
 from galenareel._jobs.ends import EndBatch
 from galenareel._jobs.job_entries import has_task
-from galenareel._jobs.leases import Leases
+from galenareel._jobs.list_gap_notes import ListGapNotes
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.state import Job
@@ -30,7 +30,7 @@
 MAX_STOP_S = 0.5
 
 
-class Listings(Leases):
+class Listings(ListGapNotes):
     """Keeps the tables in line with what the workers list."""
 
     def apply_listing(
@@ -50,11 +50,11 @@
             worker, listing, now
         ):
             return
+        self._note_gap(worker, listing)
+        if self._is_given_up(worker, now):
+            return
         self._record_answer(worker, listing.clock_ms, now)
-        for end in listing.ended:
-            if end.position > worker.processed_position:
-                worker.processed_position = end.position
-                self._handle_end(worker, end, now)
+        self._apply_ends(worker, listing, now)
         self._record_position(worker)
         self._release_former_runs(worker, listing, now)
         listed: set[RunKey] = set()
@@ -64,8 +64,9 @@
                 listed.add(key)
         worker.lease_expired = False
         worker.loss = None
-        if not listing.has_all_ends:
-            # A run that is not listed may have ended, even as done.
+        self._note_missing_runs(worker, listing, listed, now)
+        if not listing.is_complete():
+            # A run that is not listed may go on or have ended as done.
             return
         self._release_vanished(worker, listed, listing.clock_ms, sent_at, now)
         self._report_overfull(worker)
@@ -130,9 +131,23 @@
                 run.confirmed_at = None
                 run.proven = False
                 run.silent_s = 0.0
-            elif listing.has_all_ends:
+            elif listing.is_complete():
                 self._release_run(run, now, 'worker_restarted')
 
+    def _apply_ends(
+        self, worker: Worker, listing: Listing, now: float
+    ) -> None:
+        """Handle each end once, also those that follow an odd one."""
+        gaps = worker.gaps
+        for end in listing.ended:
+            is_new = end.position > worker.processed_position
+            if is_new and end.position not in gaps.handled:
+                gaps.handled.add(end.position)
+                self._handle_end(worker, end, now)
+        worker.processed_position = gaps.pass_ends(
+            worker.processed_position, listing.acknowledgeable
+        )
+
     def _record_position(self, worker: Worker) -> None:
         """Add a worker's last end to the batch, unless it is stored."""
         if worker.processed_position > worker.stored_position:
--- a/src/galenareel/_jobs/worker_entries.py
+++ b/src/galenareel/_jobs/worker_entries.py
@@ -48,6 +48,7 @@
     worker.lease_expired = False
     worker.processed_position = 0
     worker.stored_position = 0
+    worker.gaps = type(worker.gaps)()
     worker.clock_ms = 0
     worker.first_clock_ms = 0
     worker.follows_reports = False
--- a/src/galenareel/_jobs/worker_link.py
+++ b/src/galenareel/_jobs/worker_link.py
@@ -24,7 +24,7 @@
 POLL_WAIT_MS = 500
 IDLE_POLL_WAIT_MS = 1800  # while nothing runs on the worker
 SHARED_POLL_WAIT_MS = 350  # while filling tasks run beside serving ones
-POLL_RETRY_S = 0.15  # delay after a failed poll
+POLL_RETRY_S = 0.15  # delay after a failed poll or a list with a gap
 TOKEN_CHECK_S = 0.02  # interval of checks while the worker has no token
 
 if TYPE_CHECKING:
@@ -107,7 +107,8 @@
                 return
             if token == worker.token:
                 self._term.handle_poll_reply(self, reply, sent_at)
-            if not isinstance(reply, Listing):
+            if not isinstance(reply, Listing) or reply.gap:
+                # Ends that can't be acknowledged are listed again at once.
                 gevent.sleep(POLL_RETRY_S)
 
 
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -15,6 +15,7 @@
 from galenareel._jobs.model import Step
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.model import WorkerRecord
+from galenareel._scheduling.list_gaps import ListGaps
 from galenareel._scheduling.peaks import PeakHistory
 
 FULL_PACE_PERCENT = 100
@@ -220,6 +221,8 @@
     :param processed_position: position of the last end that was handled.
     :param stored_position: position of the last end that is replicated, which
         the worker may forget.
+    :param gaps: rows of its lists that could not be read. While there are
+        any, it gets no tasks, as they may be runs that use its room.
     :param runs: all runs that it may have or may still start, also several
         of one task.
     :param cpu_used: processor reserved by its runs, in thousandths of a core.
@@ -279,6 +282,7 @@
     lease_expires_at: float = 0.0
     processed_position: int = 0
     stored_position: int = 0
+    gaps: ListGaps = field(default_factory=ListGaps)
     runs: dict[RunKey, Run] = field(default_factory=dict)
     cpu_used: int = 0
     memory_used: int = 0
@@ -321,6 +325,7 @@
         """Return whether the worker may get new tasks."""
         return (
             self.has_listed
+            and not self.gaps.is_open
             and not self.lease_expired
             and not self.draining
             and not self.closing_for
--- a/testing/adapter/test_lists.py
+++ b/testing/adapter/test_lists.py
@@ -12,10 +12,10 @@
 
 from adapter.fleet import HttpFleetClient
 from adapter.fleet import MAX_PAGES
-from adapter.lists import decode_listing
+from adapter.listing import decode_listing
+from adapter.listing import MAX_POSITION
 from adapter.lists import decode_machines
 from adapter.lists import decode_tickets
-from adapter.lists import MAX_POSITION
 from adapter.rows import MAX_SPLIT_BYTES
 from adapter.rows import split_array
 from adapter.rows import SplitError
--- a/testing/adapter/test_odd_rows.py
+++ b/testing/adapter/test_odd_rows.py
@@ -10,19 +10,23 @@
 from typing import Any
 
 from adapter.lists import decode_machines
+from adapter.workers import HttpWorkerClient
 import pytest
 
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import InstanceList
 from galenareel._jobs.clients import InstanceRow
 from galenareel._jobs.clients import InstanceState
+from galenareel._jobs.clients import Listing
 from galenareel._jobs.commands import AcceptJob
 from galenareel._jobs.commands import Configure
 from galenareel._jobs.commands import OpenWave
 from galenareel._jobs.commands import TakeOver
+from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Pool
 from galenareel._jobs.model import Step
 from testing.jobs.harness import make_job
+from testing.jobs.test_leader import Client
 from testing.jobs.test_leader import eventually
 from testing.jobs.test_leader import RunningLeader
 from testing.jobs.test_state import make_config
@@ -108,3 +112,73 @@
         assert 'odd' not in running.state.waves[1].done
     finally:
         running.leader.close()
+
+
+ODD_RUNS = [
+    'null',
+    '[]',
+    f'[{DEEP},1,"",0]',
+    '["j.0.0.0",1e999,"",0]',
+    f'["j.0.0.0",{"9" * 6000},"",0]',
+    '[NaN]',
+]
+
+
+def encode_listing(listing: Listing, odd: str) -> bytes:
+    running = [
+        json.dumps([run.task, run.number, run.saved, run.percent])
+        for run in listing.running
+    ]
+    ended = [
+        json.dumps([end.position, end.task, end.number, end.kind, end.saved])
+        for end in listing.ended
+    ]
+    text = (
+        f'{{"clockMs":{listing.clock_ms},"born":{listing.born},'
+        f'"running":[{",".join([odd, *running])}],'
+        f'"ended":[{",".join(ended)}]}}'
+    )
+    return text.encode()
+
+
+@pytest.mark.parametrize('odd', ODD_RUNS)
+def test_odd_run_that_stays_hides_no_end_and_stops_no_start(
+    odd: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The row is listed by the worker that runs the first task."""
+    running = RunningLeader()
+    running.start()
+    poll = Client.poll
+    odd_workers: list[str] = []
+
+    def poll_by_wire(client: Client, **fields: Any) -> Listing | Answer:
+        reply = poll(client, **fields)
+        if isinstance(reply, Answer) or client.worker.name not in odd_workers:
+            return reply
+        body = encode_listing(reply, odd)
+        wire = HttpWorkerClient(client.worker.make_record())
+        for caller in (wire._short_polls, wire._long_polls):
+            monkeypatch.setattr(caller, 'post', lambda *_: (200, body))
+        return wire.poll(**fields)
+
+    monkeypatch.setattr(Client, 'poll', poll_by_wire)
+    try:
+        running.submit('j')
+        eventually(lambda: running.is_running('j.0.0.0'))
+        (worker,) = (
+            worker for worker in running.workers.values() if worker.running
+        )
+        odd_workers.append(worker.name)
+        eventually(lambda: '_incomplete' in running.log_text.getvalue())
+        worker.end('j.0.0.0', EndKind.DONE)
+        eventually(lambda: running.state.jobs['j'].has_ended)
+        eventually(lambda: not worker.ended)
+        for name, epoch in (('k', 1), ('l', 3)):
+            if epoch == 3:
+                running.propose(TakeOver(node='c2'))
+                eventually(lambda: running.state.epoch == 3)
+            running.submit(name)
+            eventually(lambda: running.is_running(f'{name}.0.0.0'))
+        assert len(worker.starts) == 1
+    finally:
+        running.leader.close()
--- a/testing/adapter/test_wire.py
+++ b/testing/adapter/test_wire.py
@@ -9,7 +9,7 @@
 import json
 from typing import Any
 
-from adapter.lists import decode_listing
+from adapter.listing import decode_listing
 from adapter.lists import decode_machines
 from adapter.lists import decode_tickets
 from adapter.wire import decode_configuration
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -59,6 +59,10 @@
     :param acknowledged_tasks: tasks whose successful end the leader has
         acknowledged.
     :param max_listed_ends: number of ends in a list; later ones are left out.
+    :param odd_ends: positions of ends whose rows can't be read.
+    :param odd_runs: running tasks whose rows can't be read; one that isn't
+        running stands for a row of another writer.
+    :param polls: number of lists that were read.
     :param work_s: time in which a task's progress reaches 100 percent. The
         test, not the worker, ends the task.
     :param is_stalled: whether its tasks make no progress.
@@ -86,6 +90,9 @@
     acknowledged_tasks: set[str] = field(default_factory=set)
     draining: bool = False
     max_listed_ends: int = 500
+    odd_ends: set[int] = field(default_factory=set)
+    odd_runs: set[str] = field(default_factory=set)
+    polls: int = 0
     work_s: float = 1.0
     is_stalled: bool = False
     is_silent: bool = False
@@ -203,6 +210,9 @@
             if row.position <= acknowledged and row.kind is EndKind.DONE
         )
         self.ended = [row for row in self.ended if row.position > acknowledged]
+        self.polls += 1
+        ends = self.ended[: self.max_listed_ends]
+        odd = [row.position for row in ends if row.position in self.odd_ends]
         return Listing(
             clock_ms=int(self.clock_ms),
             born=self.born,
@@ -215,9 +225,13 @@
                     reading=run.reading,
                 )
                 for run in self.running.values()
+                if run.task not in self.odd_runs
             ),
-            ended=tuple(self.ended[: self.max_listed_ends]),
-            has_all_ends=len(self.ended) < self.max_listed_ends,
+            ended=tuple(row for row in ends if row.position not in odd),
+            has_all_ends=len(self.ended) < self.max_listed_ends and not odd,
+            acknowledgeable=min(odd) - 1 if odd else None,
+            gap='odd' if odd or self.odd_runs else '',
+            unread_runs=len(self.odd_runs),
         )
 
     def _accept_token(self, token: int) -> bool:
