Use the tickets of an advisor's answer that has a malformed row

Cause: the advisor's answer was decoded as a whole, and every ticket in it was stored, also of a worker that nobody had asked about.

What callers saw: one malformed row left a step without any ticket for as long as the row stayed (advice_unreadable each time). A ticket for another worker kept the advisor from being asked again, so the step waited.

Only tickets of the workers that were asked about count. The engine logs malformed advice, for answers and rows alike.

The test of the ticket of another worker failed before and passes.

--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 
 from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import Outcome
 from galenareel._jobs.clients import PlacementTickets
 from galenareel._jobs.suspects import SuspectPlacing
 from galenareel._scheduling.placement import Candidates
@@ -143,17 +144,29 @@
     ) -> None:
         """Store the tickets of the advisor; after a failure, ask again."""
         step = order.work
+        if isinstance(reply, PlacementTickets):
+            malformed = reply.gap
+        else:
+            is_malformed = reply.outcome is Outcome.UNREADABLE
+            malformed = reply.detail if is_malformed else ''
+        if malformed:
+            self._log.warning(
+                'advice_unreadable',
+                step=step.task_id(0).get_step_name(),
+                detail=malformed,
+            )
         if isinstance(reply, Answer):
             step.advice_asked.difference_update(
                 worker.name for worker in order.workers
             )
         else:
             valid_until = now + reply.valid_s - TICKET_MARGIN_S
-            for name, ticket in reply.tickets.items():
-                step.tickets[name] = (ticket, valid_until)
             for worker in order.workers:
-                if worker.name not in reply.tickets:
+                ticket = reply.tickets.get(worker.name)
+                if ticket is None:
                     step.advice_refused[worker.name] = now + REFUSED_ADVICE_S
+                else:
+                    step.tickets[worker.name] = (ticket, valid_until)
         if step.job.name in self.jobs:
             self._queue_step(step)
 
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -503,12 +503,6 @@
             names,
             timeout_s=1.0 + expected_ms * 2 / 1000,
         )
-        if isinstance(reply, Answer) and reply.outcome is Outcome.UNREADABLE:
-            self._log.warning(
-                'advice_unreadable',
-                step=order.work.task_id(0).get_step_name(),
-                detail=reply.detail,
-            )
         self.engine.handle_advice(order, reply, self.now())
         self._wake.set()
 
--- a/testing/jobs/test_advice.py
+++ b/testing/jobs/test_advice.py
@@ -73,6 +73,34 @@
     assert (start.run.worker.name, start.ticket) == ('w2', 't2')
 
 
+@pytest.mark.parametrize(
+    'reply',
+    [
+        PlacementTickets(tickets={}, valid_s=VALID_S, gap='odd'),
+        Answer(outcome=Outcome.UNREADABLE, detail='odd'),
+    ],
+)
+def test_malformed_advice_is_logged(
+    harness: Harness, reply: PlacementTickets | Answer
+) -> None:
+    order = submit_and_take_question(harness)
+    harness.engine.handle_advice(order, reply, harness.now)
+    assert harness.log_text.getvalue().count('advice_unreadable') == 1
+
+
+def test_ticket_of_a_worker_that_was_not_asked_about_is_not_used(
+    harness: Harness,
+) -> None:
+    """Guards against a step that waits for such a worker to take it."""
+    order = submit_and_take_question(harness)
+    advised = PlacementTickets(tickets={'other': 't'}, valid_s=1e9)
+    harness.engine.handle_advice(order, advised, harness.now)
+    assert order.work.tickets == {}
+    harness.engine.place(harness.now + 30.0)
+    orders = harness.engine.take_orders()
+    assert [type(order) for order in orders] == [AskAdvice]
+
+
 def test_advisor_is_asked_again_after_a_ticket_has_expired(
     harness: Harness,
 ) -> None:
