--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -154,6 +154,8 @@
         self.ended.clear()
         self.refused_numbers.clear()
         self.position = 0
+        self.odd_ends.clear()
+        self.odd_runs.clear()
 
     def start(
         self, task: TaskId, number: int, *, until_ms: int, token: int
