Bound the work on a list of very many odd rows

Cause: each row that can't be read costs an exception, and a body that is split costs a step for each value.

What callers saw: nothing so far; this would have come with the reading by rows. A body of 1 MiB with 350,000 empty arrays and a NaN took 5.8 s of processor time, in which a leader stands still and loses its lease.

--- a/testing/adapter/test_lists.py
+++ b/testing/adapter/test_lists.py
@@ -18,6 +18,7 @@
 from adapter.lists import decode_tickets
 from adapter.rows import MAX_SPLIT_BYTES
 from adapter.rows import split_array
+from adapter.rows import SplitBudget
 from adapter.rows import SplitError
 from adapter.wire import InvalidMessage
 from hypothesis import given
@@ -118,18 +119,45 @@
     assert time.process_time() - began < 1.0
 
 
+@pytest.mark.parametrize('row', [b'[]', b'1', b'"a"', b'{"a":[1]}', b'NaN'])
+@pytest.mark.parametrize('size', [900_000, 4_000_000])
+def test_list_of_very_many_odd_rows_is_refused_soon(
+    row: bytes, size: int
+) -> None:
+    """Guards against a leader that stands still while it splits a list."""
+    rows = b','.join([row] * (size // (len(row) + 1)))
+    began = time.process_time()
+    for decode, body in (
+        (decode_machines, b'{"machines":[%s]}' % rows),
+        (decode_listing, make_listing([rows], [])),
+        (decode_listing, make_listing([], [rows])),
+        (decode_tickets, b'{"good":[%s]}' % rows),
+    ):
+        with pytest.raises(InvalidMessage):
+            decode(body)
+    assert time.process_time() - began < 4.0
+
+
+@pytest.mark.parametrize('count', [0, 500])
+def test_many_odd_rows_hide_no_other(count: int) -> None:
+    page = decode_machines(make_page(*[b'{"pool":NaN}'] * count))
+    assert [row.name for row in page.rows] == ['m1']
+
+
 @given(rows=st.lists(JSON, max_size=5), indent=st.sampled_from([None, 1]))
 def test_array_is_split_into_its_rows(
     rows: list[Any], indent: int | None
 ) -> None:
-    split = split_array(json.dumps(rows, indent=indent).encode())
+    split = split_array(
+        json.dumps(rows, indent=indent).encode(), SplitBudget()
+    )
     assert [json.loads(row) for row in split] == rows
 
 
 @given(body=st.text(alphabet='[]{},:"\\a1 ', max_size=30))
 def test_any_text_is_split_or_refused(body: str) -> None:
     try:
-        rows = split_array(body.encode())
+        rows = split_array(body.encode(), SplitBudget())
     except SplitError:
         return
     assert sum(map(len, rows)) <= len(body)
