Decide which voter is lost in a function without input or output

Its arguments are the membership, when each member answered last, and the present time, so that simulated groups can call what the joiner calls. The behaviour is unchanged; nothing that callers see.

--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -33,6 +33,7 @@
 from galenareel._consensus.interface import Replicator
 from galenareel._consensus.interface import StateMachine
 from galenareel._consensus.leader_links import LeaderLinks
+from galenareel._consensus.lost_voters import find_lost_voter
 from galenareel._consensus.member import Batch
 from galenareel._consensus.member import Member
 from galenareel._consensus.member_log import MemberLog
@@ -307,16 +308,6 @@
 
         Only the leader knows them; other members return an empty list.
         """
-        return self._list_silent(silent_s, voters=True)
-
-    def list_silent_learners(self, silent_s: float) -> list[str]:
-        """Return the names of learners that have been silent for a time.
-
-        Only the leader knows them; other members return an empty list.
-        """
-        return self._list_silent(silent_s, voters=False)
-
-    def _list_silent(self, silent_s: float, *, voters: bool) -> list[str]:
         if self._member is None or not self._leads():
             return []
         st = self._member.raft.state
@@ -324,11 +315,30 @@
         return [
             member.name
             for member in st.membership.members
-            if member.voter is voters
+            if member.voter
             and member.identity in st.progress
             and now - st.progress[member.identity].last_reply_at > silent_s
         ]
 
+    def find_lost_voter(self, min_voters: int, silent_s: float) -> str | None:
+        """Return the name of a voter that this member has to remove, if any.
+
+        Only the leader knows it; other members return ``None``.
+
+        :param min_voters: number of voters that have to stay.
+        :param silent_s: silence after which any voter counts as lost.
+        """
+        if self._member is None or not self._leads():
+            return None
+        st = self._member.raft.state
+        return find_lost_voter(
+            st.membership.members,
+            st.list_reply_times(),
+            self._now(),
+            min_voters=min_voters,
+            silent_s=silent_s,
+        )
+
     def compute_leaderless_s(self) -> float:
         """Return for how long this member has heard no leader, in seconds.
 
--- a/src/galenareel/_consensus/state.py
+++ b/src/galenareel/_consensus/state.py
@@ -146,6 +146,13 @@
     def is_leader(self) -> bool:
         return self.role is Role.LEADER
 
+    def list_reply_times(self) -> dict[int, float]:
+        """Return when each other member answered this leader last."""
+        return {
+            identity: peer.last_reply_at
+            for identity, peer in self.progress.items()
+        }
+
     def send(self, to: int, body: Body) -> None:
         """Send a message that does not depend on an unsynced write."""
         self.effects.messages.append(self._make_envelope(to, body))
--- a/src/galenareel/_jobs/joining.py
+++ b/src/galenareel/_jobs/joining.py
@@ -6,10 +6,6 @@
 does a member whose disk is empty, or that was removed while it was
 unreachable. The leader removes a lost voter once enough others have joined, so
 that the lost voter no longer counts towards the majority.
-
-Whether a voter is lost is decided from the membership and the silence alone.
-What a leader has seen of an earlier membership ends with its term, and terms
-may be short.
 """
 
 from __future__ import annotations
@@ -33,6 +29,8 @@
 from galenareel._common.messages import Problem
 from galenareel._common.messages import Welcome
 from galenareel._consensus.driver import Driver
+from galenareel._consensus.lost_voters import MIN_VOTERS
+from galenareel._consensus.lost_voters import VOTER_LOST_S
 from galenareel._consensus.records import get_quorum_size
 from galenareel._jobs.addresses import merge_addresses
 
@@ -40,18 +38,11 @@
 # A member that doesn't answer holds up the next one for this long.
 JOIN_STAGGER_S = 0.2
 CHECK_INTERVAL_S = 0.25
-# A machine that is frozen, cut off or restarted returns sooner.
-VOTER_LOST_S = 10.0
-# A voter whose removal makes the majority smaller is removed after this time.
-# It is shorter than the terms of leaders that are lost one after the other.
-SURPLUS_VOTER_LOST_S = 2.0
 # A member that hears no leader for longer than an election takes may have been
 # removed: the others stop sending to it, so that nothing tells it.
 RETURN_AFTER_S = 1.5
 RETURN_INTERVAL_S = 1.0  # time between its questions to all others
 SILENT_S = 1.5  # a leader hears each voter several times in this time
-# The smallest number of voters that bears the loss of one.
-MIN_VOTERS = 3
 REQUEST_TIMEOUT_S = 2.0
 LEAVE_TIMEOUT_S = 1.0  # a process that stops is killed after a few seconds
 
@@ -62,7 +53,7 @@
     :param address: frame address of this member.
     :param seeds: returns the frame addresses to ask first, which may change.
     :param min_voters: voters that stay, also if they are silent; see
-        :func:`count_min_voters`.
+        :func:`galenareel._consensus.lost_voters.count_min_voters`.
     """
 
     def __init__(
@@ -149,56 +140,24 @@
     def remove_lost_voter(self, silent_s: float = VOTER_LOST_S) -> None:
         """Remove one lost voter if this member leads.
 
-        One whose removal makes the majority smaller is removed sooner: the
-        other voters bear more losses without it. Four voters bear one loss,
-        as three do, so a silent one of four leaves none. A member of the same
-        name that is catching up replaces its voter by itself. If that one is
-        silent too, it is removed first, and its voter by the next check.
-
-        :param silent_s: silence after which any other voter counts as lost.
+        :param silent_s: see :func:`find_lost_voter`.
         """
         if not self._driver.leads_term():
             self._silent_voters = (frozenset(), 0)
             return
-        members = self._driver.list_members()
-        count = sum(member.voter for member in members)
+        count = sum(member.voter for member in self._driver.list_members())
         self._log_silent_voters(count)
-        if count <= self._min_voters:
-            return
-        joining = {member.name for member in members if not member.voter}
-        joining.difference_update(
-            self._driver.list_silent_learners(SURPLUS_VOTER_LOST_S)
-        )
-        lost = [
-            name
-            for name in (
-                *self._driver.list_silent_voters(silent_s),
-                *self._list_surplus_voters(count),
-            )
-            if name not in joining
-        ]
-        if not lost:
+        lost = self._driver.find_lost_voter(self._min_voters, silent_s)
+        if lost is None:
             return
-        result = self._driver.change_members(remove=lost[0])
+        result = self._driver.change_members(remove=lost)
         self._log.info(
             'member_removed',
-            member=lost[0],
+            member=lost,
             voters=count,
             outcome=getattr(result, 'reason', 'done'),
         )
 
-    def _list_surplus_voters(self, count: int) -> list[str]:
-        """Return silent voters without which the majority is smaller.
-
-        :param count: number of all voters.
-        """
-        silent = self._driver.list_silent_voters(SURPLUS_VOTER_LOST_S)
-        if not is_surplus(
-            count, leaving=len(silent), min_voters=self._min_voters
-        ):
-            return []
-        return silent
-
     def _log_silent_voters(self, voters: int) -> None:
         """Log which voters are silent, whenever that or their number changes.
 
@@ -311,24 +270,5 @@
         return link.request(msg, timeout_s=REQUEST_TIMEOUT_S)
 
 
-def count_min_voters(losses: int) -> int:
-    """Return how many voters bear a number of losses of disks.
-
-    A silent voter keeps its disk. If fewer remained, those losses among them
-    could leave no majority although the silent ones come back.
-    """
-    return max(MIN_VOTERS, 2 * losses + 1)
-
-
-def is_surplus(voters: int, *, leaving: int, min_voters: int) -> bool:
-    """Return whether a group bears more losses without some of its voters.
-
-    :param leaving: number of voters that do not answer or are about to stop.
-    :param min_voters: number of voters that have to stay.
-    """
-    rest = max(voters - leaving, min_voters)
-    return get_quorum_size(rest) < get_quorum_size(voters)
-
-
 def _ignore(_link: Link, _msg: AnyMessage) -> None:
     """Ignore a message that is not a reply; members send only replies."""
--- a/src/galenareel/_jobs/server.py
+++ b/src/galenareel/_jobs/server.py
@@ -19,8 +19,8 @@
 from galenareel._common.messages import Problem
 from galenareel._common.sentinels import NoResult
 from galenareel._consensus.driver import Driver
-from galenareel._jobs.joining import is_surplus
-from galenareel._jobs.joining import MIN_VOTERS
+from galenareel._consensus.lost_voters import is_surplus
+from galenareel._consensus.lost_voters import MIN_VOTERS
 from galenareel._jobs.service import JobService
 
 
--- a/testing/jobs/test_joining.py
+++ b/testing/jobs/test_joining.py
@@ -33,6 +33,8 @@
 from galenareel._common.messages import PeerMessage
 from galenareel._common.messages import Welcome
 from galenareel._common.sentinels import Unreachable
+from galenareel._consensus.lost_voters import count_min_voters
+from galenareel._consensus.lost_voters import is_surplus
 from galenareel._consensus.messages import AppendEntries
 from galenareel._consensus.messages import encode
 from galenareel._consensus.messages import Envelope
@@ -40,8 +42,6 @@
 from galenareel._consensus.senders import MAX_SENDERS
 from galenareel._consensus.senders import RecentSenders
 from galenareel._jobs.joining import ClusterJoiner
-from galenareel._jobs.joining import count_min_voters
-from galenareel._jobs.joining import is_surplus
 from galenareel._jobs.joining import JOIN_INTERVAL_S
 from galenareel._jobs.joining import LEAVE_TIMEOUT_S
 from galenareel._jobs.joining import REQUEST_TIMEOUT_S
@@ -458,7 +458,7 @@
 ) -> None:
     """It may be frozen or cut off, and four bear no more losses than five."""
     monkeypatch.setattr(
-        'galenareel._jobs.joining.SURPLUS_VOTER_LOST_S', SILENT_S
+        'galenareel._consensus.lost_voters.SURPLUS_VOTER_LOST_S', SILENT_S
     )
     members = {name: allocate_address() for name in 'abcde'}
     processes = [Process(name, members, tmp_path) for name in members]
