--- a/bench/group.py
+++ b/bench/group.py
@@ -36,8 +36,10 @@
         *,
         size: int = 3,
         machine: Callable[[], Registers] = Registers,
+        enough_voters: int = 0,
     ) -> None:
         self.now = 0.0
+        self.enough_voters = enough_voters
         self.rng = Random(seed)
         self.network = FakeNetwork(self.rng)
         self.history = History()
--- a/bench/node.py
+++ b/bench/node.py
@@ -41,6 +41,8 @@
     ``machine``.
     """
 
+    padding_bytes = PADDING_BYTES
+
     def __init__(self) -> None:
         self.values: dict[str, int] = {}
         self.applied: list[tuple[int, bytes]] = []
@@ -52,7 +54,7 @@
         return value
 
     def snapshot(self) -> bytes:
-        padding = bytes(PADDING_BYTES)
+        padding = bytes(self.padding_bytes)
         return msgspec.msgpack.encode((self.values, self.applied, padding))
 
     def restore(self, index: int, data: bytes) -> None:
@@ -109,6 +111,7 @@
                 now=self.clock.monotonic(),
                 applied_index=applied_index,
                 snapshot_entries=SNAPSHOT_ENTRIES,
+                enough_voters=self._group.enough_voters,
             )
         except StorageError:
             if not (self.disk.full or self.disk.fail_sync):
@@ -162,6 +165,10 @@
 
         self._group.after(delay_s, run)
 
+    def after(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Schedule a call of the process that runs now."""
+        self._after(self._process_number, delay_s, call)
+
     def is_leader(self) -> bool:
         return self.member is not None and self.member.raft.state.is_leader()
 
@@ -223,6 +230,12 @@
             _, effects = raft.remove_member(remove, now)
         self._handle_effects(effects)
 
+    def transfer_leadership(self) -> None:
+        """Hand the leadership over, if this member leads."""
+        if self.member is not None:
+            now = self.clock.monotonic()
+            self._handle_effects(self.member.raft.transfer_leadership(now))
+
     def get_read_index(self) -> int | None:
         """Return the index for a linearizable read, at a leader with a lease.
 
