Let a member join whose address only an earlier member is listed at

What callers would see: a core that lost its disk never becomes a member again, so that the losses to be borne are fewer for good; alerts name it as silent.

Cause: a leader on the smaller side of a split adds the empty member and is then deposed. The member's own log lists it, by an entry that is never committed; the next leader lists the disk that it lost before, at the same address. The member compared addresses, took itself for listed, and never asked.

The view of the cluster now has the identities of the members too, and a member without a leader asks to be added unless its own is among them. Views of earlier builds have none and are read as before.

The new case of test_joining.py fails with the former joining.py and passes.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -443,8 +443,8 @@
         def add() -> None:
             if leader.member is None or node.identity != info.identity:
                 return
-            members = leader.member.raft.state.membership.members
-            is_listed = node.name in {member.address for member in members}
+            membership = leader.member.raft.state.membership
+            is_listed = membership.find(info.identity) is not None
             if not (is_listed and is_member):
                 leader.change(add=info)
 
--- a/src/galenareel/_common/messages.py
+++ b/src/galenareel/_common/messages.py
@@ -480,6 +480,8 @@
         lease.
     :param members: frame addresses of all members. From a member that belongs
         to no cluster, those of the members that it knows of.
+    :param identities: identities of the members; empty from a member that
+        belongs to no cluster, and from earlier builds.
     :param keys_id: name of the set of key digests in force, or empty if the
         leader checks no keys.
     :param keys: that set, unless the query names the same one.
@@ -492,6 +494,7 @@
     keys_id: str = ''
     keys: KeyRow | None = None
     version: int = 0
+    identities: tuple[int, ...] = ()
 
 
 class JoinCluster(Message, frozen=True):
--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -360,8 +360,15 @@
             return 0.0
         return self._now() - self._member.raft.state.last_leader_contact
 
+    def get_identity(self) -> int:
+        """Return the identity of this member's disk."""
+        return self._identity
+
     def is_in_cluster(self) -> bool:
-        """Return whether this member is one of a cluster's members."""
+        """Return whether this member is one of a cluster's members.
+
+        That may be by an entry that is not committed and will be replaced.
+        """
         return any(
             member.identity == self._identity for member in self.list_members()
         )
--- a/src/galenareel/_jobs/joining.py
+++ b/src/galenareel/_jobs/joining.py
@@ -221,9 +221,13 @@
         """Ask the leader, unless it is being asked on another link.
 
         :param view: what the leader knows of the cluster. A member that only
-            can't hear the leader is still listed there.
+            can't hear the leader is still listed there. An earlier member at
+            its address may be listed instead.
         """
-        is_listed = self._address in view.members
+        is_listed = self._address in view.members and (
+            not view.identities
+            or self._driver.get_identity() in view.identities
+        )
         if is_listed and self._driver.is_in_cluster():
             return False
         if address in self._asked_leaders:
--- a/src/galenareel/_jobs/server.py
+++ b/src/galenareel/_jobs/server.py
@@ -101,6 +101,7 @@
             leader=self._driver.get_leader_address() or '',
             is_leader=self._service.is_leader(),
             members=self._list_member_addresses(),
+            identities=self._list_identities(),
         )
         if not view.is_leader:
             return view
@@ -120,6 +121,11 @@
         senders = self._driver.list_sender_addresses()
         return tuple(dict.fromkeys((*senders, *members)))
 
+    def _list_identities(self) -> tuple[int, ...]:
+        if not self._driver.is_in_cluster():
+            return ()
+        return tuple(member.identity for member in self._driver.list_members())
+
     def _add_member(self, msg: JoinCluster) -> AnyMessage:
         result = self._driver.change_members(add=f'{msg.name}={msg.address}')
         if isinstance(result, NoResult):
--- a/testing/consensus/test_losses_borne.py
+++ b/testing/consensus/test_losses_borne.py
@@ -17,6 +17,13 @@
     Step('lose disk', target=0.309, span=0.08, wait_s=2.0),
 )
 
+DEPOSED_LEADER_ADDS_A_MEMBER = (
+    Step('cut', target=0.083, span=0.74, wait_s=0.05),
+    Step('lose disk', target=0.927, span=0.61, wait_s=2.0),
+    Step('lose disk', target=0.807, span=0.25, wait_s=0.05),
+    Step('split', target=0.092, span=0.3, wait_s=2.0),
+)
+
 
 @pytest.mark.parametrize('size', [3, 4, 5, 6])
 def test_losses_leave_a_majority(size: int) -> None:
@@ -38,6 +45,11 @@
     assert not run_steps(PLANNED_REPLACEMENT, 17, size=3, losses=1)
 
 
+def test_member_joins_that_only_a_deposed_leader_has_added() -> None:
+    """Its log lists it; the others list the disk that it lost before."""
+    assert not run_steps(DEPOSED_LEADER_ADDS_A_MEMBER, 167, size=4, losses=1)
+
+
 def test_losses_find_a_broken_rule(monkeypatch: pytest.MonkeyPatch) -> None:
     """Check that a member that keeps its vote as it stops is found."""
     monkeypatch.setattr(Node, 'hand_over_vote', lambda _node, _name: None)
--- a/testing/jobs/test_joining.py
+++ b/testing/jobs/test_joining.py
@@ -99,6 +99,7 @@
     :ivar is_frozen: whether it answers nothing.
     :ivar answer_delay_s: time that it takes to add a member.
     :ivar members: addresses that it lists as members of the cluster.
+    :ivar identities: identities that it lists, or none as earlier builds do.
     :ivar asked_by: addresses of the members that asked to be added.
     :ivar left: names of the members that said that they stop.
     """
@@ -109,6 +110,7 @@
         self.is_frozen = False
         self.answer_delay_s = 0.0
         self.members: tuple[str, ...] = ()
+        self.identities: tuple[int, ...] = ()
         self.asked_by: list[str] = []
         self.left: list[str] = []
         self._server = FrameServer(
@@ -131,6 +133,7 @@
                 leader=self.leader,
                 is_leader=not self.leader,
                 members=self.members,
+                identities=self.identities,
             )
         if isinstance(msg, JoinCluster):
             self.asked_by.append(msg.address)
@@ -499,6 +502,31 @@
     assert bool(entrance.asked_by) is not is_listed
 
 
+@pytest.mark.parametrize('is_listed', [False, True])
+def test_member_joins_again_if_an_earlier_one_is_listed_at_its_address(
+    cluster: list[Process],
+    entrance: Entrance,
+    monkeypatch: pytest.MonkeyPatch,
+    is_listed: bool,
+) -> None:
+    """It lost its disk, and the leader that added it was deposed."""
+    monkeypatch.setattr('galenareel._jobs.joining.RETURN_AFTER_S', 0.5)
+    leader: Process = wait_for(lambda: find_leader(cluster))
+    added = next(process for process in cluster if process is not leader)
+    address = added.driver._address
+    added.is_partitioned = True
+    entrance.members = (address,)
+    entrance.identities = (added.driver.get_identity() if is_listed else 1,)
+    joiner = make_joiner(added, address, entrance.address)
+    joiner.start()
+    if is_listed:
+        gevent.sleep(2.0)
+    else:
+        wait_for(lambda: entrance.asked_by)
+    joiner.close()
+    assert bool(entrance.asked_by) is not is_listed
+
+
 def test_member_that_hears_no_leader_asks_those_in_its_own_log(
     cluster: list[Process],
     entrance: Entrance,
