Test: silent voters of an earlier build, and a lost learner

Six voters of which two are silent become five, and a learner that is lost for good holds up no other that can take over a vote.

--- a/testing/consensus/test_odd_voters.py
+++ b/testing/consensus/test_odd_voters.py
@@ -168,6 +168,21 @@
     assert group.voters == set(range(1, voters))
 
 
+def test_one_of_two_silent_voters_of_an_earlier_build_is_removed() -> None:
+    """Without both, the losses to be borne could leave no majority."""
+    group = Group(6, silent=frozenset({5, 6}))
+    group.run(10.0)
+    assert group.voters == {1, 2, 3, 4, 6}
+
+
+def test_lost_learner_holds_up_no_other() -> None:
+    group = Group(3, 2, enough=3, silent=frozenset({4}))
+    group.run(2.0)
+    group.silent |= {3}
+    group.run(2.0)
+    assert group.voters == {1, 2, 5}
+
+
 def test_silent_voter_of_a_number_that_is_just_enough_stays() -> None:
     """Without it the losses to be borne could leave no majority."""
     group = Group(3, enough=3)
