Tell the next leader that a member stops, if the leader is lost meanwhile

What callers would see: no leader for good after a planned replacement in a group of five, if the leader is lost as the old machine stops, and a further disk a second later.

Cause: a member that stops told the leader once. With none known, or one that was just lost, just elected or not sure yet whether a learner has caught up, nobody removed the member, and it counted as a voter until its silence was noticed. If it was elected itself while it stopped, it kept the leadership.

It now asks again, each time the leader that it knows then, for up to 2 s (1 s before, for one question), and hands the leadership over. A leader answers Problem to a reason that passes by itself, and 'not_ready' if it does not know yet whether a learner has caught up.

The new tests of test_joining.py and test_server.py check the repeated question; they were not run on the former code.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -24,9 +24,13 @@
 from galenareel._consensus.lost_voters import count_min_voters
 from galenareel._consensus.lost_voters import find_lost_voter
 from galenareel._consensus.lost_voters import is_surplus
+from galenareel._consensus.membership import ChangeResult
+from galenareel._consensus.membership import PASSING_REASONS
 from galenareel._consensus.records import MemberInfo
 from galenareel._jobs.joining import CHECK_INTERVAL_S
 from galenareel._jobs.joining import JOIN_INTERVAL_S
+from galenareel._jobs.joining import LEAVE_RETRY_S
+from galenareel._jobs.joining import LEAVE_TIMEOUT_S
 from galenareel._jobs.joining import RETURN_AFTER_S
 from galenareel._jobs.joining import RETURN_INTERVAL_S
 
@@ -34,8 +38,7 @@
 MAX_STEPS = 14
 RECOVERY_S = 15.0
 REQUEST_S = 0.01
-HANDOVER_S = 0.5
-LEAVE_S = 0.9  # from the signal to stop until the process ends
+HANDOVER_S = 0.5  # from the signal to stop until the leader is told
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +92,7 @@
         self._calm_s = calm_s
         self._cuts: list[set[tuple[str, str]]] = []
         self._gone: list[Machine] = []
+        self._leaving: set[str] = set()
         self._has_overlap = False
         self._busy_until = 0.0
         for node in self.group.nodes.values():
@@ -174,7 +178,7 @@
         self._start_successor(machine, 0.0)
         machine.replaced_until = inf
         stays_s = 1.0 + 3 * step.span
-        self._hold(stays_s + LEAVE_S)
+        self._hold(stays_s + HANDOVER_S + LEAVE_TIMEOUT_S)
         self.group.after(stays_s, lambda: self._leave(former, machine))
 
     def lose_learner(self, step: Step) -> None:
@@ -368,38 +372,49 @@
     def _leave(self, node: Node, machine: Machine) -> None:
         """Stop a process for good, as at SIGTERM."""
         node.transfer_leadership()
+        self._leaving.add(node.name)
 
         def ask() -> None:
             leader = self._find_known_leader(node)
-            if leader is not None and self._is_linked(node, leader):
-                leader.after(
-                    REQUEST_S, lambda: self._remove_leaving(leader, node)
-                )
+            if leader is node:
+                node.transfer_leadership()
+            elif leader is not None and self._is_linked(node, leader):
+                leader.after(REQUEST_S, lambda: answer(leader))
+            node.after(LEAVE_RETRY_S, ask)
+
+        def answer(leader: Node) -> None:
+            if node.member is not None and self._remove_leaving(leader, node):
+                node.after(REQUEST_S, end)
 
         def end() -> None:
-            self._end(node)
-            node.retired = True
-            machine.replaced_until = self.group.now
+            if not node.retired:
+                self._end(node)
+                node.retired = True
+                machine.replaced_until = self.group.now
 
         node.after(HANDOVER_S, ask)
-        self.group.after(LEAVE_S, end)
+        self.group.after(HANDOVER_S + LEAVE_TIMEOUT_S, end)
 
-    def _remove_leaving(self, leader: Node, node: Node) -> None:
+    def _remove_leaving(self, leader: Node, node: Node) -> bool:
+        """Answer a member that stops; return whether it need not ask again."""
         if leader.member is None:
-            return
+            return False
         members = leader.member.raft.state.membership.members
         voters = [member.name for member in members if member.voter]
         if node.name not in voters:
-            return
+            return True
+        result: ChangeResult
         if is_surplus(len(voters), leaving=1, min_voters=self.min_voters):
-            leader.change(remove=node.name)
+            result = leader.change(remove=node.name)
         else:
-            leader.hand_over_vote(node.name)
+            result = leader.hand_over_vote(node.name)
+        reason = getattr(result, 'reason', '')
+        return reason not in PASSING_REASONS
 
     # The joiner of each member
 
     def _run_joiner(self, node: Node) -> None:
-        if node.member is None:
+        if node.member is None or node.name in self._leaving:
             return
         st = node.member.raft.state
         now = node.clock.monotonic()
--- a/bench/node.py
+++ b/bench/node.py
@@ -13,6 +13,7 @@
 from galenareel._consensus.errors import StorageError
 from galenareel._consensus.interface import StateMachine
 from galenareel._consensus.member import Member
+from galenareel._consensus.membership import ChangeResult
 from galenareel._consensus.messages import decode
 from galenareel._consensus.messages import encode
 from galenareel._consensus.messages import Envelope
@@ -218,24 +219,27 @@
 
     def change(
         self, *, add: MemberInfo | None = None, remove: str = ''
-    ) -> None:
-        """Request a membership change; a refusal is ignored."""
+    ) -> ChangeResult:
+        """Request a membership change."""
         if self.member is None:
-            return
+            return NotLeader(reason='not_leader')
         raft = self.member.raft
         now = self.clock.monotonic()
         if add is not None:
-            _, effects = raft.add_member(add, now)
+            result, effects = raft.add_member(add, now)
         else:
-            _, effects = raft.remove_member(remove, now)
+            result, effects = raft.remove_member(remove, now)
         self._handle_effects(effects)
+        return result
 
-    def hand_over_vote(self, name: str) -> None:
-        """Request that a learner takes over a vote, if this member leads."""
-        if self.member is not None:
-            now = self.clock.monotonic()
-            _, effects = self.member.raft.hand_over_vote(name, now)
-            self._handle_effects(effects)
+    def hand_over_vote(self, name: str) -> ChangeResult:
+        """Request that a learner takes over a vote."""
+        if self.member is None:
+            return NotLeader(reason='not_leader')
+        now = self.clock.monotonic()
+        result, effects = self.member.raft.hand_over_vote(name, now)
+        self._handle_effects(effects)
+        return result
 
     def transfer_leadership(self) -> None:
         """Hand the leadership over, if this member leads."""
--- a/src/galenareel/_consensus/membership.py
+++ b/src/galenareel/_consensus/membership.py
@@ -32,6 +32,8 @@
 from galenareel._consensus.state import RaftState
 
 ChangeResult = int | Refused | NotLeader
+# Reasons of a refusal that end by themselves within about a second.
+PASSING_REASONS = frozenset({'not_leader', 'not_ready', 'change_in_progress'})
 
 
 def add_learner(st: RaftState, member: MemberInfo, now: float) -> ChangeResult:
@@ -110,33 +112,40 @@
         (other for other in st.membership.find_by_name(name) if other.voter),
         None,
     )
-    successor = _find_spare_learner(st, now)
-    if leaving is None or successor is None:
+    spare = _list_spare_learners(st, now)
+    if leaving is None or not spare:
         return _refuse_change(
             'no_successor',
             f'no learner can take over the vote of {name}; add one first',
         )
+    ready = [
+        member
+        for member in spare
+        if 0
+        < st.progress[member.identity].round_end_index
+        <= st.progress[member.identity].match_index
+    ]
+    if not ready:
+        return _refuse_change(
+            'not_ready', 'no learner is known to have caught up; try again'
+        )
     target = st.membership.with_member(
-        msgspec.structs.replace(successor, voter=True)
+        msgspec.structs.replace(ready[0], voter=True)
     ).with_member(msgspec.structs.replace(leaving, leaving=True))
     return _propose_membership(st, target, now)
 
 
-def _find_spare_learner(st: RaftState, now: float) -> MemberInfo | None:
-    """Return a learner that waits only because there are enough voters."""
+def _list_spare_learners(st: RaftState, now: float) -> list[MemberInfo]:
+    """Return learners that wait only because there are enough voters."""
     if not _has_enough_voters(st) or len(st.membership.voter_ids()) % 2 == 0:
-        return None
-    for member in st.membership.members:
-        peer = st.progress.get(member.identity)
-        if (
-            not member.voter
-            and peer is not None
-            and not _is_silent(st, member, now)
-            and 0 < peer.round_end_index <= peer.match_index
-            and len(st.membership.find_by_name(member.name)) == 1
-        ):
-            return member
-    return None
+        return []
+    return [
+        member
+        for member in st.membership.members
+        if not member.voter
+        and not _is_silent(st, member, now)
+        and len(st.membership.find_by_name(member.name)) == 1
+    ]
 
 
 def drop_surplus_voter(st: RaftState, now: float) -> None:
--- a/src/galenareel/_jobs/joining.py
+++ b/src/galenareel/_jobs/joining.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import time
 
 import gevent
 
@@ -44,7 +45,10 @@
 RETURN_INTERVAL_S = 1.0  # time between its questions to all others
 SILENT_S = 1.5  # a leader hears each voter several times in this time
 REQUEST_TIMEOUT_S = 2.0
-LEAVE_TIMEOUT_S = 1.0  # a process that stops is killed after a few seconds
+LEAVE_TIMEOUT_S = 2.0  # a process that stops is killed after a few seconds
+# A leader that was lost at the same time doesn't answer.
+LEAVE_TRY_S = 0.5
+LEAVE_RETRY_S = 0.1
 
 
 class ClusterJoiner:
@@ -249,24 +253,41 @@
         return isinstance(reply, Done)
 
     def leave(self) -> None:
-        """Tell the leader that this member stops, if another one leads.
+        """Tell the leader that this member stops.
 
-        Otherwise it would count as a voter until its silence is noticed.
+        Otherwise it would count as a voter until its silence is noticed. If
+        the leader is lost at the same time, the next one is told. If that is
+        this member, it hands over the leadership.
         """
+        ends_at = time.monotonic() + LEAVE_TIMEOUT_S - LEAVE_TRY_S
+        while not self._tell_leader() and time.monotonic() < ends_at:
+            gevent.sleep(LEAVE_RETRY_S)
+
+    def _tell_leader(self) -> bool:
+        """Return whether nobody else has to be told that this member stops."""
+        if not self._driver.is_in_cluster():
+            return True
         address = self._driver.get_leader_address()
-        if address is None or address == self._address:
-            return
-        gevent.with_timeout(
-            LEAVE_TIMEOUT_S, self._send_leave, address, timeout_value=None
+        if address is None:
+            return False
+        if address == self._address:
+            self._driver.transfer_leadership()
+            return False
+        return bool(
+            gevent.with_timeout(
+                LEAVE_TRY_S, self._send_leave, address, timeout_value=False
+            )
         )
 
-    def _send_leave(self, address: str) -> None:
+    def _send_leave(self, address: str) -> bool:
         link = connect(address, clock=self._clock, handler=_ignore)
         if not isinstance(link, Link):
-            return
+            return False
         try:
-            if isinstance(self._request(link, self._hello), Welcome):
-                self._request(link, LeaveCluster(name=self._name))
+            if not isinstance(self._request(link, self._hello), Welcome):
+                return False
+            reply = self._request(link, LeaveCluster(name=self._name))
+            return isinstance(reply, Done)
         finally:
             link.close()
 
--- a/src/galenareel/_jobs/server.py
+++ b/src/galenareel/_jobs/server.py
@@ -21,6 +21,7 @@
 from galenareel._consensus.driver import Driver
 from galenareel._consensus.lost_voters import is_surplus
 from galenareel._consensus.lost_voters import MIN_VOTERS
+from galenareel._consensus.membership import PASSING_REASONS
 from galenareel._jobs.service import JobService
 
 
@@ -157,4 +158,6 @@
             result = self._driver.hand_over_vote(msg.name)
         outcome = getattr(result, 'reason', 'done')
         self._log.info('member_left', member=msg.name, outcome=outcome)
+        if isinstance(result, NoResult) and outcome in PASSING_REASONS:
+            return Problem(reason=result.reason, detail=result.detail)
         return Done(index=0)
--- a/testing/jobs/test_joining.py
+++ b/testing/jobs/test_joining.py
@@ -12,6 +12,8 @@
 from pathlib import Path
 import socket
 import time
+from types import SimpleNamespace
+from typing import cast
 
 import gevent
 import pytest
@@ -31,6 +33,7 @@
 from galenareel._common.messages import JoinCluster
 from galenareel._common.messages import LeaveCluster
 from galenareel._common.messages import PeerMessage
+from galenareel._common.messages import Problem
 from galenareel._common.messages import Welcome
 from galenareel._common.sentinels import Unreachable
 from galenareel._consensus.lost_voters import count_min_voters
@@ -102,6 +105,7 @@
     :ivar identities: identities that it lists, or none as earlier builds do.
     :ivar asked_by: addresses of the members that asked to be added.
     :ivar left: names of the members that said that they stop.
+    :ivar refusals: how many of these are told to ask again.
     """
 
     def __init__(self, leader: str = '') -> None:
@@ -113,6 +117,7 @@
         self.identities: tuple[int, ...] = ()
         self.asked_by: list[str] = []
         self.left: list[str] = []
+        self.refusals = 0
         self._server = FrameServer(
             self.address,
             clock=HybridClock(SystemClock()),
@@ -141,6 +146,8 @@
             return Done()
         if isinstance(msg, LeaveCluster):
             self.left.append(msg.name)
+            if len(self.left) <= self.refusals:
+                return Problem(reason='not_ready', detail='ask again')
             return Done()
         return None
 
@@ -632,6 +639,38 @@
     assert entrance.left == [stopping.name]
 
 
+def test_member_that_stops_tells_the_next_leader(entrance: Entrance) -> None:
+    """The leader was lost at the same time, and this member led meanwhile."""
+    own = allocate_address()
+    leaders = iter([allocate_address(), None, own, entrance.address])
+    transfers: list[bool] = []
+    driver = SimpleNamespace(
+        is_in_cluster=lambda: True,
+        get_leader_address=lambda: next(leaders),
+        transfer_leadership=lambda: transfers.append(True),
+    )
+    stopping = SimpleNamespace(name='a', driver=driver)
+    make_joiner(cast(Process, stopping), own).leave()
+    assert entrance.left == ['a']
+    assert transfers == [True]
+
+
+def test_member_that_stops_asks_again_while_a_leader_is_not_ready(
+    cluster: list[Process],
+    entrance: Entrance,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    leader: Process = wait_for(lambda: find_leader(cluster))
+    stopping = next(process for process in cluster if process is not leader)
+    joiner = make_joiner(stopping, stopping.driver._address)
+    monkeypatch.setattr(
+        stopping.driver, 'get_leader_address', lambda: entrance.address
+    )
+    entrance.refusals = 2
+    joiner.leave()
+    assert entrance.left == [stopping.name] * 3
+
+
 def test_frozen_leader_does_not_hold_up_a_member_that_stops(
     cluster: list[Process],
     entrance: Entrance,
--- a/testing/jobs/test_server.py
+++ b/testing/jobs/test_server.py
@@ -26,7 +26,9 @@
 from galenareel._common.messages import Done
 from galenareel._common.messages import Hello
 from galenareel._common.messages import LeaveCluster
+from galenareel._common.messages import Problem
 from galenareel._common.messages import Welcome
+from galenareel._common.sentinels import Refused
 from galenareel._consensus.driver import Driver
 from galenareel._consensus.records import MemberInfo
 from galenareel._jobs.server import JobServer
@@ -173,3 +175,30 @@
     assert isinstance(server.handle(link, LeaveCluster(name=name)), Done)
     assert driver.removed == removed
     assert driver.replaced == replaced
+
+
+@pytest.mark.parametrize(
+    ('reason', 'is_asked_again'),
+    [
+        ('not_ready', True),
+        ('change_in_progress', True),
+        ('no_successor', False),
+    ],
+)
+def test_member_that_stops_is_asked_again_only_if_that_may_help(
+    monkeypatch: pytest.MonkeyPatch, reason: str, is_asked_again: bool
+) -> None:
+    driver = LeadingDriver(3)
+    monkeypatch.setattr(
+        driver, 'hand_over_vote', lambda _name: Refused(reason=reason)
+    )
+    server = JobServer(
+        name='m0',
+        secret=SECRET,
+        driver=cast(Driver, driver),
+        service=cast(JobService, FollowerService()),
+        log=Log('m0', stream=io.StringIO()),
+    )
+    link = cast(Link, SimpleNamespace(peer='m1', close=lambda: None))
+    answer = server.handle(link, LeaveCluster(name='m1'))
+    assert isinstance(answer, Problem) is is_asked_again
