--- a/bench/node.py
+++ b/bench/node.py
@@ -13,6 +13,7 @@
 from galenareel._consensus.errors import StorageError
 from galenareel._consensus.interface import StateMachine
 from galenareel._consensus.member import Member
+from galenareel._consensus.membership import ChangeResult
 from galenareel._consensus.messages import decode
 from galenareel._consensus.messages import encode
 from galenareel._consensus.messages import Envelope
@@ -41,6 +42,8 @@
     ``machine``.
     """
 
+    padding_bytes = PADDING_BYTES
+
     def __init__(self) -> None:
         self.values: dict[str, int] = {}
         self.applied: list[tuple[int, bytes]] = []
@@ -52,7 +55,7 @@
         return value
 
     def snapshot(self) -> bytes:
-        padding = bytes(PADDING_BYTES)
+        padding = bytes(self.padding_bytes)
         return msgspec.msgpack.encode((self.values, self.applied, padding))
 
     def restore(self, index: int, data: bytes) -> None:
@@ -113,6 +116,7 @@
                 applied_index=applied_index,
                 applied_term=applied_term,
                 snapshot_entries=SNAPSHOT_ENTRIES,
+                enough_voters=self._group.enough_voters,
             )
         except StorageError:
             if not (self.disk.full or self.disk.fail_sync):
@@ -166,6 +170,10 @@
 
         self._group.after(delay_s, run)
 
+    def after(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Schedule a call of the process that runs now."""
+        self._after(self._process_number, delay_s, call)
+
     def is_leader(self) -> bool:
         return self.member is not None and self.member.raft.state.is_leader()
 
@@ -215,17 +223,33 @@
 
     def change(
         self, *, add: MemberInfo | None = None, remove: str = ''
-    ) -> None:
-        """Request a membership change; a refusal is ignored."""
+    ) -> ChangeResult:
+        """Request a membership change."""
         if self.member is None:
-            return
+            return NotLeader(reason='not_leader')
         raft = self.member.raft
         now = self.clock.monotonic()
         if add is not None:
-            _, effects = raft.add_member(add, now)
+            result, effects = raft.add_member(add, now)
         else:
-            _, effects = raft.remove_member(remove, now)
+            result, effects = raft.remove_member(remove, now)
         self._handle_effects(effects)
+        return result
+
+    def hand_over_vote(self, name: str) -> ChangeResult:
+        """Request that a learner takes over a vote."""
+        if self.member is None:
+            return NotLeader(reason='not_leader')
+        now = self.clock.monotonic()
+        result, effects = self.member.raft.hand_over_vote(name, now)
+        self._handle_effects(effects)
+        return result
+
+    def transfer_leadership(self) -> None:
+        """Hand the leadership over, if this member leads."""
+        if self.member is not None:
+            now = self.clock.monotonic()
+            self._handle_effects(self.member.raft.transfer_leadership(now))
 
     def get_read_index(self) -> int | None:
         """Return the index for a linearizable read, at a leader with a lease.
--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -34,6 +34,7 @@
 from galenareel._consensus.interface import Replicator
 from galenareel._consensus.interface import StateMachine
 from galenareel._consensus.leader_links import LeaderLinks
+from galenareel._consensus.lost_voters import find_lost_voter
 from galenareel._consensus.member import Batch
 from galenareel._consensus.member import Member
 from galenareel._consensus.member_log import MemberLog
@@ -262,6 +263,18 @@
         assert add is not None, 'checked above'
         return self._add(add)
 
+    def hand_over_vote(
+        self, name: str
+    ) -> int | Refused | NotLeader | Unreachable:
+        """Make a learner a voter in place of a member that is stopping.
+
+        :returns: index of the committed change, or why there is none.
+        """
+        if self._member is None or not self._leads():
+            return self._make_not_leader()
+        result, effects = self._member.raft.hand_over_vote(name, self._now())
+        return self._await_change(result, effects)
+
     def receive(self, msg: PeerMessage, link: Link | None = None) -> None:
         """Handle a message that the process's frame server received.
 
@@ -323,16 +336,6 @@
 
         Only the leader knows them; other members return an empty list.
         """
-        return self._list_silent(silent_s, voters=True)
-
-    def list_silent_learners(self, silent_s: float) -> list[str]:
-        """Return the names of learners that have been silent for a time.
-
-        Only the leader knows them; other members return an empty list.
-        """
-        return self._list_silent(silent_s, voters=False)
-
-    def _list_silent(self, silent_s: float, *, voters: bool) -> list[str]:
         if self._member is None or not self._leads():
             return []
         st = self._member.raft.state
@@ -340,11 +343,30 @@
         return [
             member.name
             for member in st.membership.members
-            if member.voter is voters
+            if member.voter
             and member.identity in st.progress
             and now - st.progress[member.identity].last_reply_at > silent_s
         ]
 
+    def find_lost_voter(self, min_voters: int, silent_s: float) -> str | None:
+        """Return the name of a voter that this member has to remove, if any.
+
+        Only the leader knows it; other members return ``None``.
+
+        :param min_voters: number of voters that have to stay.
+        :param silent_s: silence after which any voter counts as lost.
+        """
+        if self._member is None or not self._leads():
+            return None
+        st = self._member.raft.state
+        return find_lost_voter(
+            st.membership.members,
+            st.list_reply_times(),
+            self._now(),
+            min_voters=min_voters,
+            silent_s=silent_s,
+        )
+
     def compute_leaderless_s(self) -> float:
         """Return for how long this member has heard no leader, in seconds.
 
@@ -354,8 +376,15 @@
             return 0.0
         return self._now() - self._member.raft.state.last_leader_contact
 
+    def get_identity(self) -> int:
+        """Return the identity of this member's disk."""
+        return self._identity
+
     def is_in_cluster(self) -> bool:
-        """Return whether this member is one of a cluster's members."""
+        """Return whether this member is one of a cluster's members.
+
+        That may be by an entry that is not committed and will be replaced.
+        """
         return any(
             member.identity == self._identity for member in self.list_members()
         )
--- a/src/galenareel/_jobs/server.py
+++ b/src/galenareel/_jobs/server.py
@@ -19,8 +19,9 @@
 from galenareel._common.messages import Problem
 from galenareel._common.sentinels import NoResult
 from galenareel._consensus.driver import Driver
-from galenareel._jobs.joining import is_surplus
-from galenareel._jobs.joining import MIN_VOTERS
+from galenareel._consensus.lost_voters import is_surplus
+from galenareel._consensus.lost_voters import MIN_VOTERS
+from galenareel._consensus.membership import PASSING_REASONS
 from galenareel._jobs.service import JobService
 
 
@@ -101,6 +102,7 @@
             leader=self._driver.get_leader_address() or '',
             is_leader=self._service.is_leader(),
             members=self._list_member_addresses(),
+            identities=self._list_identities(),
         )
         if not view.is_leader:
             return view
@@ -120,6 +122,11 @@
         senders = self._driver.list_sender_addresses()
         return tuple(dict.fromkeys((*senders, *members)))
 
+    def _list_identities(self) -> tuple[int, ...]:
+        if not self._driver.is_in_cluster():
+            return ()
+        return tuple(member.identity for member in self._driver.list_members())
+
     def _add_member(self, msg: JoinCluster) -> AnyMessage:
         result = self._driver.change_members(add=f'{msg.name}={msg.address}')
         if isinstance(result, NoResult):
@@ -134,18 +141,23 @@
     def _remove_member(self, msg: LeaveCluster) -> AnyMessage:
         """Remove a member that stops, unless the group is better off with it.
 
-        It may come back; then it asks to be added again.
+        If a learner is ready it takes over the vote, as the stopping member
+        would count as a voter until its silence is noticed. A removed member
+        may come back; then it asks to be added again.
         """
         members = self._driver.list_members()
         voters = sum(member.voter for member in members)
         is_voter = any(
             member.voter and member.name == msg.name for member in members
         )
-        if not is_voter or not is_surplus(
-            voters, leaving=1, min_voters=self._min_voters
-        ):
+        if not is_voter:
             return Done(index=0)
-        result = self._driver.change_members(remove=msg.name)
+        if is_surplus(voters, leaving=1, min_voters=self._min_voters):
+            result = self._driver.change_members(remove=msg.name)
+        else:
+            result = self._driver.hand_over_vote(msg.name)
         outcome = getattr(result, 'reason', 'done')
         self._log.info('member_left', member=msg.name, outcome=outcome)
+        if isinstance(result, NoResult) and outcome in PASSING_REASONS:
+            return Problem(reason=result.reason, detail=result.detail)
         return Done(index=0)
--- a/testing/jobs/test_joining.py
+++ b/testing/jobs/test_joining.py
@@ -12,6 +12,8 @@
 from pathlib import Path
 import socket
 import time
+from types import SimpleNamespace
+from typing import cast
 
 import gevent
 import pytest
@@ -31,8 +33,11 @@
 from galenareel._common.messages import JoinCluster
 from galenareel._common.messages import LeaveCluster
 from galenareel._common.messages import PeerMessage
+from galenareel._common.messages import Problem
 from galenareel._common.messages import Welcome
 from galenareel._common.sentinels import Unreachable
+from galenareel._consensus.lost_voters import count_min_voters
+from galenareel._consensus.lost_voters import is_surplus
 from galenareel._consensus.messages import AppendEntries
 from galenareel._consensus.messages import encode
 from galenareel._consensus.messages import Envelope
@@ -40,8 +45,6 @@
 from galenareel._consensus.senders import MAX_SENDERS
 from galenareel._consensus.senders import RecentSenders
 from galenareel._jobs.joining import ClusterJoiner
-from galenareel._jobs.joining import count_min_voters
-from galenareel._jobs.joining import is_surplus
 from galenareel._jobs.joining import JOIN_INTERVAL_S
 from galenareel._jobs.joining import LEAVE_TIMEOUT_S
 from galenareel._jobs.joining import REQUEST_TIMEOUT_S
@@ -99,8 +102,10 @@
     :ivar is_frozen: whether it answers nothing.
     :ivar answer_delay_s: time that it takes to add a member.
     :ivar members: addresses that it lists as members of the cluster.
+    :ivar identities: identities that it lists, or none as earlier builds do.
     :ivar asked_by: addresses of the members that asked to be added.
     :ivar left: names of the members that said that they stop.
+    :ivar refusals: how many of these are told to ask again.
     """
 
     def __init__(self, leader: str = '') -> None:
@@ -109,8 +114,10 @@
         self.is_frozen = False
         self.answer_delay_s = 0.0
         self.members: tuple[str, ...] = ()
+        self.identities: tuple[int, ...] = ()
         self.asked_by: list[str] = []
         self.left: list[str] = []
+        self.refusals = 0
         self._server = FrameServer(
             self.address,
             clock=HybridClock(SystemClock()),
@@ -131,6 +138,7 @@
                 leader=self.leader,
                 is_leader=not self.leader,
                 members=self.members,
+                identities=self.identities,
             )
         if isinstance(msg, JoinCluster):
             self.asked_by.append(msg.address)
@@ -138,6 +146,8 @@
             return Done()
         if isinstance(msg, LeaveCluster):
             self.left.append(msg.name)
+            if len(self.left) <= self.refusals:
+                return Problem(reason='not_ready', detail='ask again')
             return Done()
         return None
 
@@ -458,7 +468,7 @@
 ) -> None:
     """It may be frozen or cut off, and four bear no more losses than five."""
     monkeypatch.setattr(
-        'galenareel._jobs.joining.SURPLUS_VOTER_LOST_S', SILENT_S
+        'galenareel._consensus.lost_voters.SURPLUS_VOTER_LOST_S', SILENT_S
     )
     members = {name: allocate_address() for name in 'abcde'}
     processes = [Process(name, members, tmp_path) for name in members]
@@ -499,6 +509,31 @@
     assert bool(entrance.asked_by) is not is_listed
 
 
+@pytest.mark.parametrize('is_listed', [False, True])
+def test_member_joins_again_if_an_earlier_one_is_listed_at_its_address(
+    cluster: list[Process],
+    entrance: Entrance,
+    monkeypatch: pytest.MonkeyPatch,
+    is_listed: bool,
+) -> None:
+    """It lost its disk, and the leader that added it was deposed."""
+    monkeypatch.setattr('galenareel._jobs.joining.RETURN_AFTER_S', 0.5)
+    leader: Process = wait_for(lambda: find_leader(cluster))
+    added = next(process for process in cluster if process is not leader)
+    address = added.driver._address
+    added.is_partitioned = True
+    entrance.members = (address,)
+    entrance.identities = (added.driver.get_identity() if is_listed else 1,)
+    joiner = make_joiner(added, address, entrance.address)
+    joiner.start()
+    if is_listed:
+        gevent.sleep(2.0)
+    else:
+        wait_for(lambda: entrance.asked_by)
+    joiner.close()
+    assert bool(entrance.asked_by) is not is_listed
+
+
 def test_member_that_hears_no_leader_asks_those_in_its_own_log(
     cluster: list[Process],
     entrance: Entrance,
@@ -604,6 +639,38 @@
     assert entrance.left == [stopping.name]
 
 
+def test_member_that_stops_tells_the_next_leader(entrance: Entrance) -> None:
+    """The leader was lost at the same time, and this member led meanwhile."""
+    own = allocate_address()
+    leaders = iter([allocate_address(), None, own, entrance.address])
+    transfers: list[bool] = []
+    driver = SimpleNamespace(
+        is_in_cluster=lambda: True,
+        get_leader_address=lambda: next(leaders),
+        transfer_leadership=lambda: transfers.append(True),
+    )
+    stopping = SimpleNamespace(name='a', driver=driver)
+    make_joiner(cast(Process, stopping), own).leave()
+    assert entrance.left == ['a']
+    assert transfers == [True]
+
+
+def test_member_that_stops_asks_again_while_a_leader_is_not_ready(
+    cluster: list[Process],
+    entrance: Entrance,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    leader: Process = wait_for(lambda: find_leader(cluster))
+    stopping = next(process for process in cluster if process is not leader)
+    joiner = make_joiner(stopping, stopping.driver._address)
+    monkeypatch.setattr(
+        stopping.driver, 'get_leader_address', lambda: entrance.address
+    )
+    entrance.refusals = 2
+    joiner.leave()
+    assert entrance.left == [stopping.name] * 3
+
+
 def test_frozen_leader_does_not_hold_up_a_member_that_stops(
     cluster: list[Process],
     entrance: Entrance,
