--- a/src/galenareel/_consensus/lost_voters.py
+++ b/src/galenareel/_consensus/lost_voters.py
@@ -1,7 +1,8 @@
 """Decides which silent voter is lost and has to be removed.
 
 The decision needs the membership and the silence alone. What a leader has seen
-of an earlier membership ends with its term, and terms may be short.
+of an earlier membership ends with its term, and terms may be short. A silent
+voter with a successor is removed by the core itself, see ``membership``.
 """
 
 from __future__ import annotations
--- a/src/galenareel/_consensus/membership.py
+++ b/src/galenareel/_consensus/membership.py
@@ -3,17 +3,20 @@
 A new member is a learner: it gets the log but has no vote. The leader makes
 it a voter once it has caught up. If it replaces a member of the same name,
 the earlier member is removed first, so the quorum does not grow while one of
-the voters may be lost. For the same reason a silent voter is removed first if
-the quorum would grow. A learner that is lost itself is replaced by the next
+the voters may be lost. A learner that is lost itself is replaced by the next
 one at its address.
 
+With fewer voters than enough, each learner becomes a voter. If that makes the
+quorum grow, a silent voter is removed before.
+
 With enough voters their number stays odd: an even one bears no more losses,
 and without it no half of a partition has a majority. A learner that would
-make it even waits, and takes over from the next voter that is silent: first it
-gets its vote, then the silent one is removed. Both steps follow each other at
-once, in the first term that comes to them: in between, the loss of one more
-voter may leave no majority for good. It takes over in the same way from a
-voter that is about to stop, which the membership marks as leaving.
+make it even waits, and takes over from the next voter that is silent, or that
+is about to stop, which the membership marks as leaving. Here the learner first
+gets its vote, as fewer voters than enough could leave no majority if the
+silent one is only cut off; then the other one is removed. Until then one loss
+less is borne, so the second change follows with the commit of the first, and
+each new leader makes it if it finds an even number.
 """
 
 from __future__ import annotations
@@ -161,10 +164,8 @@
     if st.membership_history[-1][0] > st.commit_index:
         return
     leaving = [other for other in st.membership.members if other.leaving]
-    if not leaving and any(
-        not _is_silent(st, other, now) for other in _list_unheard_voters(st)
-    ):
-        return  # it may answer yet, or turn out to be silent
+    if not leaving and _may_voter_answer(st, now):
+        return
     gone = leaving or _list_silent_voters(st, now)
     if gone:
         target = st.membership.without(gone[0].identity)
@@ -218,9 +219,8 @@
         if other != member
     ]
     if not replaced and _would_raise_quorum(st):
-        unheard = _list_unheard_voters(st)
-        if any(not _is_silent(st, other, now) for other in unheard):
-            return  # it may answer yet, or turn out to be silent
+        if _may_voter_answer(st, now):
+            return
         silent = _list_silent_voters(st, now)
         if not _has_enough_voters(st):
             replaced = silent
@@ -248,15 +248,15 @@
     return bool(st.enough_voters) and count >= st.enough_voters
 
 
-def _list_unheard_voters(st: RaftState) -> list[MemberInfo]:
-    """Return the other voters that have not answered in this term."""
-    return [
-        other
-        for other in st.membership.members
-        if other.voter
+def _may_voter_answer(st: RaftState, now: float) -> bool:
+    """Return whether a voter may be alive or not, as the term is young."""
+    return any(
+        other.voter
         and other.identity in st.progress
         and st.progress[other.identity].acked_stamp is None
-    ]
+        and not _is_silent(st, other, now)
+        for other in st.membership.members
+    )
 
 
 def _list_silent_voters(st: RaftState, now: float) -> list[MemberInfo]:
@@ -296,7 +296,10 @@
 
 
 def _can_commit(st: RaftState, target: Membership, now: float) -> bool:
-    """Return whether enough voters of a membership respond to commit it."""
+    """Return whether enough voters of a membership respond to commit it.
+
+    They may lack entries; a learner is asked for that before its promotion.
+    """
     reachable = {st.identity}
     for identity, peer in st.progress.items():
         if now - peer.last_reply_at < ELECTION_MIN_S:
--- a/src/galenareel/_consensus/state.py
+++ b/src/galenareel/_consensus/state.py
@@ -115,8 +115,10 @@
         an earlier term; 0 before.
     :param heard_leader_at: when that leader was heard last. Unlike
         ``last_leader_contact``, it says nothing about leases.
-    :param enough_voters: number of voters from which on a learner that would
-        make their number even stays a learner; 0 for no such number.
+    :param enough_voters: number of voters that bear the losses to be borne.
+        From there on their number stays odd: a learner that would make it
+        even waits, and of an even number one voter is removed or becomes a
+        learner. 0 for no such number.
     :param campaigns: campaigns of this member since a leader was last known.
     """
 
