--- a/testing/adapter/test_lists.py
+++ b/testing/adapter/test_lists.py
@@ -138,6 +138,13 @@
     assert time.process_time() - began < 4.0
 
 
+@pytest.mark.parametrize('value', ODD_VALUES)
+def test_several_deep_rows_hide_no_other(value: bytes) -> None:
+    """Guards against a bound on the work that a few odd rows reach."""
+    page = decode_machines(make_page(*[value] * 8))
+    assert [row.name for row in page.rows] == ['m1']
+
+
 @pytest.mark.parametrize('count', [0, 500])
 def test_many_odd_rows_hide_no_other(count: int) -> None:
     page = decode_machines(make_page(*[b'{"pool":NaN}'] * count))
