Read impossible capacities and run numbers of lists as malformed rows

Cause: heartbeats have bounds now, while the list of machines took a capacity of 2**53 into the sums of its pool. An end with the run number 2**53 made the next run 2**53 + 1, which the list that shows it could not name any more, so that its worker stayed unread.

--- a/testing/adapter/test_lists.py
+++ b/testing/adapter/test_lists.py
@@ -81,6 +81,14 @@
     assert rows[:-1] == [('m2', state)]
 
 
+@pytest.mark.parametrize('cpu', [b'-1', b'16384001', b'9007199254740992'])
+def test_machine_with_an_impossible_capacity_is_unreadable(cpu: bytes) -> None:
+    row = NAMED + b'"capacity":{"cpu":%s}}' % cpu
+    odd, good = decode_machines(make_page(row)).rows
+    assert odd.state is InstanceState.UNREADABLE
+    assert good.state is InstanceState.UP
+
+
 @pytest.mark.parametrize('row', UNNAMED_ROWS)
 def test_machine_without_a_name_is_a_gap_that_hides_no_other(
     row: bytes,
@@ -245,6 +253,7 @@
         b'["j.0.0.99999999999999999999",1,"",0]',
         b'["j.0.0.2",1e300,"",0]',
         b'["j.0.0.2",1.5,"",0]',
+        b'["j.0.0.2",2147483649,"",0]',
         b'["j.0.0.2",true,"",0]',
         *(b'[%s,1,"",0]' % value for value in ODD_VALUES),
         *(b'["j.0.0.2",%s,"",0]' % value for value in ODD_VALUES),
