--- a/bench/losses.py
+++ b/bench/losses.py
@@ -185,12 +185,13 @@
         """Add a machine, and lose it for good."""
         if not self._may_lose(None):
             return
-        machine = Machine(self._name_successor(), replaced_until=inf)
+        machine = Machine(self._name_successor())
         self.machines.append(machine)
         node = self.group.add_node(machine.name)
         self._start(node)
         life_s = 0.2 + 3 * step.span
         self._affect([machine], life_s)
+        machine.replaced_until = inf
 
         def end() -> None:
             self._end_for_good(node)
@@ -300,7 +301,13 @@
             machine.affected_until = max(
                 machine.affected_until, ends_at + self._calm_s
             )
-        if len(self._list_affected()) > self.losses:
+        # A machine in its time to catch up counts beside the replaced one.
+        replaced = [
+            machine
+            for machine in machines
+            if machine.replaced_until > self.group.now
+        ]
+        if len(self._list_affected()) + len(replaced) > self.losses:
             self._has_overlap = True
 
     def _hold(self, duration_s: float) -> None:
@@ -365,8 +372,8 @@
     def _start_successor(self, machine: Machine, delay_s: float) -> None:
         machine.name = self._name_successor()
         node = self.group.add_node(machine.name)
-        machine.replaced_until = self.group.now + delay_s + self._calm_s
         self._affect([machine], delay_s)
+        machine.replaced_until = machine.affected_until
         self.group.after(delay_s, lambda: self._start(node))
 
     def _leave(self, node: Node, machine: Machine) -> None:
