Soak: a core that was killed while it started is not starting for good

Cause: a machine counted as starting while its log had fewer lines 'started' than processes were started on it.

The log of the latest process decides now. The new test failed before.

--- a/soak/core_losses.py
+++ b/soak/core_losses.py
@@ -192,9 +192,7 @@
     def _start(self, core: Machine) -> None:
         """Start a core; how long its process takes to start doesn't count."""
         self._target.start_machine(core)
-        wait_for(
-            lambda: core.count_events('started') == core.starts, MAX_START_S
-        )
+        wait_for(core.has_started, MAX_START_S)
 
     def _choose_core(self, *, hits_leader: bool) -> Machine | None:
         """Return a core without a fault, if there is one in time."""
@@ -219,7 +217,7 @@
 def is_starting(core: Machine) -> bool:
     """Return whether a process runs that has not logged its start yet."""
     is_running = core.process is not None and core.process.poll() is None
-    return is_running and core.count_events('started') < core.starts
+    return is_running and not core.has_started()
 
 
 def wait_for(check: Callable[[], bool], seconds: float = MAX_WAIT_S) -> bool:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -211,7 +211,7 @@
                 return
             # Until it has logged its start, a process may not handle SIGTERM
             # yet and then ends with the signal as its status.
-            has_started = machine.count_events('started') == machine.starts
+            has_started = machine.has_started()
             link = self._target.links.get(('callers', machine.name))
             if link is not None:
                 self._target.checker.stopping_fronts.add(link.address)
--- a/testing/soak/test_core_losses.py
+++ b/testing/soak/test_core_losses.py
@@ -8,16 +8,19 @@
 
 from pathlib import Path
 from random import Random
+import sys
 import time
 from typing import Any
 
 import gevent
+from gevent.subprocess import Popen
 import pytest
 
 from soak import core_losses
 from soak.core_losses import CATCH_UP_S
 from soak.core_losses import CoreLosses
 from soak.core_losses import draw_losses
+from soak.core_losses import is_starting
 from soak.faults import Faults
 from soak.faults import Target
 from soak.links import make_machine_links
@@ -183,3 +186,21 @@
     started_at = time.monotonic()
     waiting.get()
     assert time.monotonic() >= started_at + catch_up_s
+
+
+def test_core_that_was_killed_while_it_started_is_not_starting_for_good(
+    target: Target,
+) -> None:
+    """Otherwise the next loss is waited for without end."""
+    core = target.system.cores[0]
+    core.log.clear()
+    process = Popen([sys.executable, '-c', 'import time; time.sleep(60)'])
+    core.process = process
+    try:
+        assert is_starting(core)
+        core.starts += 1  # the one before it logged nothing
+        core.log += b'event=started zone=a\n'
+        assert not is_starting(core)
+    finally:
+        process.kill()
+        process.wait()
--- a/testing/standins/system.py
+++ b/testing/standins/system.py
@@ -85,6 +85,7 @@
     """A machine and its process, if one runs.
 
     :param starts: number of processes started on it.
+    :param log_start: where the log of the latest process begins in ``log``.
     """
 
     name: str
@@ -92,6 +93,7 @@
     ip: str
     process: Popen | None = None
     starts: int = 0
+    log_start: int = 0
     log: bytearray = field(default_factory=bytearray)
 
     @property
@@ -113,6 +115,13 @@
             for end in (' ', '\n')
         )
 
+    def has_started(self) -> bool:
+        """Return whether the latest process has logged its start.
+
+        Those before it may have been killed earlier than that.
+        """
+        return self.log.find(b'event=started ', self.log_start) >= 0
+
     def send(self, number: signal.Signals) -> None:
         assert self.process is not None, 'no process runs on the machine'
         self.process.send_signal(number)
@@ -249,6 +258,7 @@
         )
         machine.process = process
         machine.starts += 1
+        machine.log_start = len(machine.log)
         gevent.spawn(_read_log, process, machine.log)
 
     def start(self) -> None:
