Let a suspect task be tried again on the worker that refused its trial

Cause: kept a task off each worker that had refused its start, also a suspect one, for which there may be no other worker to be tried on. Its trial then waited for as long as trials beside lasting tasks do.

--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -466,11 +466,12 @@
 def avoid_worker(run: Run) -> None:
     """Keep a task off the worker of its run for a while.
 
-    Otherwise the worker that ranks first gets the task again and again.
+    Otherwise the worker that ranks first gets the task again and again. A
+    suspect task needs each worker on which it may be tried.
     """
-    if run.step is not None:
-        tried = run.step.avoided_workers.setdefault(run.task.index, set())
-        tried.add(run.worker.name)
+    step, index = run.step, run.task.index
+    if step is not None and not step.is_suspect(index):
+        step.avoided_workers.setdefault(index, set()).add(run.worker.name)
 
 
 def _get_latest_end_ms(run: Run) -> float:
