--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -180,11 +180,14 @@
         process.popen.wait()
         self.record.add(f'SIGKILL {process.name}')
 
-    def start_worker(self, machine):
-        """Start a new life of a machine's worker at the machine's address."""
+    def start_worker(self, machine, name=''):
+        """Start a new life of a machine's worker at the machine's address.
+
+        :param name: id of its former life, if it starts again under that.
+        """
         number = int(machine.split('-')[1])
         self.lives += 1
-        name = f'i-{number:02d}{self.lives:04d}'
+        name = name or f'i-{number:02d}{self.lives:04d}'
         args = ['--id', name, '--machine', machine,
                 '--address', f'{self.prefix}.{101 + number}:{WORKER}',
                 '--zone', f'addis-{"abc"[number % 3]}',
@@ -199,6 +202,15 @@
             .open('ab'))
         self.machines[machine] = (popen, name)
 
+    def cut_worker(self, machine):
+        """Let a worker run on without a path to or from the cores."""
+        popen, name = self.machines[machine]
+        popen.send_signal(signal.SIGUSR1)
+        self.record.add(f'cut off worker {name} on {machine}')
+
+    def heal_worker(self, machine):
+        self.machines[machine][0].send_signal(signal.SIGUSR2)
+
     def crash_worker(self, machine):
         popen, name = self.machines[machine]
         popen.send_signal(signal.SIGKILL)
--- a/review/lib/worker.py
+++ b/review/lib/worker.py
@@ -9,6 +9,7 @@
 import http.client
 import http.server
 import json
+import signal
 import threading
 import time
 
@@ -31,6 +32,7 @@
         self.ended = []
         self.position = 0
         self.highest = {}
+        self.is_cut = False
 
     def clock_ms(self):
         return int((time.monotonic() - self.began) * 1000) + 1000
@@ -128,7 +130,10 @@
 
     def send_heartbeats(self):
         sequence = 0
+        time.sleep(self.args.first_heartbeat_s)
         while True:
+            while self.is_cut:
+                time.sleep(0.02)
             sequence += 1
             fields = {
                 'service': 'lots', 'address': self.args.address,
@@ -178,6 +183,8 @@
             expected = self.headers.get('X-Expected-Instance')
             if expected not in (None, worker.args.id):
                 return self.respond(421, {})
+            if worker.is_cut:
+                return self.wait_for_heal()  # the call does not arrive
             with worker.changed:
                 if self.path == '/api/hold':
                     status, body = worker.hold(fields)
@@ -190,7 +197,15 @@
                 body['born'] = worker.born
             return self.respond(status, body)
 
+        def wait_for_heal(self):
+            while worker.is_cut:
+                time.sleep(0.02)
+            self.close_connection = True
+
         def respond(self, status, fields):
+            if worker.is_cut:
+                self.wait_for_heal()  # no byte leaves the worker
+                return
             data = json.dumps(fields).encode()
             head = (f'HTTP/1.1 {status} Answer\r\n'
                     'Content-Type: application/json\r\n'
@@ -206,6 +221,7 @@
                  'began'):
         parser.add_argument(f'--{name}', required=True)
     parser.add_argument('--control', action='append')
+    parser.add_argument('--first-heartbeat-s', type=float, default=0.0)
     parser.add_argument('--tickets', action='store_true')
     worker = Worker(parser.parse_args())
     host, _, port = worker.args.address.rpartition(':')
@@ -215,6 +231,16 @@
         daemon_threads = True
         allow_reuse_address = True
 
+    def cut(*_):
+        worker.is_cut = True
+        worker.note('is cut off')
+
+    def heal(*_):
+        worker.is_cut = False
+        worker.note('is reached again')
+
+    signal.signal(signal.SIGUSR1, cut)
+    signal.signal(signal.SIGUSR2, heal)
     server = Server((host, int(port)), make_handler(worker))
     threading.Thread(target=worker.work, daemon=True).start()
     threading.Thread(target=worker.send_heartbeats, daemon=True).start()
