Extend no lease by a clock from before a failed call

The poll that follows a crash carried the end of the lease by the clock of the earlier incarnation, which the next one takes for its longest lease, 10 s. So it held its task for longer than the next leader waits.

A lease is now left as it is from a failed call until the next answer, which tells the worker's clock. A start goes to such a worker only as a further try, with the end that the first try carried. `worker_restarted` logs the lease.

The five cases of test_unreachable_workers.py fail without the check in extend_lease.

The harness passes a start on as not sent if its worker became unreachable since the order, as the term does. Its assertion that each other start has a lease stays.

--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -122,7 +122,7 @@
                 step.tickets.pop(worker.name, None)
                 step.advice_asked.discard(worker.name)
             step.not_before[run.task.index] = now + REFUSED_START_DELAY_S
-        if outcome is Outcome.NOT_SENT:
+        if outcome is Outcome.NOT_SENT and run.until_ms:
             # No connection: count the worker as silent from now on.
             worker.awaits_answer = True
             worker.answer_due = now - ANSWER_GRACE_S
--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -33,16 +33,18 @@
     def extend_lease(self, worker: Worker, now: float) -> int | None:
         """Extend a worker's lease; the caller sends it the new end.
 
+        After a failed call the worker may have restarted. The end by its
+        former clock could be a later one by its present clock, so the lease is
+        left as it is until the worker answers.
+
         :returns: end of the lease in ms of the worker's clock. ``None`` if
-            its clock or token is not known, or if it is silent, departing or
-            being retired, or its lease is recorded: a call with a later end
-            might still arrive and keep its runs alive.
+            its clock or token is not known, or if it is silent, unreachable,
+            departing or being retired, or its lease is recorded: a call with
+            a later end might still arrive and keep its runs alive.
         """
-        if not worker.token:
-            return None
-        if not worker.clock_ms or worker.silent_since is not None:
+        if not self._may_hold_lease(worker):
             return None
-        if worker.departing or worker.retiring or worker.lease_recorded:
+        if worker.unreachable_since is not None:
             return None
         elapsed_ms = (now - worker.clock_at) * 1000
         until_ms = int(worker.clock_ms + elapsed_ms + LEASE_S * 1000)
@@ -50,15 +52,28 @@
         self._update_lease_end(worker)
         return until_ms
 
+    def _may_hold_lease(self, worker: Worker) -> bool:
+        """Return whether a worker that answers would get a longer lease."""
+        if not worker.token or not worker.clock_ms:
+            return False
+        if worker.silent_since is not None or worker.lease_recorded:
+            return False
+        return not worker.departing and not worker.retiring
+
     def begin_start(self, run: Run, now: float) -> int | None:
         """Extend the lease of a run's worker for a try that is sent now.
 
         A later try may carry an earlier time, as the estimate of the clock
-        can go back; the start may be carried out until the latest one.
+        can go back; the start may be carried out until the latest one. If the
+        worker is unreachable, a further try carries that time, as the earlier
+        one may still arrive as well.
 
         :returns: end of the lease as for :meth:`extend_lease`.
         """
         until_ms = self.extend_lease(run.worker, now)
+        if until_ms is None and run.until_ms:
+            is_known = self._may_hold_lease(run.worker)
+            until_ms = run.until_ms if is_known else None
         if until_ms is not None:
             run.until_ms = max(run.until_ms, until_ms)
             run.start_asked_at = now
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -460,8 +460,13 @@
         """
         self._crashes.handle_end(worker, now)
         self._withdraw_token(worker)
+        self._log.info(
+            'worker_restarted',
+            worker=worker.name,
+            lease_until_ms=worker.lease_until_ms,
+            unreachable=worker.unreachable_since is not None,
+        )
         reset_worker(worker, now)
-        self._log.info('worker_restarted', worker=worker.name)
 
     def _withdraw_token(self, worker: Worker) -> None:
         """Let no call be sent to a worker before it gets another token.
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -384,6 +384,11 @@
             return
         if not self.engine.may_send_start(run, self.now):
             return
+        if not run.until_ms and run.worker.unreachable_since is not None:
+            assert self.engine.begin_start(run, self.now) is None
+            answer = Answer(outcome=Outcome.NOT_SENT)
+            self.engine.handle_start_answer(run, answer, self.now)
+            return
         if name in self.delaying_first_tries:
             self._delay(run.worker, self.prepare_start(run), run)
             answer = Answer(outcome=Outcome.NO_ANSWER)
