Let the next leader know of restarted workers

A call that was sent to an earlier incarnation may still reach the next one, and give it a lease of 10 s. The leader that noticed the restart counts that; the next one waited for 1 s + 6 s / 0.98, as the log had the new incarnation but not that it follows another one.

The replicated state marks an incarnation that follows another one under its name, also after a retirement. A new leader counts the longest lease for it. The leader removes the mark 10.2 s after it has read the worker under its own token, that of a retired name after a minute.

--- a/src/galenareel/_jobs/commands.py
+++ b/src/galenareel/_jobs/commands.py
@@ -128,12 +128,15 @@
     :param silent: all workers that do not answer; ``None`` if that has not
         changed.
     :param leases: leases of workers that do not answer, likewise.
+    :param settled: restarted or retired incarnations, whose earlier leases
+        are over. Members of older builds ignore this field.
     """
 
     pools: dict[str, PoolLoad]
     factors: dict[str, float]
     silent: tuple[SilentWorker, ...] | None = None
     leases: tuple[SilentLease, ...] | None = None
+    settled: tuple[Incarnation, ...] = ()
 
 
 class ForgetJobs(Command, frozen=True):
--- a/src/galenareel/_jobs/leader.py
+++ b/src/galenareel/_jobs/leader.py
@@ -150,6 +150,7 @@
             epoch=epoch,
             jobs=len(engine.jobs),
             workers=len(engine.workers),
+            restarted=len(self._state.restarts),
             lookahead=self._policy.lookahead,
         )
         self._term = Term(
--- a/src/galenareel/_jobs/load_records.py
+++ b/src/galenareel/_jobs/load_records.py
@@ -15,6 +15,7 @@
 from galenareel._jobs.model import SilentLease
 from galenareel._jobs.model import SilentWorker
 from galenareel._jobs.state import JobState
+from galenareel._scheduling.crashes import Incarnation
 
 RECORD_LOADS_EVERY_S = 4.0
 
@@ -49,15 +50,19 @@
             self._silence_request.kill(block=False)
 
     def record_silence(self, now: float) -> None:
-        """Commit what runs on silent workers, if that is to be recorded."""
+        """Commit what runs on silent workers, if that is to be recorded.
+
+        The same command removes the records of restarts that are settled.
+        """
         request = self._silence_request
         if request is not None and not request.dead:
             return
         rows = self._engine.update_silent_workers()
         leases = self._engine.update_silent_leases(now)
-        if rows is not None or leases is not None:
+        settled = self._engine.find_settled_restarts(now)
+        if rows is not None or leases is not None or settled:
             self._silence_request = spawn_part(
-                self._fail, self._store_silence, rows, leases
+                self._fail, self._store_silence, rows, leases, settled
             )
 
     def record_loads(self, now: float) -> None:
@@ -76,12 +81,14 @@
         self,
         rows: tuple[SilentWorker, ...] | None,
         leases: tuple[SilentLease, ...] | None,
+        settled: tuple[Incarnation, ...],
     ) -> None:
         command = RecordLoads(
             pools={**self._state.loads, **self._engine.collect_loads()},
             factors=self._engine.estimates.get_factors(),
             silent=rows,
             leases=leases,
+            settled=settled,
         )
         # Without a result the housekeeping proposes them again.
         if self._propose(command) is not True:
--- /dev/null
+++ b/src/galenareel/_jobs/restarts.py
@@ -0,0 +1,82 @@
+"""Leases of restarted workers, which may end by the clock of an earlier life.
+
+Load pattern: a worker restarts, and a call that was sent to its earlier
+incarnation reaches the next one. The lease in it ends by another clock, so
+that the worker takes it for the longest one, ``MAX_LEASE_MS``. The leader
+knows this from the restart; the next leader knows it from the state, until
+this one has recorded that all such leases are over.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from galenareel._jobs.state import JobState
+from galenareel._jobs.worker_entries import MAX_LEASE_MS
+from galenareel._jobs.worker_entries import MIN_CLOCK_RATE
+from galenareel._jobs.worker_entries import TAKE_OVER_MARGIN_S
+from galenareel._scheduling.crashes import Incarnation
+from galenareel._scheduling.tables import Worker
+
+# Longest time for which a lease can run that a worker has just accepted.
+LONGEST_LEASE_S = MAX_LEASE_MS / 1000 / MIN_CLOCK_RATE
+# A retired name is known for longer than any call to it may be delayed.
+KEEP_RETIRED_NAME_S = 60.0
+
+
+class Restarts:
+    """What the leader of one epoch knows of the recorded restarts.
+
+    :param workers: workers of the epoch, which may change later.
+    :param now: monotonic time in seconds.
+    """
+
+    def __init__(
+        self, state: JobState, workers: Mapping[str, Worker], now: float
+    ) -> None:
+        self._state = state
+        self._workers = workers
+        # By incarnation and whether it is in use, the time from which its
+        # record is not needed. Its retirement begins another wait.
+        self._settled_at: dict[tuple[str, int, bool], float] = {}
+        for name in state.restarts:
+            worker = workers.get(name)
+            if worker is not None:
+                worker.has_former_life = True
+                worker.lease_expires_at = (
+                    now + TAKE_OVER_MARGIN_S + LONGEST_LEASE_S
+                )
+
+    def mark_admitted(self, worker: Worker) -> None:
+        """Note a new entry of a worker; its name may have been retired."""
+        if worker.name in self._state.restarts:
+            worker.has_former_life = True
+
+    def find_settled(self, now: float) -> tuple[Incarnation, ...]:
+        """Return the incarnations whose records are not needed any more.
+
+        They are returned again until the state lacks them. A worker that has
+        answered under its token refuses what was sent before, so its leases
+        are over ``LONGEST_LEASE_S`` later, or were extended by its own clock.
+        """
+        settled_at = {}
+        for name, born in self._state.restarts.items():
+            key = (name, born, name in self._workers)
+            wait_s = self._get_wait_s(name, born)
+            if wait_s is not None:
+                settled_at[key] = self._settled_at.get(key, now + wait_s)
+        self._settled_at = settled_at
+        return tuple(
+            (name, born)
+            for (name, born, _), due_at in settled_at.items()
+            if now >= due_at
+        )
+
+    def _get_wait_s(self, name: str, born: int) -> float | None:
+        """Return for how long a record is needed yet, if that is known."""
+        worker = self._workers.get(name)
+        if worker is None:
+            return KEEP_RETIRED_NAME_S
+        if worker.record.born != born or not worker.has_listed:
+            return None
+        return LONGEST_LEASE_S
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -125,6 +125,9 @@
         if that is more than it has.
     :param silent_leases: by name, leases of workers that do not answer.
     :param leases_holder: member that has recorded these leases.
+    :param restarts: by name, the incarnation of a worker that may hold a lease
+        which a leader gave to an earlier one; of a retired worker, the last
+        incarnation.
     """
 
     epoch: int = 0
@@ -143,6 +146,7 @@
     former_rooms: dict[str, Resources] = {}
     silent_leases: dict[str, SilentLease] = {}
     leases_holder: str = ''
+    restarts: dict[str, int] = {}
 
 
 CommandListener = Callable[[AnyCommand, bool], None]
@@ -256,6 +260,11 @@
     def silent_leases(self) -> Mapping[str, SilentLease]:
         return MappingProxyType(self._tables.silent_leases)
 
+    @property
+    def restarts(self) -> Mapping[str, int]:
+        """By name, incarnations that may hold a lease of an earlier one."""
+        return MappingProxyType(self._tables.restarts)
+
     @property
     def previous_leader_ms(self) -> int:
         """Last wall time that was recorded before this epoch, in ms.
@@ -407,6 +416,7 @@
             return False
         self._tables.workers[cmd.worker.name] = cmd.worker
         self._record_room(known, cmd.worker)
+        self._record_restart(known, cmd.worker)
         return True
 
     def _record_room(
@@ -420,12 +430,20 @@
         if highest != record.resources:
             rooms[record.name] = highest
 
+    def _record_restart(
+        self, known: WorkerRecord | None, record: WorkerRecord
+    ) -> None:
+        has_restarted = known is not None and known.born < record.born
+        if has_restarted or record.name in self._tables.restarts:
+            self._tables.restarts[record.name] = record.born
+
     def _retire_worker(self, cmd: RetireWorker) -> bool:
         known = self._tables.workers.get(cmd.name)
         if known is None or known.born > cmd.born:
             return False
         del self._tables.workers[cmd.name]
         self._tables.former_rooms.pop(cmd.name, None)
+        self._tables.restarts[cmd.name] = known.born
         return True
 
     def _open_wave(self, cmd: OpenWave) -> bool:
@@ -468,6 +486,9 @@
         if cmd.leases is not None:
             self._tables.silent_leases = {row.name: row for row in cmd.leases}
             self._tables.leases_holder = self._tables.holder
+        for name, born in cmd.settled:
+            if self._tables.restarts.get(name) == born:
+                del self._tables.restarts[name]
         return True
 
     def _forget_jobs(self, cmd: ForgetJobs) -> bool:
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -27,6 +27,8 @@
 from galenareel._jobs.pools import get_step_key
 from galenareel._jobs.pools import PoolTables
 from galenareel._jobs.pools import StepKey
+from galenareel._jobs.restarts import KEEP_RETIRED_NAME_S
+from galenareel._jobs.restarts import Restarts
 from galenareel._jobs.run_entries import count_run
 from galenareel._jobs.run_entries import create_run
 from galenareel._jobs.run_entries import uncount_run
@@ -45,6 +47,7 @@
 from galenareel._jobs.workspace_report import WorkspaceReport
 from galenareel._jobs.workspaces import WorkspaceTables
 from galenareel._scheduling.admission import Refusal
+from galenareel._scheduling.crashes import Incarnation
 from galenareel._scheduling.policy import DEFAULT_POLICY
 from galenareel._scheduling.policy import SchedulingPolicy
 from galenareel._scheduling.proofs import Proofs
@@ -62,9 +65,6 @@
 from galenareel._scheduling.tables import Worker
 from galenareel._scheduling.trials import end_trial
 
-# A retired name is known for longer than any call to it may be delayed.
-KEEP_RETIRED_NAME_S = 60.0
-
 
 class EngineTables:
     """Tables of one epoch.
@@ -142,6 +142,7 @@
             )
             self._unread_workers[record.name] = record
         self._silent_workers = SilentWorkers(state, self.workers)
+        self._restarts = Restarts(state, self.workers, now)
         self._silent_leases = SilentLeases(state, self.workers, now)
         for job in state.jobs.values():
             if not job.has_ended:
@@ -363,6 +364,7 @@
             self._crashes.handle_admission(record, now)
             worker = self._add_worker(record, now)
             self._silent_leases.mark_admitted(worker)
+            self._restarts.mark_admitted(worker)
             if record.name in self._retired_names:
                 worker.has_former_life = True
                 self._withdraw_token(worker)
@@ -513,6 +515,10 @@
         """Return the records of leases to be stored, or ``None``."""
         return self._silent_leases.update(self._unread_workers, now)
 
+    def find_settled_restarts(self, now: float) -> tuple[Incarnation, ...]:
+        """Return the restarts whose records are not needed any more."""
+        return self._restarts.find_settled(now)
+
     def confirm_silent_leases(self, rows: tuple[SilentLease, ...]) -> None:
         """Note that records of leases are stored."""
         for worker in self._silent_leases.confirm(rows):
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -257,7 +257,8 @@
         """Commit what runs on silent workers, as the leader does."""
         rows = self.engine.update_silent_workers()
         leases = self.engine.update_silent_leases(self.now)
-        if rows is None and leases is None:
+        settled = self.engine.find_settled_restarts(self.now)
+        if rows is None and leases is None and not settled:
             return
         if self.lost_records != 'dropped':
             self.apply(
@@ -266,6 +267,7 @@
                     factors=dict(self.state.factors),
                     silent=rows,
                     leases=leases,
+                    settled=settled,
                 )
             )
         if self.lost_records:
