Ask the advisor about each worker until a step has room

The leader asked about the six least loaded workers and about no others as long as it held a ticket; when that ran out, the order was the same.

The advisor is now asked until the workers with tickets have room for all tasks that wait. Workers that were never asked about come first, refused ones last, the longest ago first; those that were allowed are asked about again together. Workers without the label of the step are left out: their tickets kept others from being asked about. A call that is not made counts as answered.

`advice` logs what each call has brought.

--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -120,7 +120,6 @@
                 record_run_end(worker, failed=True, now=now)
             if outcome is Outcome.BAD_TICKET:
                 step.tickets.pop(worker.name, None)
-                step.advice_asked.discard(worker.name)
             step.not_before[run.task.index] = now + REFUSED_START_DELAY_S
         if outcome is Outcome.NOT_SENT and run.until_ms:
             # No connection: count the worker as silent from now on.
--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -8,6 +8,8 @@
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.clients import PlacementTickets
 from galenareel._jobs.suspects import SuspectPlacing
+from galenareel._scheduling.advice import choose_workers
+from galenareel._scheduling.advice import record_advice
 from galenareel._scheduling.placement import Candidates
 from galenareel._scheduling.proofs import ProofLimit
 from galenareel._scheduling.ranking import placement_key
@@ -20,11 +22,6 @@
 
 # A task waits this long for a worker where it hasn't failed.
 MAX_AVOIDANCE_S = 2.0
-# Workers named in one call to the advisor; each one adds to its answer time.
-MAX_ADVICE_WORKERS = 6
-# The advisor is asked again about a worker that it did not allow, as nothing
-# tells when it would.
-REFUSED_ADVICE_S = 5.0
 TICKET_MARGIN_S = 0.3  # tickets aren't used this close to their expiry
 
 
@@ -90,10 +87,12 @@
         candidates: Candidates,
         now: float,
     ) -> None:
-        if not candidates.might_fit(step):
-            return
-        if step.job.queue.advice is not None:
+        might_fit = candidates.might_fit(step)
+        # A worker that is kept free for a suspect needs a ticket as well.
+        if step.job.queue.advice is not None and (might_fit or step.crashes):
             self._ask_advice(step, candidates, now)
+        if not might_fit:
+            return
         if step.step.gang:
             if not step.is_suspect(0):
                 self._place_gang(pool, step, candidates, now)
@@ -114,30 +113,11 @@
     def _ask_advice(
         self, step: StepWork, candidates: Candidates, now: float
     ) -> None:
-        """Order a call that asks the advisor which workers may run a step.
-
-        The least loaded workers are asked about first.
-        """
-        for name, (_ticket, valid_until) in list(step.tickets.items()):
-            if valid_until <= now:
-                del step.tickets[name]
-                step.advice_asked.discard(name)
-        for name, ask_at in list(step.advice_refused.items()):
-            if ask_at <= now:
-                del step.advice_refused[name]
-                step.advice_asked.discard(name)
-        unasked = [
-            worker
-            for worker in candidates.workers
-            if worker.name not in step.advice_asked
-            and worker.has_room(step.step)
-        ]
-        unasked.sort(key=lambda worker: worker.cpu_used)
-        if not unasked or step.tickets:
-            return
-        chosen = tuple(unasked[:MAX_ADVICE_WORKERS])
-        step.advice_asked.update(worker.name for worker in chosen)
-        self._orders.append(AskAdvice(work=step, workers=chosen))
+        """Order a call that asks the advisor which workers may run a step."""
+        chosen = choose_workers(step, candidates.list_eligible(step), now)
+        if chosen:
+            step.advice_pending = True
+            self._orders.append(AskAdvice(work=step, workers=chosen))
 
     def handle_advice(
         self, order: AskAdvice, reply: PlacementTickets | Answer, now: float
@@ -155,21 +135,32 @@
                 step=step.task_id(0).get_step_name(),
                 detail=malformed,
             )
-        if isinstance(reply, Answer):
-            step.advice_asked.difference_update(
-                worker.name for worker in order.workers
-            )
-        else:
+        step.advice_pending = False
+        if isinstance(reply, PlacementTickets):
             valid_until = now + reply.valid_s - TICKET_MARGIN_S
-            for worker in order.workers:
-                ticket = reply.tickets.get(worker.name)
-                if ticket is None:
-                    step.advice_refused[worker.name] = now + REFUSED_ADVICE_S
-                else:
-                    step.tickets[worker.name] = (ticket, valid_until)
+            record_advice(step, order.workers, reply.tickets, valid_until, now)
+        self._report_advice(order, reply)
         if step.job.name in self.jobs:
             self._queue_step(step)
 
+    def _report_advice(
+        self, order: AskAdvice, reply: PlacementTickets | Answer
+    ) -> None:
+        """Log what the advisor said of the workers of a call."""
+        step = order.work
+        outcome = 'advised'
+        if isinstance(reply, Answer):
+            outcome = reply.outcome.value
+        self._log.info(
+            'advice',
+            step=step.task_id(0).get_step_name(),
+            outcome=outcome,
+            asked=len(order.workers),
+            tickets=len(step.tickets),
+            allowed=len(step.advice_allowed),
+            refused=len(step.advice_refused),
+        )
+
     def _place_task(
         self,
         step: StepWork,
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -495,6 +495,8 @@
     def _ask_advisor(self, order: AskAdvice) -> None:
         advice = order.work.job.queue.advice
         if advice is None:
+            removed = Answer(outcome=Outcome.NOT_SENT, detail='not asked')
+            self.engine.handle_advice(order, removed, self.now())
             return
         names = tuple(worker.name for worker in order.workers)
         expected_ms = advice.decision_ms + advice.per_worker_ms * len(names)
--- a/src/galenareel/_scheduling/placement.py
+++ b/src/galenareel/_scheduling/placement.py
@@ -12,6 +12,7 @@
 from galenareel._scheduling.reservations import ReservedRoom
 from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import Worker
+from galenareel._scheduling.trial_workers import get_hold
 from galenareel._scheduling.trial_workers import is_closed_by_trial
 
 # Terms of a worker's score, in units of its whole processor. The worker with
@@ -119,6 +120,54 @@
             self.reserved.take(work, best)
         return best
 
+    def list_eligible(self, work: StepWork) -> list[Worker]:
+        """Return the workers that could take a task with a ticket.
+
+        A worker that is kept free for a suspect of the step is one of them.
+        """
+        closed = self.reserved.list_closed(work) if self.reserved else ()
+        limit = self.limit
+        # A gang may need more workers than unproven jobs may take.
+        is_limited = (
+            limit is not None
+            and not work.step.gang
+            and limit.restricts(work.job)
+        )
+        return [
+            worker
+            for worker in self.open_workers
+            if self._may_run(work, worker)
+            and worker.name not in closed
+            and not (
+                is_limited
+                and limit is not None
+                and not limit.admits(work.job, worker)
+            )
+        ]
+
+    def _may_run(self, work: StepWork, worker: Worker) -> bool:
+        step = work.step
+        if not worker.has_room(step):
+            return False
+        if step.label and step.label not in worker.record.labels:
+            return False
+        if step.per_worker:
+            runs_here = work.runs_per_worker.get(worker.name, 0)
+            if runs_here >= step.per_worker:
+                return False
+        if needs_trial(worker, self.now) and not _is_free_for_trial(
+            worker, step, self.now
+        ):
+            return False
+        if is_closed_by_trial(worker, self.now):
+            hold = get_hold(worker, self.now)
+            if hold is None or hold.step is not work:
+                return False
+        return step.gang or any(
+            worker.name not in work.avoided_workers.get(index, ())
+            for index in work.waiting
+        )
+
     def may_take(self, work: StepWork, index: int, worker: Worker) -> bool:
         """Return whether a task may be tried on a worker now."""
         return self._find_best(work, index, (worker,), excluded=()) is not None
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -420,9 +420,11 @@
     :param released_at: local time at which the last run of a task ended.
     :param tickets: by worker, the advisor's ticket for it and the local time
         at which that expires.
-    :param advice_asked: workers for which the advisor was asked.
+    :param advice_pending: whether a call to the advisor has no answer yet.
+    :param advice_allowed: workers that the advisor has allowed, also those
+        whose tickets have expired.
     :param advice_refused: by worker that the advisor did not allow, the local
-        time from which it may be asked again.
+        time of its answer.
     :param runs_per_rack: number of runs in each rack.
     :param runs_per_zone: number of runs in each availability zone.
     :param runs_per_worker: number of runs on each worker.
@@ -454,7 +456,8 @@
     not_before: dict[int, float] = field(default_factory=dict)
     released_at: dict[int, float] = field(default_factory=dict)
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
-    advice_asked: set[str] = field(default_factory=set)
+    advice_pending: bool = False
+    advice_allowed: set[str] = field(default_factory=set)
     advice_refused: dict[str, float] = field(default_factory=dict)
     runs_per_rack: dict[str, int] = field(default_factory=dict)
     runs_per_zone: dict[str, int] = field(default_factory=dict)
