Load jobs in slices, and keep the next occurrence only

Each new leader listed and sorted all occurrences for each job, in the event loop in which its lease of 0.9 s is renewed, and so lost it before it was ready. 16,000 plain jobs did the same without the sort.

A heap keeps the next occurrence of each timed job. Jobs are loaded in slices of about 100, between which the lease is renewed; the leader answers nobody and calls no worker until all are loaded.

`loop_held` and galenareel_loop_held_seconds tell when a part holds the loop of a core, and `leading loaded_s=` how long the jobs took.

--- a/src/galenareel/_jobs/audit.py
+++ b/src/galenareel/_jobs/audit.py
@@ -17,6 +17,8 @@
 from galenareel._jobs.holding import list_closing_reasons
 from galenareel._jobs.job_entries import are_earlier_done
 from galenareel._jobs.metrics import JobMetrics
+from galenareel._jobs.occurrences import DueOccurrences
+from galenareel._jobs.occurrences import is_over
 from galenareel._jobs.pools import get_step_key
 from galenareel._jobs.pools import PoolTables
 from galenareel._jobs.state import Job
@@ -87,6 +89,7 @@
         done: DoneTasks,
         pool_tables: PoolTables,
         quotas: Quotas,
+        occurrences: DueOccurrences,
         log: Log,
         metrics: JobMetrics,
     ) -> None:
@@ -96,6 +99,7 @@
         self._done = done
         self._pool_tables = pool_tables
         self._quotas = quotas
+        self._occurrences = occurrences
         self._log = log
         self._metrics = metrics
         self._wall_ms = 0
@@ -241,9 +245,15 @@
         work = self._jobs.get(name)
         if job is None or work is None:
             return
+        is_timed = job.request.repetitions > 0
         for occurrence in range(job.request.count_occurrences()):
             if job.request.compute_due_ms(occurrence) > self._wall_ms:
                 break
+            if is_timed and self._occurrences.is_awaited(work, occurrence):
+                break
+            if is_timed and is_over(job, self._done.get(name, {}), occurrence):
+                yield None
+                continue
             for number in range(len(job.request.steps)):
                 if self._jobs.get(name) is not work or job.has_ended:
                     return
--- a/src/galenareel/_jobs/crash_records.py
+++ b/src/galenareel/_jobs/crash_records.py
@@ -15,6 +15,7 @@
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.model import WorkerRecord
 from galenareel._jobs.pools import PoolTables
+from galenareel._jobs.state import Job
 from galenareel._jobs.state import JobState
 from galenareel._scheduling.crashes import describe_loss
 from galenareel._scheduling.crashes import find_evidence_index
@@ -64,23 +65,27 @@
         # Incarnations whose losses are recorded, and those to be cleared.
         self._lost: set[Incarnation] = set()
         self._regained: list[Incarnation] = []
+        # What the previous leader recorded of lost workers.
+        self._former: dict[Incarnation, dict[TaskId, bool]] = {}
         # Workers that may have crashed, and when they were retired.
         self._retired: list[tuple[Worker, float]] = []
 
+    def collect_losses(self, job: Job) -> None:
+        """Note the lost workers that are recorded in a job."""
+        for (occurrence, number), entry in job.progress.items():
+            for index, losses in entry.losses.items():
+                task = TaskId(job.name, occurrence, number, index)
+                for incarnation, on_trial in losses.items():
+                    implicated = self._former.setdefault(incarnation, {})
+                    implicated[task] = on_trial
+
     def restore_losses(self, now: float) -> None:
         """Restore what the previous leader recorded of lost workers.
 
         It holds until they answer, and the runs that this leader reads tell
         the same then.
         """
-        tasks: dict[Incarnation, dict[TaskId, bool]] = {}
-        for work in self._jobs.values():
-            progress = self._state.jobs[work.name].progress
-            for (occurrence, number), entry in progress.items():
-                for index, losses in entry.losses.items():
-                    task = TaskId(work.name, occurrence, number, index)
-                    for incarnation, on_trial in losses.items():
-                        tasks.setdefault(incarnation, {})[task] = on_trial
+        tasks, self._former = self._former, {}
         for worker in self._workers.values():
             implicated = tasks.get((worker.name, worker.record.born))
             if implicated:
--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -55,6 +55,7 @@
         metrics: JobMetrics,
         now: float,
         policy: SchedulingPolicy = DEFAULT_POLICY,
+        loads_jobs: bool = True,
     ) -> None:
         super().__init__(
             state,
@@ -63,6 +64,7 @@
             metrics=metrics,
             now=now,
             policy=policy,
+            loads_jobs=loads_jobs,
         )
         self.audit = TableAudit(
             state,
@@ -71,6 +73,7 @@
             done=self._done,
             pool_tables=self._pool_tables,
             quotas=self.quotas,
+            occurrences=self._occurrences,
             log=log,
             metrics=metrics,
         )
@@ -154,11 +157,8 @@
         return may_start(used, step.step, count, limit)
 
     def _open_due_steps(self, now: float, wall_ms: int) -> None:
-        while self._due_occurrences and self._due_occurrences[0][0] <= wall_ms:
-            _, name, occurrence = self._due_occurrences.pop(0)
-            job = self._state.jobs.get(name)
-            if job is not None and name in self.jobs:
-                self._open_steps(job, occurrence, now)
+        for job, occurrence in self._occurrences.take_due(wall_ms):
+            self._open_steps(job, occurrence, now)
 
     def _pace_runs(self, worker: Worker, now: float) -> None:
         for order in plan_pace_changes(worker, now):
--- a/src/galenareel/_jobs/former_runs.py
+++ b/src/galenareel/_jobs/former_runs.py
@@ -166,7 +166,11 @@
             finished = {
                 key: progress.done for key, progress in job.progress.items()
             }
-        for occurrence in range(job.request.count_occurrences()):
+        # Of an occurrence that is over, only copies may still run.
+        first = 0
+        if work is not None and not self._copies:
+            first = work.first_occurrence
+        for occurrence in range(first, job.request.count_occurrences()):
             if job.request.compute_due_ms(occurrence) > self._latest_due_ms:
                 break
             for number, step in enumerate(job.request.steps):
--- a/src/galenareel/_jobs/leader.py
+++ b/src/galenareel/_jobs/leader.py
@@ -81,11 +81,14 @@
 
     @property
     def engine(self) -> Engine | None:
-        """The engine of this term, or ``None`` without a valid lease."""
+        """The engine of this term, or ``None`` without a valid lease.
+
+        It answers nobody before it has all jobs.
+        """
         term = self._term
         if term is None or not self._replicator.is_leader():
             return None
-        return term.engine
+        return term.engine if term.engine.is_loaded else None
 
     def propose(self, command: AnyCommand) -> Any | NotLeader | Unreachable:
         """Commit a command to the log and return its result."""
@@ -144,14 +147,7 @@
             metrics=self._metrics,
             now=now,
             policy=self._policy,
-        )
-        self._log.info(
-            'leading',
-            epoch=epoch,
-            jobs=len(engine.jobs),
-            workers=len(engine.workers),
-            restarted=len(self._state.restarts),
-            lookahead=self._policy.lookahead,
+            loads_jobs=False,
         )
         self._term = Term(
             engine=engine,
@@ -169,7 +165,17 @@
         )
         reason = 'not_leader'
         try:
-            self._term.run()
+            if self._load_jobs(self._term):
+                self._log.info(
+                    'leading',
+                    epoch=epoch,
+                    jobs=len(engine.jobs),
+                    workers=len(engine.workers),
+                    restarted=len(self._state.restarts),
+                    lookahead=self._policy.lookahead,
+                    loaded_s=round(self._clock.monotonic() - now, 3),
+                )
+                self._term.run()
         except (Exception, gevent.Timeout):
             reason = 'failed'
             raise
@@ -179,6 +185,18 @@
             self._log.info('leading_ended', epoch=epoch, why=reason)
             self._end_term()
 
+    def _load_jobs(self, term: Term) -> bool:
+        """Load the jobs of a term in slices, until it ends.
+
+        The lease of the leader is renewed between them.
+
+        :returns: whether all jobs are loaded.
+        """
+        while not term.engine.is_loaded and term.is_active():
+            term.engine.load_jobs(self._clock.monotonic())
+            gevent.sleep(0)
+        return term.engine.is_loaded
+
     def _end_term(self) -> None:
         term, self._term = self._term, None
         if term is not None:
--- a/src/galenareel/_jobs/metrics.py
+++ b/src/galenareel/_jobs/metrics.py
@@ -82,6 +82,10 @@
             'galenareel_capacity_changes',
             description='Times that a worker reported another capacity.',
         )
+        self.loop_held_s = meter.create_histogram(
+            'galenareel_loop_held_seconds',
+            description='Times for which a part held the event loop.',
+        )
         self.workspace_running = meter.create_gauge(
             'galenareel_workspace_running',
             description='What may be running, by workspace and resource.',
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from galenareel._common.log import Log
 from galenareel._jobs.admission import Admission
 from galenareel._jobs.crash_records import CrashRecords
@@ -24,6 +26,8 @@
 from galenareel._jobs.model import SilentWorker
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.model import WorkerRecord
+from galenareel._jobs.occurrences import DueOccurrences
+from galenareel._jobs.occurrences import find_first
 from galenareel._jobs.pools import get_step_key
 from galenareel._jobs.pools import PoolTables
 from galenareel._jobs.pools import StepKey
@@ -39,6 +43,7 @@
 from galenareel._jobs.unread_workers import UnreadWorkers
 from galenareel._jobs.worker_checks import drop_false_room
 from galenareel._jobs.worker_entries import create_worker
+from galenareel._jobs.worker_entries import expect_first_answer
 from galenareel._jobs.worker_entries import LEASE_S
 from galenareel._jobs.worker_entries import MIN_CLOCK_RATE
 from galenareel._jobs.worker_entries import reset_worker
@@ -65,6 +70,10 @@
 from galenareel._scheduling.tables import Worker
 from galenareel._scheduling.trials import end_trial
 
+# Jobs and steps with progress that are added at a time; these take the leader
+# about 10 ms.
+LOADED_ENTRIES = 100
+
 
 class EngineTables:
     """Tables of one epoch.
@@ -74,6 +83,9 @@
         next incarnation of a worker gets a higher token.
     :param now: monotonic time in seconds.
     :param policy: optional decisions that the deployment asks for.
+    :param loads_jobs: whether to add all jobs now. Otherwise the caller calls
+        :meth:`load_jobs` before anything else.
+    :ivar is_loaded: all jobs of the state were added.
     """
 
     def __init__(
@@ -85,6 +97,7 @@
         metrics: JobMetrics,
         now: float,
         policy: SchedulingPolicy = DEFAULT_POLICY,
+        loads_jobs: bool = True,
     ) -> None:
         self._metrics = metrics
         self.policy = policy
@@ -112,7 +125,7 @@
             metrics=metrics,
         )
         self._done: dict[str, dict[tuple[int, int], set[int]]] = {}
-        self._due_occurrences: list[tuple[int, str, int]] = []
+        self._occurrences = DueOccurrences(state, self.jobs, self._done)
         self._former_runs = FormerRuns(state, copies=policy.lookahead)
         self._unread = UnreadWorkers(state, self._former_runs)
         self._unread_workers = self._unread.records
@@ -144,11 +157,32 @@
         self._silent_workers = SilentWorkers(state, self.workers)
         self._restarts = Restarts(state, self.workers, now)
         self._silent_leases = SilentLeases(state, self.workers, now)
-        for job in state.jobs.values():
-            if not job.has_ended:
-                self.add_job(job, now, from_earlier_epoch=True)
-        self._restore_arrivals(now)
-        self._crashes.restore_losses(now)
+        self.is_loaded = False
+        self._unloaded = deque(state.jobs)
+        while loads_jobs and not self.is_loaded:
+            self.load_jobs(now)
+
+    def load_jobs(self, now: float) -> None:
+        """Add the next jobs of earlier epochs, and set ``is_loaded`` at last.
+
+        A call adds about ``LOADED_ENTRIES`` entries. Between the calls, the
+        caller lets others run, as the lease of the leader runs out otherwise.
+        """
+        entries = 0
+        while self._unloaded and entries < LOADED_ENTRIES:
+            entries += 1
+            job = self._state.jobs.get(self._unloaded.popleft())
+            if job is None or job.has_ended or job.name in self.jobs:
+                continue
+            self.add_job(job, now, from_earlier_epoch=True)
+            self._crashes.collect_losses(job)
+            entries += len(job.progress)
+        if not self._unloaded and not self.is_loaded:
+            self.is_loaded = True
+            self._restore_arrivals(now)
+            self._crashes.restore_losses(now)
+            for worker in self.workers.values():
+                expect_first_answer(worker, now)
 
     def _restore_arrivals(self, now: float) -> None:
         """Count the last arrivals of the previous leader as those until now.
@@ -250,13 +284,12 @@
             and not job.request.repetitions
         ):
             self._get_job_pool(work).add_arrival(work)
-        for occurrence in range(job.request.count_occurrences()):
-            due_ms = job.request.compute_due_ms(occurrence)
-            if due_ms:
-                self._due_occurrences.append((due_ms, job.name, occurrence))
-            else:
-                self._open_steps(job, occurrence, now)
-        self._due_occurrences.sort()
+        if job.request.repetitions > 0:
+            work.first_occurrence = find_first(job, self._done[job.name])
+            work.next_occurrence = work.first_occurrence
+            self._occurrences.add_job(work)
+        else:
+            self._open_steps(job, 0, now)
 
     def check_admission(
         self,
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -232,17 +232,25 @@
             self._close_jobs(command, now)
         elif isinstance(command, AdmitWorker):
             engine.admit_worker(command.worker, now)
-            self._links.update()
+            self._update_links()
             self._request_token()
             self._ends_ready.set()
         elif isinstance(command, RetireWorker):
             engine.retire_worker(command.name, command.born, now)
-            self._links.update()
+            self._update_links()
             self._ends_ready.set()
         elif isinstance(command, Configure):
             engine.apply_config(now)
         self._wake.set()
 
+    def _update_links(self) -> None:
+        """Open and close links to workers, once all jobs are loaded.
+
+        Runs of a job that is not loaded yet would be stopped.
+        """
+        if self.engine.is_loaded:
+            self._links.update()
+
     def _close_jobs(self, command: RecordEnds, now: float) -> None:
         names = {task.job for task in command.done}
         names.update(task.job for task, _run in command.failed)
--- a/src/galenareel/_jobs/worker_entries.py
+++ b/src/galenareel/_jobs/worker_entries.py
@@ -33,6 +33,13 @@
     )
 
 
+def expect_first_answer(worker: Worker, now: float) -> None:
+    """Count the silence of a worker that was not called yet from now on."""
+    if worker.awaits_answer and not worker.first_clock_ms:
+        worker.heard_at = now
+        worker.answer_due = now + FIRST_ANSWER_TIMEOUT_S
+
+
 def reset_worker(worker: Worker, now: float) -> None:
     """Drop what was known of the earlier incarnation of a worker.
 
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -537,6 +537,10 @@
     :param unproven_workers: number of these runs by name of the worker.
     :param held_since: local time since which its tasks are held back until
         another job is proven, or ``None``.
+    :param first_occurrence: the first one of a timed job that was not over
+        when the job was added.
+    :param next_occurrence: the first one that was neither opened nor found to
+        be over.
     """
 
     name: str
@@ -557,6 +561,8 @@
     unproven_runs: dict[RunKey, Run] = field(default_factory=dict)
     unproven_workers: dict[str, int] = field(default_factory=dict)
     held_since: float | None = None
+    first_occurrence: int = 0
+    next_occurrence: int = 0
     steps: dict[tuple[int, int], StepWork] = field(default_factory=dict)
 
     @property
