Leave a lease as it is only after a broken connection

Cause: a worker that carries out calls late answers some of its polls too late for the leader.

A call without an answer in time is no sign of a crash. One that ends the process ends its connections, or refuses new ones, so that only these count now; Answer.is_broken tells them. A restart behind a cut is covered by the record of restarts.

--- a/src/galenareel/_jobs/clients.py
+++ b/src/galenareel/_jobs/clients.py
@@ -41,11 +41,14 @@
     """Answer to an order, or the reason why there is none.
 
     :param clock_ms: reading of the worker's clock, if the answer has one.
+    :param is_broken: the connection ended before there was an answer, so that
+        the receiver may have ended.
     """
 
     outcome: Outcome
     clock_ms: int | None = None
     detail: str = ''
+    is_broken: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -33,18 +33,16 @@
     def extend_lease(self, worker: Worker, now: float) -> int | None:
         """Extend a worker's lease; the caller sends it the new end.
 
-        After a failed call the worker may have restarted. The end by its
-        former clock could be a later one by its present clock, so the lease is
-        left as it is until the worker answers.
+        After a broken connection the worker may have restarted. The end by
+        its former clock could be a later one by its present clock, so the
+        lease is left as it is until the worker answers.
 
         :returns: end of the lease in ms of the worker's clock. ``None`` if
-            its clock or token is not known, or if it is silent, unreachable,
-            departing or being retired, or its lease is recorded: a call with
-            a later end might still arrive and keep its runs alive.
+            its clock or token is not known, or if it is silent, departing or
+            being retired, may have restarted, or its lease is recorded: a
+            call with a later end might still arrive and keep its runs alive.
         """
-        if not self._may_hold_lease(worker):
-            return None
-        if worker.unreachable_since is not None:
+        if not self._may_hold_lease(worker) or worker.may_have_restarted:
             return None
         elapsed_ms = (now - worker.clock_at) * 1000
         until_ms = int(worker.clock_ms + elapsed_ms + LEASE_S * 1000)
@@ -65,8 +63,8 @@
 
         A later try may carry an earlier time, as the estimate of the clock
         can go back; the start may be carried out until the latest one. If the
-        worker is unreachable, a further try carries that time, as the earlier
-        one may still arrive as well.
+        worker may have restarted, a further try carries that time, as the
+        earlier one may still arrive as well.
 
         :returns: end of the lease as for :meth:`extend_lease`.
         """
@@ -131,6 +129,8 @@
             return
         if worker.unreachable_since is None:
             worker.unreachable_since = now
+        if answer.is_broken or answer.outcome is Outcome.NOT_SENT:
+            worker.may_have_restarted = True
 
     def _record_answer(
         self, worker: Worker, clock_ms: int | None, now: float
@@ -138,6 +138,7 @@
         """Note that a worker has answered, and its clock if it sent that."""
         worker.heard_at = now
         worker.awaits_answer = False
+        worker.may_have_restarted = False
         if worker.unreachable_since is not None:
             worker.unreachable_since = None
             worker.loss_noted = False
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -499,7 +499,7 @@
             'worker_restarted',
             worker=worker.name,
             lease_until_ms=worker.lease_until_ms,
-            unreachable=worker.unreachable_since is not None,
+            expected=worker.may_have_restarted,
         )
         reset_worker(worker, now)
 
--- a/src/galenareel/_jobs/worker_entries.py
+++ b/src/galenareel/_jobs/worker_entries.py
@@ -66,6 +66,7 @@
     worker.retiring = False
     worker.leaves_at = None
     worker.unreachable_since = None
+    worker.may_have_restarted = False
     worker.loss_noted = False
     worker.trial = None
     worker.loss = None
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -251,6 +251,8 @@
         not extended until the end of that is recorded.
     :param unreachable_since: when a call to it first failed since its last
         answer, or ``None``. It may have crashed, so it gets no tasks.
+    :param may_have_restarted: a connection to it ended since its last answer,
+        or was refused.
     :param loss_noted: what it may have crashed with is recorded since then.
     :param trial: run of a suspect that is on trial here; nothing else is
         started meanwhile.
@@ -303,6 +305,7 @@
     silence_recorded: bool = False
     lease_recorded: bool = False
     unreachable_since: float | None = None
+    may_have_restarted: bool = False
     loss_noted: bool = False
     trial: Run | None = None
     loss: Loss | None = None
--- a/testing/adapter/test_http.py
+++ b/testing/adapter/test_http.py
@@ -113,16 +113,34 @@
     )
     greenlet = gevent.spawn(server.serve_once)
     outcomes = []
+    broken = []
     for _ in range(2):
         answer = caller.post('/', {}, {})
         assert isinstance(answer, Answer)
         outcomes.append(answer.outcome)
+        broken.append(answer.is_broken)
     greenlet.join()
     caller.close()
     assert outcomes == [Outcome.NO_ANSWER, Outcome.NOT_SENT]
+    assert broken == [True, False]
     assert len(server.requests) == 1
 
 
+def test_late_answer_is_told_from_a_broken_connection() -> None:
+    """Only the latter is a sign that the process has ended."""
+    listener = gevent.socket.socket()
+    listener.bind(('127.0.0.1', 0))
+    listener.listen()
+    port = listener.getsockname()[1]
+    caller = HttpCaller(f'127.0.0.1:{port}', timeout_s=0.2, connections=1)
+    answer = caller.post('/', {}, {})
+    caller.close()
+    listener.close()
+    assert isinstance(answer, Answer)
+    assert answer.outcome is Outcome.NO_ANSWER
+    assert not answer.is_broken
+
+
 def test_refusal_on_an_open_connection_proves_nothing(
     caller: HttpCaller, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -386,7 +386,7 @@
             return
         if not self.engine.may_send_start(run, self.now):
             return
-        if not run.until_ms and run.worker.unreachable_since is not None:
+        if not run.until_ms and run.worker.may_have_restarted:
             assert self.engine.begin_start(run, self.now) is None
             answer = Answer(outcome=Outcome.NOT_SENT)
             self.engine.handle_start_answer(run, answer, self.now)
