--- a/testing/jobs/test_random_faults.py
+++ b/testing/jobs/test_random_faults.py
@@ -34,6 +34,7 @@
 from galenareel._jobs.model import Step
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.state import Job
+from galenareel._jobs.state import JobState
 from galenareel._scheduling.copies import MAX_RUNS
 from galenareel._scheduling.placement import Candidates
 from galenareel._scheduling.tables import Run
@@ -173,6 +174,13 @@
         self.harness.workers[name].crash()
         self.harness.pass_time(seconds)
 
+    @rule(name=sampled_from(NAMES))
+    def restart_with_a_late_lease(self, name: str) -> None:
+        """Let a call to the earlier life of a worker extend its lease."""
+        worker = self.harness.workers[name]
+        worker.crash()
+        worker.poll(until_ms=10**9, acknowledged=0, token=0)
+
     @rule(name=sampled_from(NAMES))
     def announce(self, name: str) -> None:
         self.harness.announce(name)
@@ -540,6 +548,11 @@
     patch.setattr(Engine, 'extend_lease', extend_always)
 
 
+def without_recorded_restarts(patch: pytest.MonkeyPatch) -> None:
+    """Let a new leader know of no restart."""
+    patch.setattr(JobState, 'restarts', {})
+
+
 def without_list_of_a_life(patch: pytest.MonkeyPatch) -> None:
     """Release the runs of a restarted worker before its list is read."""
     reset_worker = Engine._reset_worker
@@ -692,6 +705,22 @@
     machine.wait(2.0)
 
 
+def lose_restarted_worker_with_leader(machine: JobMachine, name: str) -> None:
+    for other in NAMES:
+        if other != name:
+            machine.cut_off(other)
+    machine.wait(2.0)
+    machine.restart_with_a_late_lease(name)
+    machine.wait(0.5)
+    machine.submit()
+    machine.wait(0.5)
+    machine.end_faults()
+    machine.cut_off(name)
+    machine.change_leader()
+    machine.wait(6.0)
+    machine.wait(2.0)
+
+
 BROKEN_ENGINES = [
     (without_lease_wait, cut_off_for_a_lease, 'runs twice'),
     (without_reading_workers, cut_off_and_change_leader, 'runs twice'),
@@ -711,6 +740,11 @@
         lose_end_of_silence_with_leader,
         'runs twice',
     ),
+    (
+        without_recorded_restarts,
+        lose_restarted_worker_with_leader,
+        'runs twice',
+    ),
     (without_list_of_a_life, deliver_late_start_before_list, 'runs twice'),
     (
         without_wait_for_late_calls,
