--- a/src/galenareel/_jobs/occurrences.py
+++ b/src/galenareel/_jobs/occurrences.py
@@ -17,7 +17,7 @@
 from galenareel._jobs.state import JobState
 from galenareel._scheduling.tables import JobWork
 
-# Opening these takes the leader a few milliseconds.
+# The leader does nothing else while it opens these.
 MAX_OPENED_PER_PASS = 200
 # Occurrences that are over are passed over faster than others are opened.
 MAX_PASSED_PER_PASS = 2000
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -70,8 +70,8 @@
 from galenareel._scheduling.tables import Worker
 from galenareel._scheduling.trials import end_trial
 
-# Jobs and steps with progress that are added at a time; these take the leader
-# about 10 ms.
+# Jobs and steps with progress that are added at a time. The leader can't renew
+# its lease meanwhile.
 LOADED_ENTRIES = 100
 
 
