--- a/testing/standins/system.py
+++ b/testing/standins/system.py
@@ -153,6 +153,7 @@
     """Core and front machines, without workers and the platform.
 
     :param cloud: address of the platform's list of machines.
+    :param more_settings: tables at the end of each settings file.
     """
 
     def __init__(
@@ -162,8 +163,10 @@
         cores: int = 3,
         fronts: int = 1,
         cloud: str = '',
+        more_settings: str = '',
     ) -> None:
         self.folder = folder
+        self._more_settings = more_settings
         prefix = get_loopback_prefix()
         self.cloud = cloud or f'{prefix}.1:{CLOUD_PORT}'
         self.cores = [
@@ -234,7 +237,7 @@
 graceS = {GRACE_S}
 [cloudApi]
 address = "{self.cloud}"
-""")
+{self._more_settings}""")
 
     def start_machine(
         self,
