Bound the findings that are kept of one input

What callers saw: a process ended as it ran out of memory. A job of 0.9 MB whose step names 450,000 predecessors, or that has 80,000 invalid steps, made a finding of three texts for each of them, and one more text of all.

An input has 100 findings at most now, and one more that says that there are others; of a job with too many steps only the allowed number is checked.

--- a/src/galenareel/_common/findings.py
+++ b/src/galenareel/_common/findings.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+# A large input may have any number of problems.
+MAX_FINDINGS = 100
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Finding:
@@ -33,10 +36,19 @@
 
 @dataclass(slots=True)
 class Findings:
-    """Collects findings so that all are reported together."""
+    """Collects findings so that all are reported together.
+
+    Beyond ``MAX_FINDINGS`` only one more says that there are others.
+    """
 
     items: list[Finding] = field(default_factory=list)
 
     def add(self, *, place: str, problem: str, remedy: str) -> None:
+        if len(self.items) == MAX_FINDINGS:
+            place = 'the rest'
+            problem = 'there are more findings than are reported'
+            remedy = 'correct the others first'
+        elif len(self.items) > MAX_FINDINGS:
+            return
         finding = Finding(place=place, problem=problem, remedy=remedy)
         self.items.append(finding)
--- a/src/galenareel/_jobs/model.py
+++ b/src/galenareel/_jobs/model.py
@@ -112,7 +112,7 @@
             problem=f'there are {len(req.steps)} steps',
             remedy=f'give 1 to {MAX_STEPS} steps',
         )
-    for number, step in enumerate(req.steps):
+    for number, step in enumerate(req.steps[:MAX_STEPS]):
         _check_step(found, number, step)
     if req.repetitions < 0 or (req.repetitions > 1 and req.interval_ms < 0):
         found.add(
