--- a/testing/adapter/test_wire.py
+++ b/testing/adapter/test_wire.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any
 
 from adapter.listing import decode_listing
@@ -511,3 +512,19 @@
 ) -> None:
     with pytest.raises(InvalidMessage, match='the id in the path'):
         decode_heartbeat(name, json.dumps(make_heartbeat()).encode())
+
+
+@pytest.mark.parametrize(
+    ('fields', 'place'),
+    [
+        ({'specification': 'x', 'steps': [{'count': 1}] * 65}, 'steps'),
+        ({'specification': 'x' * 4001, 'steps': [{'count': 1}]}, 'spec'),
+        ({'specification': 'x', 'steps': [{'count': 0}]}, 'steps[0].count'),
+    ],
+)
+def test_invalid_job_is_refused_before_it_is_forwarded(
+    fields: dict[str, Any], place: str
+) -> None:
+    """Guards against invalid jobs that load the link to the leader."""
+    with pytest.raises(InvalidMessage, match=re.escape(place)):
+        decode_job(json.dumps(fields).encode())
