Read bodies within a limit on each and one on all together

What callers saw: a process ended as it ran out of memory, by bodies far over the limit, announced or just sent; and a valid job with a chunked body was refused with 400.

Cause of both: the adapter read bodies through falcon's bounded stream, which reads as much as the head announces, and nothing if it announces nothing.

All readers of bodies use _entry/bodies.py now. It refuses a body over the limit of its route at once if the length is announced, else once it is exceeded; it bounds the framing of chunks, and what is read of a body that nobody wants. When it is used up, the requests that have been arriving longest give way, as an ordinary one is there at once; only if answered ones take it all is a new one refused. Refused requests have not run.

The listener's receive buffer is set, as the system would let it grow with the reader. After a refusal at most 1 MB is read for 1 s, on 32 connections at most, so that the client gets the answer.

--- a/src/galenareel/_common/settings.py
+++ b/src/galenareel/_common/settings.py
@@ -165,6 +165,10 @@
     max_body_bytes: int = _declare_count(
         'size of the body of a request', 1 << 20
     )
+    max_receive_bytes: int = _declare_count(
+        'memory for the requests of all connections, until their answers',
+        64 << 20,
+    )
     max_answer_bytes: int = _declare_count(
         'size of the body of an answer', 8 << 20
     )
--- a/src/galenareel/_entry/announcements.py
+++ b/src/galenareel/_entry/announcements.py
@@ -18,6 +18,10 @@
 from galenareel._common.addresses import is_address
 from galenareel._common.findings import Findings
 from galenareel._common.messages import Announcement
+from galenareel._common.sentinels import NotRun
+from galenareel._entry.bodies import read_body
+from galenareel._entry.bodies import UnreadBody
+from galenareel._entry.outcomes import get_http_status
 
 ANNOUNCEMENTS_PATH = '/v1/announcements'
 MAX_BODY_BYTES = 16 * 1024
@@ -93,14 +97,8 @@
         if not is_authorized(req, self._secret):
             write_error(resp, 401, 'unauthorized', UNAUTHORIZED_DETAIL)
             return
-        data = read_body(req, MAX_BODY_BYTES)
+        data = read_body_or_refuse(req, resp, MAX_BODY_BYTES)
         if data is None:
-            write_error(
-                resp,
-                413,
-                'too_large',
-                f'send a body of at most {MAX_BODY_BYTES} bytes',
-            )
             return
         result = validate_announcement(data, zone=self._zone)
         if isinstance(result, Findings):
@@ -128,13 +126,23 @@
     return hmac.compare_digest(given.encode(), expected.encode())
 
 
-def read_body(req: falcon.Request, limit: int) -> bytes | None:
-    """Return the body, or None if it is longer than the limit in bytes."""
-    data: bytes = req.env['wsgi.input'].read(limit + 1)
-    if len(data) > limit:
-        req.env['galenareel.handler'].drop_body()
-        return None
-    return data
+def read_body_or_refuse(
+    req: falcon.Request, resp: falcon.Response, limit: int
+) -> bytes | None:
+    """Return the body, or answer why it was not read and return None.
+
+    :param limit: size limit in bytes.
+    """
+    body = read_body(req.env, limit)
+    if not isinstance(body, UnreadBody):
+        return body
+    if body.reason == 'body_too_large':
+        detail = f'send a body of at most {limit} bytes'
+        write_error(resp, 413, 'too_large', detail)
+    else:
+        status = get_http_status(NotRun(reason=body.reason))
+        write_error(resp, status, body.reason, body.detail)
+    return None
 
 
 def write_error(
--- a/src/galenareel/_entry/callers.py
+++ b/src/galenareel/_entry/callers.py
@@ -9,13 +9,14 @@
 from typing import Any
 
 import falcon
-from gevent.socket import timeout as SocketTimeout
 import msgspec
 
 from galenareel._common.sentinels import NotRun
 from galenareel._common.sentinels import OutcomeUnknown
 from galenareel._entry.answers import HOP_BY_HOP_HEADERS
 from galenareel._entry.answers import parse_connection_header
+from galenareel._entry.bodies import read_body
+from galenareel._entry.bodies import UnreadBody
 from galenareel._entry.calls import Call
 from galenareel._entry.claims import Claims
 from galenareel._entry.heads import RequestHead
@@ -38,9 +39,8 @@
     )
 )
 DROPPED_REQUEST_HEADERS = HOP_BY_HOP_HEADERS | ENTRY_REQUEST_HEADERS
-# After these the body has not been read to its end. The connection is closed,
-# because the rest would be taken for the next request.
-UNREAD_BODY_REASONS = frozenset(('body_too_large', 'body_timeout', 'bad_body'))
+# Why a body was not read, if the same request may be accepted later.
+RETRIED_BODY_REASONS = frozenset(('body_timeout', 'receive_memory'))
 DETAIL_BY_REASON = {
     'unknown_service': 'no service has this path',
     'not_ready': 'this entry has no document in force yet or is stopping',
@@ -150,8 +150,6 @@
         call = self._make_call(env, head, routes, request_id)
         if isinstance(call, NotRun):
             result: Answer | NotRun | OutcomeUnknown = call
-            if call.reason in UNREAD_BODY_REASONS:
-                env['galenareel.handler'].drop_body()
         else:
             watcher = env['galenareel.handler'].disconnect_watcher
             watcher.start()
@@ -198,9 +196,14 @@
                 detail='Galenareel-Deadline-S is not a positive number',
             )
         started_at = time.monotonic()
-        body = self._read_body(env, head)
-        if isinstance(body, NotRun):
-            return body
+        body = read_body(env, self._limits.max_body_bytes)
+        if isinstance(body, UnreadBody):
+            may_return = body.reason in RETRIED_BODY_REASONS
+            return NotRun(
+                reason=body.reason,
+                detail=body.detail,
+                retry_after_s=1.0 if may_return else None,
+            )
         caller = _get_header(head, 'galenareel-caller') or env['REMOTE_ADDR']
         return Call(
             request_id=request_id,
@@ -232,31 +235,6 @@
             return None
         return min(value, self._limits.max_deadline_s)
 
-    def _read_body(
-        self, env: dict[str, Any], head: RequestHead
-    ) -> bytes | NotRun:
-        limit = self._limits.max_body_bytes
-        too_large = NotRun(
-            reason='body_too_large',
-            detail=f'a body may have at most {limit} bytes',
-        )
-        if head.content_length is None and not head.is_chunked:
-            return b''
-        if head.content_length is not None and head.content_length > limit:
-            return too_large
-        try:
-            body: bytes = env['wsgi.input'].read(
-                limit + 1 if head.is_chunked else None
-            )
-        except SocketTimeout:
-            return NotRun(
-                reason='body_timeout', detail='the body did not arrive in time'
-            )
-        except OSError as exc:
-            # A chunk is invalid, or the caller has disconnected.
-            return NotRun(reason='bad_body', detail=str(exc))
-        return too_large if len(body) > limit else body
-
 
 def _get_header(head: RequestHead, searched: str) -> str | None:
     for name, value in head.headers:
--- a/src/galenareel/_entry/operators.py
+++ b/src/galenareel/_entry/operators.py
@@ -31,7 +31,7 @@
 from galenareel._common.messages import Welcome
 from galenareel._common.sentinels import Unreachable
 from galenareel._entry.announcements import is_authorized
-from galenareel._entry.announcements import read_body
+from galenareel._entry.announcements import read_body_or_refuse
 from galenareel._entry.announcements import UNAUTHORIZED_DETAIL
 from galenareel._entry.announcements import write_error
 
@@ -153,15 +153,10 @@
         if not is_authorized(req, self._secret):
             write_error(resp, 401, 'unauthorized', UNAUTHORIZED_DETAIL)
             return
-        body = read_body(req, MAX_BODY_BYTES)
+        body = read_body_or_refuse(req, resp, MAX_BODY_BYTES)
         if body is None:
-            write_error(
-                resp,
-                413,
-                'too_large',
-                f'send a body of at most {MAX_BODY_BYTES} bytes',
-            )
-        elif _OPERATION.fullmatch(operation) is None:
+            return
+        if _OPERATION.fullmatch(operation) is None:
             write_error(
                 resp,
                 404,
--- a/src/galenareel/_entry/process.py
+++ b/src/galenareel/_entry/process.py
@@ -55,6 +55,7 @@
 from galenareel._entry.settings import FENCE_AFTER_S
 from galenareel._entry.view import ViewStore
 from galenareel._entry.wsgi import HttpServer
+from galenareel._entry.wsgi import make_receive_budget
 from galenareel._entry.zone import ZoneMonitor
 
 
@@ -284,6 +285,7 @@
             ask=self.session.ask,
             events=self.events,
         )
+        self._receive_budget = make_receive_budget(settings.limits)
         self.callers_http = self._make_server(
             settings.callers, self.caller_app
         )
@@ -301,6 +303,7 @@
             parse_address(address),
             app.make_app(),
             limits=self.settings.limits,
+            budget=self._receive_budget,
         )
 
     def _receive(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
--- a/src/galenareel/_entry/settings.py
+++ b/src/galenareel/_entry/settings.py
@@ -35,6 +35,8 @@
     max_header_bytes: int = 32 * 1024
     max_headers: int = 100
     max_body_bytes: int = 4 * 1024 * 1024
+    # Requests that arrive or are answered, over all connections.
+    max_receive_bytes: int = 64 * 1024 * 1024
     max_connections: int = 2000
     max_connections_per_address: int = 1000
     max_queue: int = 512  # requests per pool
--- a/src/galenareel/_entry/wsgi.py
+++ b/src/galenareel/_entry/wsgi.py
@@ -16,26 +16,33 @@
 
 import gevent
 from gevent import GreenletExit
-from gevent.pywsgi import Input
 from gevent.pywsgi import WSGIHandler
 from gevent.pywsgi import WSGIServer
 from gevent.socket import timeout as SocketTimeout
 import msgspec
 
+from galenareel._entry.bodies import BodyInput
 from galenareel._entry.calls import CallerDisconnected
 from galenareel._entry.connections import ConnectionReader
 from galenareel._entry.connections import DisconnectWatcher
+from galenareel._entry.connections import HEAD_MEMORY_FACTOR
 from galenareel._entry.connections import HeadTooLong
 from galenareel._entry.connections import RECV_BYTES
 from galenareel._entry.heads import parse_head
 from galenareel._entry.heads import RejectedHead
 from galenareel._entry.heads import RequestHead
 from galenareel._entry.outcomes import AnswerBroken
+from galenareel._entry.receive_budget import NoRoom
+from galenareel._entry.receive_budget import ReceiveBudget
 from galenareel._entry.settings import Limits
 
 # Limits for reading the request of a refused connection before it is closed.
 LINGER_TIMEOUT_S = 1.0
 LINGER_BYTES = 1024 * 1024
+# Refused connections that are read from at once; more are closed unread.
+MAX_LINGERING = 32
+# Bounds what the system stores for a connection that is not read from.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 # Shorter bodies are sent together with their head.
 MAX_COMBINED_BYTES = 16 * 1024
 _REASON_PHRASES = {
@@ -48,22 +55,17 @@
 }
 
 
-class _UnreadBody:
-    """Replaces the input of a request whose body is not read to its end.
-
-    pywsgi calls :meth:`_discard` after each request.
-    """
-
-    def _discard(self) -> None:
-        pass
-
-
 class Handler(WSGIHandler):
     """A connection of a caller.
 
+    :ivar host: address of the caller.
     :ivar idle: whether it waits for the head of a request.
+    :ivar has_unread_body: whether the connection ends after this request, as
+        its body was not read to the end.
     """
 
+    host: str = ''
+
     server: Any
     rfile: Any
     wsgi_input: Any
@@ -75,19 +77,25 @@
 
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        holding = server.budget.open(self._give_way)
+        reader = ConnectionReader(sock, holding)
         # The type stubs lack the argument ``rfile``.
         init: Any = super().__init__
-        init(sock, address, server, rfile=ConnectionReader(sock))
+        init(sock, address, server, rfile=reader)
+        self.has_unread_body = False
         self.disconnect_watcher = DisconnectWatcher(sock, gevent.getcurrent())
         self.idle = True
 
     def handle(self) -> None:
+        reader = self.rfile
         try:
             super().handle()
         except (OSError, GreenletExit):
             pass
         finally:
             self.disconnect_watcher.close()
+            reader.end_request()
+            reader.drop()
 
     def handle_one_request(self) -> Any:
         limits: Limits = self.server.limits
@@ -104,6 +112,8 @@
             return self._refuse(
                 RejectedHead(408, 'the header came too slowly')
             )
+        except NoRoom as exc:
+            return self._refuse(RejectedHead(503, str(exc)))
         except OSError:
             return None
         self.idle = False
@@ -118,6 +128,9 @@
             self.handle_one_response()
         finally:
             self.disconnect_watcher.stop()
+            self.rfile.end_request()
+        if self.has_unread_body:
+            self.server.linger(self.socket)
         if self.close_connection or self.rfile.closed:
             return None
         return True
@@ -136,7 +149,23 @@
     def drop_body(self) -> None:
         """Close the connection after the answer; don't read the body."""
         self.close_connection = True
-        self.wsgi_input = _UnreadBody()
+        self.has_unread_body = True
+
+    def _give_way(self) -> None:
+        """Free the memory of a request, and end the wait for its rest."""
+        if self.rfile is not None:
+            self.rfile.drop()
+        self._shut_down(socket.SHUT_RD)
+
+    def _shut_down(self, how: int) -> None:
+        # The method of gevent's socket would raise one exception object in
+        # all waiting greenlets, whose traceback keeps what they have read.
+        if self.socket is not None:
+            try:
+                raw_socket: Any = self.socket
+                raw_socket._sock.shutdown(how)
+            except OSError:
+                pass
 
     def log_request(self) -> None:
         """Don't log requests; they are counted."""
@@ -171,12 +200,7 @@
             value = env.pop('HTTP_' + key, None)
             if value is not None:
                 env[key] = value
-        self.wsgi_input = Input(
-            self.rfile,
-            head.content_length,
-            socket=self.socket if head.expects_continue else None,
-            chunked_input=head.is_chunked,
-        )
+        self.wsgi_input = BodyInput(self, head, self.socket)
         env['wsgi.input'] = self.wsgi_input
         env['wsgi.input_terminated'] = True
         env['galenareel.head'] = head
@@ -226,8 +250,21 @@
     return head.encode() + body
 
 
+def make_receive_budget(limits: Limits) -> ReceiveBudget:
+    """Return a budget that has room for one request of the largest size."""
+    largest = (
+        limits.max_body_bytes
+        + HEAD_MEMORY_FACTOR * limits.max_header_bytes
+        + RECV_BYTES
+    )
+    return ReceiveBudget(max(limits.max_receive_bytes, largest))
+
+
 class HttpServer(WSGIServer):
-    """HTTP server that limits connections in total and per address."""
+    """HTTP server that limits connections in total and per address.
+
+    :param budget: memory for requests, shared by the servers of a process.
+    """
 
     handler_class = Handler
     address: Any
@@ -238,12 +275,22 @@
         application: Callable[..., Any],
         *,
         limits: Limits,
+        budget: ReceiveBudget | None = None,
     ) -> None:
         super().__init__(address, application, log=None, error_log=None)
         self.limits = limits
+        self.budget = budget or make_receive_budget(limits)
         self.connections_by_address: dict[str, int] = {}
         self.open_connections = 0
         self.handlers: set[Handler] = set()
+        self._lingering = 0
+
+    def init_socket(self) -> None:
+        super().init_socket()
+        # Connections inherit it.
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
 
     def update_environ(self) -> None:
         """Set the server's name and port without a DNS lookup.
@@ -269,41 +316,70 @@
 
     def handle(self, sock: Any, address: Any) -> None:
         host = address[0]
+        limits = self.limits
         count = self.connections_by_address.get(host, 0)
-        if self.open_connections >= self.limits.max_connections:
-            return _refuse_connection(sock, 503, 'too many connections')
-        if count >= self.limits.max_connections_per_address:
-            return _refuse_connection(
+        if self.open_connections >= limits.max_connections:
+            return self._refuse_connection(sock, 503, 'too many connections')
+        elif count >= limits.max_connections_per_address:
+            return self._refuse_connection(
                 sock, 429, 'too many connections from this address'
             )
-        self.open_connections += 1
-        self.connections_by_address[host] = count + 1
         handler = self.handler_class(sock, address, self)
-        self.handlers.add(handler)
+        self._add(handler, host)
         try:
             handler.handle()
         finally:
-            self.handlers.discard(handler)
-            self.open_connections -= 1
-            remaining = self.connections_by_address[host] - 1
-            if remaining:
-                self.connections_by_address[host] = remaining
-            else:
-                del self.connections_by_address[host]
+            self._remove(handler)
         return None
 
+    def _add(self, handler: Handler, host: str) -> None:
+        handler.host = host
+        self.handlers.add(handler)
+        self.open_connections += 1
+        count = self.connections_by_address.get(host, 0)
+        self.connections_by_address[host] = count + 1
+
+    def _remove(self, handler: Handler) -> None:
+        if handler not in self.handlers:
+            return
+        self.handlers.discard(handler)
+        self.open_connections -= 1
+        remaining = self.connections_by_address[handler.host] - 1
+        if remaining:
+            self.connections_by_address[handler.host] = remaining
+        else:
+            del self.connections_by_address[handler.host]
+
+    def linger(self, sock: Any) -> None:
+        """Read what a refused client still sends, for a short time.
+
+        Closing a socket with unread bytes resets the connection, and the
+        client might lose the refusal.
+        """
+        if sock is None or self._lingering >= MAX_LINGERING:
+            return
+        self._lingering += 1
+        try:
+            sock.shutdown(socket.SHUT_WR)
+            deadline = time.monotonic() + LINGER_TIMEOUT_S
+            bytes_left = LINGER_BYTES
+            while bytes_left > 0 and time.monotonic() < deadline:
+                sock.settimeout(max(deadline - time.monotonic(), 0.01))
+                data = sock.recv(RECV_BYTES)
+                if not data:
+                    break
+                bytes_left -= len(data)
+        except OSError:
+            pass
+        finally:
+            self._lingering -= 1
 
-def _refuse_connection(sock: Any, status: int, detail: str) -> None:
-    try:
-        sock.settimeout(LINGER_TIMEOUT_S)
-        sock.sendall(encode_refusal(status, detail))
-        sock.shutdown(socket.SHUT_WR)
-        # Closing a socket with unread bytes resets the connection, and the
-        # caller might lose the refusal. So the request is read first.
-        bytes_left = LINGER_BYTES
-        while bytes_left > 0 and (data := sock.recv(RECV_BYTES)):
-            bytes_left -= len(data)
-    except OSError:
-        pass
-    finally:
-        sock.close()
+    def _refuse_connection(self, sock: Any, status: int, detail: str) -> None:
+        try:
+            sock.settimeout(LINGER_TIMEOUT_S)
+            sock.sendall(encode_refusal(status, detail))
+            self.linger(sock)
+        except OSError:
+            pass
+        finally:
+            sock.close()
