Let a silent connection give its place to a new one

What callers would see: connections that send nothing, or never end a head, hold their places for 10 to 75 s, and other callers are refused with 503.

A connection beyond the total takes the place of the one that has been without a complete request for the longest time, its body included, or, if there is none, of one whose client has taken no part of an answer for a second. The limit for each address stays as it was at an entry.

--- a/src/galenareel/_entry/bodies.py
+++ b/src/galenareel/_entry/bodies.py
@@ -65,6 +65,7 @@
         if is_waiting or left > MAX_DISCARDED_BYTES:
             handler.drop_body()
             return
+        handler.wait_for_request(True)
         handler.rfile.limit_bytes_left(MAX_WIRE_BYTES_A_PIECE)
         try:
             while self.read(PIECE_BYTES):
@@ -89,6 +90,8 @@
     body = _read_body(env, handler, limit)
     if isinstance(body, UnreadBody):
         handler.drop_body()
+    else:
+        handler.wait_for_request(False)
     return body
 
 
@@ -101,6 +104,7 @@
         return b''
     if length is not None and length > limit:
         return _make_too_large(limit)
+    handler.wait_for_request(True)
     reader = handler.rfile
     size = 0
     try:
--- a/src/galenareel/_entry/wsgi.py
+++ b/src/galenareel/_entry/wsgi.py
@@ -41,6 +41,8 @@
 LINGER_BYTES = 1024 * 1024
 # Refused connections that are read from at once; more are closed unread.
 MAX_LINGERING = 32
+# A client that takes no part of an answer for this long may lose its place.
+STALLED_ANSWER_S = 1.0
 # Bounds what the system stores for a connection that is not read from.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 # Shorter bodies are sent together with their head.
@@ -72,7 +74,6 @@
     content_length: Any
     response_headers: Any
     status: Any
-    _sendall: Any
     _write: Any
 
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
@@ -100,6 +101,7 @@
     def handle_one_request(self) -> Any:
         limits: Limits = self.server.limits
         self.idle = True
+        self.wait_for_request(True)
         try:
             data = self.rfile.read_head(
                 idle_s=limits.idle_timeout_s,
@@ -117,6 +119,7 @@
         except OSError:
             return None
         self.idle = False
+        self.wait_for_request(False)
         if data is None:
             return None
         head = parse_head(data, max_headers=limits.max_headers)
@@ -146,11 +149,27 @@
         if self.idle and self.socket is not None:
             self.socket.shutdown(socket.SHUT_RD)
 
+    def abort(self) -> None:
+        """Close the connection without an answer, at once."""
+        self._shut_down(socket.SHUT_RDWR)
+
     def drop_body(self) -> None:
         """Close the connection after the answer; don't read the body."""
         self.close_connection = True
         self.has_unread_body = True
 
+    def wait_for_request(self, is_waiting: bool) -> None:
+        """Note whether a part of the next request has still to arrive."""
+        self.server.note_waiting(self, is_waiting)
+
+    def _sendall(self, data: Any) -> None:
+        server = self.server
+        server.note_sending(self, time.monotonic())
+        try:
+            super()._sendall(data)  # type: ignore[misc]
+        finally:
+            server.note_sending(self, None)
+
     def _give_way(self) -> None:
         """Free the memory of a request, and end the wait for its rest."""
         if self.rfile is not None:
@@ -263,6 +282,9 @@
 class HttpServer(WSGIServer):
     """HTTP server that limits connections in total and per address.
 
+    A new connection beyond the total takes the place of one whose client has
+    not sent its request, or does not read its answer.
+
     :param budget: memory for requests, shared by the servers of a process.
     """
 
@@ -283,6 +305,10 @@
         self.connections_by_address: dict[str, int] = {}
         self.open_connections = 0
         self.handlers: set[Handler] = set()
+        # Connections without a complete request; the first waits longest.
+        self._waiting: dict[Handler, None] = {}
+        # When connections began to send a part of an answer, oldest first.
+        self._sending: dict[Handler, float] = {}
         self._lingering = 0
 
     def init_socket(self) -> None:
@@ -314,12 +340,27 @@
         for handler in list(self.handlers):
             handler.close_when_idle()
 
+    def note_waiting(self, handler: Handler, is_waiting: bool) -> None:
+        """Note whether a connection has no complete request."""
+        self._waiting.pop(handler, None)
+        if is_waiting and handler in self.handlers:
+            self._waiting[handler] = None
+
+    def note_sending(self, handler: Handler, now: float | None) -> None:
+        """Note that a connection begins to send, or has sent if None."""
+        self._sending.pop(handler, None)
+        if now is not None and handler in self.handlers:
+            self._sending[handler] = now
+
     def handle(self, sock: Any, address: Any) -> None:
         host = address[0]
         limits = self.limits
         count = self.connections_by_address.get(host, 0)
         if self.open_connections >= limits.max_connections:
-            return self._refuse_connection(sock, 503, 'too many connections')
+            if not self._close_longest_waiting(time.monotonic()):
+                return self._refuse_connection(
+                    sock, 503, 'too many connections'
+                )
         elif count >= limits.max_connections_per_address:
             return self._refuse_connection(
                 sock, 429, 'too many connections from this address'
@@ -335,6 +376,7 @@
     def _add(self, handler: Handler, host: str) -> None:
         handler.host = host
         self.handlers.add(handler)
+        self._waiting[handler] = None
         self.open_connections += 1
         count = self.connections_by_address.get(host, 0)
         self.connections_by_address[host] = count + 1
@@ -343,6 +385,8 @@
         if handler not in self.handlers:
             return
         self.handlers.discard(handler)
+        self._waiting.pop(handler, None)
+        self._sending.pop(handler, None)
         self.open_connections -= 1
         remaining = self.connections_by_address[handler.host] - 1
         if remaining:
@@ -350,6 +394,23 @@
         else:
             del self.connections_by_address[handler.host]
 
+    def _close_longest_waiting(self, now: float) -> bool:
+        """Close a connection on which only the client holds things up.
+
+        The one goes first that has been without a complete request for the
+        longest time. If there is none, one goes whose client does not read.
+
+        :returns: whether there was one. It no longer counts.
+        """
+        handler = next(iter(self._waiting), None)
+        if handler is None:
+            handler, since = next(iter(self._sending.items()), (None, now))
+            if handler is None or now - since < STALLED_ANSWER_S:
+                return False
+        self._remove(handler)
+        handler.abort()
+        return True
+
     def linger(self, sock: Any) -> None:
         """Read what a refused client still sends, for a short time.
 
