--- a/testing/programs/harness.py
+++ b/testing/programs/harness.py
@@ -34,9 +34,12 @@
     :param folder: directory with the data, logs and records of the processes.
     """
 
-    def __init__(self, topology: Topology, folder: Path) -> None:
+    def __init__(
+        self, topology: Topology, folder: Path, processes: Processes
+    ) -> None:
         self.topology = topology
         self.folder = folder
+        self.processes = processes
         self.entry = topology.entries[0]
         self.operator = Operator(topology)
 
@@ -105,7 +108,7 @@
         for entry in topology.entries:
             processes.start_entry(entry)
         processes.start_standin('fleet', 'testing.standins.fleet', path)
-        running = RunningSystem(topology, folder)
+        running = RunningSystem(topology, folder, processes)
         run = running.operator.run
         wait_until(
             lambda: run('submit', str(EXAMPLE)).status == 0, 'submission'
