Read the list of instances again for a worker that joined after it

Cause: a list names a worker that has not joined yet. When it joins, nothing maps it to its instance until the next list, and the leader took the list for settled, as it names all workers: the next one came after up to 20 s. Until then the worker may be on any instance of its pool, so no order that would end a task is sent for any of them once it runs one.

test_worker_that_joins_after_it_was_listed_is_found_on_its_instance failed before.

--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -249,8 +249,10 @@
         if self._state.config is None:
             return False
         instances = self._tables.instances
-        mapped = {instance.row.worker for instance in instances.values()}
-        if any(name not in mapped for name in self._engine.workers):
+        # A list may have named a worker before it joined.
+        if any(
+            not worker.instance for worker in self._engine.workers.values()
+        ):
             return True
         has_open_wave = any(
             not wave.is_complete() for wave in self._state.waves.values()
--- a/testing/jobs/test_fleet_orders.py
+++ b/testing/jobs/test_fleet_orders.py
@@ -141,6 +141,35 @@
         return super().maintain(instance, wave, holder=holder, token=token)
 
 
+def test_worker_that_joins_after_it_was_listed_is_found_on_its_instance() -> (
+    None
+):
+    """Guards against a worker that holds up all moves out of its pool.
+
+    While nobody knows where it is, it may be on any instance of the pool.
+    """
+    platform = FakePlatform()
+    for name in ('w1', 'w2', 'w3'):
+        platform.add(f'm-{name}', 'lots', worker=name)
+    running = RunningLeader(lambda: platform)
+    running.start()
+    try:
+        eventually(lambda: platform.list_calls > 0)
+        worker = FakeWorker(name='w3', work_s=1000.0)
+        running.workers['w3'] = worker
+        running.propose(AdmitWorker(worker=worker.make_record()))
+
+        def is_found() -> bool:
+            engine = running.leader.engine
+            assert engine is not None, 'the leader has lost its lease'
+            known = engine.workers.get('w3')
+            return known is not None and known.instance == 'm-w3'
+
+        eventually(is_found)
+    finally:
+        running.leader.close()
+
+
 def test_order_that_waits_for_others_is_not_sent_without_a_lease() -> None:
     """Guards against orders that wait for a connection after the check.
 
