Keep frames small until a connection has said who it is

Until its hello is answered a connection may send frames of 64 KiB, and at most 256 connections are without a hello; the oldest one is closed then. Our own processes send nothing but the hello before its answer.

The servers of testing/consensus/processes.py now note the name of the other process on a link, as those of the product do; without it their links stay unknown. test_frame_before_the_hello_is_small and test_unknown_connections_give_way_to_new_ones fail on the former code, where the constants did not exist.

--- a/src/galenareel/_common/frames.py
+++ b/src/galenareel/_common/frames.py
@@ -29,6 +29,9 @@
 from galenareel._common.sentinels import Unreachable
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
+# Of a connection that has not said who it is.
+MAX_HELLO_BYTES = 64 * 1024
+MAX_UNKNOWN_LINKS = 256
 CONNECT_TIMEOUT_S = 1.0
 # A link whose other end takes no byte of a frame for this long is closed.
 WRITE_STALL_S = 2.0
@@ -96,6 +99,8 @@
     :param on_close: called once when the link is closed by either side.
     :param aborts: closing resets the connection, so that the other process
         sees an ordinary end only if this process has ended.
+    :param awaits_hello: frames stay small until the name of the other process
+        is set.
     :param log: where malformed data is reported.
     :ivar ended_by_peer: the connection has ended in the ordinary way, and the
         other side ended it first. A reset or a time-out is no such end.
@@ -109,6 +114,7 @@
         handler: Callable[[Link, AnyMessage], AnyMessage | None],
         on_close: Callable[[Link], None] | None = None,
         aborts: bool = False,
+        awaits_hello: bool = False,
         log: Log | None = None,
     ) -> None:
         _set_options(sock)
@@ -119,6 +125,7 @@
         self.closed = False
         self.ended_by_peer = False
         self._aborts = aborts
+        self._awaits_hello = awaits_hello
         self._log = log
         self._sock = sock
         self._file = sock.makefile('rb')
@@ -293,10 +300,11 @@
         if len(head) < _LENGTH.size:
             return False
         (size,) = _LENGTH.unpack(head)
-        if size > MAX_FRAME_BYTES:
+        is_unknown = self._awaits_hello and not self.peer
+        limit = MAX_HELLO_BYTES if is_unknown else MAX_FRAME_BYTES
+        if size > limit:
             raise FrameError(
-                f'frame of {size} bytes exceeds the limit of '
-                f'{MAX_FRAME_BYTES} bytes'
+                f'frame of {size} bytes exceeds the limit of {limit} bytes'
             )
         data = self._file.read(size)
         if len(data) < size:
@@ -361,6 +369,8 @@
         self._handler = handler
         self._on_close = on_close
         self.links: set[Link] = set()
+        # Links without a hello so far, oldest first.
+        self._unknown: dict[Link, None] = {}
 
     def start(self) -> None:
         """Start to listen.
@@ -381,13 +391,29 @@
             clock=self._clock,
             handler=self._handler,
             on_close=self._on_close,
+            awaits_hello=True,
             log=self._log,
         )
         self.links.add(link)
+        self._unknown[link] = None
+        self._close_oldest_unknown()
         try:
             link.serve()
         finally:
             self.links.discard(link)
+            self._unknown.pop(link, None)
+
+    def _close_oldest_unknown(self) -> None:
+        """Close the oldest link without a hello if there are too many."""
+        if len(self._unknown) <= MAX_UNKNOWN_LINKS:
+            return
+        for link in list(self._unknown):
+            if link.peer:
+                del self._unknown[link]
+        if len(self._unknown) > MAX_UNKNOWN_LINKS:
+            oldest = next(iter(self._unknown))
+            del self._unknown[oldest]
+            oldest.close()
 
 
 def connect(
--- a/testing/common/test_frames.py
+++ b/testing/common/test_frames.py
@@ -10,6 +10,7 @@
 
 import gevent
 from gevent.server import StreamServer
+import gevent.socket
 import msgspec
 import pytest
 
@@ -21,6 +22,8 @@
 from galenareel._common.frames import FrameServer
 from galenareel._common.frames import Link
 from galenareel._common.frames import MAX_FRAME_BYTES
+from galenareel._common.frames import MAX_HELLO_BYTES
+from galenareel._common.frames import MAX_UNKNOWN_LINKS
 from galenareel._common.frames import parse_address
 from galenareel._common.frames import REQUEST
 from galenareel._common.log import Log
@@ -329,3 +332,34 @@
     assert len(accepted) == 1
     link.close()
     server.close()
+
+
+def test_frame_before_the_hello_is_small(
+    address: str, log_text: io.StringIO
+) -> None:
+    """Guards against memory for connections of unknown processes."""
+    sock = gevent.socket.create_connection(parse_address(address))
+    with sock:
+        sock.sendall(struct.pack('>I', MAX_HELLO_BYTES + 1))
+        sock.settimeout(5)
+        assert sock.recv(1) == b''
+    assert 'event=invalid_frame' in log_text.getvalue()
+
+
+def test_unknown_connections_give_way_to_new_ones(address: str) -> None:
+    """Guards against connections that say nothing and use up descriptors."""
+    connect_to = parse_address(address)
+    first = gevent.socket.create_connection(connect_to)
+    others = [
+        gevent.socket.create_connection(connect_to)
+        for _ in range(MAX_UNKNOWN_LINKS)
+    ]
+    try:
+        first.settimeout(5)
+        assert first.recv(1) == b''
+        others[-1].settimeout(0.1)
+        with pytest.raises(TimeoutError):
+            others[-1].recv(1)
+    finally:
+        for sock in (first, *others):
+            sock.close()
--- a/testing/consensus/processes.py
+++ b/testing/consensus/processes.py
@@ -111,6 +111,7 @@
 
     def _handle(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
         if isinstance(msg, Hello) and msg.secret == SECRET:
+            link.peer = msg.process
             return Welcome(process=self.name)
         if isinstance(msg, PeerMessage) and not self.is_partitioned:
             self.driver.receive(msg, link)
