Choose the connection that gives way in a table without I/O

What connections wait for, their counts and the choice move from HttpServer to ConnectionTable, which takes the present time as an argument; behaviour is unchanged. The two checks of test_callers.py that no connection stays open read the table.

--- a/src/galenareel/_entry/wsgi.py
+++ b/src/galenareel/_entry/wsgi.py
@@ -23,6 +23,7 @@
 
 from galenareel._entry.bodies import BodyInput
 from galenareel._entry.calls import CallerDisconnected
+from galenareel._entry.connection_table import ConnectionTable
 from galenareel._entry.connections import ConnectionReader
 from galenareel._entry.connections import DisconnectWatcher
 from galenareel._entry.connections import HEAD_MEMORY_FACTOR
@@ -41,8 +42,6 @@
 LINGER_BYTES = 1024 * 1024
 # Refused connections that are read from at once; more are closed unread.
 MAX_LINGERING = 32
-# A client that takes no part of an answer for this long may lose its place.
-STALLED_ANSWER_S = 1.0
 # Bounds what the system stores for a connection that is not read from.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 # Shorter bodies are sent together with their head.
@@ -60,14 +59,11 @@
 class Handler(WSGIHandler):
     """A connection of a caller.
 
-    :ivar host: address of the caller.
     :ivar idle: whether it waits for the head of a request.
     :ivar has_unread_body: whether the connection ends after this request, as
         its body was not read to the end.
     """
 
-    host: str = ''
-
     server: Any
     rfile: Any
     wsgi_input: Any
@@ -160,15 +156,15 @@
 
     def wait_for_request(self, is_waiting: bool) -> None:
         """Note whether a part of the next request has still to arrive."""
-        self.server.note_waiting(self, is_waiting)
+        self.server.connections.note_waiting(self, is_waiting)
 
     def _sendall(self, data: Any) -> None:
-        server = self.server
-        server.note_sending(self, time.monotonic())
+        connections = self.server.connections
+        connections.note_sending(self, time.monotonic())
         try:
             super()._sendall(data)  # type: ignore[misc]
         finally:
-            server.note_sending(self, None)
+            connections.note_sending(self, None)
 
     def _give_way(self) -> None:
         """Free the memory of a request, and end the wait for its rest."""
@@ -286,6 +282,7 @@
     not sent its request, or does not read its answer.
 
     :param budget: memory for requests, shared by the servers of a process.
+    :ivar connections: without those that have given up their place.
     """
 
     handler_class = Handler
@@ -302,13 +299,7 @@
         super().__init__(address, application, log=None, error_log=None)
         self.limits = limits
         self.budget = budget or make_receive_budget(limits)
-        self.connections_by_address: dict[str, int] = {}
-        self.open_connections = 0
-        self.handlers: set[Handler] = set()
-        # Connections without a complete request; the first waits longest.
-        self._waiting: dict[Handler, None] = {}
-        # When connections began to send a part of an answer, oldest first.
-        self._sending: dict[Handler, float] = {}
+        self.connections: ConnectionTable[Handler] = ConnectionTable()
         self._lingering = 0
 
     def init_socket(self) -> None:
@@ -329,7 +320,7 @@
 
     def count_busy(self) -> int:
         """Return the number of requests without a complete answer."""
-        return sum(not handler.idle for handler in self.handlers)
+        return sum(not handler.idle for handler in self.connections.list_all())
 
     def close_idle(self) -> None:
         """Close the listener and the idle connections.
@@ -337,77 +328,39 @@
         Requests on the other connections can finish.
         """
         self.close()
-        for handler in list(self.handlers):
+        for handler in self.connections.list_all():
             handler.close_when_idle()
 
-    def note_waiting(self, handler: Handler, is_waiting: bool) -> None:
-        """Note whether a connection has no complete request."""
-        self._waiting.pop(handler, None)
-        if is_waiting and handler in self.handlers:
-            self._waiting[handler] = None
-
-    def note_sending(self, handler: Handler, now: float | None) -> None:
-        """Note that a connection begins to send, or has sent if None."""
-        self._sending.pop(handler, None)
-        if now is not None and handler in self.handlers:
-            self._sending[handler] = now
-
     def handle(self, sock: Any, address: Any) -> None:
         host = address[0]
         limits = self.limits
-        count = self.connections_by_address.get(host, 0)
-        if self.open_connections >= limits.max_connections:
-            if not self._close_longest_waiting(time.monotonic()):
+        connections = self.connections
+        if len(connections) >= limits.max_connections:
+            if not self._free_place(time.monotonic()):
                 return self._refuse_connection(
                     sock, 503, 'too many connections'
                 )
-        elif count >= limits.max_connections_per_address:
+        elif (
+            connections.count_of_host(host)
+            >= limits.max_connections_per_address
+        ):
             return self._refuse_connection(
                 sock, 429, 'too many connections from this address'
             )
         handler = self.handler_class(sock, address, self)
-        self._add(handler, host)
+        connections.add(handler, host)
         try:
             handler.handle()
         finally:
-            self._remove(handler)
+            connections.remove(handler)
         return None
 
-    def _add(self, handler: Handler, host: str) -> None:
-        handler.host = host
-        self.handlers.add(handler)
-        self._waiting[handler] = None
-        self.open_connections += 1
-        count = self.connections_by_address.get(host, 0)
-        self.connections_by_address[host] = count + 1
-
-    def _remove(self, handler: Handler) -> None:
-        if handler not in self.handlers:
-            return
-        self.handlers.discard(handler)
-        self._waiting.pop(handler, None)
-        self._sending.pop(handler, None)
-        self.open_connections -= 1
-        remaining = self.connections_by_address[handler.host] - 1
-        if remaining:
-            self.connections_by_address[handler.host] = remaining
-        else:
-            del self.connections_by_address[handler.host]
-
-    def _close_longest_waiting(self, now: float) -> bool:
-        """Close a connection on which only the client holds things up.
-
-        The one goes first that has been without a complete request for the
-        longest time. If there is none, one goes whose client does not read.
-
-        :returns: whether there was one. It no longer counts.
-        """
-        handler = next(iter(self._waiting), None)
+    def _free_place(self, now: float) -> bool:
+        """Close a connection for a new one; return whether there was one."""
+        handler = self.connections.choose_to_close(now)
         if handler is None:
-            handler, since = next(iter(self._sending.items()), (None, now))
-            if handler is None or now - since < STALLED_ANSWER_S:
-                return False
-        self._remove(handler)
+            return False
+        self.connections.remove(handler)
         handler.abort()
         return True
 
--- a/testing/entry/test_callers.py
+++ b/testing/entry/test_callers.py
@@ -155,7 +155,7 @@
     )
     assert (got.status, got.outcome) == (408, 'not_run')
     assert send_bytes(entry, b'').status == 0
-    wait_for(lambda: entry.callers_http.open_connections == 0)
+    wait_for(lambda: not entry.callers_http.connections)
 
 
 def test_connections_per_address_are_limited(cluster: Cluster) -> None:
@@ -170,7 +170,7 @@
     assert send_bytes(entry, b'GET /lots HTTP/1.1\r\n' + HOST).status == 429
     for sock in connections:
         sock.close()
-    wait_for(lambda: entry.callers_http.open_connections == 0)
+    wait_for(lambda: not entry.callers_http.connections)
     assert send_request(entry.settings.callers).status == 200
 
 
