Limit what the steps and the name of a job keep in all cores

What callers saw in a review of the fixes for crowds: 250 accepted jobs, each with an image name of 1 MB, took the cores to 530 MB, 300 jobs with 500,000 predecessors to 852 MB, and a core that is started again would fill up again, as accepted jobs are in the log.

A label, a rack and an image have 1,024 characters at most, a step names 64 earlier steps at most, and the name of a job has 256 characters. A worker's labels have 256, so that a longer one was never found. The front and the leader check new jobs; what is in the log stays as it is.

test_job_that_takes_much_memory_for_its_steps_is_refused failed before.

--- a/src/galenareel/_jobs/model.py
+++ b/src/galenareel/_jobs/model.py
@@ -20,6 +20,8 @@
 MAX_REPETITIONS = 10_000
 MAX_JOB_TASKS = MAX_STEPS * MAX_TASKS  # over all steps and occurrences
 MAX_SPECIFICATION_BYTES = 4000  # the limit that the users specify
+MAX_JOB_NAME_CHARS = 256
+MAX_STEP_TEXT_CHARS = 1024  # of a label, a rack or an image
 
 
 class Step(msgspec.Struct, frozen=True, omit_defaults=True, kw_only=True):
@@ -145,7 +147,21 @@
             problem='cpu, memory_mb, gpus or estimate_ms is negative',
             remedy='give values of 0 or more',
         )
-    for predecessor in step.after:
+    for name in ('label', 'data_rack', 'image'):
+        size = len(getattr(step, name))
+        if size > MAX_STEP_TEXT_CHARS:
+            found.add(
+                place=f'{place}.{name}',
+                problem=f'it has {size} characters',
+                remedy=f'shorten it to {MAX_STEP_TEXT_CHARS} characters',
+            )
+    if len(step.after) > MAX_STEPS:
+        found.add(
+            place=f'{place}.after',
+            problem=f'it lists {len(step.after)} steps',
+            remedy='list each earlier step once',
+        )
+    for predecessor in step.after[:MAX_STEPS]:
         if not 0 <= predecessor < number:
             found.add(
                 place=f'{place}.after',
--- a/src/galenareel/_jobs/service.py
+++ b/src/galenareel/_jobs/service.py
@@ -33,6 +33,7 @@
 from galenareel._jobs.model import Heartbeat
 from galenareel._jobs.model import JobPhase
 from galenareel._jobs.model import JobRequest
+from galenareel._jobs.model import MAX_JOB_NAME_CHARS
 from galenareel._jobs.model import Queue
 from galenareel._jobs.routes import RouteTable
 from galenareel._jobs.state import Job
@@ -162,11 +163,19 @@
                 problem='it has no job name',
                 remedy='append the name of the job to the path of the queue',
             )
+        if len(name) > MAX_JOB_NAME_CHARS:
+            found.add(
+                place='path',
+                problem=f'the name of the job has {len(name)} characters',
+                remedy=f'shorten it to {MAX_JOB_NAME_CHARS} characters',
+            )
         if found.items:
             detail = '; '.join(
                 f'{item.place}: {item.problem}' for item in found.items
             )
-            self._log.info('job_invalid', job=name, detail=detail)
+            self._log.info(
+                'job_invalid', job=name[:MAX_JOB_NAME_CHARS], detail=detail
+            )
             return JobAnswer(outcome='invalid', detail=detail)
         refusal = None
         if not msg.repeated and not self._undecided.has(name, engine.epoch):
--- a/testing/adapter/test_wire.py
+++ b/testing/adapter/test_wire.py
@@ -528,3 +528,25 @@
     """Guards against invalid jobs that load the link to the leader."""
     with pytest.raises(InvalidMessage, match=re.escape(place)):
         decode_job(json.dumps(fields).encode())
+
+
+LONG_TEXT = 'x' * 200_000
+
+
+@pytest.mark.parametrize(
+    'step',
+    [
+        {'count': 1, 'image': LONG_TEXT},
+        {'count': 1, 'requirements': LONG_TEXT},
+        {'count': 1, 'dataRack': LONG_TEXT},
+        {'count': 1, 'after': [0] * 100_000},
+    ],
+    ids=['image', 'requirements', 'dataRack', 'after'],
+)
+def test_job_that_takes_much_memory_for_its_steps_is_refused(
+    step: dict[str, Any],
+) -> None:
+    """Each core member keeps the steps of an accepted job."""
+    job = {'specification': 'x', 'steps': [{'count': 1}, step]}
+    with pytest.raises(InvalidMessage):
+        decode_job(json.dumps(job).encode())
