Let a request give way while it waits for its body

What callers saw in a review: heads of 30 KB that announce a body of five bytes and don't send it took the whole budget, and all other requests were refused with 503 for 30 s.

Cause: a complete head counts as arrived, and its request as arriving again only with the first byte of the body. It does so before the wait for it now.

test_requests_without_their_body_leave_room_for_others failed before.

--- a/src/galenareel/_entry/bodies.py
+++ b/src/galenareel/_entry/bodies.py
@@ -167,6 +167,7 @@
     reader = handler.rfile
     size = 0
     try:
+        reader.begin_body()
         while True:
             reader.begin_piece(MAX_WIRE_BYTES_A_PIECE)
             piece = env['wsgi.input'].read(PIECE_BYTES)
--- a/src/galenareel/_entry/connections.py
+++ b/src/galenareel/_entry/connections.py
@@ -61,6 +61,13 @@
     def buffered(self) -> int:
         return len(self._data) - self._start
 
+    def begin_body(self) -> None:
+        """Let the request give way again, as its body has still to arrive.
+
+        :raises NoRoom: if there is no room for what has arrived so far.
+        """
+        self._count_kept(0)
+
     def begin_piece(self, wire_bytes: int) -> None:
         """Begin to read a piece of a body; the one before counts no more.
 
