Keep the limit of an address when all connections are taken

Since a new connection beyond the total takes the place of a silent one, the limit for each address was not looked at then, so that one address could take the places of all others: with limits of 200 and 100, two addresses had 200 and 0 connections instead of 100 each (a review).

The limit of an address comes first again. On the platform only the total limits, as before this change of order: all callers may come from one address.

test_address_stays_within_its_limit_when_all_connections_are_taken failed before.

--- a/src/galenareel/_entry/wsgi.py
+++ b/src/galenareel/_entry/wsgi.py
@@ -342,18 +342,16 @@
         host = address[0]
         limits = self.limits
         connections = self.connections
+        count = connections.count_of_host(host)
+        if count >= limits.max_connections_per_address:
+            return self._refuse_connection(
+                sock, 429, 'too many connections from this address'
+            )
         if len(connections) >= limits.max_connections:
             if not self._free_place(time.monotonic()):
                 return self._refuse_connection(
                     sock, 503, 'too many connections'
                 )
-        elif (
-            connections.count_of_host(host)
-            >= limits.max_connections_per_address
-        ):
-            return self._refuse_connection(
-                sock, 429, 'too many connections from this address'
-            )
         handler = self.handler_class(sock, address, self)
         connections.add(handler, host)
         try:
