Let a client that still sends read why its head was refused

A refused head ended the connection at once. What it sends is read for a second at most, as after a refused connection or body.

--- a/src/galenareel/_entry/wsgi.py
+++ b/src/galenareel/_entry/wsgi.py
@@ -245,10 +245,11 @@
             parts.append(data)
             self._sendall(b''.join(parts))
 
-    def _refuse(self, rejected: RejectedHead) -> tuple[str, bytes]:
-        return str(rejected.status), encode_refusal(
-            rejected.status, rejected.problem
-        )
+    def _refuse(self, rejected: RejectedHead) -> None:
+        """Answer a request that does not reach the application."""
+        self.socket.settimeout(self.server.limits.send_timeout_s)
+        self.socket.sendall(encode_refusal(rejected.status, rejected.problem))
+        self.server.linger(self.socket)
 
 
 def encode_refusal(status: int, detail: str) -> bytes:
