Let the process go on between requests that come at once

Cause: all requests that are ready in one turn of the loop are answered in a row, and a pipelined one right after the one before. Of one turn 8 requests are answered now; each further one lets the rest of the process run first.

--- a/src/galenareel/_entry/wsgi.py
+++ b/src/galenareel/_entry/wsgi.py
@@ -42,6 +42,8 @@
 LINGER_BYTES = 1024 * 1024
 # Refused connections that are read from at once; more are closed unread.
 MAX_LINGERING = 32
+# A core that answers more requests in a row can't renew its leadership.
+MAX_REQUESTS_PER_TURN = 8
 # Bounds what the system stores for a connection that is not read from.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 # Shorter bodies are sent together with their head.
@@ -118,6 +120,7 @@
         self.wait_for_request(False)
         if data is None:
             return None
+        self.server.share_loop(gevent.get_hub().loop.now())
         head = parse_head(data, max_headers=limits.max_headers)
         if isinstance(head, RejectedHead):
             return self._refuse(head)
@@ -309,6 +312,9 @@
         self.budget = budget or make_receive_budget(limits)
         self.connections: ConnectionTable[Handler] = ConnectionTable()
         self._lingering = 0
+        # Time of the present turn of the event loop, and its requests.
+        self._turn = 0.0
+        self._turn_requests = 0
 
     def init_socket(self) -> None:
         super().init_socket()
@@ -370,6 +376,18 @@
         handler.abort()
         return True
 
+    def share_loop(self, now: float) -> None:
+        """Let other parts of the process run if many requests came at once.
+
+        :param now: time of the event loop, which changes with each turn.
+        """
+        if now != self._turn:
+            self._turn = now
+            self._turn_requests = 0
+        self._turn_requests += 1
+        if self._turn_requests > MAX_REQUESTS_PER_TURN:
+            gevent.sleep(0)
+
     def linger(self, sock: Any) -> None:
         """Read what a refused client still sends, for a short time.
 
