Leave descriptors for others if many links say nothing

A core with 500 descriptors had 416 open with 400 silent connections to its address for frames, where 300 are allowed.

--- a/src/galenareel/_common/frames.py
+++ b/src/galenareel/_common/frames.py
@@ -352,6 +352,8 @@
     :param address: ``host:port`` to listen on.
     :param handler: see :class:`Link`; shared by all links.
     :param log: see :class:`Link`.
+    :param max_unknown_links: links without a hello; beyond that the oldest
+        one is closed.
     """
 
     def __init__(
@@ -362,7 +364,9 @@
         handler: Callable[[Link, AnyMessage], AnyMessage | None],
         on_close: Callable[[Link], None] | None = None,
         log: Log | None = None,
+        max_unknown_links: int = MAX_UNKNOWN_LINKS,
     ) -> None:
+        self._max_unknown_links = max_unknown_links
         self._server = StreamServer(parse_address(address), self._accept)
         self._log = log
         self._clock = clock
@@ -405,12 +409,12 @@
 
     def _close_oldest_unknown(self) -> None:
         """Close the oldest link without a hello if there are too many."""
-        if len(self._unknown) <= MAX_UNKNOWN_LINKS:
+        if len(self._unknown) <= self._max_unknown_links:
             return
         for link in list(self._unknown):
             if link.peer:
                 del self._unknown[link]
-        if len(self._unknown) > MAX_UNKNOWN_LINKS:
+        if len(self._unknown) > self._max_unknown_links:
             oldest = next(iter(self._unknown))
             del self._unknown[oldest]
             oldest.close()
--- a/testing/programs/test_crowds.py
+++ b/testing/programs/test_crowds.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from functools import partial
+from itertools import chain
 from pathlib import Path
 from typing import NamedTuple
 
@@ -18,6 +19,7 @@
 import msgspec
 import pytest
 
+from galenareel._common.frames import MAX_FRAME_BYTES
 from testing.standins.crowd import count_descriptors
 from testing.standins.crowd import Crowd
 from testing.standins.crowd import encode_chunks
@@ -26,6 +28,7 @@
 from testing.standins.crowd import PIECE_BYTES
 from testing.standins.crowd import read_peak_mb
 from testing.standins.platform_http import call
+from testing.standins.system import FRAMES_PORT
 from testing.standins.system import HOST
 from testing.standins.system import is_ready
 from testing.standins.system import Machine
@@ -342,6 +345,40 @@
     check_service(system, 3)
 
 
+def test_frames_of_a_crowd_without_a_hello_exhaust_no_memory(
+    system: System,
+) -> None:
+    """Each client sends the largest frame but for its last byte."""
+    core = system.wait_for_leader()
+    head = MAX_FRAME_BYTES.to_bytes(4, 'big')
+    pieces = partial(iterate_pieces, MAX_FRAME_BYTES - 1)
+    crowd = Crowd(
+        f'{core.ip}:{FRAMES_PORT}', 40, lambda: chain([head], pieces())
+    )
+    try:
+        run_crowd(crowd, [core])
+        check_service(system, 2)
+    finally:
+        crowd.close()
+    check_service(system, 3)
+    check_memory(core)
+
+
+def test_silent_connections_for_frames_use_up_no_descriptors(
+    system: System,
+) -> None:
+    core = system.wait_for_leader()
+    crowd = Crowd(f'{core.ip}:{FRAMES_PORT}', SILENT_CLIENTS, lambda: [b''])
+    try:
+        run_crowd(crowd, [core])
+        open_descriptors = count_descriptors(get_pid(core))
+        assert open_descriptors <= FILE_DESCRIPTORS - RESERVED_DESCRIPTORS
+        check_service(system, 2)
+    finally:
+        crowd.close()
+    check_service(system, 3)
+
+
 def test_answers_that_a_crowd_does_not_read_exhaust_no_memory(
     system: System,
 ) -> None:
@@ -364,6 +401,68 @@
         check_memory(machine)
 
 
+def make_long_request(method: str, headers: str) -> bytes:
+    path = '/q/' + 'a' * 30_000
+    head = f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{headers}\r\n'
+    return head.encode()
+
+
+def test_idle_connections_of_a_crowd_exhaust_no_memory(
+    tmp_path: Path,
+) -> None:
+    """As many as the descriptors of a small machine allow; all are answered.
+
+    What is left of their last requests is not counted as held.
+    """
+    descriptors = LIMITS.replace(str(FILE_DESCRIPTORS), '4100')
+    system = System(tmp_path, more_settings=descriptors)
+    head = make_long_request('GET', '')
+    crowds: list[Crowd] = []
+    try:
+        system.start()
+        front = system.fronts[0]
+        for _ in range(39):
+            crowd = Crowd(front.front_address, 50, lambda: [head])
+            crowds.append(crowd)
+            run_crowd(crowd, [front])
+            wait_until(partial(has_answers, crowd, 50))
+        check_service(system, 2)
+        check_memory(front)
+    finally:
+        for crowd in crowds:
+            crowd.close()
+        system.close()
+
+
+def has_answers(crowd: Crowd, count: int) -> bool:
+    return len(crowd.statuses) == count
+
+
+def test_heads_of_a_crowd_without_their_bodies_leave_room_for_others(
+    system: System,
+) -> None:
+    head = make_long_request('POST', 'Content-Length: 5\r\n')
+    crowd = Crowd(system.fronts[0].front_address, 100, lambda: [head])
+    try:
+        run_crowd(crowd, list(system.iterate_machines()))
+        check_service(system, 2)
+    finally:
+        crowd.close()
+
+
+def test_long_texts_of_jobs_exhaust_no_memory(system: System) -> None:
+    """Accepted jobs are kept by all cores."""
+    step = {'count': 1, 'cpu': 100, 'image': 'i' * 1_000_000}
+    fields = {'specification': 'x', 'steps': [step]}
+    address = system.fronts[0].front_address
+    for number in range(100):
+        path = f'/q/{number:016x}'
+        call(address, 'POST', path, fields, host=HOST)
+        for machine in system.iterate_machines():
+            check_memory(machine)
+    check_service(system, 2)
+
+
 LARGEST_JOB = {
     # Each byte takes six characters.
     'specification': '\x01' * 4000,
