Let a member that stops wait until its removal is committed

What callers would see: no leader for good after a planned replacement, if the leader loses its disk in the moment after the replaced member has ended.

Cause: a member that stops hands its vote to a learner (three voters become four, one of them leaving) and is removed by the next change. It was told to go when the first of the two was committed. If the leader is lost then, and the others have not stored the second one, two of four voters are left. Three ways to the same end: - the answer did not wait for the second change; - asked again while the removal was not committed, a leader found that the member has no vote, and let it go; - a next leader that had not made the second change yet found no learner that could take over ('no_successor'), and let it go. So did one whose term ended before the outcome was known.

The answer now waits for the removal, is a Problem that the member repeats its question for while a change is not committed or its outcome is unknown, and a vote that is being handed over is 'change_in_progress'. What a next leader needs is in the log as before (the mark `leaving`).

The new tests of the driver, the server and the voters failed before.

--- a/src/galenareel/_consensus/driver.py
+++ b/src/galenareel/_consensus/driver.py
@@ -268,12 +268,40 @@
     ) -> int | Refused | NotLeader | Unreachable:
         """Make a learner a voter in place of a member that is stopping.
 
+        When this returns an index, the member is removed: if it ended before,
+        the next loss could leave no majority of the voters with it.
+
         :returns: index of the committed change, or why there is none.
         """
         if self._member is None or not self._leads():
             return self._make_not_leader()
+        deadline = self._now() + CHANGE_TIMEOUT_S
         result, effects = self._member.raft.hand_over_vote(name, self._now())
-        return self._await_change(result, effects)
+        answer = self._await_change(result, effects)
+        while isinstance(answer, int) and self._may_vote(name):
+            if not self._leads():
+                return self._make_not_leader()
+            left_s = deadline - self._now()
+            if left_s <= 0:
+                return Unreachable(reason='timeout')
+            self._state_changed.wait(left_s)
+        return answer
+
+    def _may_vote(self, name: str) -> bool:
+        return self.is_changing_members() or any(
+            member.voter and member.name == name
+            for member in self.list_members()
+        )
+
+    def is_changing_members(self) -> bool:
+        """Return whether a change of the members is not committed yet.
+
+        It is undone if all members that store it are lost.
+        """
+        if self._member is None:
+            return False
+        st = self._member.raft.state
+        return st.membership_history[-1][0] > st.commit_index
 
     def receive(self, msg: PeerMessage, link: Link | None = None) -> None:
         """Handle a message that the process's frame server received.
--- a/src/galenareel/_consensus/membership.py
+++ b/src/galenareel/_consensus/membership.py
@@ -115,6 +115,12 @@
         (other for other in st.membership.find_by_name(name) if other.voter),
         None,
     )
+    if leaving is not None and leaving.leaving:
+        return _refuse_change(
+            'change_in_progress',
+            f'{name} has handed its vote over and is about to be removed; '
+            'try again',
+        )
     spare = _list_spare_learners(st, now)
     if leaving is None or not spare:
         return _refuse_change(
--- a/src/galenareel/_jobs/server.py
+++ b/src/galenareel/_jobs/server.py
@@ -18,6 +18,7 @@
 from galenareel._common.messages import PeerMessage
 from galenareel._common.messages import Problem
 from galenareel._common.sentinels import NoResult
+from galenareel._common.sentinels import Unreachable
 from galenareel._consensus.driver import Driver
 from galenareel._consensus.lost_voters import is_surplus
 from galenareel._consensus.lost_voters import MIN_VOTERS
@@ -145,6 +146,12 @@
         would count as a voter until its silence is noticed. A removed member
         may come back; then it asks to be added again.
         """
+        if self._driver.is_changing_members():
+            return Problem(
+                reason='change_in_progress',
+                detail='a change of the members is not committed yet; try '
+                'again',
+            )
         members = self._driver.list_members()
         voters = sum(member.voter for member in members)
         is_voter = any(
@@ -158,6 +165,9 @@
             result = self._driver.hand_over_vote(msg.name)
         outcome = getattr(result, 'reason', 'done')
         self._log.info('member_left', member=msg.name, outcome=outcome)
-        if isinstance(result, NoResult) and outcome in PASSING_REASONS:
+        is_unknown = isinstance(result, Unreachable)
+        if isinstance(result, NoResult) and (
+            is_unknown or outcome in PASSING_REASONS
+        ):
             return Problem(reason=result.reason, detail=result.detail)
         return Done(index=0)
--- a/testing/consensus/processes.py
+++ b/testing/consensus/processes.py
@@ -60,6 +60,7 @@
         join_existing: bool = False,
         lock_wait_s: float = LOCK_WAIT_S,
         machine: StateMachine | None = None,
+        enough_voters: int = 0,
     ) -> None:
         self.name = name
         self.machine: Any = machine or RecordingMachine()
@@ -78,6 +79,7 @@
             lock_wait_s=lock_wait_s,
             log=Log(name, stream=self.log),
             on_failure=self._count_failure,
+            enough_voters=enough_voters,
         )
         self.server = FrameServer(
             members[name],
--- a/testing/consensus/test_driver.py
+++ b/testing/consensus/test_driver.py
@@ -213,6 +213,45 @@
     wait_for(is_repaired)
 
 
+def test_vote_is_handed_over_once_the_former_voter_is_removed(
+    members: dict[str, str], tmp_path: Path
+) -> None:
+    """Guards against a member that ends while it is still needed.
+
+    If its removal is lost with the leader, two of four voters are left.
+    """
+    joining = allocate_address()
+    cluster = [
+        Process(name, members, tmp_path, enough_voters=len(members))
+        for name in members
+    ]
+    cluster.append(
+        Process(
+            'd',
+            {'d': joining},
+            tmp_path,
+            join_existing=True,
+            enough_voters=len(members),
+        )
+    )
+    for process in cluster:
+        process.start()
+    leader = wait_for_leader(cluster)
+    leaving = next(
+        process.name for process in cluster[:3] if process is not leader
+    )
+    add = f'd={joining}'
+    wait_for(lambda: isinstance(leader.driver.change_members(add=add), int))
+    wait_for(lambda: isinstance(leader.driver.hand_over_vote(leaving), int))
+    member = leader.driver._member
+    assert member is not None
+    st = member.raft.state
+    committed = st.find_membership_at(st.commit_index)
+    assert leaving not in {info.name for info in committed.members}
+    for process in cluster:
+        process.close()
+
+
 def test_removal_that_would_lose_the_majority_is_refused(
     cluster: list[Process],
 ) -> None:
--- a/testing/consensus/test_odd_voters.py
+++ b/testing/consensus/test_odd_voters.py
@@ -214,6 +214,14 @@
     assert all(alive > quorum for alive, quorum in group.sizes)
 
 
+def test_voter_that_stops_is_told_to_wait_until_it_is_removed() -> None:
+    """The next loss could leave no majority of the voters with it."""
+    group = Group(4, enough=3, leaving=2)
+    result, _ = group.raft.hand_over_vote('c2', group.now)
+    assert isinstance(result, Refused)
+    assert result.reason == 'change_in_progress'
+
+
 def test_next_leader_removes_the_voter_that_stops() -> None:
     """The former leader was lost after it had made its successor a voter."""
     group = Group(4, enough=3, leaving=2)
--- a/testing/jobs/test_server.py
+++ b/testing/jobs/test_server.py
@@ -29,7 +29,9 @@
 from galenareel._common.messages import Problem
 from galenareel._common.messages import Welcome
 from galenareel._common.sentinels import Refused
+from galenareel._common.sentinels import Unreachable
 from galenareel._consensus.driver import Driver
+from galenareel._consensus.membership import PASSING_REASONS
 from galenareel._consensus.records import MemberInfo
 from galenareel._jobs.server import JobServer
 from galenareel._jobs.service import JobService
@@ -130,8 +132,9 @@
     :ivar replaced: names of the members whose vote a learner was to get.
     """
 
-    def __init__(self, voters: int) -> None:
+    def __init__(self, voters: int, *, is_changing: bool = False) -> None:
         self._voters = voters
+        self._is_changing = is_changing
         self.removed: list[str] = []
         self.replaced: list[str] = []
 
@@ -141,6 +144,9 @@
             for number in range(self._voters)
         )
 
+    def is_changing_members(self) -> bool:
+        return self._is_changing
+
     def change_members(self, *, remove: str) -> int:
         self.removed.append(remove)
         return 1
@@ -177,21 +183,42 @@
     assert driver.replaced == replaced
 
 
+@pytest.mark.parametrize('name', ['m1', 'unknown'])
+def test_member_that_stops_waits_for_a_change_that_is_not_committed(
+    name: str,
+) -> None:
+    """Its removal is undone if all members that store it are lost."""
+    driver = LeadingDriver(3, is_changing=True)
+    server = JobServer(
+        name='m0',
+        secret=SECRET,
+        driver=cast(Driver, driver),
+        service=cast(JobService, FollowerService()),
+        log=Log('m0', stream=io.StringIO()),
+    )
+    link = cast(Link, SimpleNamespace(peer='m1', close=lambda: None))
+    answer = server.handle(link, LeaveCluster(name=name))
+    assert isinstance(answer, Problem)
+    assert answer.reason in PASSING_REASONS
+    assert not driver.replaced
+
+
 @pytest.mark.parametrize(
-    ('reason', 'is_asked_again'),
+    ('result', 'is_asked_again'),
     [
-        ('not_ready', True),
-        ('change_in_progress', True),
-        ('no_successor', False),
+        (Refused(reason='not_ready'), True),
+        (Refused(reason='change_in_progress'), True),
+        (Unreachable(reason='leader_changed'), True),
+        (Refused(reason='no_successor'), False),
     ],
 )
 def test_member_that_stops_is_asked_again_only_if_that_may_help(
-    monkeypatch: pytest.MonkeyPatch, reason: str, is_asked_again: bool
+    monkeypatch: pytest.MonkeyPatch,
+    result: Refused | Unreachable,
+    is_asked_again: bool,
 ) -> None:
     driver = LeadingDriver(3)
-    monkeypatch.setattr(
-        driver, 'hand_over_vote', lambda _name: Refused(reason=reason)
-    )
+    monkeypatch.setattr(driver, 'hand_over_vote', lambda _name: result)
     server = JobServer(
         name='m0',
         secret=SECRET,
