Simulate losses of power of all nodes beside lost disks

Within a loss of power the batch that a node is just storing is written in part, and on half of them all that was not synced is lost. Most of them come just after a change of the membership has reached the first node. A member that is stopping stays off, or comes back with its store and is stopped later. Only lost disks and machines count as losses there: what is frozen or cut off keeps its disk.

A planned replacement now models that the member is told to go only when its removal is committed.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -2,9 +2,11 @@
 
 ``python -m bench.losses --help`` runs many seeds. Each one is a series of
 steps: losses of disks and of whole machines, and disturbances that lose
-nothing. A disk or machine is lost only while no more machines are affected
-than the group has to bear, so each series, and each part of it, is one after
-which the group must recover by itself.
+nothing. With ``--power``, each series ends with the loss of as many disks as
+the group has to bear, while all other nodes lose power. A disk or machine is
+lost only while no more machines are affected than the group has to bear, so
+each series, and each part of it, is one after which the group must recover by
+itself.
 """
 
 from __future__ import annotations
@@ -21,6 +23,8 @@
 from bench.history import Violation
 from bench.node import Node
 from bench.node import Registers
+from bench.node import SYNC_S
+from galenareel._common.sentinels import Refused
 from galenareel._consensus.lost_voters import count_min_voters
 from galenareel._consensus.lost_voters import find_lost_voter
 from galenareel._consensus.lost_voters import is_surplus
@@ -39,6 +43,9 @@
 RECOVERY_S = 15.0
 REQUEST_S = 0.01
 HANDOVER_S = 0.5  # from the signal to stop until the leader is told
+MAX_MACHINES = 8
+CHANGE_WAIT_S = 3.0  # time to wait for the next change of the membership
+MAX_SYNC_S = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +82,14 @@
 
     :param losses: number of disks that may be lost at once.
     :param calm_s: time for which a machine counts as lost after its return.
+    :ivar _leaving: machines of the members that are stopped as planned, by
+        the names of these members.
+    :ivar _lost: names of the nodes whose disks were lost since all machines
+        were sound.
+    :ivar _disturbed_until: when all machines are sound again, except for
+        planned replacements.
+    :ivar _dark_until: the same for losses of power, during which no planned
+        replacement goes on.
     """
 
     def __init__(
@@ -92,9 +107,12 @@
         self._calm_s = calm_s
         self._cuts: list[set[tuple[str, str]]] = []
         self._gone: list[Machine] = []
-        self._leaving: set[str] = set()
+        self._leaving: dict[str, Machine] = {}
+        self._lost: set[str] = set()
         self._has_overlap = False
         self._busy_until = 0.0
+        self._disturbed_until = 0.0
+        self._dark_until = 0.0
         for node in self.group.nodes.values():
             self._run_joiner(node)
 
@@ -102,7 +120,7 @@
         """Take the steps, then let all disturbances end."""
         self.group.run(4.0)
         for step in steps:
-            RULES[step.kind](self, step)
+            (RULES | POWER_RULES)[step.kind](self, step)
             self.group.run(step.wait_s)
         self.group.run(max(0.0, self._busy_until - self.group.now))
 
@@ -158,6 +176,7 @@
         if machine is not None:
             self._end_for_good(self.group.nodes[machine.name])
             self._start_successor(machine, 0.2 + 2 * step.span)
+            self._lost.add(machine.name)
 
     def lose_disk(self, step: Step) -> None:
         machine = self._find_target_of_loss(step)
@@ -167,6 +186,7 @@
             node.lose_disk()
             down_s = 1.0 + step.span
             self._affect([machine], down_s)
+            self._lost.add(machine.name)
             self.group.after(down_s, lambda: self._start(node))
 
     def replace_as_planned(self, step: Step) -> None:
@@ -191,6 +211,7 @@
         self._start(node)
         life_s = 0.2 + 3 * step.span
         self._affect([machine], life_s)
+        self._lost.add(machine.name)
         machine.replaced_until = inf
 
         def end() -> None:
@@ -201,6 +222,86 @@
 
         self.group.after(life_s, end)
 
+    def add(self, step: Step) -> None:
+        """Add a machine that stays."""
+        if len(self.machines) < MAX_MACHINES:
+            machine = Machine(self._name_successor())
+            self.machines.append(machine)
+            self._start_later(self.group.add_node(machine.name), step.span)
+
+    def slow_disks(self, step: Step) -> None:
+        for node in self.group.nodes.values():
+            node.sync_s = SYNC_S + MAX_SYNC_S * step.span * step.target
+
+    def lose_power(self, step: Step) -> None:
+        """Lose as many disks as is borne; all other nodes lose power.
+
+        Frozen members and those that are cut off keep their disks, so they do
+        not count as lost. A member that is stopping may stay off.
+        """
+        if step.span < 0.7:
+            self._run_until_change()
+        nodes = [n for n in self.group.nodes.values() if not n.retired]
+        lost = self._select_disks(step, nodes)
+        longest_s = 0.4 + 2 * step.span
+        self._affect(self.machines, longest_s)
+        self._dark_until = self._busy_until + self._calm_s
+        keeps_unsynced = self.group.rng.random() < 0.5
+        for node in nodes:
+            node.frozen_until = 0.0
+            if node.name in self._leaving:
+                self._lost.add(node.name)
+                if self.group.rng.random() < 0.5:
+                    self._end_for_good(node)
+                    self._leaving[node.name].replaced_until = self.group.now
+                    continue
+            node.crash_while_storing(keeps_unsynced=keeps_unsynced)
+            if node in lost:
+                node.lose_disk()
+                self._lost.add(node.name)
+            down_s = self.group.rng.uniform(0.2, longest_s)
+            self._start_later(node, down_s)
+
+    def _run_until_change(self) -> None:
+        """Run until a membership is new to a node, and a little longer."""
+        known = self._find_last_change()
+        ends_at = self.group.now + CHANGE_WAIT_S
+        while self.group.now < ends_at and self._find_last_change() <= known:
+            self.group.run(0.001)
+        self.group.run(self.group.rng.choice((0.0, 0.003, 0.01, 0.05, 0.2)))
+
+    def _find_last_change(self) -> int:
+        return max(
+            (
+                node.member.raft.state.membership_history[-1][0]
+                for node in self.group.nodes.values()
+                if node.member is not None
+            ),
+            default=0,
+        )
+
+    def _select_disks(self, step: Step, nodes: Sequence[Node]) -> list[Node]:
+        """Return the nodes whose disks are lost with the power of all."""
+        if not self._list_affected():
+            self._lost.clear()
+        count = self.losses - len(self._lost) - len(self._list_leaving())
+        found = [
+            node
+            for node in nodes
+            if node.name not in {*self._lost, *self._leaving} and node.identity
+        ]
+        self.group.rng.shuffle(found)
+        leader = self._select(step).name
+        found.sort(key=lambda node: node.name != leader)
+        return found[: max(0, count)]
+
+    def _list_leaving(self) -> list[Node]:
+        return [
+            node
+            for node in self.group.nodes.values()
+            if node.name in self._leaving and not node.retired
+        ]
+
     def kill(self, step: Step) -> None:
         self._kill([self._select(step)], 0.5 + step.span / 2)
 
@@ -295,8 +396,14 @@
         ]
 
     def _affect(self, machines: Sequence[Machine], duration_s: float) -> None:
+        if not self._list_affected():
+            self._lost.clear()
         ends_at = self.group.now + duration_s
         self._hold(duration_s)
+        if duration_s:
+            self._disturbed_until = max(
+                self._disturbed_until, ends_at + self._calm_s
+            )
         for machine in machines:
             machine.affected_until = max(
                 machine.affected_until, ends_at + self._calm_s
@@ -378,8 +485,13 @@
 
     def _leave(self, node: Node, machine: Machine) -> None:
         """Stop a process for good, as at SIGTERM."""
+        wait_s = self._dark_until - self.group.now
+        if wait_s > 0:
+            self._hold(wait_s + HANDOVER_S + LEAVE_TIMEOUT_S)
+            self.group.after(wait_s, lambda: self._leave(node, machine))
+            return
         node.transfer_leadership()
-        self._leaving.add(node.name)
+        self._leaving[node.name] = machine
 
         def ask() -> None:
             leader = self._find_known_leader(node)
@@ -394,17 +506,21 @@
                 node.after(REQUEST_S, end)
 
         def end() -> None:
-            if not node.retired:
-                self._end(node)
-                node.retired = True
-                machine.replaced_until = self.group.now
+            if node.retired:
+                return
+            self._end(node)
+            node.retired = True
+            machine.replaced_until = self.group.now
+            if self.group.now < self._disturbed_until:
+                # It may have found no successor.
+                self._lost.add(node.name)
 
         node.after(HANDOVER_S, ask)
         self.group.after(HANDOVER_S + LEAVE_TIMEOUT_S, end)
 
     def _remove_leaving(self, leader: Node, node: Node) -> bool:
         """Answer a member that stops; return whether it need not ask again."""
-        if leader.member is None:
+        if leader.member is None or self._is_changing_members(leader):
             return False
         members = leader.member.raft.state.membership.members
         voters = [member.name for member in members if member.voter]
@@ -415,8 +531,14 @@
             result = leader.change(remove=node.name)
         else:
             result = leader.hand_over_vote(node.name)
-        reason = getattr(result, 'reason', '')
-        return reason not in PASSING_REASONS
+        return isinstance(result, Refused) and (
+            result.reason not in PASSING_REASONS
+        )
+
+    def _is_changing_members(self, leader: Node) -> bool:
+        assert leader.member is not None, 'a leader runs'
+        st = leader.member.raft.state
+        return st.membership_history[-1][0] > st.commit_index
 
     # The joiner of each member
 
@@ -506,11 +628,25 @@
     'change leaders': LossyGroup.change_leaders,
 }
 WEIGHTS = (4, 4, 2, 1, 2, 1, 2, 2, 1, 2)
+POWER_RULES: dict[str, Callable[[LossyGroup, Step], None]] = {
+    'add': LossyGroup.add,
+    'slow disks': LossyGroup.slow_disks,
+    'lose power': LossyGroup.lose_power,
+}
+
 
+def generate_steps(seed: int, *, power: bool = False) -> list[Step]:
+    """Return a series of steps.
 
-def generate_steps(seed: int) -> list[Step]:
+    :param power: let all machines lose power at the end, and maybe before.
+    """
     rng = Random(seed)
     kinds = rng.choices(tuple(RULES), WEIGHTS, k=rng.randint(2, MAX_STEPS))
+    if power:
+        kinds = rng.choices(kinds, k=rng.randint(1, 4))
+        kinds += rng.choices(tuple(POWER_RULES), k=rng.randint(0, 4))
+        rng.shuffle(kinds)
+        kinds.append('lose power')
     return [
         Step(
             kind,
@@ -560,10 +696,11 @@
     size: int
     losses: int
     calm_s: float
+    power: bool
 
     def __call__(self, seed: int) -> tuple[int, str]:
         return seed, run_steps(
-            generate_steps(seed),
+            generate_steps(seed, power=self.power),
             seed,
             size=self.size,
             losses=self.losses,
@@ -579,9 +716,10 @@
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--count', type=int, default=100)
     parser.add_argument('--jobs', type=int, default=2)
+    parser.add_argument('--power', action='store_true')
     parser.add_argument('--shrink', action='store_true')
     args = parser.parse_args()
-    run = _Run(args.size, args.losses, args.calm_s)
+    run = _Run(args.size, args.losses, args.calm_s, args.power)
     problems: dict[str, int] = {}
     with Pool(args.jobs) as pool:
         seeds = range(args.first, args.first + args.count)
@@ -593,7 +731,7 @@
             print(f'seed {seed}: {problem}', flush=True)
             if args.shrink:
                 steps = shrink(
-                    generate_steps(seed),
+                    generate_steps(seed, power=args.power),
                     lambda part: (
                         run_steps(
                             part,
--- a/bench/node.py
+++ b/bench/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 from galenareel._common.sentinels import NotLeader
 from galenareel._consensus.errors import StorageError
 from galenareel._consensus.interface import StateMachine
+from galenareel._consensus.member import Batch
 from galenareel._consensus.member import Member
 from galenareel._consensus.membership import ChangeResult
 from galenareel._consensus.messages import decode
@@ -22,6 +24,7 @@
 from galenareel._consensus.storage import Storage
 from testing.consensus.fakes import FakeClock
 from testing.consensus.fakes import FakeDisk
+from testing.consensus.fakes import PowerLoss
 
 if TYPE_CHECKING:
     from bench.group import Group
@@ -29,6 +32,7 @@
 TICK_S = 0.05
 REOPEN_DELAY_S = 1.0
 SYNC_S = 0.002
+MAX_BATCH_CALLS = 6  # calls to the disk that store most batches
 SNAPSHOT_ENTRIES = 60
 # Makes the snapshot large enough for three chunks.
 PADDING_BYTES = 150_000
@@ -80,6 +84,7 @@
         self.retired = False  # lost for good; never starts again
         self._group = group
         self._storage: Storage | None = None
+        self._stored_batch: Batch | None = None
         self._process_number = 0
 
     def start(self, initial_members: tuple[MemberInfo, ...] = ()) -> None:
@@ -129,10 +134,23 @@
         """Simulate power loss: unsynced data may be lost or torn."""
         self._process_number += 1
         self.member = None
+        self._stored_batch = None
         self.crash_at_sync = ''
         self.disk.crash(self._group.rng)
         self._group.drop_calls(self)
 
+    def crash_while_storing(self, *, keeps_unsynced: bool) -> None:
+        """Simulate power loss within the batch that is being stored."""
+        if self.member is not None and self._stored_batch is not None:
+            calls = self._group.rng.randint(1, MAX_BATCH_CALLS)
+            self.disk.calls_until_power_loss = calls
+            with suppress(PowerLoss, StorageError):
+                self.member.store(self._stored_batch)
+            self.disk.calls_until_power_loss = 0
+        if not keeps_unsynced:
+            self.disk.lose_all_unsynced()
+        self.crash()
+
     def lose_disk(self) -> None:
         self.crash()
         self.disk = FakeDisk()
@@ -144,6 +162,7 @@
         """
         self._process_number += 1
         self.member = None
+        self._stored_batch = None
         self._group.drop_calls(self)
         self._after(
             self._process_number,
@@ -284,6 +303,7 @@
         batch = member.take_batch() if member is not None else None
         if batch is None or member is None:
             return
+        self._stored_batch = batch
 
         def sync() -> None:
             if self.crash_at_sync == 'before':
@@ -297,6 +317,7 @@
             if self.crash_at_sync == 'after':
                 self.crash()
                 return
+            self._stored_batch = None
             member.finish_batch(batch, self.clock.monotonic())
             self._store_batch()
 
