Let a stopping member ask on until its own removal is committed

It takes itself for removed as soon as its own log lists it no longer. That may be by an entry that no other member has stored yet, and is so when its first question took longer than 0.5 s, as with slow disks, and it would have asked again.

It now goes only if that entry is committed, or if the leader says so; it ends after 2 s at most, as before. Found by reading. The new test failed before in the case of an entry that is not committed.

--- a/src/galenareel/_jobs/joining.py
+++ b/src/galenareel/_jobs/joining.py
@@ -265,7 +265,8 @@
 
     def _tell_leader(self) -> bool:
         """Return whether nobody else has to be told that this member stops."""
-        if not self._driver.is_in_cluster():
+        is_member = self._driver.is_in_cluster()
+        if not is_member and not self._driver.is_changing_members():
             return True
         address = self._driver.get_leader_address()
         if address is None:
--- a/testing/jobs/test_joining.py
+++ b/testing/jobs/test_joining.py
@@ -655,6 +655,21 @@
     assert transfers == [True]
 
 
+@pytest.mark.parametrize('is_committed', [False, True])
+def test_member_that_stops_asks_on_until_its_removal_is_committed(
+    entrance: Entrance, is_committed: bool
+) -> None:
+    """Its own log has the removal before the other members store it."""
+    driver = SimpleNamespace(
+        is_in_cluster=lambda: False,
+        is_changing_members=lambda: not is_committed,
+        get_leader_address=lambda: entrance.address,
+    )
+    stopping = SimpleNamespace(name='a', driver=driver)
+    make_joiner(cast(Process, stopping), 'unused:1').leave()
+    assert entrance.left == ([] if is_committed else ['a'])
+
+
 def test_member_that_stops_asks_again_while_a_leader_is_not_ready(
     cluster: list[Process],
     entrance: Entrance,
