--- a/src/galenareel/_consensus/membership.py
+++ b/src/galenareel/_consensus/membership.py
@@ -115,6 +115,12 @@
         (other for other in st.membership.find_by_name(name) if other.voter),
         None,
     )
+    if leaving is not None and leaving.leaving:
+        return _refuse_change(
+            'change_in_progress',
+            f'{name} has handed its vote over and is about to be removed; '
+            'try again',
+        )
     spare = _list_spare_learners(st, now)
     if leaving is None or not spare:
         return _refuse_change(
@@ -158,8 +164,7 @@
     again if it returns. If all of them answer, as in a cluster of an earlier
     build, one becomes a learner.
     """
-    count = len(st.membership.voter_ids())
-    if not st.enough_voters or count <= st.enough_voters or count % 2:
+    if not _has_surplus_voter(st):
         return
     if st.membership_history[-1][0] > st.commit_index:
         return
@@ -230,6 +235,8 @@
         # the losses to be borne could leave no majority.
     if replaced:
         target = st.membership.without(replaced[0].identity)
+    elif _has_surplus_voter(st):
+        return
     else:
         voter = MemberInfo(member.identity, member.name, member.address)
         target = st.membership.with_member(voter)
@@ -248,6 +255,12 @@
     return bool(st.enough_voters) and count >= st.enough_voters
 
 
+def _has_surplus_voter(st: RaftState) -> bool:
+    """Return whether the number of voters is even and more than enough."""
+    count = len(st.membership.voter_ids())
+    return 0 < st.enough_voters < count and count % 2 == 0
+
+
 def _may_voter_answer(st: RaftState, now: float) -> bool:
     """Return whether a voter may be alive or not, as the term is young."""
     return any(
