A client that takes its answer slowly keeps its place

What callers saw: when all places of a server are taken, a client that had been taking a large answer for over a second lost it, though it took a part of it all the time.

Cause: the time since which a connection sends was noted once for a whole part of an answer, which is all of it if the application returns one. Answers are sent in parts of 64 KB now, and each part is noted. All parts share the time limit that a whole one had.

test_client_that_takes_its_answer_slowly_keeps_its_place failed before.

--- a/src/galenareel/_entry/wsgi.py
+++ b/src/galenareel/_entry/wsgi.py
@@ -44,6 +44,10 @@
 MAX_LINGERING = 32
 # Bounds what the system stores for a connection that is not read from.
 RECEIVE_BUFFER_BYTES = 64 * 1024
+# Parts of an answer; a client that takes one in time is not stalled.
+SEND_BYTES = 64 * 1024
+# Zero would make the socket non-blocking.
+MIN_SEND_S = 0.01
 # Shorter bodies are sent together with their head.
 MAX_COMBINED_BYTES = 16 * 1024
 _REASON_PHRASES = {
@@ -160,9 +164,17 @@
 
     def _sendall(self, data: Any) -> None:
         connections = self.server.connections
-        connections.note_sending(self, time.monotonic())
+        deadline = time.monotonic() + self.server.limits.send_timeout_s
+        view = memoryview(data)
         try:
-            super()._sendall(data)  # type: ignore[misc]
+            for start in range(0, len(view), SEND_BYTES):
+                now = time.monotonic()
+                connections.note_sending(self, now)
+                # A timeout of the socket limits each call of its own.
+                self.socket.settimeout(max(deadline - now, MIN_SEND_S))
+                super()._sendall(  # type: ignore[misc]
+                    view[start : start + SEND_BYTES]
+                )
         finally:
             connections.note_sending(self, None)
 
@@ -230,7 +242,6 @@
         for name, value in self.response_headers:
             parts += (name, b': ', value, b'\r\n')
         parts.append(b'\r\n')
-        self.socket.settimeout(self.server.limits.send_timeout_s)
         if self.response_use_chunked or len(data) > MAX_COMBINED_BYTES:
             self._sendall(b''.join(parts))
             self._write(data)
--- a/testing/entry/test_connections.py
+++ b/testing/entry/test_connections.py
@@ -181,6 +181,21 @@
         assert client.read_answer() == SERVED
 
 
+def test_client_that_takes_its_answer_slowly_keeps_its_place(
+    service: Service, crowd: Crowd
+) -> None:
+    slow, *busy = crowd.connect_many()
+    hold(service, busy)
+    slow.send(make_head(path='/large'))
+    stop_at = time.monotonic() + 2 * STALLED_ANSWER_S
+    while time.monotonic() < stop_at:
+        slow.read_bytes(2_000_000)
+        gevent.sleep(0.2)
+        chosen = service.http.connections.choose_to_close(time.monotonic())
+        assert chosen is None
+    service.gate.set()
+
+
 def test_stop_ends_idle_connections_and_lets_requests_finish(
     service: Service, crowd: Crowd
 ) -> None:
