--- a/testing/adapter/test_settings.py
+++ b/testing/adapter/test_settings.py
@@ -199,6 +199,36 @@
     assert [finding.place for finding in error.value.findings] == [place]
 
 
+def test_limits_of_the_machine_are_read(path: Path) -> None:
+    path.write_text(CORE)
+    limits = read_settings(path, 'core').limits
+    assert (limits.memory_mb, limits.file_descriptors) == (256, 4096)
+    path.write_text(CORE + '[limits]\nmemoryMb = 160\nfileDescriptors = 500\n')
+    limits = read_settings(path, 'core').limits
+    assert (limits.memory_mb, limits.file_descriptors) == (160, 500)
+
+
+@pytest.mark.parametrize('value', [0, -1])
+def test_limits_that_leave_nothing_are_refused(path: Path, value: int) -> None:
+    """Guards against servers that refuse every request."""
+    path.write_text(
+        f'{CORE}[limits]\nmemoryMb = {value}\nfileDescriptors = {value}\n'
+    )
+    with pytest.raises(FindingsError) as error:
+        read_settings(path, 'core')
+    assert [finding.place for finding in error.value.findings] == [
+        'limits.memoryMb',
+        'limits.fileDescriptors',
+    ]
+
+
+@pytest.mark.parametrize('value', ['"many"', '1.5', 'true', '[]'])
+def test_limit_that_is_no_number_is_refused(path: Path, value: str) -> None:
+    path.write_text(f'{CORE}[limits]\nmemoryMb = {value}\n')
+    with pytest.raises(FindingsError, match='memoryMb'):
+        read_settings(path, 'core')
+
+
 def test_leader_without_an_address_of_the_platform_orders_nothing() -> None:
     """Guards against a term that ends when it begins."""
     client = HttpFleetClient('')
