Tests: an answer that is taken too slowly is cut as a whole

Guard against parts of an answer that each get a time limit of their own, and against bytes of an incomplete piece that no limit counts. Handler.wait_for_request, which does not wait, is called note_waiting now, as in the table.

--- a/src/galenareel/_entry/bodies.py
+++ b/src/galenareel/_entry/bodies.py
@@ -73,7 +73,7 @@
         if is_waiting or left > MAX_DISCARDED_BYTES:
             handler.drop_body()
             return
-        handler.wait_for_request(True)
+        handler.note_waiting(True)
         discarded = 0
         try:
             while discarded <= MAX_DISCARDED_BYTES:
@@ -150,7 +150,7 @@
     if isinstance(body, UnreadBody):
         handler.drop_body()
     else:
-        handler.wait_for_request(False)
+        handler.note_waiting(False)
     return body
 
 
@@ -163,7 +163,7 @@
         return b''
     if length is not None and length > limit:
         return _make_too_large(limit)
-    handler.wait_for_request(True)
+    handler.note_waiting(True)
     reader = handler.rfile
     size = 0
     try:
--- a/src/galenareel/_entry/wsgi.py
+++ b/src/galenareel/_entry/wsgi.py
@@ -103,7 +103,7 @@
     def handle_one_request(self) -> Any:
         limits: Limits = self.server.limits
         self.idle = True
-        self.wait_for_request(True)
+        self.note_waiting(True)
         try:
             data = self.rfile.read_head(
                 idle_s=limits.idle_timeout_s,
@@ -121,7 +121,7 @@
         except OSError:
             return None
         self.idle = False
-        self.wait_for_request(False)
+        self.note_waiting(False)
         if data is None:
             return None
         self.server.share_loop(gevent.get_hub().loop.now())
@@ -161,7 +161,7 @@
         self.close_connection = True
         self.has_unread_body = True
 
-    def wait_for_request(self, is_waiting: bool) -> None:
+    def note_waiting(self, is_waiting: bool) -> None:
         """Note whether a part of the next request has still to arrive."""
         self.server.connections.note_waiting(self, is_waiting)
 
--- a/testing/entry/test_bodies.py
+++ b/testing/entry/test_bodies.py
@@ -446,7 +446,9 @@
         for client in clients:
             client.send(data)
         used = measure_settled_memory() - before
-        uncounted = used - service.budget.held_bytes
+        held_bytes = service.budget.held_bytes
+        assert held_bytes >= len(clients) * len(body)
+        uncounted = used - held_bytes
         assert uncounted < len(clients) * 64 * 1024
     finally:
         tracemalloc.stop()
--- a/testing/entry/test_connections.py
+++ b/testing/entry/test_connections.py
@@ -221,3 +221,20 @@
     assert service.http.count_busy() == 1
     client.send(b'lo')
     assert client.read_answer() == SERVED
+
+
+def test_answer_that_is_taken_too_slowly_is_cut() -> None:
+    """The parts of an answer share one time limit."""
+    service = Service(send_timeout_s=0.5)
+    service.start()
+    client = service.connect()
+    try:
+        client.send(make_head(path='/large'))
+        stop_at = time.monotonic() + 1.5
+        while time.monotonic() < stop_at:
+            client.read_bytes(500_000)
+            gevent.sleep(0.1)
+        assert not service.http.connections
+    finally:
+        client.close()
+        service.close()
