Cap the text of an invalid message

Callers saw their own value again: a heartbeat whose state had 250,000 characters was answered with an error of 250 KB, which was also logged, and kept for each of up to 1,000 worker names. 990 such heartbeats of 255 KB took a core to 460 MB.

Cause: the decoder's error quotes an invalid value as a whole, and InvalidMessage took any text.

InvalidMessage now cuts its text to 4,096 characters and says how long it was, so that answers, log lines and findings of all decoders are bounded in one place.

--- a/src/galenareel/_jobs/worker_checks.py
+++ b/src/galenareel/_jobs/worker_checks.py
@@ -9,6 +9,7 @@
 from galenareel._common.addresses import ADDRESS_RULE
 from galenareel._common.addresses import is_address
 from galenareel._common.findings import Findings
+from galenareel._common.texts import shorten
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import WorkerRecord
 
@@ -22,7 +23,6 @@
 MAX_BORN_MS = 4_102_444_800_000  # the year 2100
 MAX_TEXT_CHARS = 256  # of a name, pool, zone or label
 MAX_LABELS = 64
-MAX_SHOWN_CHARS = 40  # of an invalid value
 
 # A name goes into the head of requests to its worker.
 _NAME = re.compile(rf'[!-~]{{1,{MAX_TEXT_CHARS}}}')
@@ -118,15 +118,3 @@
         problem=f'it is {shorten(text)} with {len(text)} characters',
         remedy=f'give {min_chars} to {MAX_TEXT_CHARS} printable characters',
     )
-
-
-def shorten(value: object) -> str:
-    """Return a value as it is shown in a finding."""
-    if isinstance(value, dict | list):
-        return f'a {type(value).__name__}'
-    if isinstance(value, str):
-        value = value[:MAX_SHOWN_CHARS]
-    try:
-        return repr(value)[:MAX_SHOWN_CHARS]
-    except ValueError:  # an integer with thousands of digits
-        return 'too long'
--- a/testing/adapter/test_control_http.py
+++ b/testing/adapter/test_control_http.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import gc
 import io
 import json
+import tracemalloc
 from typing import Any
 from unittest.mock import create_autospec
 
@@ -179,3 +181,39 @@
     assert len(found) == 3
     assert 'worker=w' in found[0]
     assert 'capacity.cpu: it is -1; report a whole number' in found[0]
+
+
+class NoText(io.StringIO):
+    """Stream that keeps nothing."""
+
+    def write(self, text: str, /) -> int:
+        return len(text)
+
+
+def test_long_invalid_values_of_many_workers_take_little_memory() -> None:
+    """Guards against a core that remembers what unknown clients have sent."""
+    sizes = []
+    client = make_client(create_autospec(JobService), NoText())
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        for number in range(50):
+            response = client.simulate_post(
+                f'/api/instances/w{number}/heartbeat',
+                body=json.dumps(
+                    {
+                        'service': 's',
+                        'address': '10.1.2.3:80',
+                        'zone': 'a',
+                        'state': f'{number}' + 'x' * 200_000,
+                    }
+                ),
+            )
+            assert response.status_code == 400
+            sizes.append(len(response.text))
+        gc.collect()
+        kept, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert kept - before < 5_000_000
+    assert max(sizes) < 10_000
--- a/testing/adapter/test_wire.py
+++ b/testing/adapter/test_wire.py
@@ -20,6 +20,7 @@
 from adapter.wire import decode_order_answer
 from adapter.wire import decode_wave
 from adapter.wire import InvalidMessage
+from adapter.wire import MAX_ERROR_CHARS
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -528,3 +529,18 @@
     """Guards against invalid jobs that load the link to the leader."""
     with pytest.raises(InvalidMessage, match=re.escape(place)):
         decode_job(json.dumps(fields).encode())
+
+
+def test_error_does_not_quote_a_value_of_the_size_of_the_message() -> None:
+    """Guards against memory and log lines that grow with what is refused."""
+    body = json.dumps(make_heartbeat(state='x' * 250_000)).encode()
+    with pytest.raises(InvalidMessage) as raised:
+        decode_heartbeat('w', body)
+    assert len(str(raised.value)) < 2 * MAX_ERROR_CHARS
+
+
+def test_cut_error_says_that_it_is_cut() -> None:
+    text = str(InvalidMessage('x' * 250_000))
+    assert text.startswith('x' * MAX_ERROR_CHARS)
+    assert text.endswith('... (cut, 250000 characters)')
+    assert str(InvalidMessage('x' * 100)) == 'x' * 100
