Quote no long values in findings about a configuration

Operators got back what they had sent: a configuration whose route names a service of 1,000,000 unprintable characters had a finding of 4,000,079 characters, in the answer and in the log. With 4 MB each, 40 such configurations took a core to 484 MB, and the leader changed.

Cause: findings quoted names, hosts and paths as a whole by repr(), which writes up to four characters and more for one; the place of a finding had the whole name of the route.

--- a/src/galenareel/_jobs/config_checks.py
+++ b/src/galenareel/_jobs/config_checks.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 import enum
 
+from galenareel._common.texts import shorten
 from galenareel._jobs.model import Configuration
 from galenareel._jobs.model import Queue
 from galenareel._jobs.model import Resources
@@ -119,14 +120,14 @@
         yield _warn_queue(
             queue,
             'host',
-            f'no request has the host {host!r}',
+            f'no request has the host {shorten(host)}',
             'give the name of the host alone, without a port',
         )
     if not queue.prefix.startswith('/') or '?' in queue.prefix:
         yield _warn_queue(
             queue,
             'prefix',
-            f'no path begins with {queue.prefix!r}',
+            f'no path begins with {shorten(queue.prefix)}',
             'give the start of a path, from its first slash on',
         )
 
@@ -215,8 +216,8 @@
                     space,
                     f'limit.{name}',
                     f'{limit} is below the limit {other_limit} of '
-                    f'{other.name}, whose weight is smaller, so that it may '
-                    'not reach its share of a pool',
+                    f'{shorten(other.name)}, whose weight is smaller, so '
+                    'that it may not reach its share of a pool',
                     'raise the limit or lower the weight',
                 )
                 break
--- a/testing/adapter/test_wire.py
+++ b/testing/adapter/test_wire.py
@@ -8,6 +8,7 @@
 
 import json
 import re
+import tracemalloc
 from typing import Any
 
 from adapter.listing import decode_listing
@@ -19,6 +20,7 @@
 from adapter.wire import decode_job
 from adapter.wire import decode_order_answer
 from adapter.wire import decode_wave
+from adapter.wire import inspect_configuration
 from adapter.wire import InvalidMessage
 from adapter.wire import MAX_ERROR_CHARS
 from hypothesis import given
@@ -26,6 +28,7 @@
 import pytest
 
 from galenareel._jobs.clients import InstanceState
+from galenareel._jobs.config_checks import check_configuration
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Resources
 
@@ -544,3 +547,59 @@
     assert text.startswith('x' * MAX_ERROR_CHARS)
     assert text.endswith('... (cut, 250000 characters)')
     assert str(InvalidMessage('x' * 100)) == 'x' * 100
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'routes': _make_changed_route(service='\x7f' * 1_000_000)},
+        {'routes': _make_changed_route(name='\x7f' * 1_000_000, timeoutMs=0)},
+        {'tenants': [{'name': '\x7f' * 1_000_000}] * 2},
+    ],
+)
+def test_finding_quotes_no_long_value(changes: dict[str, Any]) -> None:
+    """Guards against findings of the size of the configuration."""
+    body = json.dumps(
+        make_configuration(**changes), ensure_ascii=False
+    ).encode()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        _, found = inspect_configuration(body)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert len(found) == 1
+    assert max(len(str(item)) for item in found) < 1000
+    assert peak - before < 3 * len(body)
+
+
+def _make_tenant(name: str, *, weight: int, cpu: int) -> dict[str, Any]:
+    return {
+        'name': name,
+        'apiKeys': [f'key of {weight}'],
+        'weight': weight,
+        'cap': {'cpu': cpu},
+    }
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'routes': _make_changed_route(host='\x7f' * 1_000_000 + ':')},
+        {'routes': _make_changed_route(pathPrefix='\x7f' * 1_000_000)},
+        {
+            'tenants': [
+                _make_tenant('t', weight=2, cpu=1),
+                _make_tenant('\x7f' * 1_000_000, weight=1, cpu=2),
+            ]
+        },
+    ],
+)
+def test_warning_about_a_configuration_quotes_no_long_value(
+    changes: dict[str, Any],
+) -> None:
+    body = json.dumps(make_configuration(**changes)).encode()
+    config, _ = inspect_configuration(body)
+    (found,) = check_configuration(config)
+    assert len(found.problem) < 1000
