Bound the length of log lines and the size of their buffer

A process whose clients send long values grew with its log: 300 lines about a value of 100,000 characters held 180 MB while nobody read the output. One line of 20 MB held up a flush, and with it the event loop, for about a second.

Cause: the buffer was bounded by the number of lines alone, and the flush copied the rest of a long line for each 4 KB that it wrote.

Each value is now cut to 12,288 characters, and in a line with more than 16,384 to an equal share. Values are cut before they are quoted, so that each line can still be parsed, and no field is dropped, so that the summaries of jobs and losses find what they read. The buffer also has a bound of 4 MB; lines beyond it are counted as those beyond the number of lines are. The flush writes slices of a memory view.

--- a/src/galenareel/_common/bounded_log.py
+++ b/src/galenareel/_common/bounded_log.py
@@ -3,7 +3,8 @@
 Lines are put into a bounded buffer; a greenlet writes them while the file
 descriptor accepts data, so a slow or stopped reader never blocks the process.
 Each event name has a rate limit. Dropped lines are counted, and the count is
-logged as ``lines_left_out``.
+logged as ``lines_left_out``. Long values are cut before they are quoted, so
+that each line can still be parsed and has all its fields.
 """
 
 from __future__ import annotations
@@ -19,12 +20,17 @@
 
 from galenareel._common.log import format_value
 from galenareel._common.log import Log
+from galenareel._common.texts import truncate
 
 # Rate limit and burst of one event name.
 MAX_LINES_PER_S = 60.0
 BURST_LINES = 200.0
-# Takes about 1 MB of memory when nobody reads the output.
+# Ordinary lines take about 1 MB of memory when nobody reads the output.
 MAX_BUFFERED_LINES = 4000
+MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+# A character takes up to six bytes when it is quoted.
+MAX_FIELD_CHARS = 12 * 1024
+MAX_LINE_CHARS = 16 * 1024  # of all values together
 FLUSH_INTERVAL_S = 0.1
 # A pipe that polls as writable accepts this many bytes without blocking.
 MAX_WRITE_BYTES = select.PIPE_BUF
@@ -82,7 +88,8 @@
         self._monotonic = monotonic
         self._rates: dict[str, _Rate] = {}
         self._lines: collections.deque[bytes] = collections.deque()
-        self._unwritten = b''
+        self._buffered_bytes = 0  # of the lines
+        self._unwritten = memoryview(b'')  # rest of the line being written
         self._overflow_count = 0
         self._writer: gevent.Greenlet | None = None
 
@@ -129,7 +136,8 @@
             except OSError:
                 # The reader has closed its end; the lines cannot be delivered.
                 self._lines.clear()
-                self._unwritten = b''
+                self._buffered_bytes = 0
+                self._unwritten = memoryview(b'')
                 return True
             self._unwritten = chunk[size:]
             wrote = True
@@ -146,7 +154,7 @@
             self._append(level, event, fields)
 
     def _append(self, level: str, event: str, fields: dict[str, Any]) -> None:
-        if len(self._lines) >= MAX_BUFFERED_LINES:
+        if self._is_full():
             self._overflow_count += 1
             return
         pairs = {
@@ -156,10 +164,19 @@
             'event': event,
             **fields,
         }
-        line = ' '.join(
-            f'{key}={format_value(value)}' for key, value in pairs.items()
+        text = ' '.join(
+            f'{key}={format_value(value)}'
+            for key, value in _cut_values(pairs).items()
+        )
+        line = text.encode(errors='backslashreplace') + b'\n'
+        self._lines.append(line)
+        self._buffered_bytes += len(line)
+
+    def _is_full(self) -> bool:
+        return (
+            len(self._lines) >= MAX_BUFFERED_LINES
+            or self._buffered_bytes >= MAX_BUFFERED_BYTES
         )
-        self._lines.append(line.encode(errors='backslashreplace') + b'\n')
 
     def _run(self) -> None:
         while True:
@@ -176,7 +193,7 @@
                     'lines_left_out',
                     {'kind': event, 'lines': count},
                 )
-        if self._overflow_count and len(self._lines) < MAX_BUFFERED_LINES:
+        if self._overflow_count and not self._is_full():
             count, self._overflow_count = self._overflow_count, 0
             self._append(
                 'warning', 'lines_left_out', {'kind': 'any', 'lines': count}
@@ -185,19 +202,27 @@
     def _has_pending(self) -> bool:
         return bool(self._lines or self._unwritten)
 
-    def _next_chunk(self) -> bytes:
+    def _next_chunk(self) -> memoryview:
         """Remove and return up to ``MAX_WRITE_BYTES`` of whole lines.
 
-        A single line or remainder that is longer is returned as a whole.
+        A single line or remainder that is longer is returned as a whole,
+        without a copy of it.
         """
-        parts = [self._unwritten]
         size = len(self._unwritten)
+        if size >= MAX_WRITE_BYTES:
+            return self._unwritten
+        if not size and len(self._lines[0]) >= MAX_WRITE_BYTES:
+            return memoryview(self._take_line())
+        parts: list[bytes | memoryview] = [self._unwritten]
         while self._lines and size + len(self._lines[0]) <= MAX_WRITE_BYTES:
-            size += len(self._lines[0])
-            parts.append(self._lines.popleft())
-        if size == 0:
-            parts.append(self._lines.popleft())
-        return b''.join(parts)
+            parts.append(self._take_line())
+            size += len(parts[-1])
+        return memoryview(b''.join(parts))
+
+    def _take_line(self) -> bytes:
+        line = self._lines.popleft()
+        self._buffered_bytes -= len(line)
+        return line
 
     def _is_writable(self) -> bool:
         try:
@@ -207,6 +232,19 @@
             return True
 
 
+def _cut_values(pairs: dict[str, Any]) -> dict[str, str]:
+    """Return the values as text, the long ones cut.
+
+    In a line that is too long, each value keeps an equal share at least, so
+    that the short ones stay whole.
+    """
+    texts = {key: str(value) for key, value in pairs.items()}
+    limit = MAX_FIELD_CHARS
+    if sum(min(len(text), limit) for text in texts.values()) > MAX_LINE_CHARS:
+        limit = MAX_LINE_CHARS // len(texts)
+    return {key: truncate(text, limit) for key, text in texts.items()}
+
+
 def _format_time(wall: float) -> str:
     """Format seconds since the epoch as ISO 8601 in UTC, to milliseconds."""
     whole_s = int(wall)
--- a/testing/operator/test_losses.py
+++ b/testing/operator/test_losses.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import json
+import os
 from pathlib import Path
 
 import pytest
 
+from galenareel._common.bounded_log import BoundedLog
 from galenareel._operator.losses import find_losses
 from galenareel._operator.main import main
 
@@ -66,6 +68,32 @@
     assert (lost.kind, lost.cause) == (kind, cause)
 
 
+def test_lost_job_of_a_cut_line_has_its_main_cause(tmp_path: Path) -> None:
+    path = tmp_path / 'core-1.log'
+    fd = os.open(path, os.O_WRONLY | os.O_CREAT)
+    log = BoundedLog('core-1', fd=fd)
+    log.info(
+        'job_ended',
+        job='j' * 1_000_000,
+        outcome='completed',
+        queue='q"' * 1_000_000,
+        pool='p ' * 1_000_000,
+        age_s=7.0,
+        objective_s=2.0,
+        path_s=1.0,
+        work_core_s=10.0,
+        earlier_s=0.0,
+        waits='no_room:5.5,silent:0.2',
+    )
+    log.close()
+    os.close(fd)
+    text = path.read_text()
+    assert len(text) < 100_000
+    (lost,) = find_losses([text]).jobs
+    assert (lost.kind, lost.cause) == ('worthless', 'no_room')
+    assert lost.queue.startswith('q"q"')
+
+
 def test_jobs_in_time_and_repeated_calls_are_no_losses() -> None:
     lines = [
         format_end('j1', 1.9, 'no_room:0.8'),
