--- a/testing/adapter/test_control_http.py
+++ b/testing/adapter/test_control_http.py
@@ -183,6 +183,18 @@
     assert 'capacity.cpu: it is -1; report a whole number' in found[0]
 
 
+def test_error_of_a_request_is_logged_without_its_whole_path() -> None:
+    service = create_autospec(JobService)
+    service.retire_worker.side_effect = RuntimeError('unexpected')
+    log_text = io.StringIO()
+    response = make_client(service, log_text).simulate_post(
+        f'/api/instances/{"w" * 7000}/deregister', body='{}'
+    )
+    assert response.status_code == 500
+    assert 'request="POST /api/instances/www' in log_text.getvalue()
+    assert 'w' * 300 not in log_text.getvalue()
+
+
 class NoText(io.StringIO):
     """Stream that keeps nothing."""
 
