--- a/testing/adapter/test_wire.py
+++ b/testing/adapter/test_wire.py
@@ -8,6 +8,7 @@
 
 import json
 import re
+import tracemalloc
 from typing import Any
 
 from adapter.listing import decode_listing
@@ -19,12 +20,15 @@
 from adapter.wire import decode_job
 from adapter.wire import decode_order_answer
 from adapter.wire import decode_wave
+from adapter.wire import inspect_configuration
 from adapter.wire import InvalidMessage
+from adapter.wire import MAX_ERROR_CHARS
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
 
 from galenareel._jobs.clients import InstanceState
+from galenareel._jobs.config_checks import check_configuration
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Resources
 
@@ -550,3 +554,74 @@
     job = {'specification': 'x', 'steps': [{'count': 1}, step]}
     with pytest.raises(InvalidMessage):
         decode_job(json.dumps(job).encode())
+
+
+def test_error_does_not_quote_a_value_of_the_size_of_the_message() -> None:
+    """Guards against memory and log lines that grow with what is refused."""
+    body = json.dumps(make_heartbeat(state='x' * 250_000)).encode()
+    with pytest.raises(InvalidMessage) as raised:
+        decode_heartbeat('w', body)
+    assert len(str(raised.value)) < 2 * MAX_ERROR_CHARS
+
+
+def test_cut_error_says_that_it_is_cut() -> None:
+    text = str(InvalidMessage('x' * 250_000))
+    assert text.startswith('x' * MAX_ERROR_CHARS)
+    assert text.endswith('... (cut, 250000 characters)')
+    assert str(InvalidMessage('x' * 100)) == 'x' * 100
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'routes': _make_changed_route(service='\x7f' * 1_000_000)},
+        {'routes': _make_changed_route(name='\x7f' * 1_000_000, timeoutMs=0)},
+        {'tenants': [{'name': '\x7f' * 1_000_000}] * 2},
+    ],
+)
+def test_finding_quotes_no_long_value(changes: dict[str, Any]) -> None:
+    """Guards against findings of the size of the configuration."""
+    body = json.dumps(
+        make_configuration(**changes), ensure_ascii=False
+    ).encode()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        _, found = inspect_configuration(body)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert len(found) == 1
+    assert max(len(str(item)) for item in found) < 1000
+    assert peak - before < 3 * len(body)
+
+
+def _make_tenant(name: str, *, weight: int, cpu: int) -> dict[str, Any]:
+    return {
+        'name': name,
+        'apiKeys': [f'key of {weight}'],
+        'weight': weight,
+        'cap': {'cpu': cpu},
+    }
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'routes': _make_changed_route(host='\x7f' * 1_000_000 + ':')},
+        {'routes': _make_changed_route(pathPrefix='\x7f' * 1_000_000)},
+        {
+            'tenants': [
+                _make_tenant('t', weight=2, cpu=1),
+                _make_tenant('\x7f' * 1_000_000, weight=1, cpu=2),
+            ]
+        },
+    ],
+)
+def test_warning_about_a_configuration_quotes_no_long_value(
+    changes: dict[str, Any],
+) -> None:
+    body = json.dumps(make_configuration(**changes)).encode()
+    config, _ = inspect_configuration(body)
+    (found,) = check_configuration(config)
+    assert len(found.problem) < 1000
