--- a/testing/adapter/test_limits.py
+++ b/testing/adapter/test_limits.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from adapter.limits import count_receive_bytes
+from adapter.limits import count_unknown_links
 from adapter.limits import make_caller_limits
 from adapter.limits import make_control_limits
 from adapter.limits import make_metrics_limits
@@ -104,3 +105,10 @@
 def test_budget_leaves_most_of_the_memory(machine: MachineLimits) -> None:
     """A request takes several times its size while it is decoded."""
     assert count_receive_bytes(machine) * 8 <= machine.memory_mb * MB
+
+
+@pytest.mark.parametrize('descriptors', [1, 200, 369])
+def test_links_can_begin_on_the_smallest_machine(descriptors: int) -> None:
+    """Guards against a machine that closes each link before its hello."""
+    machine = MachineLimits(memory_mb=1, file_descriptors=descriptors)
+    assert count_unknown_links(machine) >= 8
