Count what the limits of requests and connections refuse

Nothing showed that a connection had given its place to a new one, or that a head was refused. galenareel_http_refusals counts all refusals by reason at a front and a core; an entry counts them among its requests, with http. before the reason.

--- a/src/galenareel/_entry/bodies.py
+++ b/src/galenareel/_entry/bodies.py
@@ -148,6 +148,7 @@
         return _make_too_large(limit) if len(whole) > limit else whole
     body = _read_body(env, handler, limit)
     if isinstance(body, UnreadBody):
+        handler.server.count_refusal(body.reason)
         handler.drop_body()
     else:
         handler.note_waiting(False)
--- a/src/galenareel/_entry/process.py
+++ b/src/galenareel/_entry/process.py
@@ -304,6 +304,7 @@
             app.make_app(),
             limits=self.settings.limits,
             budget=self._receive_budget,
+            count_refusal=lambda reason: self._count(f'http.{reason}'),
         )
 
     def _receive(self, link: Link, msg: AnyMessage) -> AnyMessage | None:
--- a/src/galenareel/_entry/wsgi.py
+++ b/src/galenareel/_entry/wsgi.py
@@ -261,6 +261,8 @@
 
     def _refuse(self, rejected: RejectedHead) -> None:
         """Answer a request that does not reach the application."""
+        is_lack = rejected.status == 503
+        self.server.count_refusal('receive_memory' if is_lack else 'head')
         self.socket.settimeout(self.server.limits.send_timeout_s)
         self.socket.sendall(encode_refusal(rejected.status, rejected.problem))
         self.server.linger(self.socket)
@@ -297,6 +299,10 @@
     return ReceiveBudget(max(limits.max_receive_bytes, largest))
 
 
+def _count_nothing(_reason: str) -> None:
+    pass
+
+
 class HttpServer(WSGIServer):
     """HTTP server that limits connections in total and per address.
 
@@ -304,6 +310,9 @@
     not sent its request, or does not read its answer.
 
     :param budget: memory for requests, shared by the servers of a process.
+    :param count_refusal: called with the reason of each refusal: ``address``,
+        ``connections``, ``displaced`` (a connection gave its place to a new
+        one), ``head`` or the reason of an :class:`UnreadBody`.
     :ivar connections: without those that have given up their place.
     """
 
@@ -317,9 +326,11 @@
         *,
         limits: Limits,
         budget: ReceiveBudget | None = None,
+        count_refusal: Callable[[str], None] | None = None,
     ) -> None:
         super().__init__(address, application, log=None, error_log=None)
         self.limits = limits
+        self.count_refusal = count_refusal or _count_nothing
         self.budget = budget or make_receive_budget(limits)
         self.connections: ConnectionTable[Handler] = ConnectionTable()
         self._lingering = 0
@@ -362,11 +373,13 @@
         connections = self.connections
         count = connections.count_of_host(host)
         if count >= limits.max_connections_per_address:
+            self.count_refusal('address')
             return self._refuse_connection(
                 sock, 429, 'too many connections from this address'
             )
         if len(connections) >= limits.max_connections:
             if not self._free_place(time.monotonic()):
+                self.count_refusal('connections')
                 return self._refuse_connection(
                     sock, 503, 'too many connections'
                 )
@@ -383,6 +396,7 @@
         handler = self.connections.choose_to_close(now)
         if handler is None:
             return False
+        self.count_refusal('displaced')
         self.connections.remove(handler)
         handler.abort()
         return True
--- a/src/galenareel/_jobs/metrics.py
+++ b/src/galenareel/_jobs/metrics.py
@@ -18,6 +18,10 @@
             'galenareel_calls',
             description='Requests of callers by operation and outcome.',
         )
+        self.http_refusals = meter.create_counter(
+            'galenareel_http_refusals',
+            description='Requests and connections refused, by reason.',
+        )
         self.key_refusals = meter.create_counter(
             'galenareel_key_refusals',
             description='Refusals of keys by the process that refused.',
@@ -116,6 +120,10 @@
         )
         self._workspace_labels: set[str] = set()
 
+    def count_http_refusal(self, reason: str) -> None:
+        """Count a request or a connection that a limit has refused."""
+        self.http_refusals.add(1, {'reason': reason})
+
     def label_workspace(self, name: str) -> str:
         """Return the label of a workspace, ``other`` beyond the limit."""
         if name not in self._workspace_labels:
--- a/testing/entry/test_crowded_server.py
+++ b/testing/entry/test_crowded_server.py
@@ -144,3 +144,20 @@
     finally:
         tracemalloc.stop()
         server.stop(timeout=0)
+
+
+def test_refusals_are_counted_by_reason(sockets: list[socket.socket]) -> None:
+    server = make_server(2, 2)
+    reasons: list[str] = []
+    server.count_refusal = reasons.append
+    try:
+        assert post(server, b'x' * (MAX_BODY_BYTES + 1)).split()[1] == b'503'
+        server.limits = Limits(
+            max_connections=1, max_connections_per_address=2
+        )
+        for _ in range(2):
+            sockets.append(connect(server))
+            gevent.sleep(0.05)
+        assert reasons == ['body_too_large', 'displaced']
+    finally:
+        server.stop(timeout=0)
