--- a/testing/programs/test_crowds.py
+++ b/testing/programs/test_crowds.py
@@ -135,6 +135,17 @@
     return Body(len(data), lambda: [data])
 
 
+def make_route(**fields: object) -> dict[str, object]:
+    return {
+        'name': 'r',
+        'host': 'h',
+        'pathPrefix': '/',
+        'service': 's',
+        'timeoutMs': 1,
+        **fields,
+    }
+
+
 def make_job(steps: list[dict[str, object]]) -> dict[str, object]:
     return {'specification': 'x', 'steps': steps}
 
@@ -204,16 +215,18 @@
             {
                 'version': 9,
                 'services': [],
-                'routes': [
-                    {
-                        'name': 'r',
-                        'host': 'h',
-                        'pathPrefix': '/',
-                        'service': 's',
-                        'timeoutMs': 0,
-                    }
-                ]
-                * 45_000,
+                'routes': [make_route(timeoutMs=0)] * 45_000,
+            }
+        ),
+    ),
+    'configure-long-values': (
+        CONFIGURE,
+        40,
+        lambda: send_fields(
+            {
+                'version': 9,
+                'services': [],
+                'routes': [make_route(service='\x7f' * (39 * MB // 10))],
             }
         ),
     ),
