--- a/src/galenareel/_entry/wsgi.py
+++ b/src/galenareel/_entry/wsgi.py
@@ -42,7 +42,8 @@
 LINGER_BYTES = 1024 * 1024
 # Refused connections that are read from at once; more are closed unread.
 MAX_LINGERING = 32
-# A core that answers more requests in a row can't renew its leadership.
+# Many requests answered in a row would keep a core from renewing its
+# leadership.
 MAX_REQUESTS_PER_TURN = 8
 # Bounds what the system stores for a connection that is not read from.
 RECEIVE_BUFFER_BYTES = 64 * 1024
