Tell waits in a quiet pool from those for room

tasks_held gave the time since a task became ready, so a pool that was full until a moment ago looked like one that was idle for all that time. It now also says how much of the pool is in use, and for how long the task has waited since less than half was, with room for it twice over.

--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -24,6 +24,7 @@
 from galenareel._scheduling.pacing import plan_pace_changes
 from galenareel._scheduling.policy import DEFAULT_POLICY
 from galenareel._scheduling.policy import SchedulingPolicy
+from galenareel._scheduling.quiet import update_quiet_waits
 from galenareel._scheduling.quotas import may_start
 from galenareel._scheduling.quotas import Usage
 from galenareel._scheduling.stalls import is_stalled
@@ -185,8 +186,12 @@
         if now < self._retry_due:
             return
         self._retry_due = now + WAITING_RETRY_S
+        members: dict[str, list[Worker]] = {}
+        for worker in self.workers.values():
+            members.setdefault(worker.pool, []).append(worker)
         for pool in self.pools.values():
             pool.dirty = pool.dirty or bool(pool.waiting)
+            update_quiet_waits(pool, members.get(pool.name, []), now)
 
     def _restart_stalled(self, now: float) -> None:
         """Stop stalled runs that would end sooner on another worker."""
--- a/src/galenareel/_jobs/holding.py
+++ b/src/galenareel/_jobs/holding.py
@@ -14,6 +14,8 @@
 from galenareel._jobs.metrics import JobMetrics
 from galenareel._scheduling.health import is_suspect
 from galenareel._scheduling.health import needs_trial
+from galenareel._scheduling.quiet import get_quiet_wait_s
+from galenareel._scheduling.quiet import measure_use
 from galenareel._scheduling.tables import JobWork
 from galenareel._scheduling.tables import PoolWork
 from galenareel._scheduling.tables import StepWork
@@ -112,6 +114,7 @@
     """Waiting tasks of a pool that one reason holds back.
 
     :param oldest_s: longest wait of them.
+    :param quiet_s: longest wait of them while their pool was quiet.
     :param workers: the first ``MAX_NAMES`` workers that the reason is about,
         with why they are closed if they are.
     :param worker_count: number of these workers.
@@ -122,6 +125,7 @@
     worker_count: int = 0
     count: int = 0
     oldest_s: float = 0.0
+    quiet_s: float = 0.0
 
 
 def explain_hold(
@@ -273,8 +277,9 @@
         for worker in workers.values():
             by_pool.setdefault(worker.pool, []).append(worker)
         for name, pool in pools.items():
-            holds = self.find_holds(pool, by_pool.get(name, []), now)
-            self._report_pool(name, holds, now)
+            members = by_pool.get(name, [])
+            holds = self.find_holds(pool, members, now)
+            self._report_pool(name, holds, measure_use(members).share, now)
 
     def find_holds(
         self, pool: PoolWork, members: list[Worker], now: float
@@ -315,9 +320,17 @@
             known = holds.setdefault(hold.reason, hold)
             known.count += len(late)
             known.oldest_s = max(known.oldest_s, oldest_s)
+            quiet_s = get_quiet_wait_s(step, index, now)
+            known.quiet_s = max(known.quiet_s, quiet_s)
         return list(holds.values())
 
-    def _report_pool(self, name: str, holds: list[Hold], now: float) -> None:
+    def _report_pool(
+        self, name: str, holds: list[Hold], use: float, now: float
+    ) -> None:
+        """Log what holds the tasks of a pool back.
+
+        :param use: share of the pool that is in use.
+        """
         reported = self._reported.setdefault(name, _Reported())
         current = {hold.reason: hold.workers for hold in holds}
         if current == reported.holds:
@@ -335,6 +348,8 @@
                 count=hold.count,
                 reason=hold.reason.value,
                 oldest_s=round(hold.oldest_s, 1),
+                quiet_s=round(hold.quiet_s, 1),
+                use=round(use, 2),
                 workers=','.join(hold.workers),
                 worker_count=hold.worker_count,
             )
--- /dev/null
+++ b/src/galenareel/_scheduling/quiet.py
@@ -0,0 +1,145 @@
+"""Find tasks that wait although little of their pool is in use.
+
+Load pattern: the traffic is over or low, and faults have left cautions behind,
+such as a worker that gets one task at a time. What is worth a wait while other
+work is done then only delays the last jobs.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from galenareel._jobs.model import Step
+from galenareel._scheduling.tables import PoolWork
+from galenareel._scheduling.tables import StepWork
+from galenareel._scheduling.tables import Worker
+
+# A pool is quiet while its runs reserve less than this share of its processor.
+QUIET_SHARE = 0.5
+# A task whose pool is quiet has room if it would fit this many times.
+ROOM_FACTOR = 2
+
+Needs = tuple[int, int, int, str]
+
+
+@dataclass(frozen=True, slots=True)
+class PoolUse:
+    """What the runs on the workers that answer reserve.
+
+    :param cpu: processor of these workers, in thousandths of a core.
+    :param cpu_used: the part of it that is reserved.
+    """
+
+    cpu: int
+    cpu_used: int
+
+    @property
+    def share(self) -> float:
+        """Reserved share, 1 for a pool without such a worker."""
+        return self.cpu_used / self.cpu if self.cpu else 1.0
+
+    @property
+    def is_quiet(self) -> bool:
+        return self.share < QUIET_SHARE
+
+
+def measure_use(members: Collection[Worker]) -> PoolUse:
+    """Return how much of a pool is in use.
+
+    Workers that do not answer or leave have no room that could be used.
+    """
+    present = [worker for worker in members if _is_present(worker)]
+    return PoolUse(
+        cpu=sum(worker.record.resources.cpu for worker in present),
+        cpu_used=sum(worker.cpu_used for worker in present),
+    )
+
+
+def update_quiet_waits(
+    pool: PoolWork, members: Sequence[Worker], now: float
+) -> None:
+    """Note since when the steps of a pool wait although it is quiet.
+
+    :param members: workers of the pool.
+    """
+    open_workers: list[Worker] = []
+    if pool.waiting and measure_use(members).is_quiet:
+        open_workers = [worker for worker in members if worker.is_open()]
+    room: dict[Needs, int] = {}
+    for step in pool.waiting.values():
+        count = step.step.count if step.step.gang else 1
+        if _count_room(step.step, open_workers, room) < ROOM_FACTOR * count:
+            step.quiet_since = None
+        elif step.quiet_since is None:
+            step.quiet_since = now
+
+
+def get_quiet_wait_s(step: StepWork, index: int, now: float) -> float:
+    """Return for how long a task has waited while its pool was quiet.
+
+    The time since its last run, if that is later.
+    """
+    if step.quiet_since is None or index not in step.waiting:
+        return 0.0
+    released_at = step.released_at.get(index, step.ready_at)
+    return now - max(step.quiet_since, released_at)
+
+
+def get_longest_quiet_wait_s(step: StepWork, now: float) -> float:
+    """Return the longest of these times of the tasks of a step."""
+    if step.quiet_since is None:
+        return 0.0
+    return max(
+        (get_quiet_wait_s(step, index, now) for index in step.waiting),
+        default=0.0,
+    )
+
+
+def _is_present(worker: Worker) -> bool:
+    return (
+        worker.silent_since is None
+        and worker.unreachable_since is None
+        and not worker.lease_expired
+        and not worker.draining
+        and not worker.departing
+        and not worker.retiring
+    )
+
+
+def _count_room(
+    step: Step, open_workers: Sequence[Worker], known: dict[Needs, int]
+) -> int:
+    """Return how often a task fits beside the runs of some workers.
+
+    :param known: results of earlier calls for these workers.
+    """
+    needs = (
+        0 if step.fills else step.cpu,
+        step.memory_mb,
+        step.gpus,
+        step.label,
+    )
+    if needs not in known:
+        known[needs] = sum(
+            _count_fits(worker, needs) for worker in open_workers
+        )
+    return known[needs]
+
+
+def _count_fits(worker: Worker, needs: Needs) -> int:
+    cpu, memory_mb, gpus, label = needs
+    if worker.unsized_runs or (label and label not in worker.record.labels):
+        return 0
+    room = worker.record.resources
+    fits = [
+        max(free, 0) // wanted
+        for free, wanted in (
+            (room.cpu - worker.cpu_used, cpu),
+            (room.memory_mb - worker.memory_used, memory_mb),
+            (room.gpus - worker.gpus_used, gpus),
+        )
+        if wanted > 0
+    ]
+    return min(fits, default=ROOM_FACTOR)
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -441,6 +441,8 @@
         had borne. They are suspects only after another crash.
     :param trial_wait: wait of its suspects for a trial, or ``None``.
     :param ready_at: local time at which the step became ready to run, or 0.
+    :param quiet_since: local time since which its pool is quiet and has room
+        for its tasks, or ``None``.
     """
 
     job: JobWork
@@ -470,6 +472,7 @@
     victims: set[int] = field(default_factory=set)
     trial_wait: TrialWait | None = None
     ready_at: float = 0.0
+    quiet_since: float | None = None
     ended_s: list[float] | None = None
 
     def task_id(self, index: int) -> TaskId:
--- a/testing/jobs/test_holding.py
+++ b/testing/jobs/test_holding.py
@@ -14,6 +14,7 @@
 from galenareel._jobs.model import Workspace
 from galenareel._operator.job_log import LogLine
 from galenareel._operator.job_log import parse_line
+from galenareel._scheduling.quiet import get_longest_quiet_wait_s
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
 from testing.standins.worker import FakeWorker
@@ -176,3 +177,23 @@
     lines = find_lines(harness, 'tasks_held')
     assert [line.fields['reason'] for line in lines] == ['unread_workers']
     assert lines[0].fields['workers'] == 'w1'
+
+
+def test_wait_in_a_quiet_pool_is_told_from_one_for_room() -> None:
+    harness = make_harness()
+    harness.proves_jobs = True
+    lasting = Step(count=4, cpu=1000, memory_mb=10, lasting=True)
+    harness.submit('first', make_job(lasting))
+    harness.pass_time(0.3)
+    harness.submit('j', make_job(STEP))
+    harness.pass_time(3.0)
+    step = harness.engine.jobs['j'].steps[0, 0]
+    assert get_longest_quiet_wait_s(step, harness.now) == 0.0
+    step.not_before[0] = 1e9
+    harness.cancel('first')
+    harness.pass_time(3.0)
+    assert 2.0 < get_longest_quiet_wait_s(step, harness.now) <= 3.0
+    (line,) = find_lines(harness, 'tasks_held')
+    assert line.fields['reason'] == 'not_before'
+    assert line.fields['use'] == '0.0'
+    assert float(line.fields['quiet_s']) < float(line.fields['oldest_s']) - 2.0
