Tests: tasks that wait in a quiet pool

Two failures in a row let a worker take one task at a time until one is done. Tasks that fail everywhere make that of sound workers, and a long run there then keeps out all others.

--- /dev/null
+++ b/testing/jobs/quiet_harness.py
@@ -0,0 +1,283 @@
+"""Watch the leader for tasks that wait in a pool that is little used."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+
+from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import Outcome
+from galenareel._jobs.engine import Engine
+from galenareel._jobs.holding import explain_hold
+from galenareel._jobs.model import EndKind
+from galenareel._jobs.model import Resources
+from galenareel._jobs.model import Step
+from galenareel._jobs.model import TaskId
+from galenareel._scheduling.tables import StartTask
+from testing.jobs.harness import Harness
+from testing.jobs.harness import make_job
+from testing.jobs.harness import Violation
+from testing.standins.worker import FakeWorker
+
+ROOM = Resources(8000, 32768, 0)
+MAX_WAIT_S = 3.0
+# Disturbances explain a wait until this long after the last one.
+CALM_AFTER_S = 4.0
+# A lease of a worker that a new leader can't read, by the slowest clock.
+UNREAD_LIMIT_S = 7.3
+FAILS_AFTER_S = 0.2
+
+
+@dataclass(slots=True, kw_only=True)
+class TimedWorker(FakeWorker):
+    """Worker that ends its tasks by itself.
+
+    :param work_by_job: seconds that a task of a job takes.
+    :param hopeless: jobs whose tasks fail on each worker.
+    :param is_failing: each task fails here.
+    """
+
+    work_by_job: Mapping[str, float] = field(default_factory=dict)
+    hopeless: set[str] = field(default_factory=set)
+    is_failing: bool = False
+
+    def get_work_s(self, task: str) -> float:
+        return self.work_by_job.get(get_job(task), 1.0)
+
+    def advance(self, seconds: float) -> None:
+        # Slots make this a new class, which a bare super() does not know.
+        super(TimedWorker, self).advance(seconds)
+        for run in list(self.running.values()):
+            age_s = (self.clock_ms - run.started_ms) / 1000
+            fails = self.is_failing or get_job(run.task) in self.hopeless
+            if fails and age_s >= FAILS_AFTER_S:
+                self.end(run.task, EndKind.FAILED)
+            elif not self.is_stalled and age_s >= self.get_work_s(run.task):
+                self.end(run.task, EndKind.DONE)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Kind:
+    """Kind of a job.
+
+    :param work_s: time that a task takes.
+    :param outcome: empty, or ``hopeless`` or ``deadly``.
+    """
+
+    step: Step
+    work_s: float = 1.0
+    outcome: str = ''
+
+
+def get_job(task: str) -> str:
+    return task.partition('.')[0]
+
+
+class QuietHarness(Harness):
+    """Watches for jobs that wait while nothing disturbs them.
+
+    :ivar refusing: what workers answer to each start, by name.
+    :ivar disturbed_at: time of the last disturbance.
+    :ivar deadly: jobs under which each worker crashes, and how many have.
+    """
+
+    def __init__(self, size: int = 3, *, lookahead: bool = False) -> None:
+        self.work_by_job: dict[str, float] = {}
+        self.hopeless: set[str] = set()
+        self.refusing: dict[str, Outcome] = {}
+        self.deadly: dict[str, int] = {}
+        self.disturbed_at = 0.0
+        self.led_at = 0.0
+        self._idle_since: dict[str, float] = {}
+        super().__init__(
+            *(
+                TimedWorker(
+                    name=f'w{number}',
+                    rack=f'r{number % 2}',
+                    resources=ROOM,
+                    work_by_job=self.work_by_job,
+                    hopeless=self.hopeless,
+                    on_start=self._crash_on_deadly,
+                )
+                for number in range(size)
+            ),
+            lookahead=lookahead,
+        )
+        self.pass_time(0.5)
+
+    def take_over(self, node: str = 'c1') -> Engine:
+        self.disturbed_at = self.led_at = self.now
+        return super().take_over(node)
+
+    def crash(self, name: str, down_s: float = 3.5) -> None:
+        self.disturbed_at = self.now
+        super().crash(name, down_s)
+
+    def _crash_on_deadly(
+        self, worker: FakeWorker, task: str, _number: int
+    ) -> None:
+        job = get_job(task)
+        if job in self.deadly and worker.name not in self.down:
+            self.deadly[job] += 1
+            self.crash(worker.name)
+
+    def _start(self, order: StartTask) -> None:
+        run = order.run
+        outcome = self.refusing.get(run.worker.name)
+        if outcome is None or run.token != run.worker.token:
+            super()._start(order)
+        elif self.engine.may_send_start(run, self.now):
+            self.engine.begin_start(run, self.now)
+            self.engine.handle_start_answer(
+                run, Answer(outcome=outcome), self.now
+            )
+
+    def run_round(self) -> None:
+        super().run_round()
+        if self._is_disturbed():
+            self.disturbed_at = self.now
+        for name in list(self.engine.jobs):
+            self._watch(name)
+
+    def end_faults(self) -> None:
+        self.refusing.clear()
+        self.cut_off.clear()
+        self.losing_answers.clear()
+        self.delaying_orders.clear()
+        self.holding_heartbeats.clear()
+        self.holding_tokens = False
+        for worker in self.list_timed_workers():
+            worker.is_stalled = worker.is_failing = False
+            if worker.draining:
+                self.crash(worker.name, 0.5)
+
+    def submit_kind(self, name: str, kind: Kind) -> None:
+        if kind.outcome == 'hopeless':
+            self.hopeless.add(name)
+        elif kind.outcome == 'deadly':
+            self.deadly[name] = 0
+        self.work_by_job[name] = 1e9 if kind.step.lasting else kind.work_s
+        self.submit(name, make_job(kind.step))
+
+    def list_timed_workers(self) -> list[TimedWorker]:
+        workers = self.workers.values()
+        return [each for each in workers if isinstance(each, TimedWorker)]
+
+    def change_leader(self) -> None:
+        self.take_over('other')
+
+    def lose_power(self) -> None:
+        """Restart all workers, and let another leader follow."""
+        for name in self.workers:
+            self.crash(name, 1.0)
+        self.pass_time(0.2)
+        self.change_leader()
+
+    def _is_disturbed(self) -> bool:
+        return bool(
+            self.refusing
+            or self.cut_off
+            or self.losing_answers
+            or self.delaying_orders
+            or self.holding_heartbeats
+            or self.holding_tokens
+            or self.down
+        ) or any(
+            worker.is_stalled or worker.is_failing or worker.draining
+            for worker in self.list_timed_workers()
+        )
+
+    def _watch(self, name: str) -> None:
+        """Check one job; its time counts only while the rule applies."""
+        if not self._should_run(name):
+            self._idle_since.pop(name, None)
+            return
+        calm_at = self.disturbed_at + CALM_AFTER_S
+        since = max(self._idle_since.setdefault(name, self.now), calm_at)
+        if self.now - since >= MAX_WAIT_S:
+            raise Violation(
+                f'{name} has waited for {self.now - since:.1f} s: '
+                f'{self.explain(name)}'
+            )
+
+    def _should_run(self, name: str) -> bool:
+        work = self.engine.jobs[name]
+        if work.has_failed or any(
+            get_job(task) == name for task in self.list_running()
+        ):
+            return False
+        if self.engine._list_unread(work):
+            return self.now - self.led_at > UNREAD_LIMIT_S
+        workers = self.workers.values()
+        capacity = sum(worker.resources.cpu for worker in workers)
+        if 2 * sum(map(self._get_used, workers)) >= capacity:
+            return False
+        return any(
+            self._fits_twice(step.step)
+            for step in work.steps.values()
+            if step.waiting or step.runs
+        )
+
+    def _fits_twice(self, step: Step) -> bool:
+        fits = sum(
+            (worker.resources.cpu - self._get_used(worker)) // step.cpu
+            for worker in self.workers.values()
+        )
+        return fits >= 2 * (step.count if step.gang else 1)
+
+    def _get_used(self, worker: FakeWorker) -> int:
+        """Return the processor that its tasks use, in thousandths."""
+        used = 0
+        for name in worker.running:
+            task = TaskId.parse(name)
+            assert task is not None, 'the engine sends names of tasks'
+            used += self.state.jobs[task.job].request.steps[task.step].cpu
+        return used
+
+    def explain(self, name: str) -> str:
+        """Return why the leader holds the tasks of a job back."""
+        engine = self.engine
+        found = []
+        for step in engine.jobs[name].steps.values():
+            for index in sorted(step.waiting)[:1]:
+                hold = explain_hold(
+                    step,
+                    index,
+                    engine.workers.values(),
+                    unread=engine._list_unread(step.job),
+                    has_quota=engine._has_quota(step, 1, self.now),
+                    now=self.now,
+                )
+                found.append(f'{hold.reason.value} {hold.workers}')
+            found += [
+                f'{run.worker.name} {run.state.value}'
+                for runs in step.runs.values()
+                for run in runs
+            ]
+        return '; '.join(found)
+
+
+STEPS = (
+    Step(count=1, cpu=1000, estimate_ms=1000),
+    Step(count=4, cpu=1000, estimate_ms=1000),
+    Step(count=1, cpu=1000, estimate_ms=8000),
+    Step(count=2, cpu=2000, estimate_ms=1000, gang=True),
+    Step(count=2, cpu=1000, lasting=True),
+    Step(count=3, cpu=1000, estimate_ms=1000, per_worker=1),
+)
+REFUSALS = (
+    Outcome.UNHEALTHY,
+    Outcome.REFUSED,
+    Outcome.NO_ROOM,
+    Outcome.NO_ANSWER,
+    Outcome.SUPERSEDED,
+)
+
+
+KINDS = (
+    *(Kind(step=step) for step in STEPS),
+    *(Kind(step=step, work_s=20.0) for step in STEPS if not step.lasting),
+    *(Kind(step=step, outcome='hopeless') for step in STEPS[:2]),
+    *(Kind(step=step, outcome='deadly') for step in STEPS[:2]),
+)
