Set cautions aside for tasks that wait in a quiet pool

Callers saw accepted jobs that could run and did not, with most of the room of their workers free. Cause: what makes the leader cautious about a worker or a task may end only with an event. A worker on which two runs in a row have failed takes one task at a time until one is done, so a run of 20 s there keeps out all others; and the cautions follow one another, each with a bound of its own.

A task whose pool is less than half in use, with room for it twice over, waits for 2 s at most now: a second pass prefers sound workers and uses the others as well. Suspects are still tried alone, unproven jobs pass their limit one after the other and only if no worker was lost lately, and whatever protects a task from a second run holds.

--- a/src/galenareel/_jobs/metrics.py
+++ b/src/galenareel/_jobs/metrics.py
@@ -78,6 +78,10 @@
             'galenareel_holds',
             description='Times that tasks began to be held back, by reason.',
         )
+        self.waived_cautions = meter.create_counter(
+            'galenareel_waived_cautions',
+            description='Times that tasks of an idle pool passed a caution.',
+        )
         self.overfull_workers = meter.create_counter(
             'galenareel_overfull_workers',
             description='Times that the runs of a worker exceeded its room.',
--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -12,6 +12,9 @@
 from galenareel._scheduling.advice import record_advice
 from galenareel._scheduling.placement import Candidates
 from galenareel._scheduling.proofs import ProofLimit
+from galenareel._scheduling.quiet import get_longest_quiet_wait_s
+from galenareel._scheduling.quiet import is_overdue
+from galenareel._scheduling.quiet import measure_use
 from galenareel._scheduling.ranking import placement_key
 from galenareel._scheduling.tables import AskAdvice
 from galenareel._scheduling.tables import JobWork
@@ -76,6 +79,61 @@
                 self._place_step(pool, step, candidates, now)
                 if not step.waiting:
                     pool.waiting.pop(self._step_key(step), None)
+        self._place_overdue(pool, members, now, limit)
+
+    def _place_overdue(
+        self, pool: PoolWork, members: list[Worker], now: float, limit: int
+    ) -> None:
+        """Place tasks that cautions have held back for too long.
+
+        They wait in a quiet pool, so what the cautions protect costs more than
+        it saves. After a loss of workers, the limit of unproven jobs holds.
+        """
+        steps = [
+            step
+            for step in list(pool.waiting.values())
+            if is_overdue(step, now) and self._may_place(step.job)
+        ]
+        if not steps:
+            return
+        open_workers = [worker for worker in members if worker.is_open()]
+        candidates = Candidates(members, now, waives_cautions=True)
+        candidates.limit = ProofLimit(
+            pool, members, open_workers, now, waives_cautions=True
+        )
+        steps.sort(key=lambda step: -get_longest_quiet_wait_s(step, now))
+        for step in steps:
+            if len(self._orders) >= limit:
+                pool.dirty = True
+                return
+            if not measure_use(members).is_quiet:
+                return
+            self._waive_cautions(pool, step, candidates, members, now)
+
+    def _waive_cautions(
+        self,
+        pool: PoolWork,
+        step: StepWork,
+        candidates: Candidates,
+        members: list[Worker],
+        now: float,
+    ) -> None:
+        waiting = len(step.waiting)
+        waited_s = get_longest_quiet_wait_s(step, now)
+        if step.crashes:
+            self._place_suspects(pool, step, candidates, members, now)
+        self._place_step(pool, step, candidates, now)
+        started = waiting - len(step.waiting)
+        if not step.waiting:
+            pool.waiting.pop(self._step_key(step), None)
+        if started:
+            self._metrics.waived_cautions.add(1)
+            self._log.info(
+                'cautions_waived',
+                step=step.task_id(0).get_step_name(),
+                started=started,
+                waited_s=round(waited_s, 2),
+            )
 
     def _may_place(self, work: JobWork) -> bool:
         return not work.has_failed and self._are_workers_read(work)
--- a/src/galenareel/_jobs/suspects.py
+++ b/src/galenareel/_jobs/suspects.py
@@ -7,6 +7,7 @@
 from galenareel._jobs.answers import OrderAnswers
 from galenareel._scheduling.crashes import Incarnation
 from galenareel._scheduling.placement import Candidates
+from galenareel._scheduling.quiet import is_overdue
 from galenareel._scheduling.tables import PoolWork
 from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import StepWork
@@ -146,7 +147,12 @@
             and is_held_for(hold, step, indices)
         ]
         trials = count_trial_limit(
-            pool, members, step.trial_wait, len(held), now
+            pool,
+            members,
+            step.trial_wait,
+            len(held),
+            now,
+            is_overdue=is_overdue(step, now),
         )
         if not trials.free and not held:
             pool.awaits_proof = True
--- a/src/galenareel/_scheduling/placement.py
+++ b/src/galenareel/_scheduling/placement.py
@@ -23,6 +23,7 @@
 FILLING_BESIDE_SERVING_PENALTY = 4.0
 SERVING_BESIDE_FILLING_PENALTY = 1.0
 TRIAL_PENALTY = 3.0  # the last tasks on the worker failed
+SUSPECT_PENALTY = 4.0  # they failed just now, or the same task did
 # Lasting tasks gather on few workers, so that the others can be released. A
 # worker or rack that runs half of a step is avoided for the rest, so that its
 # loss affects no more than half.
@@ -48,16 +49,28 @@
         workers, so that large tasks find room or other workers can be
         released. Otherwise tasks are spread, which limits the effect of losing
         a worker.
+
+    :param waives_cautions: use workers that were suspect of late as well, and
+        those that a task avoids, if there are no others.
     """
 
-    def __init__(self, workers: Iterable[Worker], now: float) -> None:
+    def __init__(
+        self,
+        workers: Iterable[Worker],
+        now: float,
+        *,
+        waives_cautions: bool = False,
+    ) -> None:
         self.now = now
+        self._waives_cautions = waives_cautions
         self.limit: ProofLimit | None = None
         self.reserved: ReservedRoom | None = None
         self.uses_best_fit = False
         open_workers = [worker for worker in workers if worker.is_open()]
         sound = [
-            worker for worker in open_workers if not is_suspect(worker, now)
+            worker
+            for worker in open_workers
+            if not waives_cautions and not is_suspect(worker, now)
         ]
         # If every worker is suspect, the tasks themselves may be at fault.
         self.open_workers = sound or open_workers
@@ -155,17 +168,19 @@
             runs_here = work.runs_per_worker.get(worker.name, 0)
             if runs_here >= step.per_worker:
                 return False
-        if needs_trial(worker, self.now) and not _is_free_for_trial(
-            worker, step, self.now
-        ):
+        if not self._is_free(worker, step):
             return False
         if is_closed_by_trial(worker, self.now):
             hold = get_hold(worker, self.now)
             if hold is None or hold.step is not work:
                 return False
-        return step.gang or any(
-            worker.name not in work.avoided_workers.get(index, ())
-            for index in work.waiting
+        return (
+            step.gang
+            or self._waives_cautions
+            or any(
+                worker.name not in work.avoided_workers.get(index, ())
+                for index in work.waiting
+            )
         )
 
     def may_take(self, work: StepWork, index: int, worker: Worker) -> bool:
@@ -195,9 +210,9 @@
     ) -> Worker | None:
         step = work.step
         avoided = work.avoided_workers.get(index, ())
-        if excluded or self.reserved:
-            closed = self.reserved.list_closed(work) if self.reserved else ()
-            avoided = {*avoided, *excluded, *closed}
+        closed = excluded
+        if self.reserved:
+            closed = {*excluded, *self.reserved.list_closed(work)}
         best: Worker | None = None
         best_score = 0.0
         for worker in workers:
@@ -205,7 +220,10 @@
                 continue
             if step.label and step.label not in worker.record.labels:
                 continue
-            if worker.name in avoided:
+            if worker.name in closed:
+                continue
+            is_avoided = worker.name in avoided
+            if is_avoided and not self._waives_cautions:
                 continue
             if work.job.queue.advice and worker.name not in work.tickets:
                 continue
@@ -213,19 +231,28 @@
                 runs_here = work.runs_per_worker.get(worker.name, 0)
                 if runs_here >= step.per_worker:
                     continue
-            is_trial = needs_trial(worker, self.now)
-            if is_trial and not _is_free_for_trial(worker, step, self.now):
+            if not self._is_free(worker, step):
                 continue
             if limit is not None and not limit.admits(work.job, worker):
                 continue
-            score = self._score(work, worker) + (
-                TRIAL_PENALTY if is_trial else 0.0
-            )
+            score = self._score(work, worker)
+            if needs_trial(worker, self.now):
+                score += TRIAL_PENALTY
+            if self._waives_cautions and (
+                is_avoided or is_suspect(worker, self.now)
+            ):
+                score += SUSPECT_PENALTY
             if best is None or score < best_score:
                 best = worker
                 best_score = score
         return best
 
+    def _is_free(self, worker: Worker, step: Step) -> bool:
+        """Return whether no trial of a worker keeps a task off it."""
+        if self._waives_cautions or not needs_trial(worker, self.now):
+            return True
+        return _is_free_for_trial(worker, step, self.now)
+
     def _score(self, work: StepWork, worker: Worker) -> float:
         step = work.step
         capacity = worker.record.resources
--- a/src/galenareel/_scheduling/proofs.py
+++ b/src/galenareel/_scheduling/proofs.py
@@ -158,6 +158,8 @@
 
     :param members: workers of the pool.
     :param open_workers: those among them that may get tasks.
+    :param waives_cautions: let jobs pass the limit one after the other, unless
+        workers were lost lately.
     :ivar used: open workers with unproven runs or a trial.
     :ivar limit: highest number of these at which suspects and late jobs may
         take another one. Jobs on time may take more in an alert.
@@ -172,6 +174,8 @@
         members: Collection[Worker],
         open_workers: Collection[Worker],
         now: float,
+        *,
+        waives_cautions: bool = False,
     ) -> None:
         self.now = now
         self.refused = False
@@ -187,6 +191,11 @@
             and not worker.is_open()
             for worker in members
         )
+        self._waives_cautions = (
+            waives_cautions
+            and not self.recovers
+            and not any(_is_lost(worker, now) for worker in members)
+        )
         alerted_at = pool.alerted_at
         self._is_alert = alerted_at is not None and now - alerted_at < ALERT_S
         self._lost = [
@@ -228,6 +237,8 @@
     def _limit_late_jobs(self) -> None:
         """Leave a part of the workers to jobs on time that may come soon."""
         self.limit = self._highest
+        if self._waives_cautions:
+            return
         arrivals = self._pool.arrivals
         if not arrivals or self.now - arrivals[-1].accepted_at >= ARRIVAL_S:
             return
@@ -266,7 +277,7 @@
 
     def restricts(self, job: JobWork) -> bool:
         """Return whether a job may have runs on some workers only."""
-        if job.proven:
+        if job.proven or self._may_waive():
             return False
         if self._is_alert:
             return True
@@ -340,17 +351,26 @@
 
     def note_placed(self, job: JobWork) -> None:
         """Note that tasks of an unproven job are placed."""
-        if job.held_since is not None and self._may_pass(job):
+        is_held = job.held_since is not None
+        if self._may_waive() or (is_held and self._may_pass(job)):
             self._pool.forced_at = self.now
         job.held_since = None
 
+    def _may_waive(self) -> bool:
+        """Return whether a job that may not pass otherwise does so now."""
+        return self._waives_cautions and self._is_turn()
+
+    def _is_turn(self) -> bool:
+        """Return whether the last job that has passed had time for proof."""
+        return self.now - self._pool.forced_at >= FORCED_INTERVAL_S
+
     def _may_pass(self, job: JobWork) -> bool:
         """Return whether a job has waited too long to be held back."""
         return (
             not self._is_alert
             and self._waited_s(job) >= MAX_PROOF_WAIT_S
             and not self.recovers
-            and self.now - self._pool.forced_at >= FORCED_INTERVAL_S
+            and self._is_turn()
         )
 
     def _waited_s(self, job: JobWork) -> float:
--- a/src/galenareel/_scheduling/quiet.py
+++ b/src/galenareel/_scheduling/quiet.py
@@ -21,6 +21,10 @@
 # A task whose pool is quiet has room if it would fit this many times.
 ROOM_FACTOR = 2
 
+# Then the cautions that hold a task back are set aside. Users count a wait of
+# 3 s as a loss, which includes the next pass and the order.
+MAX_CAUTION_S = 2.0
+
 Needs = tuple[int, int, int, str]
 
 
@@ -97,6 +101,11 @@
     )
 
 
+def is_overdue(step: StepWork, now: float) -> bool:
+    """Return whether cautions have held tasks of a step back for too long."""
+    return get_longest_quiet_wait_s(step, now) >= MAX_CAUTION_S
+
+
 def _is_present(worker: Worker) -> bool:
     return (
         worker.silent_since is None
--- a/src/galenareel/_scheduling/trials.py
+++ b/src/galenareel/_scheduling/trials.py
@@ -70,6 +70,8 @@
     wait: TrialWait,
     held: int,
     now: float,
+    *,
+    is_overdue: bool = False,
 ) -> TrialLimit:
     """Return how many workers of a pool may hold the next trial.
 
@@ -80,6 +82,8 @@
     :param members: workers of the pool.
     :param wait: wait of the suspects that are to be tried.
     :param held: workers that are kept free for them.
+    :param is_overdue: they have waited too long for the work of others to go
+        first.
     """
     open_workers = [worker for worker in members if worker.is_open()]
     on_trial = sum(is_closed_by_trial(worker, now) for worker in open_workers)
@@ -96,7 +100,8 @@
     third = max(count // TRIAL_DIVISOR, 1)
     others = on_trial - held
     free = max(spare - others, third - others - lost, 0)
-    if now - wait.since >= MAX_SPARE_WAIT_S and not others and count > 1:
+    is_late = is_overdue or now - wait.since >= MAX_SPARE_WAIT_S
+    if is_late and not others and count > 1:
         free = max(free, 1)
     at_risk = sum(
         worker.unproven > 0 or is_closed_by_trial(worker, now)
