--- a/testing/jobs/quiet_harness.py
+++ b/testing/jobs/quiet_harness.py
@@ -10,6 +10,7 @@
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.holding import explain_hold
+from galenareel._jobs.holding import MAX_QUIET_WAIT_S
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
@@ -139,6 +140,7 @@
             self.disturbed_at = self.now
         for name in list(self.engine.jobs):
             self._watch(name)
+        self._watch_holds()
 
     def end_faults(self) -> None:
         self.refusing.clear()
@@ -201,6 +203,24 @@
                 f'{self.explain(name)}'
             )
 
+    def _watch_holds(self) -> None:
+        """Check each task, also of jobs that run, by what the leader says."""
+        calm_s = self.now - self.disturbed_at - CALM_AFTER_S
+        members = list(self.engine.workers.values())
+        for pool in self.engine.pools.values():
+            for hold in self.engine.hold_report.find_holds(
+                pool, members, self.now
+            ):
+                limit_s = MAX_QUIET_WAIT_S.get(hold.reason)
+                if limit_s is None:
+                    continue
+                waited_s = min(hold.quiet_s, calm_s)
+                if waited_s >= max(limit_s, MAX_WAIT_S):
+                    raise Violation(
+                        f'{hold.reason.value} holds {hold.count} tasks for '
+                        f'{waited_s:.1f} s'
+                    )
+
     def _should_run(self, name: str) -> bool:
         work = self.engine.jobs[name]
         if work.has_failed or any(
