Close the gaps of the second pass for tasks that wait in a quiet pool

- The two passes undid each other's hold for the trial of a suspect, so that it never began and its worker stayed closed (50 s watched).
The first pass keeps the hold now while the suspect is overdue.
- A lasting task waited for a long run (23 s) in a pool that is half in use.
- In an alert, one job passed each 0.5 s: with 30 jobs on four idle workers the harness's own check broke.
They use half of the workers now.
- A waived restart on a worker where the task had failed used up the attempts of a job whose other tasks ran.
Cautions are set aside only for jobs that have nothing at work.
- Starts without an answer made an idle pool look busy.
- Each run that never began started the 2 s anew.
- A gang without needs had no room.

The bounds by reason that the harness checked are gone again: the check of jobs that have nothing at work covers them, and other tasks may wait longer by design. It checks each lasting task instead.

--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -384,7 +384,7 @@
                 how=end.kind,
             )
         if run is not None:
-            self._requeue(step, task.index, now)
+            self._requeue(step, run, now)
 
     def _complete_task(
         self,
--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -14,7 +14,7 @@
 from galenareel._scheduling.proofs import ProofLimit
 from galenareel._scheduling.quiet import get_longest_quiet_wait_s
 from galenareel._scheduling.quiet import is_overdue
-from galenareel._scheduling.quiet import measure_use
+from galenareel._scheduling.quiet import MAX_OVERDUE_STEPS
 from galenareel._scheduling.ranking import placement_key
 from galenareel._scheduling.tables import AskAdvice
 from galenareel._scheduling.tables import JobWork
@@ -89,10 +89,14 @@
         They wait in a quiet pool, so what the cautions protect costs more than
         it saves. After a loss of workers, the limit of unproven jobs holds.
         """
+        overdue, pool.overdue = pool.overdue, []
         steps = [
             step
-            for step in list(pool.waiting.values())
-            if is_overdue(step, now) and self._may_place(step.job)
+            for step in overdue
+            if pool.waiting.get(self._step_key(step)) is step
+            and is_overdue(step, now)
+            and self._may_place(step.job)
+            and self.quotas.has_room(step)
         ]
         if not steps:
             return
@@ -102,12 +106,10 @@
             pool, members, open_workers, now, waives_cautions=True
         )
         steps.sort(key=lambda step: -get_longest_quiet_wait_s(step, now))
-        for step in steps:
+        for step in steps[:MAX_OVERDUE_STEPS]:
             if len(self._orders) >= limit:
                 pool.dirty = True
                 return
-            if not measure_use(members).is_quiet:
-                return
             self._waive_cautions(pool, step, candidates, members, now)
 
     def _waive_cautions(
--- a/src/galenareel/_jobs/suspects.py
+++ b/src/galenareel/_jobs/suspects.py
@@ -167,8 +167,10 @@
             # A withdrawn trial wakes the pool, though it leaves no more room.
             pool.dirty = was_dirty
             pool.awaits_proof = True
-            for worker in held:
-                worker.trial_hold = None
+            # The pass for overdue steps may still find that it is ready.
+            if not is_overdue(step, now):
+                for worker in held:
+                    worker.trial_hold = None
             self._report_wait(step, step.trial_wait, now)
             return False
         if all(run.worker.name in ready for run in runs):
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -581,8 +581,14 @@
         self.quotas.hold(workspace, step.job.queue.pool)
         return False
 
-    def _requeue(self, step: StepWork, index: int, now: float) -> None:
-        """Queue a task again unless it is done or still runs somewhere."""
+    def _requeue(self, step: StepWork, run: Run, now: float) -> None:
+        """Queue a task again unless it is done or still runs somewhere.
+
+        :param run: its run that is over.
+        """
+        index = run.task.index
+        if run.confirmed_at is not None:
+            step.worked_at[index] = now
         if step.runs.get(index) or step.job.name not in self.jobs:
             return
         finished = self._done[step.job.name].get(
@@ -611,7 +617,7 @@
                 step.save_checkpoint(
                     run.task.index, run.number, run.checkpoint
                 )
-            self._requeue(step, run.task.index, now)
+            self._requeue(step, run, now)
 
     def _new_run(
         self,
--- a/src/galenareel/_scheduling/proofs.py
+++ b/src/galenareel/_scheduling/proofs.py
@@ -158,8 +158,8 @@
 
     :param members: workers of the pool.
     :param open_workers: those among them that may get tasks.
-    :param waives_cautions: let jobs pass the limit one after the other, unless
-        workers were lost lately.
+    :param waives_cautions: let jobs use half of the workers, each of them one
+        worker, and others in turn, unless workers were lost lately.
     :ivar used: open workers with unproven runs or a trial.
     :ivar limit: highest number of these at which suspects and late jobs may
         take another one. Jobs on time may take more in an alert.
@@ -277,9 +277,9 @@
 
     def restricts(self, job: JobWork) -> bool:
         """Return whether a job may have runs on some workers only."""
-        if job.proven or self._may_waive():
+        if job.proven:
             return False
-        if self._is_alert:
+        if self._is_alert or self._waives_cautions:
             return True
         may_spread = len(job.unproven_workers) < self._half
         if may_spread and self.used < self.limit:
@@ -288,7 +288,9 @@
 
     def admits(self, job: JobWork, worker: Worker) -> bool:
         """Return whether a restricted job may have a run on a worker."""
-        if self._is_alert:
+        if self._waives_cautions:
+            is_admitted = self._admits_overdue(job, worker)
+        elif self._is_alert:
             is_admitted = self._admits_in_alert(job, worker)
         else:
             is_taken = worker.unproven and worker.no_unproven_until <= self.now
@@ -300,6 +302,16 @@
             self.refused = True
         return is_admitted
 
+    def _admits_overdue(self, job: JobWork, worker: Worker) -> bool:
+        if worker.name in job.unproven_workers:
+            return True
+        is_gang = any(step.step.gang for step in job.steps.values())
+        if len(job.unproven_workers) >= (self._half if is_gang else 1):
+            return False
+        return bool(
+            worker.unproven or self.used < self._half or self._is_turn()
+        )
+
     def _admits_in_alert(self, job: JobWork, worker: Worker) -> bool:
         if worker.unproven:
             return job.unproven_workers.get(worker.name) == worker.unproven
@@ -313,6 +325,8 @@
         """Count a worker that gets an unproven run or a trial now."""
         if worker.unproven:
             return
+        if self._waives_cautions and self.used >= self._half:
+            self._pool.forced_at = self.now
         self.used += 1
         if not self._is_alert:
             return
@@ -351,15 +365,10 @@
 
     def note_placed(self, job: JobWork) -> None:
         """Note that tasks of an unproven job are placed."""
-        is_held = job.held_since is not None
-        if self._may_waive() or (is_held and self._may_pass(job)):
+        if job.held_since is not None and self._may_pass(job):
             self._pool.forced_at = self.now
         job.held_since = None
 
-    def _may_waive(self) -> bool:
-        """Return whether a job that may not pass otherwise does so now."""
-        return self._waives_cautions and self._is_turn()
-
     def _is_turn(self) -> bool:
         """Return whether the last job that has passed had time for proof."""
         return self.now - self._pool.forced_at >= FORCED_INTERVAL_S
--- a/src/galenareel/_scheduling/quiet.py
+++ b/src/galenareel/_scheduling/quiet.py
@@ -12,11 +12,12 @@
 from dataclasses import dataclass
 
 from galenareel._jobs.model import Step
+from galenareel._scheduling.tables import JobWork
 from galenareel._scheduling.tables import PoolWork
 from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import Worker
 
-# A pool is quiet while its runs reserve less than this share of its processor.
+# A pool is quiet while its runs use less than this share of its processor.
 QUIET_SHARE = 0.5
 # A task whose pool is quiet has room if it would fit this many times.
 ROOM_FACTOR = 2
@@ -24,16 +25,21 @@
 # Then the cautions that hold a task back are set aside. Users count a wait of
 # 3 s as a loss, which includes the next pass and the order.
 MAX_CAUTION_S = 2.0
+# Steps of a pool for which cautions are set aside at a time, so that a pass
+# stays short.
+MAX_OVERDUE_STEPS = 100
+
+UNLIMITED = 10**9  # tasks without needs that fit on a worker
 
 Needs = tuple[int, int, int, str]
 
 
 @dataclass(frozen=True, slots=True)
 class PoolUse:
-    """What the runs on the workers that answer reserve.
+    """What the runs on the workers that answer use.
 
     :param cpu: processor of these workers, in thousandths of a core.
-    :param cpu_used: the part of it that is reserved.
+    :param cpu_used: the part of it that is used.
     """
 
     cpu: int
@@ -41,7 +47,7 @@
 
     @property
     def share(self) -> float:
-        """Reserved share, 1 for a pool without such a worker."""
+        """Used share, 1 for a pool without such a worker."""
         return self.cpu_used / self.cpu if self.cpu else 1.0
 
     @property
@@ -52,12 +58,18 @@
 def measure_use(members: Collection[Worker]) -> PoolUse:
     """Return how much of a pool is in use.
 
-    Workers that do not answer or leave have no room that could be used.
+    Workers that do not answer or leave have no room that could be used. Room
+    that is reserved for starts without an answer is not in use.
     """
     present = [worker for worker in members if _is_present(worker)]
     return PoolUse(
         cpu=sum(worker.record.resources.cpu for worker in present),
-        cpu_used=sum(worker.cpu_used for worker in present),
+        cpu_used=sum(
+            run.cpu
+            for worker in present
+            for run in worker.runs.values()
+            if run.confirmed_at is not None
+        ),
     )
 
 
@@ -66,29 +78,40 @@
 ) -> None:
     """Note since when the steps of a pool wait although it is quiet.
 
+    A lasting task is wanted at all times, so that it is enough for it if there
+    is room. Those that have waited for too long are put in ``pool.overdue``.
+
     :param members: workers of the pool.
     """
-    open_workers: list[Worker] = []
-    if pool.waiting and measure_use(members).is_quiet:
-        open_workers = [worker for worker in members if worker.is_open()]
+    pool.overdue.clear()
+    if not pool.waiting:
+        return
+    present = [worker for worker in members if _is_present(worker)]
+    is_quiet = measure_use(members).is_quiet
     room: dict[Needs, int] = {}
     for step in pool.waiting.values():
         count = step.step.count if step.step.gang else 1
-        if _count_room(step.step, open_workers, room) < ROOM_FACTOR * count:
+        is_wanted = is_quiet or step.step.lasting
+        if (
+            not is_wanted
+            or _count_room(step.step, present, room) < ROOM_FACTOR * count
+        ):
             step.quiet_since = None
         elif step.quiet_since is None:
             step.quiet_since = now
+        elif is_overdue(step, now):
+            pool.overdue.append(step)
 
 
 def get_quiet_wait_s(step: StepWork, index: int, now: float) -> float:
     """Return for how long a task has waited while its pool was quiet.
 
-    The time since its last run, if that is later.
+    The time since it was last at work, if that is later.
     """
     if step.quiet_since is None or index not in step.waiting:
         return 0.0
-    released_at = step.released_at.get(index, step.ready_at)
-    return now - max(step.quiet_since, released_at)
+    idle_since = step.worked_at.get(index, step.ready_at)
+    return now - max(step.quiet_since, idle_since)
 
 
 def get_longest_quiet_wait_s(step: StepWork, now: float) -> float:
@@ -102,10 +125,28 @@
 
 
 def is_overdue(step: StepWork, now: float) -> bool:
-    """Return whether cautions have held tasks of a step back for too long."""
+    """Return whether cautions have held tasks of a step back for too long.
+
+    Only a job that has nothing at work waits for these alone. A lasting task
+    counts by itself.
+    """
+    if step.quiet_since is None or now - step.quiet_since < MAX_CAUTION_S:
+        return False
+    if not step.step.lasting and _is_at_work(step.job):
+        return False
     return get_longest_quiet_wait_s(step, now) >= MAX_CAUTION_S
 
 
+def _is_at_work(job: JobWork) -> bool:
+    """Return whether any task of a job is known to run."""
+    return any(
+        run.confirmed_at is not None
+        for step in job.steps.values()
+        for runs in step.runs.values()
+        for run in runs
+    )
+
+
 def _is_present(worker: Worker) -> bool:
     return (
         worker.silent_since is None
@@ -118,7 +159,7 @@
 
 
 def _count_room(
-    step: Step, open_workers: Sequence[Worker], known: dict[Needs, int]
+    step: Step, workers: Sequence[Worker], known: dict[Needs, int]
 ) -> int:
     """Return how often a task fits beside the runs of some workers.
 
@@ -131,9 +172,7 @@
         step.label,
     )
     if needs not in known:
-        known[needs] = sum(
-            _count_fits(worker, needs) for worker in open_workers
-        )
+        known[needs] = sum(_count_fits(worker, needs) for worker in workers)
     return known[needs]
 
 
@@ -151,4 +190,4 @@
         )
         if wanted > 0
     ]
-    return min(fits, default=ROOM_FACTOR)
+    return min(fits, default=UNLIMITED)
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -441,6 +441,7 @@
         had borne. They are suspects only after another crash.
     :param trial_wait: wait of its suspects for a trial, or ``None``.
     :param ready_at: local time at which the step became ready to run, or 0.
+    :param worked_at: local time until which a task was last known to run.
     :param quiet_since: local time since which its pool is quiet and has room
         for its tasks, or ``None``.
     """
@@ -472,6 +473,7 @@
     victims: set[int] = field(default_factory=set)
     trial_wait: TrialWait | None = None
     ready_at: float = 0.0
+    worked_at: dict[int, float] = field(default_factory=dict)
     quiet_since: float | None = None
     ended_s: list[float] | None = None
 
@@ -604,6 +606,7 @@
         last took a worker after a crash.
     :param awaits_proof: tasks are held back until a job is proven or a trial
         is over.
+    :param overdue: steps that cautions have held back for too long.
     """
 
     name: str
@@ -623,6 +626,7 @@
     forced_at: float = float('-inf')
     late_at: float = float('-inf')
     awaits_proof: bool = False
+    overdue: list[StepWork] = field(default_factory=list)
 
     def note_crash(self, now: float) -> None:
         """Note that one of its workers has crashed.
--- a/testing/jobs/quiet_harness.py
+++ b/testing/jobs/quiet_harness.py
@@ -10,7 +10,6 @@
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.holding import explain_hold
-from galenareel._jobs.holding import MAX_QUIET_WAIT_S
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
@@ -28,6 +27,7 @@
 # A lease of a worker that a new leader can't read, by the slowest clock.
 UNREAD_LIMIT_S = 7.3
 FAILS_AFTER_S = 0.2
+LASTING_PAUSE_S = 6.0  # after its last run, a lasting task may be away
 
 
 @dataclass(slots=True, kw_only=True)
@@ -91,6 +91,8 @@
         self.disturbed_at = 0.0
         self.led_at = 0.0
         self._idle_since: dict[str, float] = {}
+        # By lasting task, when it last ran or was first seen.
+        self._last_run: dict[str, float] = {}
         super().__init__(
             *(
                 TimedWorker(
@@ -140,7 +142,7 @@
             self.disturbed_at = self.now
         for name in list(self.engine.jobs):
             self._watch(name)
-        self._watch_holds()
+        self._watch_lasting_tasks()
 
     def end_faults(self) -> None:
         self.refusing.clear()
@@ -203,23 +205,33 @@
                 f'{self.explain(name)}'
             )
 
-    def _watch_holds(self) -> None:
-        """Check each task, also of jobs that run, by what the leader says."""
-        calm_s = self.now - self.disturbed_at - CALM_AFTER_S
-        members = list(self.engine.workers.values())
-        for pool in self.engine.pools.values():
-            for hold in self.engine.hold_report.find_holds(
-                pool, members, self.now
-            ):
-                limit_s = MAX_QUIET_WAIT_S.get(hold.reason)
-                if limit_s is None:
-                    continue
-                waited_s = min(hold.quiet_s, calm_s)
-                if waited_s >= max(limit_s, MAX_WAIT_S):
-                    raise Violation(
-                        f'{hold.reason.value} holds {hold.count} tasks for '
-                        f'{waited_s:.1f} s'
-                    )
+    def _watch_lasting_tasks(self) -> None:
+        """Check each lasting task, however much of the pool is in use."""
+        running = self.list_running()
+        for work in self.engine.jobs.values():
+            for step in work.steps.values():
+                for index in step.waiting if step.step.lasting else ():
+                    task = str(step.task_id(index))
+                    if task in running:
+                        self._last_run[task] = self.now
+                    if (
+                        task in running
+                        or work.has_failed
+                        or self.engine._list_unread(work)
+                        or not self._fits_twice(step.step)
+                    ):
+                        self._idle_since.pop(task, None)
+                    else:
+                        self._watch_lasting_task(task)
+
+    def _watch_lasting_task(self, task: str) -> None:
+        since = max(
+            self._idle_since.setdefault(task, self.now),
+            self._last_run.setdefault(task, self.now) + LASTING_PAUSE_S,
+            self.disturbed_at + CALM_AFTER_S,
+        )
+        if self.now - since >= MAX_WAIT_S:
+            raise Violation(f'{task} is to last and does not run')
 
     def _should_run(self, name: str) -> bool:
         work = self.engine.jobs[name]
@@ -241,7 +253,7 @@
 
     def _fits_twice(self, step: Step) -> bool:
         fits = sum(
-            (worker.resources.cpu - self._get_used(worker)) // step.cpu
+            (worker.resources.cpu - self._get_used(worker)) // max(step.cpu, 1)
             for worker in self.workers.values()
         )
         return fits >= 2 * (step.count if step.gang else 1)
--- a/testing/jobs/test_quiet_pools.py
+++ b/testing/jobs/test_quiet_pools.py
@@ -25,8 +25,13 @@
 import pytest
 
 from galenareel._jobs.clients import Outcome
+from galenareel._jobs.model import Resources
+from galenareel._jobs.model import Step
+from galenareel._jobs.model import Workspace
+from testing.jobs.harness import make_job
 from testing.jobs.quiet_days import EVENING_S
 from testing.jobs.quiet_days import QuietDay
+from testing.jobs.quiet_harness import get_job
 from testing.jobs.quiet_harness import Kind
 from testing.jobs.quiet_harness import KINDS
 from testing.jobs.quiet_harness import MAX_WAIT_S
@@ -36,6 +41,7 @@
 from testing.jobs.quiet_harness import TimedWorker
 
 MAX_JOBS = 40
+ONE = Step(count=1, cpu=1000, estimate_ms=1000)
 WORKERS = integers(0, 3).map('w{}'.format)
 
 
@@ -178,3 +184,121 @@
 @pytest.mark.parametrize('seed', [99, 145, 150, 169, 182, 191])
 def test_no_task_waits_on_the_evening_of_a_seeded_day(seed: int) -> None:
     QuietDay(seed).play()
+
+
+def make_distrusted(
+    size: int = 2, *, cpu: int = 1000, work_s: float = 60.0
+) -> QuietHarness:
+    """Return workers that need a trial, each beside a long run."""
+    harness = QuietHarness(size)
+    long = Step(count=size, cpu=cpu, estimate_ms=60_000, per_worker=1)
+    harness.submit_kind('long', Kind(step=long, work_s=work_s))
+    harness.pass_time(1.0)
+    for name in ('b1', 'b2'):
+        harness.submit_kind(name, Kind(step=STEPS[1], outcome='hopeless'))
+    harness.pass_time(6.0)
+    return harness
+
+
+def wait_for_start(harness: QuietHarness, job: str) -> float:
+    """Return after how long a job runs, up to ``EVENING_S``."""
+    began = harness.now
+    while harness.now - began < EVENING_S:
+        if any(get_job(task) == job for task in harness.list_running()):
+            break
+        harness.pass_time(0.1)
+    return harness.now - began
+
+
+def test_lasting_task_waits_for_no_long_run_in_a_pool_in_use() -> None:
+    """A lasting task is wanted however much of its pool is in use."""
+    harness = make_distrusted(cpu=5000)
+    lasting = structs.replace(ONE, lasting=True)
+    harness.submit_kind('j', Kind(step=lasting))
+    assert wait_for_start(harness, 'j') < MAX_WAIT_S
+
+
+def test_two_passes_leave_each_other_the_hold_of_a_suspect() -> None:
+    """It was made anew in each pass, so no trial began and none else did."""
+    harness = make_distrusted()
+    harness.submit_kind('s', Kind(step=ONE))
+    wait_for_start(harness, 's')
+    (name,) = harness.list_running()['s.0.0.0']
+    harness.crash(name, 0.2)
+    harness.pass_time(0.5)
+    harness.retire(name)
+    del harness.workers[name]
+    harness.submit_kind('j', Kind(step=ONE))
+    assert wait_for_start(harness, 's') < MAX_WAIT_S
+    assert wait_for_start(harness, 'j') < MAX_WAIT_S
+
+
+def test_many_unproven_jobs_do_not_wait_in_turn_after_an_alert() -> None:
+    harness = QuietHarness(4)
+    for number in range(2):
+        harness.submit_kind(f'd{number}', Kind(step=ONE, outcome='deadly'))
+    harness.pass_time(20.0)
+    for number in range(30):
+        harness.submit_kind(f'j{number}', Kind(step=ONE))
+    harness.pass_time(10.0)
+
+
+def test_overdue_tasks_use_up_no_attempts_while_others_of_the_job_run() -> (
+    None
+):
+    harness = QuietHarness(3)
+    harness.list_timed_workers()[0].is_failing = True
+    step = Step(count=3, cpu=1000, estimate_ms=8000, per_worker=1)
+    harness.submit_kind('j', Kind(step=step, work_s=8.0))
+    harness.pass_time(25.0)
+    assert not harness.state.jobs['j'].failed
+
+
+def test_starts_without_an_answer_do_not_make_a_pool_busy() -> None:
+    harness = make_distrusted(5, cpu=2000)
+    for name in ('w3', 'w4'):
+        harness.engine.workers[name].health.consecutive_failures = 0
+        harness.delaying_orders.add(name)
+        harness.delaying_stops.add(name)
+    swallowed = Step(count=12, cpu=1000, estimate_ms=5000)
+    harness.submit_kind('m', Kind(step=swallowed, work_s=5.0))
+    harness.pass_time(0.3)
+    labelled = structs.replace(ONE, label='r1', cpu=3000)
+    harness.submit_kind('j', Kind(step=labelled))
+    assert wait_for_start(harness, 'j') < MAX_WAIT_S
+
+
+def test_order_that_is_lost_does_not_begin_the_wait_anew() -> None:
+    harness = make_distrusted()
+    harness.delaying_orders.update(harness.workers)
+    harness.submit_kind('j', Kind(step=ONE))
+    step = harness.engine.jobs['j'].steps[0, 0]
+    while step.waiting:
+        harness.pass_time(0.1)
+    harness.delaying_orders.clear()
+    harness.late_calls.clear()
+    assert wait_for_start(harness, 'j') < MAX_WAIT_S
+
+
+def test_gang_without_needs_has_room() -> None:
+    harness = make_distrusted()
+    harness.submit_kind('g', Kind(step=Step(count=4, fills=True, gang=True)))
+    assert wait_for_start(harness, 'g') < MAX_WAIT_S
+
+
+def test_steps_that_a_limit_holds_are_not_tried_beyond_cautions(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    harness = QuietHarness(2)
+    harness.configure(Workspace(name='a', limit=Resources(1000, 0)))
+    harness.work_by_job['j1'] = 60.0
+    long = structs.replace(ONE, estimate_ms=60_000)
+    for name in ('j1', 'j2'):
+        harness.submit(name, make_job(long), workspace='a')
+    harness.pass_time(1.0)
+    monkeypatch.setattr(
+        'galenareel._jobs.placing.Placing._waive_cautions',
+        lambda *_: pytest.fail('a step that may not start was tried'),
+    )
+    harness.pass_time(4.0)
+    assert 'j2.0.0.0' not in harness.list_running()
