Let a wave cover listed instances that announce themselves late

Cause: a wave recorded its targets when it began: the instances that had announced themselves by then. One that announced itself later was never maintained, though the document lists it in a pool of the wave, and the wave was done without it.

Evidence: the files that the failed test left. The log of control has PromoteDocument, BeginWave, then RegisterInstance of addis-2/w27, and at the end "5 maintained, 0 failed: none". By the log of its entry, which started 0.85 s before the document was in force, w27 announced itself 0.10 s after that; backend servers announce themselves every second.

Change: the instances that the document lists in the pools of a wave are its targets too. The wave doesn't end without those that have never announced themselves, for up to 600 s from its beginning, as for lost ones; explain names one. Instances that the document doesn't list are covered only if known when the wave began, since with steady replacement it would else never end. The change is in the decisions of the leader and not in the replicated state, so members of different builds keep the same state.

Tests, which failed before: test_wave_covers_listed_instance_that_announces_itself_late (both cases, seven of eight instances done) and test_wave_waits_for_unannounced_instance_for_a_time (without the change of waves.py).

--- a/src/galenareel/_common/rows.py
+++ b/src/galenareel/_common/rows.py
@@ -152,7 +152,8 @@
     :param acknowledged: failed instances that no longer count towards
         ``stop_after``, because an operator has resumed the wave since.
     :param targets: instances that belonged to its pools when it began,
-        including those lent to other pools.
+        including those lent to other pools. It also maintains instances that
+        the document lists in its pools and that announce themselves later.
     """
 
     wave: str
--- a/src/galenareel/_control/decision_adapter.py
+++ b/src/galenareel/_control/decision_adapter.py
@@ -27,6 +27,7 @@
 from galenareel._state.commands import FailMaintenance
 from galenareel._state.commands import ReturnInstance
 from galenareel._state.commands import SetWaveState
+from galenareel._state.maintenance import ENDED_WAVE_STATES
 from galenareel._state.state import State
 
 
@@ -141,11 +142,46 @@
             for team in environment.teams
         }
         tables.waves = {
-            wave.name: _make_wave(wave, self._state.waves.get(wave.name))
+            wave.name: self._make_wave(environment, wave, now=now, wall=wall)
             for wave in environment.waves
         }
         tables.weights = environment.weights
 
+    def _make_wave(
+        self,
+        environment: Environment,
+        declared: Wave,
+        *,
+        now: float,
+        wall: float,
+    ) -> t.Wave:
+        wave = t.Wave(
+            name=declared.name,
+            pools=declared.pools,
+            first_batch=declared.first_batch,
+            max_batch=declared.max_batch,
+            stop_after=declared.stop_after,
+            drain_timeout_s=declared.drain_timeout_s,
+        )
+        row = self._state.waves.get(declared.name)
+        if row is None:
+            return wave
+        wave.pools = row.pools
+        wave.state = row.state
+        wave.done = set(row.done)
+        wave.failed = set(row.failed)
+        wave.skipped = set(row.skipped)
+        wave.acknowledged = set(row.acknowledged)
+        wave.reason = row.reason
+        if row.state in ENDED_WAVE_STATES:
+            wave.targets = frozenset(row.targets)
+            return wave
+        listed = _collect_listed(environment, row.pools)
+        wave.targets = listed.union(row.targets)
+        wave.unannounced = listed.difference(self._state.instances)
+        wave.began_at = now - max(0.0, wall - row.started_at)
+        return wave
+
     def _make_command(self, decision: d.Decision) -> AnyCommand | None:
         match decision:
             case d.LendInstance():
@@ -239,25 +275,19 @@
         )
 
 
-def _make_wave(declared: Wave, row: WaveRow | None) -> t.Wave:
-    wave = t.Wave(
-        name=declared.name,
-        pools=declared.pools,
-        first_batch=declared.first_batch,
-        max_batch=declared.max_batch,
-        stop_after=declared.stop_after,
-        drain_timeout_s=declared.drain_timeout_s,
+def _collect_listed(
+    environment: Environment, pools: tuple[str, ...]
+) -> frozenset[str]:
+    """Return the instances that the document lists in some pools.
+
+    A wave maintains them also if they announce themselves after it began.
+    """
+    return frozenset(
+        instance
+        for pool in environment.pools
+        if pool.name in pools
+        for instance in pool.instances
     )
-    if row is not None:
-        wave.pools = row.pools
-        wave.state = row.state
-        wave.done = set(row.done)
-        wave.failed = set(row.failed)
-        wave.skipped = set(row.skipped)
-        wave.acknowledged = set(row.acknowledged)
-        wave.targets = frozenset(row.targets)
-        wave.reason = row.reason
-    return wave
 
 
 def plan_removed_waves(
--- a/src/galenareel/_decisions/tables.py
+++ b/src/galenareel/_decisions/tables.py
@@ -209,6 +209,9 @@
         count towards ``stop_after``.
     :param targets: the instances to maintain; if empty, those that are in
         its pools while it runs.
+    :param unannounced: targets that have no row, because they have not
+        announced themselves.
+    :param began_at: time when it began, on the tick's clock.
     """
 
     name: str
@@ -223,6 +226,8 @@
     skipped: set[str] = field(default_factory=set)
     acknowledged: set[str] = field(default_factory=set)
     targets: frozenset[str] = frozenset()
+    unannounced: frozenset[str] = frozenset()
+    began_at: float = 0.0
     reason: str = ''
 
 
--- a/src/galenareel/_decisions/waves.py
+++ b/src/galenareel/_decisions/waves.py
@@ -35,7 +35,8 @@
 # A shortage pauses waves only after this time. A shorter one ends by itself,
 # with the moves that are under way.
 PAUSE_AFTER_S = 2.0
-# A wave no longer waits for an instance that is lost for longer than this.
+# A wave no longer waits for an instance that is lost for longer than this, or
+# that has not announced itself in this time since the wave began.
 IGNORE_LOST_AFTER_S = 600.0
 
 
@@ -145,6 +146,10 @@
     ]
     running = sum(1 for instance in members if _is_in_progress(wave, instance))
     if not unvisited and not running:
+        if _waits_for_announcements(ctx, wave):
+            name = min(wave.unannounced)
+            _record_wait(ctx, wave, f'{name} has not announced itself')
+            return []
         reason = (
             f'{len(wave.done)} maintained, {len(wave.failed)} failed: '
             f'{", ".join(sorted(wave.failed)) or "none"}'
@@ -209,6 +214,11 @@
     return lost and ctx.now - instance.phase_since > IGNORE_LOST_AFTER_S
 
 
+def _waits_for_announcements(ctx: TickContext, wave: Wave) -> bool:
+    elapsed_s = ctx.now - wave.began_at
+    return bool(wave.unannounced) and elapsed_s <= IGNORE_LOST_AFTER_S
+
+
 def _is_visited_or_in_progress(wave: Wave, instance: Instance) -> bool:
     visited = instance.name in wave.done or instance.name in wave.failed
     return visited or _is_in_progress(wave, instance)
--- a/testing/control/test_decision_adapter.py
+++ b/testing/control/test_decision_adapter.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import replace
 from random import Random
 from typing import Any
 
 import pytest
 
+from galenareel._common.messages import Done
 from galenareel._common.messages import EntryReport
 from galenareel._common.messages import InstanceLoad
 from galenareel._common.messages import OpenSession
@@ -22,6 +24,7 @@
 from testing.control.cluster import Cluster
 from testing.control.cluster import FakeLink
 from testing.control.cluster import make_adapter
+from testing.control.cluster import make_cluster
 from testing.control.test_leader_failover import start_cluster
 from testing.state.builders import CommandLog
 from testing.state.builders import make_environment
@@ -219,6 +222,48 @@
     assert set(cluster.state.waves['w1'].done) == set(cluster.servers)
 
 
+@pytest.mark.parametrize('late_s', [1.0, 90.0])
+def test_wave_covers_listed_instance_that_announces_itself_late(
+    late_s: float,
+) -> None:
+    """Guards against a wave that ends without an instance of its pools.
+
+    With 1 s the instance appears while the wave runs, with 90 s after all
+    others were maintained.
+    """
+    cluster = make_cluster(adapter=make_adapter)
+    cluster.servers[INSTANCE].alive = False
+    environment = make_environment(budget=1)
+    pools = [
+        replace(
+            pool,
+            instances=tuple(
+                server.instance
+                for server in cluster.servers.values()
+                if server.service == pool.name
+            ),
+        )
+        for pool in environment.pools
+    ]
+    document = replace(environment, pools=tuple(pools))
+    for command in (
+        make_submit(document),
+        c.PromoteDocument(now=1.0, version=1, digest='d'),
+    ):
+        assert isinstance(cluster.propose(command), Done)
+    cluster.run_until(lambda: 'w1' in cluster.state.waves, 10)
+    cluster.run(late_s)
+    assert INSTANCE not in cluster.state.instances
+    cluster.servers[INSTANCE].alive = True
+
+    def is_done() -> bool:
+        return cluster.state.waves['w1'].state is WaveState.DONE
+
+    cluster.run_until(is_done, 120)
+    assert set(cluster.state.waves['w1'].done) == set(cluster.servers)
+    assert cluster.platform.reboots == dict.fromkeys(cluster.servers, 1)
+
+
 class FailingDecisions:
     def clear(self) -> None:
         pass
--- a/testing/decisions/test_waves.py
+++ b/testing/decisions/test_waves.py
@@ -20,6 +20,7 @@
 from galenareel._decisions.tables import Tables
 from galenareel._decisions.tables import Wave
 from galenareel._decisions.waves import compute_batch
+from galenareel._decisions.waves import IGNORE_LOST_AFTER_S
 from testing.decisions.builders import make_fleet
 from testing.decisions.builders import run_job
 from testing.decisions.builders import run_tick
@@ -98,6 +99,25 @@
     assert select(run_tick(tables, now), FinishWave)
 
 
+def test_wave_waits_for_unannounced_instance_for_a_time() -> None:
+    """Guards against a wave that ends early, or waits forever."""
+    tables = make_fleet()
+    names = frozenset(tables.instances)
+    add_running_wave(
+        tables,
+        done=set(names),
+        targets=names | {'z0/lots-9'},
+        unannounced=frozenset({'z0/lots-9'}),
+        began_at=100.0,
+    )
+    assert not select(
+        run_tick(tables, 100.0 + IGNORE_LOST_AFTER_S), FinishWave
+    )
+    wait_reason = tables.soft_state.wave_waits['wave']
+    assert wait_reason == 'z0/lots-9 has not announced itself'
+    assert select(run_tick(tables, 101.0 + IGNORE_LOST_AFTER_S), FinishWave)
+
+
 @pytest.mark.parametrize('shared', ['rack', 'zone', 'image'])
 def test_failures_that_share_a_place_stop_the_wave(shared: str) -> None:
     """Guards against a wave that ignores correlated failures (fault F1)."""
