Waves: open a closed worker again for tasks that wait

Callers saw tasks wait in a pool that was little used: its only worker with room was closed for a wave, and took nothing until its runs had ended. Cause: the end of that closing is an event, the last end of a run there or the turn of the instance in its wave, and a run may take minutes.

Rooms of workers that close count as room of the pool, as they do for callers. An instance whose order is under way stays closed, since the order would end its tasks; nothing else that keeps a task off a worker changes.

--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -45,6 +45,7 @@
 from galenareel._scheduling.moves import plan_moves
 from galenareel._scheduling.tables import Worker
 from galenareel._scheduling.waves import plan_maintenance
+from galenareel._scheduling.waves import reopen_needed
 
 PLAN_INTERVAL_S = 0.1
 REPORT_POOLS_EVERY_S = 1.0
@@ -282,6 +283,14 @@
         waves = list(self._state.waves.values())
         demands = self._compute_demands(now)
         self._report_pools(demands, now)
+        for instance in reopen_needed(
+            tables, engine.pools, engine.workers, now
+        ):
+            self._log.info(
+                'instance_reopened',
+                instance=instance.row.name,
+                worker=instance.row.worker,
+            )
         orders: list[MaintainInstance | MoveInstance] = []
         orders += plan_maintenance(
             tables,
--- a/src/galenareel/_scheduling/quiet.py
+++ b/src/galenareel/_scheduling/quiet.py
@@ -66,15 +66,17 @@
 ) -> None:
     """Note since when the steps of a pool wait although it is quiet.
 
+    A worker that closes for a wave can be opened again, so its room counts.
+
     :param members: workers of the pool.
     """
-    open_workers: list[Worker] = []
+    usable: list[Worker] = []
     if pool.waiting and measure_use(members).is_quiet:
-        open_workers = [worker for worker in members if worker.is_open()]
+        usable = [worker for worker in members if worker.may_open()]
     room: dict[Needs, int] = {}
     for step in pool.waiting.values():
         count = step.step.count if step.step.gang else 1
-        if _count_room(step.step, open_workers, room) < ROOM_FACTOR * count:
+        if _count_room(step.step, usable, room) < ROOM_FACTOR * count:
             step.quiet_since = None
         elif step.quiet_since is None:
             step.quiet_since = now
@@ -118,7 +120,7 @@
 
 
 def _count_room(
-    step: Step, open_workers: Sequence[Worker], known: dict[Needs, int]
+    step: Step, workers: Sequence[Worker], known: dict[Needs, int]
 ) -> int:
     """Return how often a task fits beside the runs of some workers.
 
@@ -131,9 +133,7 @@
         step.label,
     )
     if needs not in known:
-        known[needs] = sum(
-            _count_fits(worker, needs) for worker in open_workers
-        )
+        known[needs] = sum(_count_fits(worker, needs) for worker in workers)
     return known[needs]
 
 
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -327,12 +327,15 @@
 
     def is_open(self) -> bool:
         """Return whether the worker may get new tasks."""
+        return not self.closing_for and self.may_open()
+
+    def may_open(self) -> bool:
+        """Return whether it may get tasks unless it closes for an order."""
         return (
             self.has_listed
             and not self.gaps.is_open
             and not self.lease_expired
             and not self.draining
-            and not self.closing_for
             and not self.awaits_record
             and self.report_from_ms is None
             and not self.departing
--- a/src/galenareel/_scheduling/waves.py
+++ b/src/galenareel/_scheduling/waves.py
@@ -16,6 +16,9 @@
 from galenareel._scheduling.instances import Instance
 from galenareel._scheduling.instances import MaintainInstance
 from galenareel._scheduling.instances import WAVE
+from galenareel._scheduling.quiet import is_overdue
+from galenareel._scheduling.tables import PoolWork
+from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import Worker
 
 # Up to 1 / CLOSING_DIVISOR of a pool's workers, but at least one, may be
@@ -23,6 +26,9 @@
 CLOSING_DIVISOR = 3
 # Time to empty and maintain as many instances as a wave may take at once.
 ROUND_S = 5.0
+# An instance that was opened again for tasks stays open for this long. A
+# lasting task that the wave has stopped would be stopped again at once.
+REOPENED_S = 5.0
 
 
 def plan_maintenance(
@@ -55,6 +61,63 @@
     return orders
 
 
+def reopen_needed(
+    tables: FleetTables,
+    pools: Mapping[str, PoolWork],
+    workers: Mapping[str, Worker],
+    now: float,
+) -> list[Instance]:
+    """Open instances again that tasks need before the wave can go on.
+
+    A closed worker may take long to become empty, or wait for its turn in the
+    wave. Meanwhile tasks must not wait in a pool that is little used. Once an
+    order is under way, the worker stays closed, as the order ends its tasks.
+
+    :returns: the instances that were opened.
+    """
+    opened = []
+    usable = [worker for worker in workers.values() if worker.is_open()]
+    for instance in tables.instances.values():
+        if instance.closing_for != WAVE or instance.pending_order:
+            continue
+        worker = workers.get(instance.row.worker)
+        if worker is None or not worker.may_open():
+            continue
+        pool = pools.get(worker.pool)
+        if pool is None or not any(
+            is_overdue(step, now) and _needs(step, worker, usable)
+            for step in pool.waiting.values()
+        ):
+            continue
+        instance.closing_for = ''
+        instance.not_before = max(instance.not_before, now + REOPENED_S)
+        opened.append(instance)
+        usable.append(worker)
+    return opened
+
+
+def _needs(step: StepWork, closed: Worker, usable: Iterable[Worker]) -> bool:
+    """Return whether a task, or a gang, can't do without a closed worker.
+
+    :param usable: workers that get tasks.
+    """
+    if not _fits(step, closed):
+        return False
+    return step.step.gang or not any(
+        worker.pool == closed.pool and _fits(step, worker) for worker in usable
+    )
+
+
+def _fits(work: StepWork, worker: Worker) -> bool:
+    step = work.step
+    runs_here = work.runs_per_worker.get(worker.name, 0)
+    return (
+        worker.has_room(step)
+        and (not step.label or step.label in worker.record.labels)
+        and (not step.per_worker or runs_here < step.per_worker)
+    )
+
+
 def _is_due_soon(wave: WaveRecord, wall_ms: int) -> bool:
     """Return whether a wave misses its deadline if the rest begins now."""
     remaining = len(wave.instances) - len(wave.done)
--- a/testing/scheduling/test_waves.py
+++ b/testing/scheduling/test_waves.py
@@ -9,8 +9,11 @@
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import Step
 from galenareel._jobs.model import WaveRecord
+from galenareel._scheduling.instances import FleetTables
 from galenareel._scheduling.instances import WAVE
+from galenareel._scheduling.quiet import MAX_CAUTION_S
 from galenareel._scheduling.waves import plan_maintenance
+from galenareel._scheduling.waves import reopen_needed
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
 from testing.scheduling.builders import make_tables
@@ -177,3 +180,71 @@
         wall_ms=19_000,
     )
     assert tables.instances['m0'].closing_for == WAVE
+
+
+def close_empty_workers(
+    harness: Harness, platform: FakePlatform
+) -> FleetTables:
+    """Close the two workers of a quiet pool that run nothing."""
+    harness.proves_jobs = True
+    long = Step(count=4, cpu=4000, estimate_ms=90_000, per_worker=1)
+    harness.submit('long', make_job(long))
+    harness.pass_time(0.5)
+    tables = make_tables(platform)
+    for instance in tables.instances.values():
+        worker = harness.engine.workers.get(instance.row.worker)
+        if worker is not None and not worker.runs:
+            worker.closing_for = instance.closing_for = WAVE
+    assert len(list_closed(tables)) == 2
+    return tables
+
+
+def list_closed(tables: FleetTables) -> list[str]:
+    return [
+        name
+        for name, instance in tables.instances.items()
+        if instance.closing_for == WAVE
+    ]
+
+
+def reopen(harness: Harness, tables: FleetTables) -> list[str]:
+    engine = harness.engine
+    opened = reopen_needed(tables, engine.pools, engine.workers, harness.now)
+    return [instance.row.name for instance in opened]
+
+
+def test_one_closed_instance_is_opened_for_a_task_that_fits_nowhere_else(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    tables = close_empty_workers(harness, platform)
+    harness.submit('j', make_job(Step(count=1, cpu=5000, estimate_ms=1000)))
+    harness.pass_time(MAX_CAUTION_S - 0.5)
+    assert reopen(harness, tables) == []
+    harness.pass_time(1.0)
+    (name,) = reopen(harness, tables)
+    instance = tables.instances[name]
+    assert not instance.closing_for
+    assert not instance.may_close(harness.now)
+
+
+def test_closed_instance_stays_closed_for_a_task_that_fits_elsewhere(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    tables = close_empty_workers(harness, platform)
+    harness.submit('j', make_job(Step(count=1, cpu=1000, estimate_ms=1000)))
+    step = next(iter(harness.engine.jobs['j'].steps.values()))
+    step.ready_at = step.quiet_since = harness.now - MAX_CAUTION_S - 1.0
+    assert reopen(harness, tables) == []
+    harness.pass_time(0.3)
+    assert 'j.0.0.0' in harness.list_running()
+
+
+def test_closed_instance_with_an_order_under_way_stays_closed(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    tables = close_empty_workers(harness, platform)
+    for name in list_closed(tables):
+        tables.instances[name].mark_ordered(WAVE, harness.now)
+    harness.submit('j', make_job(Step(count=1, cpu=5000, estimate_ms=1000)))
+    harness.pass_time(MAX_CAUTION_S + 1.0)
+    assert reopen(harness, tables) == []
