Workers: the next life is not closed for the last one's order

Callers saw tasks wait although their pool had a worker with room that answered. Cause: a worker that started again under its id stayed closed for the wave or move that had ended its last life, until a list of instances named it there. While the platform gives no list, that end stays away.

A restart drops it now, with the rest of what was known of the last life.

Failed before: test_next_life_of_a_worker_is_not_closed_for_the_last_one.

--- a/src/galenareel/_jobs/worker_entries.py
+++ b/src/galenareel/_jobs/worker_entries.py
@@ -59,6 +59,7 @@
     worker.clock_ms = 0
     worker.first_clock_ms = 0
     worker.follows_reports = False
+    worker.closing_for = ''
     worker.report_from_ms = None
     worker.lease_until_ms = 0
     worker.draining = False
--- a/testing/jobs/test_closed_instances.py
+++ b/testing/jobs/test_closed_instances.py
@@ -12,8 +12,10 @@
 import gevent
 
 from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import InstanceList
 from galenareel._jobs.clients import Outcome
 from galenareel._jobs.commands import AcceptJob
+from galenareel._jobs.commands import AdmitWorker
 from galenareel._jobs.commands import OpenWave
 from galenareel._jobs.commands import RetireWorker
 from galenareel._jobs.model import EndKind
@@ -47,6 +49,30 @@
         return super().maintain(instance, wave, holder=holder, token=token)
 
 
+class FadingPlatform(FakePlatform):
+    """Carries out an order, and answers neither it nor lists for a while."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answers_orders = False
+        self.answers_lists = True
+
+    def maintain(
+        self, instance: str, wave: int, *, holder: str, token: int
+    ) -> Answer:
+        if not self.orders:
+            super().maintain(instance, wave, holder=holder, token=token)
+        is_answered = self.answers_orders
+        return Answer(
+            outcome=Outcome.DONE if is_answered else Outcome.NO_ANSWER
+        )
+
+    def list_instances(self) -> InstanceList | Answer:
+        if not self.answers_lists:
+            return Answer(outcome=Outcome.NO_ANSWER)
+        return super().list_instances()
+
+
 def open_wave(running: RunningLeader, limit: int = 1) -> None:
     running.propose(
         OpenWave(
@@ -121,3 +147,19 @@
         assert not worker.running
         platform.answers = True
         eventually(lambda: bool(platform.orders))
+
+
+def test_next_life_of_a_worker_is_not_closed_for_the_last_one() -> None:
+    """No list names it while the platform does not answer."""
+    platform = FadingPlatform()
+    with lead_one_worker(platform) as (running, worker):
+        open_wave(running)
+        eventually(lambda: bool(platform.orders))
+        list_calls = platform.list_calls
+        eventually(lambda: platform.list_calls >= list_calls + 2)
+        platform.answers_lists = False
+        worker.crash()
+        running.propose(AdmitWorker(worker=worker.make_record()))
+        platform.answers_orders = True
+        submit(running, 'j', SHORT)
+        eventually(lambda: 'j.0.0.0' in worker.running, seconds=MAX_WAIT_S)
