--- a/src/galenareel/_scheduling/quiet.py
+++ b/src/galenareel/_scheduling/quiet.py
@@ -80,6 +80,7 @@
 
     A lasting task is wanted at all times, so that it is enough for it if there
     is room. Those that have waited for too long are put in ``pool.overdue``.
+    Room of closed workers counts: one that closes for a wave can be opened.
 
     :param members: workers of the pool.
     """
--- a/testing/jobs/test_quiet_pools.py
+++ b/testing/jobs/test_quiet_pools.py
@@ -186,6 +186,14 @@
     QuietDay(seed).play()
 
 
+@pytest.mark.parametrize('seed', [0, 3, 9, 65, 96])
+def test_no_worker_stays_closed_on_the_evening_of_a_seeded_day(
+    seed: int,
+) -> None:
+    """Records, tokens, lists, drains and ends that close a worker."""
+    QuietDay(seed, has_closing=True).play()
+
+
 def make_distrusted(
     size: int = 2, *, cpu: int = 1000, work_s: float = 60.0
 ) -> QuietHarness:
