--- a/testing/jobs/test_quiet_pools.py
+++ b/testing/jobs/test_quiet_pools.py
@@ -180,7 +180,7 @@
     QuietDay(seed).play()
 
 
-@pytest.mark.parametrize('seed', [0, 3, 9, 65, 96])
+@pytest.mark.parametrize('seed', [0, 3, 9, 65, 96, 421])
 def test_no_worker_stays_closed_on_the_evening_of_a_seeded_day(
     seed: int,
 ) -> None:
