--- a/src/galenareel/_jobs/holding.py
+++ b/src/galenareel/_jobs/holding.py
@@ -12,13 +12,9 @@
 
 from galenareel._common.log import Log
 from galenareel._jobs.metrics import JobMetrics
-from galenareel._jobs.worker_entries import LEASE_S
-from galenareel._jobs.worker_entries import MIN_CLOCK_RATE
-from galenareel._jobs.worker_entries import TAKE_OVER_MARGIN_S
 from galenareel._scheduling.health import is_suspect
 from galenareel._scheduling.health import needs_trial
 from galenareel._scheduling.quiet import get_quiet_wait_s
-from galenareel._scheduling.quiet import MAX_CAUTION_S
 from galenareel._scheduling.quiet import measure_use
 from galenareel._scheduling.tables import JobWork
 from galenareel._scheduling.tables import PoolWork
@@ -77,18 +73,6 @@
     OTHER = 'other'
 
 
-# Longest waits in a quiet pool. What is left out ends with a run of others, or
-# by the job, its workspace, the advisor, the platform or an operator.
-MAX_QUIET_WAIT_S: Mapping[HoldReason, float] = {
-    HoldReason.UNREAD_WORKERS: TAKE_OVER_MARGIN_S + LEASE_S / MIN_CLOCK_RATE,
-    HoldReason.NOT_BEFORE: MAX_CAUTION_S,
-    HoldReason.AVOIDED_WORKERS: MAX_CAUTION_S,
-    HoldReason.SUSPECT_WORKERS: MAX_CAUTION_S,
-    HoldReason.UNPROVEN_JOB: MAX_CAUTION_S,
-    HoldReason.OTHER: MAX_CAUTION_S,
-}
-
-
 def list_closing_reasons(worker: Worker) -> list[ClosingReason]:
     """Return why a worker gets no new tasks; empty if it may."""
     reasons = []
--- a/src/galenareel/_jobs/metrics.py
+++ b/src/galenareel/_jobs/metrics.py
@@ -80,7 +80,7 @@
         )
         self.waived_cautions = meter.create_counter(
             'galenareel_waived_cautions',
-            description='Times that tasks of an idle pool passed a caution.',
+            description='Times that tasks of a quiet pool passed cautions.',
         )
         self.overfull_workers = meter.create_counter(
             'galenareel_overfull_workers',
--- a/src/galenareel/_scheduling/placement.py
+++ b/src/galenareel/_scheduling/placement.py
@@ -41,6 +41,8 @@
 class Candidates:
     """Workers of a pool that may get tasks in this placement pass.
 
+    :param waives_cautions: use workers that were suspect of late as well, and
+        those that a task avoids, if there are no others.
     :ivar open_workers: all workers that may get tasks, also those that are
         closed by trials. ``workers`` are the sound ones among the others.
     :ivar limit: what unproven jobs may take, or ``None`` for no limit.
@@ -49,9 +51,6 @@
         workers, so that large tasks find room or other workers can be
         released. Otherwise tasks are spread, which limits the effect of losing
         a worker.
-
-    :param waives_cautions: use workers that were suspect of late as well, and
-        those that a task avoids, if there are no others.
     """
 
     def __init__(
