Bound the search for room of tasks that wait in quiet pools

A pool that is full by memory and quiet by processor had each waiting step compared with all of its workers, four times a second: 95 ms a time with 85 workers and 500 steps. Now a worker without room is passed over first, the search ends once there is room for two, and the first 100 steps are looked at: 2.4 ms. Instances that close for a wave are looked at only while a task is overdue.

--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -14,7 +14,6 @@
 from galenareel._scheduling.proofs import ProofLimit
 from galenareel._scheduling.quiet import get_longest_quiet_wait_s
 from galenareel._scheduling.quiet import is_overdue
-from galenareel._scheduling.quiet import MAX_OVERDUE_STEPS
 from galenareel._scheduling.ranking import placement_key
 from galenareel._scheduling.tables import AskAdvice
 from galenareel._scheduling.tables import JobWork
@@ -89,10 +88,12 @@
         They wait in a quiet pool, so what the cautions protect costs more than
         it saves. After a loss of workers, the limit of unproven jobs holds.
         """
-        overdue, pool.overdue = pool.overdue, []
+        if not pool.has_new_overdue:
+            return
+        pool.has_new_overdue = False
         steps = [
             step
-            for step in overdue
+            for step in pool.overdue
             if pool.waiting.get(self._step_key(step)) is step
             and is_overdue(step, now)
             and self._may_place(step.job)
@@ -106,7 +107,7 @@
             pool, members, open_workers, now, waives_cautions=True
         )
         steps.sort(key=lambda step: -get_longest_quiet_wait_s(step, now))
-        for step in steps[:MAX_OVERDUE_STEPS]:
+        for step in steps:
             if len(self._orders) >= limit:
                 pool.dirty = True
                 return
--- a/src/galenareel/_scheduling/quiet.py
+++ b/src/galenareel/_scheduling/quiet.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection
 from collections.abc import Sequence
 from dataclasses import dataclass
+import itertools
 
 from galenareel._jobs.model import Step
 from galenareel._scheduling.tables import JobWork
@@ -25,9 +26,9 @@
 # Then the cautions that hold a task back are set aside. Users count a wait of
 # 3 s as a loss, which includes the next pass and the order.
 MAX_CAUTION_S = 2.0
-# Steps of a pool for which cautions are set aside at a time, so that a pass
-# stays short.
-MAX_OVERDUE_STEPS = 100
+# Steps of a pool that are looked at, the first ones that wait. Most pools with
+# more of them are full.
+MAX_STEPS = 100
 
 UNLIMITED = 10**9  # tasks without needs that fit on a worker
 
@@ -89,19 +90,15 @@
         return
     present = [worker for worker in members if _is_present(worker)]
     is_quiet = measure_use(members).is_quiet
-    room: dict[Needs, int] = {}
-    for step in pool.waiting.values():
-        count = step.step.count if step.step.gang else 1
+    for step in itertools.islice(pool.waiting.values(), MAX_STEPS):
         is_wanted = is_quiet or step.step.lasting
-        if (
-            not is_wanted
-            or _count_room(step.step, present, room) < ROOM_FACTOR * count
-        ):
+        if not is_wanted or not _has_ample_room(step.step, present):
             step.quiet_since = None
         elif step.quiet_since is None:
             step.quiet_since = now
         elif is_overdue(step, now):
             pool.overdue.append(step)
+    pool.has_new_overdue = bool(pool.overdue)
 
 
 def get_quiet_wait_s(step: StepWork, index: int, now: float) -> float:
@@ -159,36 +156,34 @@
     )
 
 
-def _count_room(
-    step: Step, workers: Sequence[Worker], known: dict[Needs, int]
-) -> int:
-    """Return how often a task fits beside the runs of some workers.
-
-    :param known: results of earlier calls for these workers.
-    """
+def _has_ample_room(step: Step, workers: Sequence[Worker]) -> bool:
+    """Return whether a task, or a whole gang, fits several times."""
     needs = (
         0 if step.fills else step.cpu,
         step.memory_mb,
         step.gpus,
         step.label,
     )
-    if needs not in known:
-        known[needs] = sum(_count_fits(worker, needs) for worker in workers)
-    return known[needs]
+    missing = ROOM_FACTOR * (step.count if step.gang else 1)
+    for worker in workers:
+        missing -= _count_fits(worker, needs)
+        if missing <= 0:
+            return True
+    return False
 
 
 def _count_fits(worker: Worker, needs: Needs) -> int:
     cpu, memory_mb, gpus, label = needs
+    room = worker.record.resources
+    free_cpu = room.cpu - worker.cpu_used
+    free_mb = room.memory_mb - worker.memory_used
+    free_gpus = room.gpus - worker.gpus_used
+    if cpu > free_cpu or memory_mb > free_mb or gpus > free_gpus:
+        return 0
     if worker.unsized_runs or (label and label not in worker.record.labels):
         return 0
-    room = worker.record.resources
-    fits = [
-        max(free, 0) // wanted
-        for free, wanted in (
-            (room.cpu - worker.cpu_used, cpu),
-            (room.memory_mb - worker.memory_used, memory_mb),
-            (room.gpus - worker.gpus_used, gpus),
-        )
-        if wanted > 0
-    ]
-    return min(fits, default=UNLIMITED)
+    return min(
+        free_cpu // cpu if cpu else UNLIMITED,
+        free_mb // memory_mb if memory_mb else UNLIMITED,
+        free_gpus // gpus if gpus else UNLIMITED,
+    )
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -610,6 +610,7 @@
     :param awaits_proof: tasks are held back until a job is proven or a trial
         is over.
     :param overdue: steps that cautions have held back for too long.
+    :param has_new_overdue: no pass has placed these yet.
     """
 
     name: str
@@ -630,6 +631,7 @@
     late_at: float = float('-inf')
     awaits_proof: bool = False
     overdue: list[StepWork] = field(default_factory=list)
+    has_new_overdue: bool = False
 
     def note_crash(self, now: float) -> None:
         """Note that one of its workers has crashed.
--- a/src/galenareel/_scheduling/waves.py
+++ b/src/galenareel/_scheduling/waves.py
@@ -75,18 +75,23 @@
 
     :returns: the instances that were opened.
     """
-    opened = []
+    opened: list[Instance] = []
+    closing = [
+        instance
+        for instance in tables.instances.values()
+        if instance.closing_for == WAVE and not instance.pending_order
+    ]
+    if not closing or not any(pool.overdue for pool in pools.values()):
+        return opened
     usable = [worker for worker in workers.values() if worker.is_open()]
-    for instance in tables.instances.values():
-        if instance.closing_for != WAVE or instance.pending_order:
-            continue
+    for instance in closing:
         worker = workers.get(instance.row.worker)
         if worker is None or not worker.may_open():
             continue
         pool = pools.get(worker.pool)
         if pool is None or not any(
             is_overdue(step, now) and _needs(step, worker, usable)
-            for step in pool.waiting.values()
+            for step in pool.overdue
         ):
             continue
         instance.closing_for = ''
