--- a/testing/jobs/test_quiet_pools.py
+++ b/testing/jobs/test_quiet_pools.py
@@ -28,6 +28,9 @@
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
 from galenareel._jobs.model import Workspace
+from galenareel._scheduling.quiet import MAX_STEPS
+from galenareel._scheduling.quiet import update_quiet_waits
+from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
 from testing.jobs.quiet_days import EVENING_S
 from testing.jobs.quiet_days import QuietDay
@@ -39,6 +42,7 @@
 from testing.jobs.quiet_harness import REFUSALS
 from testing.jobs.quiet_harness import STEPS
 from testing.jobs.quiet_harness import TimedWorker
+from testing.standins.worker import FakeWorker
 
 MAX_JOBS = 40
 ONE = Step(count=1, cpu=1000, estimate_ms=1000)
@@ -310,3 +314,33 @@
     )
     harness.pass_time(4.0)
     assert 'j2.0.0.0' not in harness.list_running()
+
+
+def test_search_for_room_looks_at_a_bounded_number_of_steps(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A pool that is full by memory is quiet by processor."""
+    harness = Harness(
+        FakeWorker(name='w1', resources=Resources(8000, 1000)),
+        FakeWorker(name='w2', resources=Resources(8000, 1000)),
+    )
+    full = Step(count=2, cpu=100, memory_mb=1000, lasting=True)
+    harness.submit('full', make_job(full))
+    harness.pass_time(0.5)
+    for number in range(2 * MAX_STEPS):
+        step = Step(count=1, cpu=100 + number, memory_mb=100)
+        harness.submit(f'j{number}', make_job(step))
+    pool = harness.engine.pools['lots']
+    assert len(pool.waiting) == 2 * MAX_STEPS
+    looked_at: list[Step] = []
+
+    def note_search(step: Step, _workers: object) -> bool:
+        looked_at.append(step)
+        return False
+
+    monkeypatch.setattr(
+        'galenareel._scheduling.quiet._has_ample_room', note_search
+    )
+    members = list(harness.engine.workers.values())
+    update_quiet_waits(pool, members, harness.now)
+    assert len(looked_at) == MAX_STEPS
