Log what holds the event loop, and waits of jobs that have nothing at work

The log could not tell the hypotheses of the incident apart: loop_held named no part, so that a long pass looked like a pause of the machine, and quiet_s counted tasks whose job has others at work, which no rule asks for. loop_held names the part of the leader that ran for longest meanwhile, with its time; tasks_held has stuck_s, the longest quiet wait of a job that has nothing at work or of a lasting task. Decisions are unchanged.

--- a/src/galenareel/_common/loop_monitor.py
+++ b/src/galenareel/_common/loop_monitor.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import gevent
 
@@ -18,11 +20,49 @@
 REPORT_INTERVAL_S = 5.0  # time between two lines of the log
 
 
+class PartTimes:
+    """Longest times for which named parts ran without letting others run.
+
+    Only code that never waits is measured, as the time of a wait is that of
+    other greenlets.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._longest_s: dict[str, float] = {}
+
+    @contextmanager
+    def measure(self, part: str) -> Iterator[None]:
+        """Measure the time of a block that does not wait.
+
+        :param part: name in the log.
+        """
+        started_at = self._clock.monotonic()
+        try:
+            yield
+        finally:
+            spent_s = self._clock.monotonic() - started_at
+            if spent_s > self._longest_s.get(part, 0.0):
+                self._longest_s[part] = spent_s
+
+    def take_longest(self) -> tuple[str, float]:
+        """Return the part with the longest time, in seconds, and forget all.
+
+        :returns: an empty name and 0 if nothing was measured.
+        """
+        longest = max(
+            self._longest_s.items(), key=lambda item: item[1], default=('', 0)
+        )
+        self._longest_s.clear()
+        return longest
+
+
 class LoopMonitor:
     """Measures how late a greenlet runs that is due at fixed intervals.
 
     :param record: called with each time in seconds for which the loop was
         held beyond an interval, for metrics.
+    :param parts: times of the parts that may hold the loop, if known.
     """
 
     def __init__(
@@ -31,12 +71,16 @@
         clock: Clock,
         log: Log,
         record: Callable[[float], None] | None = None,
+        parts: PartTimes | None = None,
     ) -> None:
         self._clock = clock
         self._log = log
         self._record = record
+        self._parts = parts or PartTimes(clock)
         self._count = 0
         self._longest_s = 0.0
+        self._part = ''
+        self._part_s = 0.0
         self._report_due = 0.0
         self._greenlet: gevent.Greenlet | None = None
 
@@ -59,14 +103,18 @@
         """Note the time between two checks; log it if the loop was held.
 
         Lines are at least ``REPORT_INTERVAL_S`` apart. Each one tells how
-        often the loop was held since the one before, and the longest time.
+        often the loop was held since the one before, the longest time, and
+        the part that ran for longest in it.
 
         :param now: monotonic time in seconds.
         """
         held_s = interval_s - CHECK_INTERVAL_S
+        part, part_s = self._parts.take_longest()
         if held_s > MAX_HELD_S:
             self._count += 1
-            self._longest_s = max(self._longest_s, held_s)
+            if held_s > self._longest_s:
+                self._longest_s = held_s
+                self._part, self._part_s = part, part_s
             if self._record is not None:
                 self._record(held_s)
         if self._count and now >= self._report_due:
@@ -74,6 +122,8 @@
                 'loop_held',
                 count=self._count,
                 longest_s=round(self._longest_s, 3),
+                part=self._part,
+                part_s=round(self._part_s, 3),
             )
             self._count, self._longest_s = 0, 0.0
             self._report_due = now + REPORT_INTERVAL_S
--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -17,6 +17,7 @@
 
 from galenareel._common.clock import Clock
 from galenareel._common.log import Log
+from galenareel._common.loop_monitor import PartTimes
 from galenareel._common.loops import spawn_part
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import FleetClient
@@ -71,6 +72,7 @@
     :param fail: ends the term after an unexpected error.
     :param may_order: returns whether the leader lease holds now.
     :param holder: name of this member, sent with each order.
+    :param parts: times of the parts that may hold the event loop.
     """
 
     def __init__(
@@ -86,7 +88,9 @@
         holder: str,
         clock: Clock,
         log: Log,
+        parts: PartTimes,
     ) -> None:
+        self._parts = parts
         self._engine = engine
         self._state = state
         self._client = client
@@ -131,7 +135,8 @@
             now = self._clock.monotonic()
             self._list_if_due(now)
             if self._tables.instances and self._may_order():
-                self._plan(self._clock.monotonic())
+                with self._parts.measure('planning'):
+                    self._plan(self._clock.monotonic())
                 self._record_settled(self._clock.monotonic())
             self._order_greenlets = [
                 greenlet
--- a/src/galenareel/_jobs/holding.py
+++ b/src/galenareel/_jobs/holding.py
@@ -15,6 +15,7 @@
 from galenareel._scheduling.health import is_suspect
 from galenareel._scheduling.health import needs_trial
 from galenareel._scheduling.quiet import get_quiet_wait_s
+from galenareel._scheduling.quiet import get_stuck_s
 from galenareel._scheduling.quiet import measure_use
 from galenareel._scheduling.tables import JobWork
 from galenareel._scheduling.tables import PoolWork
@@ -115,6 +116,8 @@
 
     :param oldest_s: longest wait of them.
     :param quiet_s: longest wait of them while their pool was quiet.
+    :param stuck_s: longest of these waits among lasting tasks and tasks of
+        jobs that have nothing at work.
     :param workers: the first ``MAX_NAMES`` workers that the reason is about,
         with why they are closed if they are.
     :param worker_count: number of these workers.
@@ -126,6 +129,7 @@
     count: int = 0
     oldest_s: float = 0.0
     quiet_s: float = 0.0
+    stuck_s: float = 0.0
 
 
 def explain_hold(
@@ -322,6 +326,8 @@
             known.oldest_s = max(known.oldest_s, oldest_s)
             quiet_s = get_quiet_wait_s(step, index, now)
             known.quiet_s = max(known.quiet_s, quiet_s)
+            stuck_s = get_stuck_s(step, index, now)
+            known.stuck_s = max(known.stuck_s, stuck_s)
         return list(holds.values())
 
     def _report_pool(
@@ -349,6 +355,7 @@
                 reason=hold.reason.value,
                 oldest_s=round(hold.oldest_s, 1),
                 quiet_s=round(hold.quiet_s, 1),
+                stuck_s=round(hold.stuck_s, 1),
                 use=round(use, 2),
                 workers=','.join(hold.workers),
                 worker_count=hold.worker_count,
--- a/src/galenareel/_jobs/leader.py
+++ b/src/galenareel/_jobs/leader.py
@@ -9,6 +9,7 @@
 
 from galenareel._common.clock import Clock
 from galenareel._common.log import Log
+from galenareel._common.loop_monitor import PartTimes
 from galenareel._common.loops import keep_running
 from galenareel._common.loops import log_failure
 from galenareel._common.loops import RESTART_DELAY_S
@@ -39,6 +40,7 @@
         with orders to the platform.
     :param open_fleet: creates the platform client of a term.
     :param policy: optional decisions that the deployment asks for.
+    :param parts: times of the parts of a term, for the log.
     """
 
     def __init__(
@@ -53,9 +55,11 @@
         clock: Clock,
         log: Log,
         metrics: JobMetrics,
+        parts: PartTimes | None = None,
         policy: SchedulingPolicy = DEFAULT_POLICY,
     ) -> None:
         self._metrics = metrics
+        self.parts = parts or PartTimes(clock)
         self._policy = policy
         self._name = name
         self._replicator = replicator
@@ -162,6 +166,7 @@
             clock=self._clock,
             log=self._log,
             metrics=self._metrics,
+            parts=self.parts,
         )
         reason = 'not_leader'
         try:
@@ -193,7 +198,8 @@
         :returns: whether all jobs are loaded.
         """
         while not term.engine.is_loaded and term.is_active():
-            term.engine.load_jobs(self._clock.monotonic())
+            with self.parts.measure('loading'):
+                term.engine.load_jobs(self._clock.monotonic())
             gevent.sleep(0)
         return term.engine.is_loaded
 
@@ -207,7 +213,8 @@
         if term is None or not changed:
             return
         try:
-            term.handle_applied(command)
+            with self.parts.measure('applying'):
+                term.handle_applied(command)
         except Exception as exc:
             # The replicated state is intact; only the term has failed.
             term.fail(exc)
--- a/src/galenareel/_jobs/service.py
+++ b/src/galenareel/_jobs/service.py
@@ -180,13 +180,14 @@
         refusal = None
         if not msg.repeated and not self._undecided.has(name, engine.epoch):
             # A job that may have been accepted can't be refused truthfully.
-            refusal = engine.check_admission(
-                queue,
-                req,
-                self._clock.monotonic(),
-                name=name,
-                workspace=caller.workspace,
-            )
+            with self._leader.parts.measure('admission'):
+                refusal = engine.check_admission(
+                    queue,
+                    req,
+                    self._clock.monotonic(),
+                    name=name,
+                    workspace=caller.workspace,
+                )
         if refusal is not None:
             self._log.info(
                 'job_refused',
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -14,6 +14,7 @@
 
 from galenareel._common.clock import Clock
 from galenareel._common.log import Log
+from galenareel._common.loop_monitor import PartTimes
 from galenareel._common.loops import spawn_part
 from galenareel._common.sentinels import NoResult
 from galenareel._jobs.clients import Advisor
@@ -73,6 +74,7 @@
         has expired.
     :param may_act: returns whether it leads and its lease holds now.
     :param fleet: client of the platform, which :meth:`close` closes.
+    :param parts: times of the parts that may hold the event loop.
     """
 
     def __init__(
@@ -90,8 +92,10 @@
         clock: Clock,
         log: Log,
         metrics: JobMetrics,
+        parts: PartTimes,
     ) -> None:
         self._metrics = metrics
+        self._parts = parts
         self.engine = engine
         self._name = name
         self.heartbeat_times: dict[str, float] = {}
@@ -132,6 +136,7 @@
             holder=name,
             clock=clock,
             log=log,
+            parts=parts,
         )
 
     def run(self) -> None:
@@ -149,7 +154,8 @@
         while self.is_active():
             has_more = False
             if self.may_order():
-                has_more = self.engine.place(self._clock.monotonic())
+                with self._parts.measure('placing'):
+                    has_more = self.engine.place(self._clock.monotonic())
                 self._dispatch()
             if has_more:
                 gevent.sleep(0)
@@ -315,7 +321,10 @@
         self._metrics.polls.add(1, {'outcome': outcome})
         if isinstance(reply, Listing):
             link.has_unreadable = False
-            self.engine.apply_listing(worker, reply, sent_at=sent_at, now=now)
+            with self._parts.measure('listing'):
+                self.engine.apply_listing(
+                    worker, reply, sent_at=sent_at, now=now
+                )
             self._request_token()
             self._ends_ready.set()
             self._wake.set()
@@ -549,7 +558,8 @@
         while self._open:
             now = self._clock.monotonic()
             wall_ms = int(self._clock.wall() * 1000)
-            self.engine.housekeep(now, wall_ms)
+            with self._parts.measure('housekeeping'):
+                self.engine.housekeep(now, wall_ms)
             if self.engine.has_crashes():
                 self._ends_ready.set()
             self._retire_lost(now)
--- a/src/galenareel/_scheduling/quiet.py
+++ b/src/galenareel/_scheduling/quiet.py
@@ -112,6 +112,16 @@
     return now - max(step.quiet_since, idle_since)
 
 
+def get_stuck_s(step: StepWork, index: int, now: float) -> float:
+    """Return for how long a task has waited that nothing makes up for.
+
+    A task of a job that has others at work is not counted, unless it lasts.
+    """
+    if not step.step.lasting and _is_at_work(step.job):
+        return 0.0
+    return get_quiet_wait_s(step, index, now)
+
+
 def get_longest_quiet_wait_s(step: StepWork, now: float) -> float:
     """Return the longest of these times of the tasks of a step."""
     if step.quiet_since is None:
--- a/testing/common/test_loop_monitor.py
+++ b/testing/common/test_loop_monitor.py
@@ -4,11 +4,13 @@
 
 import io
 
+from galenareel._common.clock import Clock
 from galenareel._common.clock import SystemClock
 from galenareel._common.log import Log
 from galenareel._common.loop_monitor import CHECK_INTERVAL_S
 from galenareel._common.loop_monitor import LoopMonitor
 from galenareel._common.loop_monitor import MAX_HELD_S
+from galenareel._common.loop_monitor import PartTimes
 from galenareel._common.loop_monitor import REPORT_INTERVAL_S
 
 HELD_S = CHECK_INTERVAL_S + MAX_HELD_S + 0.1
@@ -46,3 +48,44 @@
     assert len(lines) == 2
     assert f'count={per_line} ' in lines[1]
     assert len(times) == per_line + 2
+
+
+class ManualClock(Clock):
+    """Clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+
+def test_line_names_the_part_that_held_the_loop_for_longest() -> None:
+    clock = ManualClock()
+    parts = PartTimes(clock)
+    text = io.StringIO()
+    monitor = LoopMonitor(
+        clock=clock, log=Log('test', stream=text), parts=parts
+    )
+    for name, seconds in (('a', 0.1), ('b', 0.3), ('a', 0.2)):
+        with parts.measure(name):
+            clock.now += seconds
+    monitor.note_interval(CHECK_INTERVAL_S + 0.6, clock.now)
+    assert 'longest_s=0.6 part=b part_s=0.3' in text.getvalue()
+
+
+def test_part_of_an_earlier_interval_is_not_named() -> None:
+    clock = ManualClock()
+    parts = PartTimes(clock)
+    text = io.StringIO()
+    monitor = LoopMonitor(
+        clock=clock, log=Log('test', stream=text), parts=parts
+    )
+    with parts.measure('a'):
+        clock.now += 0.2
+    monitor.note_interval(CHECK_INTERVAL_S + 0.1, clock.now)
+    monitor.note_interval(CHECK_INTERVAL_S + 0.5, clock.now)
+    assert 'longest_s=0.5 part="" part_s=0' in text.getvalue()
--- a/testing/jobs/test_holding.py
+++ b/testing/jobs/test_holding.py
@@ -197,3 +197,19 @@
     assert line.fields['reason'] == 'not_before'
     assert line.fields['use'] == '0.0'
     assert float(line.fields['quiet_s']) < float(line.fields['oldest_s']) - 2.0
+
+
+@pytest.mark.parametrize('has_more', [False, True])
+def test_tasks_beside_others_at_work_are_told_from_idle_jobs(
+    has_more: bool,
+) -> None:
+    harness = make_harness()
+    harness.proves_jobs = True
+    step = Step(count=2 if has_more else 1, cpu=10, memory_mb=10)
+    harness.submit('j', make_job(step))
+    work = harness.engine.jobs['j'].steps[0, 0]
+    work.not_before[step.count - 1] = 1e9
+    harness.pass_time(4.0)
+    (line,) = find_lines(harness, 'tasks_held')
+    assert float(line.fields['quiet_s']) > 2.0
+    assert (float(line.fields['stuck_s']) > 2.0) is not has_more
