Tests: the cost of a pass grows with the square of the suspects

Callers see leaders change without a fault after the loss of many workers. Calls are counted, so that the bound holds on each machine.

--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -65,17 +65,24 @@
     :param workspaces: number of workspaces that submit jobs in turn, each with
         a limit that it does not reach; 0 for a deployment without any.
     :param lookahead: whether the settings ask for look-ahead.
+    :param workers: number of workers, which are in the pools in turn.
     """
 
     def __init__(
-        self, workspaces: int = 0, *, lookahead: bool = False
+        self,
+        workspaces: int = 0,
+        *,
+        lookahead: bool = False,
+        workers: int = WORKERS,
+        pools: int = POOLS,
     ) -> None:
         self.workspaces = workspaces
+        self._pool_count = pools
         self.now = 100.0
         self.job_count = 0
         self.end_counts: dict[str, int] = {}
         self.state = JobState()
-        pools = tuple(Pool(name=f'p{n}') for n in range(POOLS))
+        numbers = range(pools)
         queues = tuple(
             Queue(
                 name=f'q{n}',
@@ -85,24 +92,24 @@
                 stretch=1.6,
                 target_ms=600,
             )
-            for n in range(POOLS)
+            for n in numbers
         )
         self.state.apply_command(
             Configure(
                 config=Configuration(
                     1,
                     queues,
-                    pools,
+                    tuple(Pool(name=f'p{n}') for n in numbers),
                     workspaces=_make_workspaces(workspaces),
                 )
             )
         )
-        for number in range(WORKERS):
+        for number in range(workers):
             record = WorkerRecord(
                 name=f'w{number}',
                 born=1,
                 address='127.0.0.1:1',
-                pool=f'p{number % POOLS}',
+                pool=f'p{number % pools}',
                 zone='a',
                 resources=Resources(32000, 131072),
                 labels=('a', f'r{number // 20}'),
@@ -145,7 +152,7 @@
             name = f'j{self.job_count}'
             command = AcceptJob(
                 name=name,
-                queue=f'q{self.job_count % POOLS}',
+                queue=f'q{self.job_count % self._pool_count}',
                 request=JobRequest(specification='s', steps=(step,)),
                 now_ms=1,
                 workspace=f's{self.job_count % self.workspaces}'
--- /dev/null
+++ b/testing/jobs/pass_costs.py
@@ -0,0 +1,74 @@
+"""Measure what a pass of the leader costs, in calls of Python functions.
+
+Calls are counted instead of time, so that a bound holds on each machine.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+import random
+import sys
+from types import FrameType
+from typing import Any
+
+from bench.jobs import EngineBench
+from galenareel._jobs.model import Step
+
+POOL = 'p0'
+TASK_COUNTS = (1, 4, 8)
+
+
+class CallCounter:
+    """Counts the calls of Python functions while it is installed."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    def _count(self, _frame: FrameType, event: str, _arg: Any) -> None:
+        self.calls += event == 'call'
+
+    @contextmanager
+    def install(self) -> Iterator[None]:
+        previous = sys.getprofile()
+        sys.setprofile(self._count)
+        try:
+            yield
+        finally:
+            sys.setprofile(previous)
+
+
+def make_waiting(
+    workers: int, steps: int, suspects: int, *, seed: int = 1
+) -> EngineBench:
+    """Return an engine whose only pool is full, and in which steps wait.
+
+    The pool is on alert, as after the loss of many workers.
+
+    :param suspects: number of these steps whose tasks are suspects.
+    """
+    rng = random.Random(seed)  # noqa: S311
+    bench = EngineBench(workers=workers, pools=1)
+    for _ in range(steps):
+        bench.submit(
+            1,
+            Step(
+                count=rng.choice(TASK_COUNTS),
+                cpu=1800,
+                memory_mb=3600,
+                estimate_ms=640,
+            ),
+        )
+    engine = bench.engine
+    works = [
+        step for work in engine.jobs.values() for step in work.steps.values()
+    ]
+    pool = engine.get_pool(POOL)
+    pool.note_crash(bench.now)
+    pool.note_crash(bench.now)
+    for step in rng.sample(works, suspects):
+        step.crashes = dict.fromkeys(step.waiting, 1)
+    while engine.place(bench.now):
+        pass
+    engine.take_orders()
+    return bench
