Count the work of a pool once a pass, not once for each suspect

Callers saw leaders change on an evening without faults, and tasks wait anew with each of them. Cause: each waiting step with suspects counted the work of all waiting steps of its pool to learn how many trials it may have, and failed searches counted the workers at risk again.

--- a/src/galenareel/_jobs/suspects.py
+++ b/src/galenareel/_jobs/suspects.py
@@ -16,11 +16,13 @@
 from galenareel._scheduling.tables import Worker
 from galenareel._scheduling.trial_workers import get_hold
 from galenareel._scheduling.trial_workers import is_on_trial
-from galenareel._scheduling.trials import count_trial_limit
+from galenareel._scheduling.trials import count_needed
+from galenareel._scheduling.trials import count_trials
 from galenareel._scheduling.trials import end_trial
 from galenareel._scheduling.trials import filter_by_limit
 from galenareel._scheduling.trials import is_held_for
 from galenareel._scheduling.trials import is_ready
+from galenareel._scheduling.trials import limit_trials
 from galenareel._scheduling.trials import MAX_HOLD_S
 from galenareel._scheduling.trials import may_hold_trial
 from galenareel._scheduling.trials import may_try_beside_lasting
@@ -146,9 +148,12 @@
             if (hold := get_hold(worker, now)) is not None
             and is_held_for(hold, step, indices)
         ]
-        trials = count_trial_limit(
-            pool,
-            members,
+        if candidates.needed is None:
+            candidates.needed = count_needed(pool, members)
+        if candidates.trials is None:
+            candidates.trials = count_trials(members, candidates.needed, now)
+        trials = limit_trials(
+            candidates.trials,
             step.trial_wait,
             len(held),
             now,
@@ -168,7 +173,8 @@
             pool.dirty = was_dirty
             pool.awaits_proof = True
             # The pass for overdue steps may still find that it is ready.
-            if not is_overdue(step, now):
+            if held and not is_overdue(step, now):
+                candidates.trials = None
                 for worker in held:
                     worker.trial_hold = None
             self._report_wait(step, step.trial_wait, now)
--- a/src/galenareel/_scheduling/placement.py
+++ b/src/galenareel/_scheduling/placement.py
@@ -14,6 +14,7 @@
 from galenareel._scheduling.tables import Worker
 from galenareel._scheduling.trial_workers import get_hold
 from galenareel._scheduling.trial_workers import is_closed_by_trial
+from galenareel._scheduling.trials import TrialCounts
 
 # Terms of a worker's score, in units of its whole processor. The worker with
 # the lowest score gets the task.
@@ -47,6 +48,8 @@
         closed by trials. ``workers`` are the sound ones among the others.
     :ivar limit: what unproven jobs may take, or ``None`` for no limit.
     :ivar reserved: room that is kept for large tasks, or ``None``.
+    :ivar needed: workers that the work beside suspects needs, once counted.
+    :ivar trials: trials in the pool, or ``None`` if they are to be counted.
     :ivar uses_best_fit: tasks that neither last nor fill gather on the fullest
         workers, so that large tasks find room or other workers can be
         released. Otherwise tasks are spread, which limits the effect of losing
@@ -64,6 +67,9 @@
         self._waives_cautions = waives_cautions
         self.limit: ProofLimit | None = None
         self.reserved: ReservedRoom | None = None
+        self._has_changed = True
+        self.needed: int | None = None
+        self.trials: TrialCounts | None = None
         self.uses_best_fit = False
         open_workers = [worker for worker in workers if worker.is_open()]
         sound = [
@@ -84,8 +90,11 @@
         """Compute the largest free capacity that any worker has.
 
         Free capacity only shrinks within a pass, so an outdated value is an
-        upper bound.
+        upper bound. Nothing is computed while nothing was placed.
         """
+        if not self._has_changed:
+            return
+        self._has_changed = False
         if self.limit is not None:
             self.limit.count_used()
         self.max_free_cpu = max(
@@ -126,6 +135,7 @@
         best = self._find_best(work, index, self.workers, excluded, limit)
         if best is None:
             return None
+        self._note_change()
         if self.limit is not None and not work.job.proven:
             self.limit.note_start(work.job, best)
         if self.reserved:
@@ -194,11 +204,17 @@
 
     def close_for_trial(self, worker: Worker) -> None:
         """Keep the other tasks of this pass off a worker."""
+        self._note_change()
         if worker in self.workers:
             self.workers.remove(worker)
         if self.limit is not None:
             self.limit.count_used()
 
+    def _note_change(self) -> None:
+        """Note that a worker gets a task or is closed."""
+        self._has_changed = True
+        self.trials = None
+
     def _find_best(
         self,
         work: StepWork,
--- a/src/galenareel/_scheduling/trials.py
+++ b/src/galenareel/_scheduling/trials.py
@@ -64,9 +64,55 @@
     is_only: bool = False
 
 
-def count_trial_limit(
-    pool: PoolWork,
-    members: Collection[Worker],
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TrialCounts:
+    """What the workers of a pool hold at one moment of a pass.
+
+    The steps that a pass tries without success change nothing, so one count
+    serves many of them.
+
+    :param open: open workers.
+    :param on_trial: those among them that a trial closes.
+    :param lost: other workers that a trial closes.
+    :param at_risk: open workers with unproven runs or a trial.
+    :param needed: workers that the work of the pool needs beside its suspects.
+    """
+
+    open: int
+    on_trial: int
+    lost: int
+    at_risk: int
+    needed: int
+
+
+def count_trials(
+    members: Collection[Worker], needed: int, now: float
+) -> TrialCounts:
+    """Count the trials on the workers of a pool.
+
+    :param members: workers of the pool.
+    :param needed: result of :func:`count_needed`.
+    """
+    open_workers = [worker for worker in members if worker.is_open()]
+    closed = [is_closed_by_trial(worker, now) for worker in open_workers]
+    return TrialCounts(
+        open=len(open_workers),
+        on_trial=sum(closed),
+        lost=sum(
+            is_closed_by_trial(worker, now)
+            for worker in members
+            if not worker.is_open()
+        ),
+        at_risk=sum(
+            is_closed or worker.unproven > 0
+            for worker, is_closed in zip(open_workers, closed, strict=True)
+        ),
+        needed=needed,
+    )
+
+
+def limit_trials(
+    counts: TrialCounts,
     wait: TrialWait,
     held: int,
     now: float,
@@ -79,42 +125,34 @@
     the open ones, less the lost ones with trials. One open worker is left
     aside.
 
-    :param members: workers of the pool.
     :param wait: wait of the suspects that are to be tried.
     :param held: workers that are kept free for them.
     :param is_overdue: they have waited too long for the work of others to go
         first.
     """
-    open_workers = [worker for worker in members if worker.is_open()]
-    on_trial = sum(is_closed_by_trial(worker, now) for worker in open_workers)
-    lost = sum(
-        is_closed_by_trial(worker, now)
-        for worker in members
-        if not worker.is_open()
-    )
-    count = len(open_workers)
-    if count == 1 and lost:
+    if counts.open == 1 and counts.lost:
         return TrialLimit()  # the last one isn't risked
-    needed = _count_needed(pool, open_workers)
-    spare = max(count - max(needed, 1), 0)
-    third = max(count // TRIAL_DIVISOR, 1)
-    others = on_trial - held
-    free = max(spare - others, third - others - lost, 0)
+    spare = max(counts.open - max(counts.needed, 1), 0)
+    third = max(counts.open // TRIAL_DIVISOR, 1)
+    others = counts.on_trial - held
+    free = max(spare - others, third - others - counts.lost, 0)
     is_late = is_overdue or now - wait.since >= MAX_SPARE_WAIT_S
-    if is_late and not others and count > 1:
+    if is_late and not others and counts.open > 1:
         free = max(free, 1)
-    at_risk = sum(
-        worker.unproven > 0 or is_closed_by_trial(worker, now)
-        for worker in open_workers
+    return TrialLimit(
+        free, spare, counts.at_risk, is_only=not others + counts.lost
     )
-    return TrialLimit(free, spare, at_risk, is_only=not others + lost)
 
 
-def _count_needed(pool: PoolWork, workers: Collection[Worker]) -> int:
+def count_needed(pool: PoolWork, members: Iterable[Worker]) -> int:
     """Return how many workers the work of a pool needs beside its suspects.
 
-    :param workers: open workers of the pool.
+    A pass moves this work from the waiting steps to the workers, so that the
+    number stays the same meanwhile.
+
+    :param members: workers of the pool; only open ones count.
     """
+    workers = [worker for worker in members if worker.is_open()]
     cpu = sum(worker.cpu_used for worker in workers)
     memory = sum(worker.memory_used for worker in workers)
     for worker in workers:
