Bound each placement pass by time, and go on where it stopped

Callers saw leaders lose office without a fault. A pass was bounded by its orders only, so that one that searches in vain, or places a wide step, held the event loop for as long as there was something to try, and nothing renewed the lease (0.9 s) meanwhile. Class: work on the loop that grows with the tables and has no bound of its own.

Engine.place takes the clock and stops after 0.05 s. The pass remembers what it has tried, the next call begins with another pool, and what changes meanwhile lets another pass follow. Jobs are tried in the order of their rank as before: an interrupted pass places what an uninterrupted one does. The time counts from the first task, so that each call gets ahead.

Before this commit the place of a step of 600 tasks made 600 orders in one call.

--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -13,6 +13,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from galenareel._common.log import Log
 from galenareel._jobs.audit import TableAudit
 from galenareel._jobs.copying import Copying
@@ -21,6 +23,7 @@
 from galenareel._jobs.state import JobState
 from galenareel._jobs.wait_ledger import WaitLedger
 from galenareel._scheduling.availability import may_stop
+from galenareel._scheduling.budgets import PassBudget
 from galenareel._scheduling.pacing import plan_pace_changes
 from galenareel._scheduling.policy import DEFAULT_POLICY
 from galenareel._scheduling.policy import SchedulingPolicy
@@ -40,6 +43,8 @@
 from galenareel._scheduling.trial_workers import clear_overdue
 
 MAX_ORDERS_PER_PASS = 200  # placing these takes the leader about 20 ms
+# A small part of the lease of the leader, which it renews between the calls.
+MAX_PASS_S = 0.05
 WAITING_RETRY_S = 0.25
 DRAIN_MARGIN_S = 0.3  # runs must end this long before their worker leaves
 
@@ -117,20 +122,35 @@
         self.waits.sample(self.pools, self.workers.values(), now)
         self.audit.check_slice(wall_ms)
 
-    def place(self, now: float) -> bool:
+    def place(
+        self, now: float, read_clock: Callable[[], float] | None = None
+    ) -> bool:
         """Place waiting tasks in the pools that have changed.
 
-        :returns: whether the pass stopped at ``MAX_ORDERS_PER_PASS``. The
-            caller then lets other greenlets run before it calls again.
+        A call that has used up its orders or its time stops, and the next one
+        goes on with the next pool, and later where this one has stopped.
+
+        :param read_clock: returns the monotonic time in seconds, by which the
+            call is bounded; without it only its orders are.
+        :returns: whether the call has stopped. The caller then lets other
+            greenlets run before it calls again.
         """
         self._prove_runs(now)
-        limit = len(self._orders) + MAX_ORDERS_PER_PASS
-        for pool in self.pools.values():
-            if len(self._orders) >= limit:
+        budget = PassBudget(
+            self._orders,
+            max_orders=MAX_ORDERS_PER_PASS,
+            read_clock=read_clock,
+            max_s=MAX_PASS_S,
+        )
+        for _ in range(len(self.pools)):
+            if budget.is_spent():
                 return True
-            if pool.dirty:
-                self._place_pool(pool, now, limit)
-        return len(self._orders) >= limit
+            name = next(iter(self.pools))
+            pool = self.pools.pop(name)
+            self.pools[name] = pool  # the next call begins with another one
+            if pool.needs_pass():
+                self._place_pool(pool, now, budget)
+        return budget.is_spent()
 
     def _list_unread(self, work: JobWork) -> list[str]:
         """Return the unread workers that hold back the tasks of a job."""
--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -10,6 +10,7 @@
 from galenareel._jobs.suspects import SuspectPlacing
 from galenareel._scheduling.advice import choose_workers
 from galenareel._scheduling.advice import record_advice
+from galenareel._scheduling.budgets import PassBudget
 from galenareel._scheduling.placement import Candidates
 from galenareel._scheduling.proofs import ProofLimit
 from galenareel._scheduling.quiet import get_longest_quiet_wait_s
@@ -17,6 +18,7 @@
 from galenareel._scheduling.ranking import placement_key
 from galenareel._scheduling.tables import AskAdvice
 from galenareel._scheduling.tables import JobWork
+from galenareel._scheduling.tables import PassProgress
 from galenareel._scheduling.tables import PoolWork
 from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import StepWork
@@ -30,12 +32,19 @@
 class Placing(SuspectPlacing):
     """Places the waiting tasks of each pool."""
 
-    def _place_pool(self, pool: PoolWork, now: float, limit: int) -> None:
+    def _place_pool(
+        self, pool: PoolWork, now: float, budget: PassBudget
+    ) -> None:
         """Place the waiting tasks of a pool, in the order of their jobs' rank.
 
-        :param limit: stop once this many orders wait to be taken.
+        A pass that spends its budget is interrupted, and goes on in the next
+        call. What changes meanwhile lets another pass follow.
         """
-        pool.dirty = False
+        progress = pool.interrupted
+        pool.interrupted = None
+        if progress is None:
+            progress = PassProgress()
+            pool.dirty = False
         if not pool.waiting:
             return
         members = [
@@ -61,27 +70,46 @@
             )
         works = self.workspaces.order_jobs(works, by_job, members, now)
         works = candidates.limit.order(works)
+        budget.begin()
         # A suspect of a proven job has mostly run beside the task at fault, so
         # it isn't kept waiting for the trials of the others.
         for step in list(pool.waiting.values()):
-            if step.crashes and step.job.proven and self._may_place(step.job):
-                self._place_suspects(pool, step, candidates, members, now)
-        for work in works:
-            if len(self._orders) >= limit:
-                pool.dirty = True
+            key = self._step_key(step)
+            if not step.crashes or not step.job.proven:
+                continue
+            if key in progress.suspects or not self._may_place(step.job):
+                continue
+            if budget.is_spent():
+                pool.interrupted = progress
                 return
-            if not self._may_place(work):
+            progress.suspects.add(key)
+            self._place_suspects(pool, step, candidates, members, now)
+        for work in works:
+            if work.name in progress.jobs or not self._may_place(work):
                 continue
+            if budget.is_spent():
+                pool.interrupted = progress
+                return
+            progress.jobs.add(work.name)
             for step in by_job[work.name]:
                 if step.crashes and not work.proven:
                     self._place_suspects(pool, step, candidates, members, now)
-                self._place_step(pool, step, candidates, now)
+                is_over = self._place_step(pool, step, candidates, now, budget)
                 if not step.waiting:
                     pool.waiting.pop(self._step_key(step), None)
-        self._place_overdue(pool, members, now, limit)
+                if not is_over:
+                    progress.jobs.discard(work.name)
+                    pool.interrupted = progress
+                    return
+        self._place_overdue(pool, progress, members, now, budget)
 
     def _place_overdue(
-        self, pool: PoolWork, members: list[Worker], now: float, limit: int
+        self,
+        pool: PoolWork,
+        progress: PassProgress,
+        members: list[Worker],
+        now: float,
+        budget: PassBudget,
     ) -> None:
         """Place tasks that cautions have held back for too long.
 
@@ -95,6 +123,7 @@
             step
             for step in pool.overdue
             if pool.waiting.get(self._step_key(step)) is step
+            and self._step_key(step) not in progress.overdue
             and is_overdue(step, now)
             and self._may_place(step.job)
             and self.quotas.has_room(step)
@@ -108,10 +137,12 @@
         )
         steps.sort(key=lambda step: -get_longest_quiet_wait_s(step, now))
         for step in steps:
-            if len(self._orders) >= limit:
-                pool.dirty = True
+            if budget.is_spent():
+                pool.interrupted = progress
+                pool.has_new_overdue = True
                 return
-            self._waive_cautions(pool, step, candidates, members, now)
+            progress.overdue.add(self._step_key(step))
+            self._waive_cautions(pool, step, candidates, members, now, budget)
 
     def _waive_cautions(
         self,
@@ -120,12 +151,13 @@
         candidates: Candidates,
         members: list[Worker],
         now: float,
+        budget: PassBudget,
     ) -> None:
         waiting = len(step.waiting)
         waited_s = get_longest_quiet_wait_s(step, now)
         if step.crashes:
             self._place_suspects(pool, step, candidates, members, now)
-        self._place_step(pool, step, candidates, now)
+        self._place_step(pool, step, candidates, now, budget)
         started = waiting - len(step.waiting)
         if not step.waiting:
             pool.waiting.pop(self._step_key(step), None)
@@ -147,29 +179,40 @@
         step: StepWork,
         candidates: Candidates,
         now: float,
-    ) -> None:
+        budget: PassBudget,
+    ) -> bool:
+        """Place the tasks of a step that find a worker.
+
+        :returns: whether all were tried; otherwise the budget is spent.
+        """
         might_fit = candidates.might_fit(step)
         # A worker that is kept free for a suspect needs a ticket as well.
         if step.job.queue.advice is not None and (might_fit or step.crashes):
             self._ask_advice(step, candidates, now)
         if not might_fit:
-            return
+            return True
         if step.step.gang:
             if not step.is_suspect(0):
                 self._place_gang(pool, step, candidates, now)
-        else:
-            for index in sorted(step.waiting):
-                if step.crashes and step.is_suspect(index):
-                    continue
-                if step.not_before.get(index, 0.0) > now:
-                    pool.dirty = True
-                    continue
-                if self._crashes.is_held(step, index):
-                    continue
-                if not self._place_task(step, index, candidates, now):
-                    break
-                if not candidates.might_fit(step):
-                    break
+            return True
+        has_placed = False
+        for index in sorted(step.waiting):
+            if step.crashes and step.is_suspect(index):
+                continue
+            if step.not_before.get(index, 0.0) > now:
+                pool.dirty = True
+                continue
+            if self._crashes.is_held(step, index):
+                continue
+            # Without a placed task the rest would be tried again for ever.
+            if has_placed and budget.is_spent():
+                return False
+            if not self._place_task(step, index, candidates, now):
+                break
+            has_placed = has_placed or index not in step.waiting
+            if not candidates.might_fit(step):
+                break
+        return True
 
     def _ask_advice(
         self, step: StepWork, candidates: Candidates, now: float
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -155,7 +155,9 @@
             has_more = False
             if self.may_order():
                 with self._parts.measure('placing'):
-                    has_more = self.engine.place(self._clock.monotonic())
+                    has_more = self.engine.place(
+                        self._clock.monotonic(), self._clock.monotonic
+                    )
                 self._dispatch()
             if has_more:
                 gevent.sleep(0)
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -582,6 +582,20 @@
         return any(step.exhausted for step in self.steps.values())
 
 
+@dataclass(slots=True)
+class PassProgress:
+    """What a pass over a pool that was interrupted has tried already.
+
+    :param suspects: keys of steps whose suspects were tried before the jobs.
+    :param jobs: names of jobs.
+    :param overdue: keys of steps for which cautions were set aside.
+    """
+
+    suspects: set[tuple[str, int, int]] = field(default_factory=set)
+    jobs: set[str] = field(default_factory=set)
+    overdue: set[tuple[str, int, int]] = field(default_factory=set)
+
+
 @dataclass(slots=True, kw_only=True)
 class PoolWork:
     """Steps that wait for workers of one pool, and the pool's load.
@@ -611,6 +625,8 @@
         is over.
     :param overdue: steps that cautions have held back for too long.
     :param has_new_overdue: no pass has placed these yet.
+    :param interrupted: progress of the last pass if it has run out of its
+        budget, or ``None``. The next pass goes on where that one stopped.
     """
 
     name: str
@@ -632,6 +648,11 @@
     awaits_proof: bool = False
     overdue: list[StepWork] = field(default_factory=list)
     has_new_overdue: bool = False
+    interrupted: PassProgress | None = None
+
+    def needs_pass(self) -> bool:
+        """Return whether placement is to be tried, or tried further."""
+        return self.dirty or self.interrupted is not None
 
     def note_crash(self, now: float) -> None:
         """Note that one of its workers has crashed.
--- a/testing/jobs/pass_costs.py
+++ b/testing/jobs/pass_costs.py
@@ -16,6 +16,7 @@
 from galenareel._jobs.model import Step
 
 POOL = 'p0'
+CALL_S = 1e-6  # assumed time of a call
 TASK_COUNTS = (1, 4, 8)
 
 
@@ -28,6 +29,10 @@
     def _count(self, _frame: FrameType, event: str, _arg: Any) -> None:
         self.calls += event == 'call'
 
+    def read_clock(self) -> float:
+        """Return a time that passes with the calls, in seconds."""
+        return self.calls * CALL_S
+
     @contextmanager
     def install(self) -> Iterator[None]:
         previous = sys.getprofile()
@@ -39,16 +44,24 @@
 
 
 def make_waiting(
-    workers: int, steps: int, suspects: int, *, seed: int = 1
+    workers: int,
+    steps: int,
+    suspects: int,
+    *,
+    pools: int = 1,
+    is_full: bool = True,
+    seed: int = 1,
 ) -> EngineBench:
-    """Return an engine whose only pool is full, and in which steps wait.
+    """Return an engine in whose pools steps wait.
+
+    The first pool is on alert, as after the loss of many workers.
 
-    The pool is on alert, as after the loss of many workers.
+    :param is_full: whether what finds a worker is placed already.
 
     :param suspects: number of these steps whose tasks are suspects.
     """
     rng = random.Random(seed)  # noqa: S311
-    bench = EngineBench(workers=workers, pools=1)
+    bench = EngineBench(workers=workers, pools=pools)
     for _ in range(steps):
         bench.submit(
             1,
@@ -68,7 +81,7 @@
     pool.note_crash(bench.now)
     for step in rng.sample(works, suspects):
         step.crashes = dict.fromkeys(step.waiting, 1)
-    while engine.place(bench.now):
+    while is_full and engine.place(bench.now):
         pass
     engine.take_orders()
     return bench
