Keep the instances that held tasks will need

Callers see their jobs end late after a change of leader, as the room is gone when they may start at last. Planning counts what waits as work that the idle instances clear meanwhile.

The steps that may not start raise the minimum of their pool, by all that they need together and at most to its present size. They bring no further instances.

test_pool_keeps_the_instances_that_held_tasks_will_need fails if the held steps are not passed on, as before: the minimum is 0 then and the pool has a surplus.

--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -36,6 +36,7 @@
 from galenareel._scheduling.stops import WORKER_CLOSES
 from galenareel._scheduling.stops import WORKER_DRAINS
 from galenareel._scheduling.tables import JobWork
+from galenareel._scheduling.tables import PoolWork
 from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import RunState
 from galenareel._scheduling.tables import StepWork
@@ -162,6 +163,16 @@
             if name in self.workers and self.workers[name].pool in work.pools
         ]
 
+    def list_held_steps(self, pool: PoolWork) -> list[StepWork]:
+        """Return the waiting steps of a pool that wait for unread workers."""
+        if not self._unread_workers:
+            return []
+        return [
+            step
+            for step in pool.waiting.values()
+            if not step.job.has_failed and not self._are_workers_read(step.job)
+        ]
+
     def _has_quota(self, step: StepWork, count: int, now: float) -> bool:
         """Return whether a limit leaves room for tasks; changes nothing."""
         workspace = step.job.workspace
--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -394,6 +394,7 @@
                     self._will_join(instance, pool.name)
                     for instance in self._tables.instances.values()
                 ),
+                held=self._engine.list_held_steps(pool),
             )
             pool.has_surplus = demand.has_surplus()
             demands[pool.name] = demand
--- a/src/galenareel/_scheduling/demand.py
+++ b/src/galenareel/_scheduling/demand.py
@@ -137,6 +137,7 @@
     *,
     policy: SchedulingPolicy = DEFAULT_POLICY,
     incoming: int = 0,
+    held: Iterable[StepWork] = (),
 ) -> Demand:
     """Compute how many instances a pool needs for its present work.
 
@@ -145,6 +146,8 @@
     :param workers: workers of the pool.
     :param pools: all pools that peak in turn.
     :param incoming: instances that will have a worker soon.
+    :param held: waiting steps that may not start yet, whatever room there is.
+        The pool keeps the instances that they will need together.
     """
     members = [worker for worker in workers if not worker.draining]
     demand = Demand(
@@ -176,6 +179,9 @@
     demand.minimum = max(
         _count_spread_workers(load.steps.values()), reserve.kept
     )
+    demand.minimum = max(
+        demand.minimum, min(_count_held(load, held), demand.current)
+    )
     rate = forecast_rate(
         pool.arrivals,
         now,
@@ -339,6 +345,20 @@
     )
 
 
+def _count_held(load: Load, held: Iterable[StepWork]) -> int:
+    """Return how many instances the running work and held steps need."""
+    steps = list(held)
+    if not steps:
+        return 0
+    cpu, memory_mb = load.used_cpu, load.used_memory
+    for work in steps:
+        count = len(work.waiting)
+        cpu += 0 if work.step.fills else count * work.step.cpu
+        memory_mb += count * work.step.memory_mb
+    share = max(cpu / load.mean_cpu, memory_mb / load.mean_memory)
+    return math.ceil(share / TARGET_UTILIZATION)
+
+
 def _count_desired(load: Load, rate: ArrivalRate, demand: Demand) -> float:
     """Return how many instances the pool needs when a moved one is there.
 
--- a/testing/scheduling/test_demand.py
+++ b/testing/scheduling/test_demand.py
@@ -20,6 +20,7 @@
 from galenareel._scheduling.tables import PoolWork
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
+from testing.standins.worker import FakeWorker
 
 ROOM = Resources(8000, 32768, 0)
 LOOKAHEAD = SchedulingPolicy(lookahead=True)
@@ -248,3 +249,30 @@
     assert len(pool.arrivals) == 12
     after = compute_demand(pool, engine.workers.values(), harness.now)
     assert after.desired >= 0.8 * before.desired
+
+
+@pytest.mark.parametrize('jobs', [2, 200])
+def test_pool_keeps_the_instances_that_held_tasks_will_need(jobs: int) -> None:
+    """They wait for an unread worker, and it would lack room afterwards."""
+    size = 20
+    harness = Harness(
+        *(FakeWorker(name=f'w{n}', resources=ROOM) for n in range(size))
+    )
+    harness.pass_time(0.3)
+    for number in range(jobs):
+        step = Step(count=4, cpu=1800, memory_mb=64, estimate_ms=640)
+        harness.submit(f'j{number}', make_job(step))
+    harness.cut_off.add('w0')
+    engine = harness.take_over('c2')
+    harness.pass_time(6.0)
+    pool = engine.get_pool('lots')
+    pool.slack_s = 10.0  # its jobs have time for moves, so it has no reserve
+    held = engine.list_held_steps(pool)
+    assert len(held) == jobs
+    members = [each for each in engine.workers.values() if each.name != 'w0']
+    demand = compute_demand(pool, members, harness.now, held=held)
+    needed = math.ceil(jobs * 4 * 1800 / ROOM.cpu / TARGET_UTILIZATION)
+    assert demand.minimum == min(needed, size - 1)
+    assert demand.has_surplus() is (jobs == 2)
+    harness.pass_time(2.0)
+    assert not engine.list_held_steps(pool)
