Record jobs without a run, so that the next leader starts them at once

Starts are not replicated, so a leader could not tell which jobs may run on a worker that is gone.

The leader records jobs that have waited for 2 s and have no run. It keeps their first orders back until the end of the record is committed, and the next leader starts them without reading all workers. Other starts are not delayed. The records hold for the next epoch only, as a leader of an older build starts what it wants; they carry their epoch.

--- a/src/galenareel/_jobs/commands.py
+++ b/src/galenareel/_jobs/commands.py
@@ -29,9 +29,13 @@
     """Begin the epoch of a new leader, one above the last epoch.
 
     A leader also takes further epochs, as tokens for restarted workers.
+
+    :param is_further: the leader of the present epoch goes on. Members of
+        older builds ignore this field, and their leaders never set it.
     """
 
     node: str
+    is_further: bool = False
 
 
 class Configure(Command, frozen=True):
@@ -129,7 +133,13 @@
         changed.
     :param leases: leases of workers that do not answer, likewise.
     :param settled: restarted or retired incarnations, whose earlier leases
-        are over. Members of older builds ignore this field.
+        are over. Members of older builds ignore this field and those after
+        it.
+    :param idle: jobs that have no run, and get none before they are in
+        ``active``.
+    :param active: jobs that may have runs again.
+    :param idle_epoch: epoch in which these were found. In a later one they
+        change nothing, and the result is false.
     """
 
     pools: dict[str, PoolLoad]
@@ -137,6 +147,9 @@
     silent: tuple[SilentWorker, ...] | None = None
     leases: tuple[SilentLease, ...] | None = None
     settled: tuple[Incarnation, ...] = ()
+    idle: tuple[str, ...] = ()
+    active: tuple[str, ...] = ()
+    idle_epoch: int = 0
 
 
 class ForgetJobs(Command, frozen=True):
--- a/src/galenareel/_jobs/load_records.py
+++ b/src/galenareel/_jobs/load_records.py
@@ -12,6 +12,7 @@
 from galenareel._jobs.commands import AnyCommand
 from galenareel._jobs.commands import RecordLoads
 from galenareel._jobs.engine import Engine
+from galenareel._jobs.idle_jobs import IdleRecord
 from galenareel._jobs.model import SilentLease
 from galenareel._jobs.model import SilentWorker
 from galenareel._jobs.state import JobState
@@ -25,6 +26,7 @@
 
     :param propose: commits a command and returns its result or error.
     :param fail: ends the term because of an unexpected error.
+    :param wake: lets the term send the orders that a record has held back.
     """
 
     def __init__(
@@ -34,20 +36,24 @@
         state: JobState,
         propose: Callable[[AnyCommand], Any],
         fail: Callable[[BaseException], None],
+        wake: Callable[[], None],
         log: Log,
     ) -> None:
         self._engine = engine
         self._state = state
         self._propose = propose
         self._fail = fail
+        self._wake = wake
         self._log = log
         self._loads_due = 0.0
         self._silence_request: gevent.Greenlet | None = None
+        self._idle_request: gevent.Greenlet | None = None
 
     def close(self) -> None:
-        """End the greenlet that commits."""
-        if self._silence_request is not None:
-            self._silence_request.kill(block=False)
+        """End the greenlets that commit."""
+        for request in (self._silence_request, self._idle_request):
+            if request is not None:
+                request.kill(block=False)
 
     def record_silence(self, now: float) -> None:
         """Commit what runs on silent workers, if that is to be recorded.
@@ -65,6 +71,35 @@
                 self._fail, self._store_silence, rows, leases, settled
             )
 
+    def record_idle(self, now: float) -> None:
+        """Commit which jobs have no run, if that has changed.
+
+        Starts of jobs that are recorded as idle wait for this.
+        """
+        request = self._idle_request
+        if request is not None and not request.dead:
+            return
+        record = self._engine.update_idle_jobs(now)
+        if record is not None:
+            self._idle_request = spawn_part(
+                self._fail, self._store_idle, record, self._state.epoch
+            )
+
+    def _store_idle(self, record: IdleRecord, epoch: int) -> None:
+        command = RecordLoads(
+            pools={**self._state.loads, **self._engine.collect_loads()},
+            factors=self._engine.estimates.get_factors(),
+            idle=record.idle,
+            active=record.active,
+            idle_epoch=epoch,
+        )
+        # Without a result, what holds starts back is proposed again.
+        if self._propose(command) is True:
+            self._engine.confirm_idle_jobs(record)
+            self._wake()
+        if record.idle:
+            self._log.info('idle_jobs_recorded', jobs=len(record.idle))
+
     def record_loads(self, now: float) -> None:
         """Commit the learned loads and factors if they have changed."""
         if now < self._loads_due:
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -83,6 +83,8 @@
     :param workspace: workspace whose key submitted it, or empty.
     :param failure: why it was given up, or empty. Failed runs, which callers
         can count, leave it empty.
+    :param idle: no run of it can exist, as the leader of the last epoch has
+        recorded; see ``Tables.idle_epoch``.
     """
 
     name: str
@@ -99,6 +101,7 @@
     left: int = 0
     workspace: str = ''
     failure: str = ''
+    idle: bool = False
 
     def get_step_progress(self, occurrence: int, step: int) -> Progress:
         key = (occurrence, step)
@@ -128,6 +131,9 @@
     :param restarts: by name, the incarnation of a worker that may hold a lease
         which a leader gave to an earlier one; of a retired worker, the last
         incarnation.
+    :param idle_epoch: last epoch in which idle jobs were recorded. Leaders of
+        older builds start such jobs without a record, so the records hold
+        for the next epoch only.
     """
 
     epoch: int = 0
@@ -147,6 +153,7 @@
     silent_leases: dict[str, SilentLease] = {}
     leases_holder: str = ''
     restarts: dict[str, int] = {}
+    idle_epoch: int = 0
 
 
 CommandListener = Callable[[AnyCommand, bool], None]
@@ -288,6 +295,10 @@
         if self._tables.leases_holder != self._tables.holder:
             # A leader of an older build may have extended them since.
             self._tables.silent_leases = {}
+        if self._tables.idle_epoch != self._tables.epoch:
+            self._clear_idle()
+        elif cmd.is_further:
+            self._tables.idle_epoch += 1
         self._tables.epoch += 1
         self._tables.holder = cmd.node
         self._tables.former_ms = self._tables.latest_ms
@@ -489,8 +500,34 @@
         for name, born in cmd.settled:
             if self._tables.restarts.get(name) == born:
                 del self._tables.restarts[name]
+        if cmd.idle or cmd.active:
+            return self._record_idle(cmd)
         return True
 
+    def _record_idle(self, cmd: RecordLoads) -> bool:
+        """Record which jobs have no run.
+
+        The first record of a leader replaces those of the one before.
+        """
+        if cmd.idle_epoch != self._tables.epoch:
+            return False
+        if self._tables.idle_epoch != self._tables.epoch:
+            self._clear_idle()
+            self._tables.idle_epoch = self._tables.epoch
+        for name in cmd.idle:
+            job = self._tables.jobs.get(name)
+            if job is not None:
+                job.idle = True
+        for name in cmd.active:
+            job = self._tables.jobs.get(name)
+            if job is not None:
+                job.idle = False
+        return True
+
+    def _clear_idle(self) -> None:
+        for job in self._tables.jobs.values():
+            job.idle = False
+
     def _forget_jobs(self, cmd: ForgetJobs) -> bool:
         for name in cmd.names:
             self._tables.jobs.pop(name, None)
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -13,6 +13,8 @@
 from galenareel._jobs.ends import EndBatch
 from galenareel._jobs.estimates import Estimates
 from galenareel._jobs.former_runs import FormerRuns
+from galenareel._jobs.idle_jobs import IdleJobs
+from galenareel._jobs.idle_jobs import IdleRecord
 from galenareel._jobs.job_entries import are_earlier_done
 from galenareel._jobs.job_entries import create_job_work
 from galenareel._jobs.job_entries import create_step_work
@@ -129,6 +131,7 @@
         self._former_runs = FormerRuns(state, copies=policy.lookahead)
         self._unread = UnreadWorkers(state, self._former_runs)
         self._unread_workers = self._unread.records
+        self._idle_jobs = IdleJobs(self.jobs, self._are_workers_read)
         self._tokens = WorkerTokens(epoch, log)
         # By name, the time at which a worker was retired.
         self._retired_names: dict[str, float] = {}
@@ -257,7 +260,8 @@
         """Add a job and queue the steps that may start now.
 
         :param from_earlier_epoch: it was accepted before this epoch, so a
-            previous leader may have started its tasks.
+            previous leader may have started its tasks, unless it has recorded
+            that none can be running.
         """
         if job.name in self.jobs or job.has_ended:
             return
@@ -265,7 +269,7 @@
             job,
             self.find_queue(job),
             now,
-            from_earlier_epoch=from_earlier_epoch,
+            from_earlier_epoch=from_earlier_epoch and not job.idle,
         )
         self.jobs[job.name] = work
         self._done[job.name] = {
@@ -548,6 +552,18 @@
         """Return the records of leases to be stored, or ``None``."""
         return self._silent_leases.update(self._unread_workers, now)
 
+    def update_idle_jobs(self, now: float) -> IdleRecord | None:
+        """Return what is to be stored of jobs without a run, or ``None``."""
+        return self._idle_jobs.update(self.pools.values(), now)
+
+    def confirm_idle_jobs(self, record: IdleRecord) -> None:
+        """Note that a record of such jobs is stored, and send their starts."""
+        self._orders += self._idle_jobs.confirm(record)
+
+    def has_deferred_starts(self) -> bool:
+        """Return whether starts wait for the end of such a record."""
+        return self._idle_jobs.has_deferred()
+
     def find_settled_restarts(self, now: float) -> tuple[Incarnation, ...]:
         """Return the restarts whose records are not needed any more."""
         return self._restarts.find_settled(now)
@@ -694,15 +710,15 @@
         assert run.step is not None, 'a run to be started has a step'
         job = self._state.jobs[run.task.job]
         ticket = run.step.tickets.get(run.worker.name, ('', 0.0))[0]
-        self._orders.append(
-            StartTask(
-                run=run,
-                specification=job.request.specification,
-                checkpoint=run.checkpoint,
-                ticket=ticket,
-                is_repeat=is_repeat,
-            )
+        order = StartTask(
+            run=run,
+            specification=job.request.specification,
+            checkpoint=run.checkpoint,
+            ticket=ticket,
+            is_repeat=is_repeat,
         )
+        if not self._idle_jobs.defer(order):
+            self._orders.append(order)
 
     def _order_stop(
         self, worker: Worker, task: TaskId, number: int, reason: str
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -122,6 +122,7 @@
             state=state,
             propose=propose,
             fail=self.fail,
+            wake=self.wake,
             log=log,
         )
         self._fleet_client = fleet
@@ -159,6 +160,8 @@
                         self._clock.monotonic(), self._clock.monotonic
                     )
                 self._dispatch()
+                if self.engine.has_deferred_starts():
+                    self._load_records.record_idle(self.now())
             if has_more:
                 gevent.sleep(0)
             else:
@@ -360,7 +363,7 @@
         while self.engine.needs_token():
             if self.wait_for_leader_lease() is None:
                 return
-            epoch = self._propose(TakeOver(node=self._name))
+            epoch = self._propose(TakeOver(node=self._name, is_further=True))
             if isinstance(epoch, int) and self.is_active():
                 self.engine.grant_token(epoch)
             else:
@@ -566,6 +569,7 @@
                 self._ends_ready.set()
             self._retire_lost(now)
             self._load_records.record_silence(self.now())
+            self._load_records.record_idle(self.now())
             self._load_records.record_loads(now)
             names = self._ended_jobs.find_expired(now)
             if names:
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -164,7 +164,7 @@
     def take_token(self) -> None:
         """Take a further epoch for restarted workers, as the leader does."""
         if self.engine.needs_token() and not self.holding_tokens:
-            epoch = self.apply(TakeOver(node='c1'))
+            epoch = self.apply(TakeOver(node='c1', is_further=True))
             assert isinstance(epoch, int)
             self.engine.grant_token(epoch)
 
@@ -253,11 +253,30 @@
         if findings and self.checks_tables:
             raise Violation('; '.join(map(str, findings[:5])))
 
+    def record_idle_jobs(self) -> None:
+        """Commit which jobs have no run, as the leader does."""
+        record = self.engine.update_idle_jobs(self.now)
+        if record is None:
+            return
+        if self.lost_records != 'dropped':
+            self.apply(
+                RecordLoads(
+                    pools=dict(self.state.loads),
+                    factors=dict(self.state.factors),
+                    idle=record.idle,
+                    active=record.active,
+                    idle_epoch=self.state.epoch,
+                )
+            )
+        if not self.lost_records:
+            self.engine.confirm_idle_jobs(record)
+
     def record_silence(self) -> None:
         """Commit what runs on silent workers, as the leader does."""
         rows = self.engine.update_silent_workers()
         leases = self.engine.update_silent_leases(self.now)
         settled = self.engine.find_settled_restarts(self.now)
+        self.record_idle_jobs()
         if rows is None and leases is None and not settled:
             return
         if self.lost_records != 'dropped':
