Record only jobs that have had no run, and repeat lost records

Only jobs that have had no run at all are recorded now. What a worker lists of a recorded job ends its record, and so does a stored end. Jobs are judged anew for each record until one is confirmed, names of a record take 64 KiB at most, and only a member that may order proposes one.

A job whose run was lost is no longer recorded, so that test_idle_jobs.py checks the opposite now.

--- a/src/galenareel/_jobs/idle_jobs.py
+++ b/src/galenareel/_jobs/idle_jobs.py
@@ -1,4 +1,4 @@
-"""Record which jobs have no run, so that the next leader need not wait.
+"""Record which jobs have had no run, so that the next leader need not wait.
 
 Load pattern: hundreds of jobs wait, a worker is lost, and the leader changes
 before its lease is over. Starts are not replicated, so the next leader would
@@ -16,7 +16,6 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
-import itertools
 
 from galenareel._scheduling.tables import JobWork
 from galenareel._scheduling.tables import PoolWork
@@ -25,16 +24,19 @@
 
 RECORD_AFTER_S = 2.0  # most jobs are started earlier
 RECORD_EVERY_S = 0.5
-MAX_IDLE_JOBS = 2000  # recorded at a time
+MAX_IDLE_JOBS = 2000  # that may be recorded at the same time
+# Names in one record. A command has to fit into a frame, and a large one holds
+# up those behind it.
+MAX_RECORD_BYTES = 64 * 1024
 
 
 @dataclass(frozen=True, slots=True)
 class IdleRecord:
     """What is to be stored of the jobs without a run.
 
-    :param idle: jobs that have none, and get none before the end of that is
-        stored.
-    :param active: jobs that may get one from now on.
+    :param idle: jobs that have had none, and get none before the end of that
+        is stored.
+    :param active: jobs that may have runs from now on.
     """
 
     idle: tuple[str, ...] = ()
@@ -45,20 +47,23 @@
     """Jobs that the leader of one epoch has recorded as idle.
 
     :param jobs: entries of the accepted jobs, by name.
-    :param are_runs_known: returns whether no worker that was not read yet may
-        run tasks of a job.
+    :param are_workers_read: returns whether no worker that was not read yet
+        may run tasks of a job.
     """
 
     def __init__(
         self,
         jobs: Mapping[str, JobWork],
-        are_runs_known: Callable[[JobWork], bool],
+        are_workers_read: Callable[[JobWork], bool],
     ) -> None:
         self._jobs = jobs
-        self._are_runs_known = are_runs_known
-        # Also those whose record had no result, as it may be stored.
-        self._recorded: set[str] = set()
-        self._deferred: dict[str, list[StartTask]] = {}
+        self._are_workers_read = are_workers_read
+        # Those whose record had no result are in the first set only. It may
+        # be stored all the same, so that their starts are kept back as well.
+        self._proposed: set[str] = set()
+        self._stored: set[str] = set()
+        # Jobs whose records are to end, with the starts that wait for it.
+        self._ending: dict[str, list[StartTask]] = {}
         self._due = 0.0
 
     def defer(self, order: StartTask) -> bool:
@@ -67,30 +72,38 @@
         :returns: whether the order is kept back.
         """
         name = order.run.task.job
-        if name not in self._recorded:
+        if name not in self._proposed:
             return False
-        self._deferred.setdefault(name, []).append(order)
+        self._ending.setdefault(name, []).append(order)
         return True
 
-    def has_deferred(self) -> bool:
-        return bool(self._deferred)
+    def end(self, name: str) -> None:
+        """End the record of a job that a worker turns out to have run."""
+        if name in self._proposed:
+            self._ending.setdefault(name, [])
+
+    def is_ending(self) -> bool:
+        """Return whether records are to end."""
+        return bool(self._ending)
 
     def update(
         self, pools: Iterable[PoolWork], now: float
     ) -> IdleRecord | None:
         """Return what is to be stored, or ``None``.
 
-        It is returned again until it is confirmed.
+        Call it again only once the result of the last record is known. What
+        is not confirmed is decided on again.
 
         :param now: monotonic time in seconds.
         """
-        active = tuple(self._deferred)
+        active = _take_names(self._ending, MAX_RECORD_BYTES)
         idle: tuple[str, ...] = ()
         if now >= self._due:
             self._due = now + RECORD_EVERY_S
-            self._recorded &= self._jobs.keys() | self._deferred.keys()
+            self._proposed &= self._jobs.keys() | self._ending.keys()
+            self._stored &= self._proposed
             idle = self._find_idle(pools, now)
-            self._recorded.update(idle)
+            self._proposed.update(idle)
         return IdleRecord(idle, active) if idle or active else None
 
     def confirm(self, record: IdleRecord) -> list[StartTask]:
@@ -98,10 +111,12 @@
 
         :returns: orders that may be sent now.
         """
+        self._stored.update(record.idle)
         orders: list[StartTask] = []
         for name in record.active:
-            self._recorded.discard(name)
-            orders += self._deferred.pop(name, [])
+            self._proposed.discard(name)
+            self._stored.discard(name)
+            orders += self._ending.pop(name, [])
         return orders
 
     def _find_idle(
@@ -111,22 +126,35 @@
             step.job.name: None
             for pool in pools
             for step in pool.waiting.values()
-            if step.job.name not in self._recorded
+            if step.job.name not in self._stored
+            and step.job.name not in self._ending
             and _is_idle(step, now)
-            and self._are_runs_known(step.job)
+            and self._are_workers_read(step.job)
         }
-        room = max(MAX_IDLE_JOBS - len(self._recorded), 0)
-        return tuple(itertools.islice(names, room))
+        # Those that were proposed before are counted in the limit already.
+        room = MAX_IDLE_JOBS - len(self._proposed - names.keys())
+        return _take_names(names, MAX_RECORD_BYTES)[: max(room, 0)]
+
+
+def _take_names(names: Iterable[str], max_bytes: int) -> tuple[str, ...]:
+    """Return the first names that together fit into some bytes."""
+    taken: list[str] = []
+    for name in names:
+        max_bytes -= len(name.encode())
+        if max_bytes < 0:
+            break
+        taken.append(name)
+    return tuple(taken)
 
 
 def _is_idle(step: StepWork, now: float) -> bool:
-    """Return whether a job has waited for a while, and has no run at all."""
+    """Return whether a job has waited for a while, and has had no run.
+
+    One that had a run may have ends that are not stored yet.
+    """
     job = step.job
-    waits_since = max(step.released_at.values(), default=step.ready_at)
-    if now - waits_since < RECORD_AFTER_S or job.has_failed:
+    if job.started or job.has_failed:
         return False
     if job.next_occurrence:
         return False  # a timed job, whose occurrences come and go
-    return not any(
-        runs for other in job.steps.values() for runs in other.runs.values()
-    )
+    return now - step.ready_at >= RECORD_AFTER_S
--- a/src/galenareel/_jobs/load_records.py
+++ b/src/galenareel/_jobs/load_records.py
@@ -93,10 +93,10 @@
             active=record.active,
             idle_epoch=epoch,
         )
-        # Without a result, what holds starts back is proposed again.
-        if self._propose(command) is True:
-            self._engine.confirm_idle_jobs(record)
-            self._wake()
+        if self._propose(command) is not True:
+            return  # what is still to be stored is proposed again
+        self._engine.confirm_idle_jobs(record)
+        self._wake()
         if record.idle:
             self._log.info('idle_jobs_recorded', jobs=len(record.idle))
 
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -569,6 +569,7 @@
 
 
 def _record_done(job: Job, task: TaskId, now_ms: int) -> None:
+    job.idle = False
     progress = job.get_step_progress(task.occurrence, task.step)
     step = job.request.steps[task.step]
     # The tasks of a gang end together, so one end completes all of them.
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -552,6 +552,11 @@
         """Return the records of leases to be stored, or ``None``."""
         return self._silent_leases.update(self._unread_workers, now)
 
+    def _note_started(self, work: JobWork) -> None:
+        """Note that a worker has listed a run of a job."""
+        work.started = True
+        self._idle_jobs.end(work.name)
+
     def update_idle_jobs(self, now: float) -> IdleRecord | None:
         """Return what is to be stored of jobs without a run, or ``None``."""
         return self._idle_jobs.update(self.pools.values(), now)
@@ -562,7 +567,7 @@
 
     def has_deferred_starts(self) -> bool:
         """Return whether starts wait for the end of such a record."""
-        return self._idle_jobs.has_deferred()
+        return self._idle_jobs.is_ending()
 
     def find_settled_restarts(self, now: float) -> tuple[Incarnation, ...]:
         """Return the restarts whose records are not needed any more."""
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -569,7 +569,8 @@
                 self._ends_ready.set()
             self._retire_lost(now)
             self._load_records.record_silence(self.now())
-            self._load_records.record_idle(self.now())
+            if self.may_order():
+                self._load_records.record_idle(self.now())
             self._load_records.record_loads(now)
             names = self._ended_jobs.find_expired(now)
             if names:
--- a/testing/jobs/test_idle_jobs.py
+++ b/testing/jobs/test_idle_jobs.py
@@ -137,7 +137,8 @@
     assert 'k' in list_jobs(harness)
 
 
-def test_job_whose_run_was_lost_is_recorded_again() -> None:
+def test_job_that_has_had_a_run_is_not_recorded() -> None:
+    """Its worker may list an end that no state has yet."""
     harness = make_full()
     harness.submit('j', make_job(WHOLE_WORKER))
     harness.pass_time(RECORD_AFTER_S + 1.0)
@@ -147,7 +148,7 @@
     assert not harness.state.jobs['j'].idle
     lose(harness, 'w0')
     harness.pass_time(UNREAD_S + RECORD_AFTER_S + 1.0)
-    assert harness.state.jobs['j'].idle
+    assert not harness.state.jobs['j'].idle
 
 
 def make_state(*names: str) -> JobState:
@@ -261,7 +262,10 @@
     first = harness.engine.update_idle_jobs(harness.now)
     assert first is not None
     assert len(first.idle) == MAX_IDLE_JOBS
-    assert harness.engine.update_idle_jobs(harness.now + 1.0) is None
+    again = harness.engine.update_idle_jobs(harness.now + 1.0)
+    assert again == first
+    harness.engine.confirm_idle_jobs(first)
+    assert harness.engine.update_idle_jobs(harness.now + 2.0) is None
 
 
 @pytest.fixture
