--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 .PHONY: test lint types unit format demo fault-matrix measure-state \
 	measure-decisions measure-requests measure-capacity measure-jobs \
-	measure-failover \
+	measure-failover measure-holds \
 	soak soak-regressions
 
 $(VENV)/.installed: requirements.txt pyproject.toml
@@ -62,3 +62,6 @@
 
 measure-failover: $(VENV)/.installed
 	$(PY) -m bench.failover --seed $(SEED)
+
+measure-holds: $(VENV)/.installed
+	$(PY) -m bench.loop_holds
