Look up the crashes that are not stored by their task

After the crash of many workers at once the leader holds its loop, when it can least afford it: callers would see it lose office, and tasks wait anew. Each suspect, in each pass and each time that crashes are counted again, was compared with all crashes that are not stored yet, which grow with the suspects.

The crashes are kept by task. What is held and counted is the same.

--- a/src/galenareel/_jobs/crash_records.py
+++ b/src/galenareel/_jobs/crash_records.py
@@ -60,7 +60,8 @@
         self._metrics = metrics
         self._racks = RackLosses()
         self._new: list[CrashRecord] = []
-        self._unstored: set[CrashRecord] = set()
+        # By task, as each waiting suspect is looked up in every pass.
+        self._unstored: dict[TaskId, set[CrashRecord]] = {}
         self._new_losses: list[CrashRecord] = []
         # Incarnations whose losses are recorded, and those to be cleared.
         self._lost: set[Incarnation] = set()
@@ -204,7 +205,7 @@
         if not step:
             return
         self._new.append(crash)
-        self._unstored.add(crash)
+        self._unstored.setdefault(task, set()).add(crash)
         count = self._count(task)
         if not step.crashes.get(task.index):
             self._metrics.suspects.add(1)
@@ -224,8 +225,7 @@
         """Return how many incarnations have crashed under a task."""
         found = {
             (crash.worker, crash.born)
-            for crash in self._unstored
-            if crash.task == task
+            for crash in self._unstored.get(task, ())
         }
         job = self._state.jobs.get(task.job)
         key = (task.occurrence, task.step)
@@ -265,7 +265,11 @@
 
         :returns: pools in which tasks may be started again.
         """
-        self._unstored.difference_update(crashes)
+        for crash in crashes:
+            unstored = self._unstored.get(crash.task, set())
+            unstored.discard(crash)
+            if not unstored:
+                self._unstored.pop(crash.task, None)
         works = [self._jobs.get(crash.task.job) for crash in crashes]
         return {work.queue.pool for work in works if work is not None}
 
@@ -274,4 +278,4 @@
         if not self._unstored:
             return False
         task = step.task_id(find_evidence_index(step.step, index))
-        return any(crash.task == task for crash in self._unstored)
+        return task in self._unstored
--- a/testing/jobs/pass_costs.py
+++ b/testing/jobs/pass_costs.py
@@ -1,6 +1,6 @@
-"""Measure what a pass of the leader costs, in calls of Python functions.
+"""Measure what the leader's work costs, in calls of functions or in lines.
 
-Calls are counted instead of time, so that a bound holds on each machine.
+They are counted instead of time, so that a bound holds on each machine.
 """
 
 from __future__ import annotations
@@ -43,6 +43,26 @@
             sys.setprofile(previous)
 
 
+class LineCounter:
+    """Counts executed lines, also of each round of a comprehension."""
+
+    def __init__(self) -> None:
+        self.lines = 0
+
+    def _trace(self, _frame: FrameType, event: str, _arg: Any) -> Any:
+        self.lines += event == 'line'
+        return self._trace
+
+    @contextmanager
+    def install(self) -> Iterator[None]:
+        previous = sys.gettrace()
+        sys.settrace(self._trace)
+        try:
+            yield
+        finally:
+            sys.settrace(previous)
+
+
 def make_waiting(
     workers: int,
     steps: int,
--- /dev/null
+++ b/testing/jobs/test_loop_holds.py
@@ -0,0 +1,75 @@
+"""Guards against parts whose work grows faster than the leader's tables.
+
+Each of them runs without letting others run, so that the leader can't renew
+its lease meanwhile. Executed lines are counted instead of time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from bench.jobs import EngineBench
+from galenareel._scheduling.proofs import RECOVERY_S
+from testing.jobs.pass_costs import LineCounter
+
+# Twice the entries cost twice as much, with some room for what does not grow.
+MAX_GROWTH = 2.5
+
+
+def count_lines(function: Callable[[], object]) -> int:
+    counter = LineCounter()
+    with counter.install():
+        function()
+    return counter.lines
+
+
+def crash_workers(bench: EngineBench, jobs: int) -> None:
+    """Let every other worker crash with all tasks that run there."""
+    engine = bench.engine
+    bench.submit(jobs)
+    for work in engine.jobs.values():
+        work.proven = True
+    bench.confirm_runs(bench.place())
+    for worker in list(engine.workers.values())[::2]:
+        for run in worker.runs.values():
+            run.until_ms = 1
+            run.start_asked_at = bench.now
+        worker.has_ended = True
+        engine.retire_worker(worker.name, 1, bench.now)
+    assert engine.has_crashes()
+
+
+def count_crashes(bench: EngineBench) -> int:
+    return count_lines(bench.engine.update_crash_counts)
+
+
+def place_suspects(bench: EngineBench) -> int:
+    """Place tasks while the crashes that name them are not stored."""
+    return count_lines(lambda: bench.engine.place(bench.now))
+
+
+@pytest.mark.parametrize('count', [count_crashes, place_suspects])
+def test_crashes_of_many_workers_cost_in_proportion_to_their_tasks(
+    count: Callable[[EngineBench], int],
+) -> None:
+    costs = []
+    for workers in (20, 40):
+        bench = EngineBench(workers=workers, pools=1)
+        crash_workers(bench, 2 * workers)
+        costs.append(count(bench))
+    assert costs[1] <= MAX_GROWTH * costs[0]
+
+
+def test_stored_crashes_hold_no_task_back() -> None:
+    bench = EngineBench(workers=4, pools=1)
+    crash_workers(bench, 2)
+    engine = bench.engine
+    bench.now += RECOVERY_S
+    ends = engine.take_ends()
+    assert ends is not None
+    assert not bench.place()
+    engine.mark_ends_stored(ends)
+    engine.wake_pool('p0')
+    assert bench.place()
