List open crashes once for a command with tasks at fault

A command that gives up the jobs of many tasks holds the loop of each member that applies it, as the crash of several workers names hundreds of tasks at once. For each task at fault, all crashes under all tasks of all jobs were looked through and copied.

They are listed by incarnation at the first task at fault of a command, and those that the command records later are added, so that each crash is cleared where it was before.

test_record_of_tasks_at_fault_costs_in_proportion_to_their_number failed before (3.8 times the lines for twice the tasks); test_task_at_fault_explains_what_was_recorded_before_it passed before as well.

--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -45,6 +45,9 @@
 
 NO_LIMIT = Resources(0, 0)
 
+# Incarnations that have crashed under a task, and whether it was on trial.
+TaskCrashes = dict[Incarnation, bool]
+
 
 class Progress(msgspec.Struct):
     """Recorded progress of one step of one occurrence.
@@ -60,8 +63,8 @@
 
     done: set[int] = set()
     failures: dict[int, set[int]] = {}
-    crashes: dict[int, dict[Incarnation, bool]] = {}
-    losses: dict[int, dict[Incarnation, bool]] = {}
+    crashes: dict[int, TaskCrashes] = {}
+    losses: dict[int, TaskCrashes] = {}
 
     def is_done(self, index: int) -> bool:
         return index in self.done
@@ -149,6 +152,56 @@
     restarts: dict[str, int] = {}
 
 
+class _OpenCrashes:
+    """Crashes under the tasks of jobs that are not over, by incarnation.
+
+    They are listed once for a command, when it has the first task at fault:
+    the crash of many workers may have hundreds of these.
+    """
+
+    def __init__(self, jobs: Mapping[str, Job]) -> None:
+        self._jobs = jobs
+        self._found: dict[Incarnation, list[tuple[Job, TaskCrashes]]] | None
+        self._found = None
+
+    def add(self, job: Job, crash: CrashRecord) -> None:
+        """Note a crash that the command has just recorded."""
+        if self._found is None:
+            return
+        task = crash.task
+        progress = job.get_step_progress(task.occurrence, task.step)
+        crashes = progress.crashes.get(task.index)
+        if crashes is not None:
+            incarnation = (crash.worker, crash.born)
+            self._found.setdefault(incarnation, []).append((job, crashes))
+
+    def clear_explained(self, failed: Job, task: TaskId) -> None:
+        """Clear other tasks of the crashes that a task at fault explains.
+
+        What they did on trial stays recorded.
+        """
+        if self._found is None:
+            self._found = self._list()
+        progress = failed.get_step_progress(task.occurrence, task.step)
+        for incarnation in progress.crashes[task.index]:
+            for job, crashes in self._found.pop(incarnation, ()):
+                if not job.has_ended and not crashes.get(incarnation, True):
+                    del crashes[incarnation]
+
+    def _list(self) -> dict[Incarnation, list[tuple[Job, TaskCrashes]]]:
+        found: dict[Incarnation, list[tuple[Job, TaskCrashes]]] = {}
+        for job in self._jobs.values():
+            if job.has_ended:
+                continue
+            for entry in job.progress.values():
+                for crashes in entry.crashes.values():
+                    for incarnation in crashes:
+                        found.setdefault(incarnation, []).append(
+                            (job, crashes)
+                        )
+        return found
+
+
 CommandListener = Callable[[AnyCommand, bool], None]
 
 _encoder = msgspec.msgpack.Encoder()
@@ -374,10 +427,15 @@
             job = self._find_active_job(loss.task)
             if job is not None:
                 _record_loss(job, loss)
+        open_crashes = _OpenCrashes(self._tables.jobs)
         for crash in cmd.crashed:
             job = self._find_active_job(crash.task)
-            if job is not None and _record_crash(job, crash, cmd.now_ms):
-                self._clear_explained(job, crash.task)
+            if job is None:
+                continue
+            has_failed = _record_crash(job, crash, cmd.now_ms)
+            open_crashes.add(job, crash)
+            if has_failed:
+                open_crashes.clear_explained(job, crash.task)
         return True
 
     def _clear_losses(self, regained: tuple[Incarnation, ...]) -> None:
@@ -388,24 +446,6 @@
                     for incarnation in regained:
                         losses.pop(incarnation, None)
 
-    def _clear_explained(self, failed: Job, task: TaskId) -> None:
-        """Clear other tasks of the crashes that a task at fault explains.
-
-        What they did on trial stays recorded.
-        """
-        progress = failed.get_step_progress(task.occurrence, task.step)
-        explained = progress.crashes[task.index].keys()
-        for job in self._tables.jobs.values():
-            if job.has_ended:
-                continue
-            for entry in job.progress.values():
-                for index, crashes in list(entry.crashes.items()):
-                    entry.crashes[index] = {
-                        incarnation: on_trial
-                        for incarnation, on_trial in crashes.items()
-                        if on_trial or incarnation not in explained
-                    }
-
     def _find_active_job(self, task: TaskId) -> Job | None:
         job = self._tables.jobs.get(task.job)
         return job if job is not None and not job.has_ended else None
--- a/testing/jobs/test_loop_holds.py
+++ b/testing/jobs/test_loop_holds.py
@@ -11,6 +11,9 @@
 import pytest
 
 from bench.jobs import EngineBench
+from galenareel._jobs.commands import RecordEnds
+from galenareel._jobs.model import CrashRecord
+from galenareel._jobs.model import TaskId
 from galenareel._scheduling.proofs import RECOVERY_S
 from testing.jobs.pass_costs import LineCounter
 
@@ -62,6 +65,47 @@
     assert costs[1] <= MAX_GROWTH * costs[0]
 
 
+def record_at_fault(workers: int) -> int:
+    """Record a second crash of each task, in one command."""
+    bench = EngineBench(workers=workers, pools=1)
+    crash_workers(bench, 2 * workers)
+    ends = bench.engine.take_ends()
+    assert ends is not None
+    state = bench.state
+    state.apply_command(RecordEnds(crashed=tuple(ends.crashed), now_ms=1))
+    again = tuple(
+        CrashRecord(crash.task, 'other', 1, True) for crash in ends.crashed
+    )
+    return count_lines(
+        lambda: state.apply_command(RecordEnds(crashed=again, now_ms=2))
+    )
+
+
+def test_record_of_tasks_at_fault_costs_in_proportion_to_their_number() -> (
+    None
+):
+    assert record_at_fault(40) <= MAX_GROWTH * record_at_fault(20)
+
+
+def test_task_at_fault_explains_what_was_recorded_before_it() -> None:
+    bench = EngineBench(workers=1, pools=1)
+    bench.submit(3)
+    state = bench.state
+    before, fault, after = (
+        CrashRecord(TaskId(name, 0, 0, 0), 'w0', 1)
+        for name in ('j1', 'j2', 'j3')
+    )
+    on_trial = CrashRecord(fault.task, 'w1', 1, True)
+    state.apply_command(
+        RecordEnds(crashed=(before, fault, on_trial, after), now_ms=1)
+    )
+    assert state.jobs['j2'].failed
+    crashes = [
+        state.jobs[name].progress[0, 0].crashes[0] for name in ('j1', 'j3')
+    ]
+    assert crashes == [{}, {('w0', 1): False}]
+
+
 def test_stored_crashes_hold_no_task_back() -> None:
     bench = EngineBench(workers=4, pools=1)
     crash_workers(bench, 2)
