Find the unread workers of a job's pools once, not for each waiting step

After a change of leader, while workers are not read, planning, the sample of waits and placement passes asked for each waiting step of earlier jobs which unread workers are in its pools, and looked at all of them: thousands of steps times the workers that are cut off, several times a second, at the time when leaders lose office and everything waits anew.

The names are kept by the pools of a job, until a worker is read, retired or admitted again, perhaps in another pool. The answers are the same.

--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from galenareel._common.log import Log
 from galenareel._jobs.audit import TableAudit
@@ -153,15 +154,11 @@
                 self._place_pool(pool, now, budget)
         return budget.is_spent()
 
-    def _list_unread(self, work: JobWork) -> list[str]:
+    def _list_unread(self, work: JobWork) -> Sequence[str]:
         """Return the unread workers that hold back the tasks of a job."""
         if self._are_workers_read(work):
-            return []
-        return [
-            name
-            for name in self._unread_workers
-            if name in self.workers and self.workers[name].pool in work.pools
-        ]
+            return ()
+        return self._unread.list_names(work, self.workers)
 
     def list_held_steps(self, pool: PoolWork) -> list[StepWork]:
         """Return the waiting steps of a pool that wait for unread workers."""
--- a/src/galenareel/_jobs/holding.py
+++ b/src/galenareel/_jobs/holding.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 import enum
@@ -255,7 +256,7 @@
     def __init__(
         self,
         *,
-        list_unread: Callable[[JobWork], list[str]],
+        list_unread: Callable[[JobWork], Sequence[str]],
         has_quota: Callable[[StepWork, int, float], bool],
         log: Log,
         metrics: JobMetrics,
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -409,6 +409,7 @@
         usable = self._drop_false_room(record)
         self._report_capacity(worker, usable)
         worker.record = usable
+        self._unread.forget_pools()
         worker.awaits_record = usable is not record
         if record.draining and not worker.draining:
             worker.draining = True
@@ -474,6 +475,7 @@
         worker = create_worker(usable, self._tokens.latest, now)
         worker.awaits_record = usable is not record
         self.workers[record.name] = worker
+        self._unread.forget_pools()
         return worker
 
     def _drop_false_room(self, record: WorkerRecord) -> WorkerRecord:
--- a/src/galenareel/_jobs/unread_workers.py
+++ b/src/galenareel/_jobs/unread_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 from galenareel._jobs.former_runs import DoneTasks
 from galenareel._jobs.former_runs import FormerRuns
@@ -25,6 +26,8 @@
         self._former_runs = former_runs
         # By name, the record by which the previous leader placed tasks.
         self.records: dict[str, WorkerRecord] = {}
+        # By the pools of a job, the names of the unread workers there.
+        self._names: dict[tuple[str, ...], list[str]] = {}
 
     def discard(self, name: str) -> bool:
         """Note that the runs of a worker are known.
@@ -34,6 +37,7 @@
         if name not in self.records:
             return False
         del self.records[name]
+        self._names.clear()
         self._former_runs.expire_bounds()
         if not self.records:
             self._former_runs.clear()
@@ -48,11 +52,28 @@
         if not self.records:
             work.from_earlier_epoch = False
             return True
-        return not any(
-            workers[name].record.pool in work.pools
-            for name in self.records
-            if name in workers
-        )
+        return not self.list_names(work, workers)
+
+    def list_names(
+        self, work: JobWork, workers: Mapping[str, Worker]
+    ) -> Sequence[str]:
+        """Return the unread workers in the pools of a job.
+
+        Thousands of steps may wait for them, so the names are kept until
+        :meth:`discard` or :meth:`forget_pools` is called.
+        """
+        names = self._names.get(work.pools)
+        if names is None:
+            names = self._names[work.pools] = [
+                name
+                for name in self.records
+                if name in workers and workers[name].pool in work.pools
+            ]
+        return names
+
+    def forget_pools(self) -> None:
+        """Note that the pool of a worker may have changed."""
+        self._names.clear()
 
     def bound_usage(
         self,
--- a/testing/jobs/test_loop_holds.py
+++ b/testing/jobs/test_loop_holds.py
@@ -7,11 +7,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import io
 
+import msgspec
+from opentelemetry.metrics import NoOpMeter
 import pytest
 
 from bench.jobs import EngineBench
+from galenareel._common.log import Log
 from galenareel._jobs.commands import RecordEnds
+from galenareel._jobs.engine import Engine
+from galenareel._jobs.metrics import JobMetrics
 from galenareel._jobs.model import CrashRecord
 from galenareel._jobs.model import TaskId
 from galenareel._scheduling.proofs import RECOVERY_S
@@ -65,6 +71,62 @@
     assert costs[1] <= MAX_GROWTH * costs[0]
 
 
+def begin_term(workers: int, steps: int) -> EngineBench:
+    """Return the next leader, which has read the workers of one pool of two.
+
+    Steps wait there.
+    """
+    bench = EngineBench(workers=workers, pools=2)
+    bench.submit(2 * steps)
+    bench.engine = Engine(
+        bench.state,
+        epoch=2,
+        log=Log('test', level='error', stream=io.StringIO()),
+        metrics=JobMetrics(NoOpMeter('test')),
+        now=bench.now,
+    )
+    for name in list(bench.engine.workers)[::2]:
+        bench.apply_listing(name, ())
+    return bench
+
+
+def list_held(bench: EngineBench) -> int:
+    engine = bench.engine
+    pool = engine.get_pool('p0')
+    return count_lines(lambda: engine.list_held_steps(pool))
+
+
+def sample_waits(bench: EngineBench) -> int:
+    engine = bench.engine
+    workers = engine.workers.values()
+    now = bench.now + 1.0
+    return count_lines(lambda: engine.waits.sample(engine.pools, workers, now))
+
+
+@pytest.mark.parametrize('count', [list_held, sample_waits])
+def test_unread_workers_of_other_pools_are_not_counted_for_each_step(
+    count: Callable[[EngineBench], int],
+) -> None:
+    once = count(begin_term(40, 100))
+    assert count(begin_term(80, 200)) <= MAX_GROWTH * once
+
+
+def test_unread_worker_holds_tasks_of_the_pool_that_it_is_in() -> None:
+    bench = begin_term(4, 1)
+    engine = bench.engine
+    pools = [engine.get_pool(name) for name in ('p0', 'p1')]
+    assert [len(engine.list_held_steps(pool)) for pool in pools] == [0, 1]
+    for name in ('w1', 'w3'):
+        record = engine.workers[name].record
+        engine.admit_worker(
+            msgspec.structs.replace(record, pool='p0'), bench.now
+        )
+    assert [len(engine.list_held_steps(pool)) for pool in pools] == [1, 0]
+    engine.retire_worker('w1', 1, bench.now)
+    bench.apply_listing('w3', ())
+    assert [len(engine.list_held_steps(pool)) for pool in pools] == [0, 0]
+
+
 def record_at_fault(workers: int) -> int:
     """Record a second crash of each task, in one command."""
     bench = EngineBench(workers=workers, pools=1)
