Search once for a worker for each overdue step, not for each closed worker

While a wave closes workers and tasks are overdue, planning holds the loop of the leader ten times a second. For each closed instance it went through the overdue steps and for each of these through the open workers of all pools.

Which steps find no open worker doesn't depend on the closed instance, so it is found once for a pool; an instance that is opened takes the steps out that fit there.

test_search_for_needed_instances_grows_with_the_closed_ones failed before (3.5 times the lines for twice the workers); test_search_for_needed_instances_grows_with_the_overdue_steps passed before.

--- a/src/galenareel/_scheduling/waves.py
+++ b/src/galenareel/_scheduling/waves.py
@@ -83,34 +83,49 @@
     ]
     if not closing or not any(pool.overdue for pool in pools.values()):
         return opened
-    usable = [worker for worker in workers.values() if worker.is_open()]
+    needy: dict[str, list[StepWork]] = {}
     for instance in closing:
         worker = workers.get(instance.row.worker)
         if worker is None or not worker.may_open():
             continue
-        pool = pools.get(worker.pool)
-        if pool is None or not any(
-            is_overdue(step, now) and _needs(step, worker, usable)
-            for step in pool.overdue
-        ):
+        name = worker.pool
+        if name not in pools:
+            continue
+        if name not in needy:
+            needy[name] = _list_needy(pools[name], workers, now)
+        if not any(_fits(step, worker) for step in needy[name]):
             continue
         instance.closing_for = ''
         instance.not_before = max(instance.not_before, now + REOPENED_S)
         opened.append(instance)
-        usable.append(worker)
+        needy[name] = [
+            step
+            for step in needy[name]
+            if step.step.gang or not _fits(step, worker)
+        ]
     return opened
 
 
-def _needs(step: StepWork, closed: Worker, usable: Iterable[Worker]) -> bool:
-    """Return whether a task, or a gang, can't do without a closed worker.
+def _list_needy(
+    pool: PoolWork, workers: Mapping[str, Worker], now: float
+) -> list[StepWork]:
+    """Return the overdue steps of which no open worker has room for a task.
 
-    :param usable: workers that get tasks.
+    A gang may need more workers than one, so it is in any case among them.
     """
-    if not _fits(step, closed):
-        return False
-    return step.step.gang or not any(
-        worker.pool == closed.pool and _fits(step, worker) for worker in usable
-    )
+    usable = [
+        worker
+        for worker in workers.values()
+        if worker.pool == pool.name and worker.is_open()
+    ]
+    return [
+        step
+        for step in pool.overdue
+        if is_overdue(step, now)
+        and (
+            step.step.gang or not any(_fits(step, worker) for worker in usable)
+        )
+    ]
 
 
 def _fits(work: StepWork, worker: Worker) -> bool:
--- a/testing/jobs/test_loop_holds.py
+++ b/testing/jobs/test_loop_holds.py
@@ -15,12 +15,19 @@
 
 from bench.jobs import EngineBench
 from galenareel._common.log import Log
+from galenareel._jobs.clients import InstanceRow
+from galenareel._jobs.clients import InstanceState
 from galenareel._jobs.commands import RecordEnds
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.metrics import JobMetrics
 from galenareel._jobs.model import CrashRecord
 from galenareel._jobs.model import TaskId
+from galenareel._scheduling.instances import FleetTables
+from galenareel._scheduling.instances import Instance
+from galenareel._scheduling.instances import WAVE
 from galenareel._scheduling.proofs import RECOVERY_S
+from galenareel._scheduling.quiet import MAX_CAUTION_S
+from galenareel._scheduling.waves import reopen_needed
 from testing.jobs.pass_costs import LineCounter
 
 # Twice the entries cost twice as much, with some room for what does not grow.
@@ -127,6 +134,49 @@
     assert [len(engine.list_held_steps(pool)) for pool in pools] == [0, 0]
 
 
+def reopen_instances(workers: int, steps: int) -> int:
+    """Look for closed instances that overdue steps need; they need none."""
+    bench = EngineBench(workers=workers, pools=1)
+    bench.submit(steps)
+    engine = bench.engine
+    tables = FleetTables()
+    for number, worker in enumerate(engine.workers.values()):
+        worker.closing_for = WAVE if number < workers // 3 else ''
+        row = InstanceRow(
+            name=f'm{number}',
+            pool=worker.pool,
+            state=InstanceState.UP,
+            zone='a',
+            rack='r',
+            labels=(),
+            resources=worker.record.resources,
+            worker=worker.name,
+        )
+        tables.instances[row.name] = Instance(
+            row=row, listed_at=0.0, closing_for=worker.closing_for
+        )
+    # The last worker is the only open one with room.
+    for worker in list(engine.workers.values())[workers // 3 : -1]:
+        worker.unsized_runs = 1
+    pool = engine.get_pool('p0')
+    for step in pool.waiting.values():
+        step.quiet_since = step.ready_at = bench.now - MAX_CAUTION_S
+        pool.overdue.append(step)
+    counter = LineCounter()
+    with counter.install():
+        opened = reopen_needed(tables, engine.pools, engine.workers, bench.now)
+    assert not opened
+    return counter.lines
+
+
+def test_search_for_needed_instances_grows_with_the_overdue_steps() -> None:
+    assert reopen_instances(30, 40) <= MAX_GROWTH * reopen_instances(30, 20)
+
+
+def test_search_for_needed_instances_grows_with_the_closed_ones() -> None:
+    assert reopen_instances(60, 30) <= MAX_GROWTH * reopen_instances(30, 30)
+
+
 def record_at_fault(workers: int) -> int:
     """Record a second crash of each task, in one command."""
     bench = EngineBench(workers=workers, pools=1)
