Restore the recent arrivals in slices, as the jobs are loaded

A new leader would lose office again right after it has loaded its jobs: their last slice planned all jobs that had arrived in the last 6 s of the former leader in one call, without a bound.

They follow the jobs in slices of the same size. Their times count from the first of these calls, so that the forecast has what it had before.

--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -159,14 +159,17 @@
         self._silent_leases = SilentLeases(state, self.workers, now)
         self.is_loaded = False
         self._unloaded = deque(state.jobs)
+        # Arrivals that the forecast lacks; ``None`` before the jobs are added.
+        self._unrestored: deque[tuple[Job, float]] | None = None
         while loads_jobs and not self.is_loaded:
             self.load_jobs(now)
 
     def load_jobs(self, now: float) -> None:
         """Add the next jobs of earlier epochs, and set ``is_loaded`` at last.
 
-        A call adds about ``LOADED_ENTRIES`` entries. Between the calls, the
-        caller lets others run, as the lease of the leader runs out otherwise.
+        Their arrivals follow them. A call adds about ``LOADED_ENTRIES``
+        entries. Between the calls, the caller lets others run, as the lease of
+        the leader runs out otherwise.
         """
         entries = 0
         while self._unloaded and entries < LOADED_ENTRIES:
@@ -177,18 +180,26 @@
             self.add_job(job, now, from_earlier_epoch=True)
             self._crashes.collect_losses(job)
             entries += len(job.progress)
-        if not self._unloaded and not self.is_loaded:
+        if self._unloaded or self.is_loaded:
+            return
+        if self._unrestored is None:
+            self._unrestored = self._list_arrivals(now)
+        while self._unrestored and entries < LOADED_ENTRIES:
+            entries += 1
+            self._restore_arrival(*self._unrestored.popleft())
+        if not self._unrestored:
             self.is_loaded = True
-            self._restore_arrivals(now)
             self._crashes.restore_losses(now)
             for worker in self.workers.values():
                 expect_first_answer(worker, now)
 
-    def _restore_arrivals(self, now: float) -> None:
-        """Count the last arrivals of the previous leader as those until now.
+    def _list_arrivals(self, now: float) -> deque[tuple[Job, float]]:
+        """Return the last arrivals of the previous leader, the oldest first.
 
-        While nobody led none could arrive, so the load is expected to go on as
-        it was before.
+        They count as those until now. While nobody led none could arrive, so
+        the load is expected to go on as it was before.
+
+        :returns: jobs, and the local time at which each counts as accepted.
         """
         latest_ms = self._state.previous_leader_ms
         recent = [
@@ -198,14 +209,19 @@
             and not job.cancelled
             and not job.request.repetitions
         ]
-        for job in sorted(recent, key=lambda job: job.accepted_ms):
-            age_s = max(latest_ms - job.accepted_ms, 0) / 1000
-            work = create_job_work(
-                job, self.find_queue(job), now - age_s, from_earlier_epoch=True
-            )
-            if not work.lasting:
-                self.estimates.plan_job(work, job.request)
-                self._get_job_pool(work).arrivals.append(work)
+        recent.sort(key=lambda job: job.accepted_ms)
+        return deque(
+            (job, now - max(latest_ms - job.accepted_ms, 0) / 1000)
+            for job in recent
+        )
+
+    def _restore_arrival(self, job: Job, accepted_at: float) -> None:
+        work = create_job_work(
+            job, self.find_queue(job), accepted_at, from_earlier_epoch=True
+        )
+        if not work.lasting:
+            self.estimates.plan_job(work, job.request)
+            self._get_job_pool(work).arrivals.append(work)
 
     @property
     def pools(self) -> dict[str, PoolWork]:
--- a/testing/jobs/test_take_over_load.py
+++ b/testing/jobs/test_take_over_load.py
@@ -26,6 +26,7 @@
 from galenareel._jobs.occurrences import MAX_OPENED_PER_PASS
 from galenareel._jobs.state import JobState
 from galenareel._jobs.tables import LOADED_ENTRIES
+from galenareel._scheduling.tables import JobWork
 from testing.jobs.harness import Harness
 from testing.jobs.harness import TASK
 from testing.jobs.harness import WALL_MS
@@ -182,6 +183,33 @@
     assert len(engine.jobs) == count
 
 
+def test_recent_arrivals_are_restored_in_slices(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    harness = start_with_worker()
+    count = 2 * LOADED_ENTRIES + 50
+    add_plain_jobs(harness.state, count)
+    engine = open_engine(harness.state)
+    planned: list[str] = []
+    plan_job = engine.estimates.plan_job
+
+    def record_plan(work: JobWork, req: JobRequest) -> None:
+        planned.append(work.name)
+        plan_job(work, req)
+
+    monkeypatch.setattr(engine.estimates, 'plan_job', record_plan)
+    now = 100.0
+    while not engine.is_loaded:
+        planned.clear()
+        engine.load_jobs(now)
+        now += 0.01
+        assert len(planned) <= LOADED_ENTRIES
+    (pool,) = engine.pools.values()
+    names = [f'p{number}' for number in range(count)]
+    assert [job.name for job in pool.arrivals] == names
+    assert len({job.accepted_at for job in pool.arrivals}) == 1
+
+
 def test_slice_counts_the_progress_of_a_job() -> None:
     harness = start_with_worker()
     for number in range(5):
