Bound the runs that one round of housekeeping releases for expired leases

When many workers are cut off together, their leases run out together, and the leader released all their runs in one call: each is logged and queued again, about 0.05 ms a run. Held for that long, and busy besides, it may lose its own lease, and everything waits anew.

A lease may count as running for longer: nothing of it is started elsewhere meanwhile.

--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -21,6 +21,9 @@
 ANSWER_GRACE_S = 0.4
 # After a longer silence a worker's last report is too old to start tasks by.
 MAX_REPORT_GAP_S = 2.0
+# Runs after which the leases of further workers are left to the next call.
+# With their log lines, releasing these takes the leader about 50 ms.
+MAX_RELEASED_RUNS = 1000
 
 
 class Leases(EngineTables):
@@ -192,7 +195,12 @@
         return off_ms > MAX_ANSWER_DELAY_MS + elapsed_ms * (1 - MIN_CLOCK_RATE)
 
     def _detect_silence(self, now: float) -> None:
-        """Detect silent workers, and expire the leases that have run out."""
+        """Detect silent workers, and expire the leases that have run out.
+
+        When many of them run out together, as after a cut of the network, the
+        next calls go on. A lease may count as running for longer.
+        """
+        released = 0
         for worker in self.workers.values():
             is_late = now > worker.answer_due + ANSWER_GRACE_S
             is_silent = worker.awaits_answer and is_late
@@ -207,7 +215,10 @@
             if (
                 worker.silent_since is not None
                 and now >= worker.lease_expires_at
+                and released < MAX_RELEASED_RUNS
             ):
+                if not worker.lease_expired:
+                    released += len(worker.runs)
                 self._expire_lease(worker, now)
 
     def _expire_lease(self, worker: Worker, now: float) -> None:
--- a/testing/jobs/test_loop_holds.py
+++ b/testing/jobs/test_loop_holds.py
@@ -19,6 +19,7 @@
 from galenareel._jobs.clients import InstanceState
 from galenareel._jobs.commands import RecordEnds
 from galenareel._jobs.engine import Engine
+from galenareel._jobs.leases import MAX_RELEASED_RUNS
 from galenareel._jobs.metrics import JobMetrics
 from galenareel._jobs.model import CrashRecord
 from galenareel._jobs.model import TaskId
@@ -177,6 +178,30 @@
     assert reopen_instances(60, 30) <= MAX_GROWTH * reopen_instances(30, 30)
 
 
+def test_leases_that_end_together_are_handled_in_slices() -> None:
+    bench = EngineBench(workers=200, pools=1)
+    engine = bench.engine
+    bench.submit(400)
+    for work in engine.jobs.values():
+        work.proven = True
+    bench.confirm_runs(bench.place())
+    workers = list(engine.workers.values())
+    for worker in workers:
+        worker.silent_since = worker.lease_expires_at = bench.now
+    largest = max(len(worker.runs) for worker in workers)
+    left = sum(len(worker.runs) for worker in workers)
+    assert left > 3 * MAX_RELEASED_RUNS
+    while left:
+        before = left
+        engine.housekeep(bench.now, 0)
+        left = sum(len(worker.runs) for worker in workers)
+        released = before - left
+        assert 0 < released < MAX_RELEASED_RUNS + largest
+        assert left == 0 or released >= MAX_RELEASED_RUNS
+    engine.housekeep(bench.now, 0)
+    assert all(worker.lease_expired for worker in workers)
+
+
 def record_at_fault(workers: int) -> int:
     """Record a second crash of each task, in one command."""
     bench = EngineBench(workers=workers, pools=1)
