Record no job that an earlier leader may have started

A job is recorded only if it never had a run: it was accepted in this term, or the leader before had recorded it. By induction no leader has ever ordered a start of it. What lists of workers would end such a record is not needed then.

--- a/src/galenareel/_jobs/idle_jobs.py
+++ b/src/galenareel/_jobs/idle_jobs.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -47,22 +46,15 @@
     """Jobs that the leader of one epoch has recorded as idle.
 
     :param jobs: entries of the accepted jobs, by name.
-    :param are_workers_read: returns whether no worker that was not read yet
-        may run tasks of a job.
     """
 
-    def __init__(
-        self,
-        jobs: Mapping[str, JobWork],
-        are_workers_read: Callable[[JobWork], bool],
-    ) -> None:
+    def __init__(self, jobs: Mapping[str, JobWork]) -> None:
         self._jobs = jobs
-        self._are_workers_read = are_workers_read
         # Those whose record had no result are in the first set only. It may
         # be stored all the same, so that their starts are kept back as well.
         self._proposed: set[str] = set()
         self._stored: set[str] = set()
-        # Jobs whose records are to end, with the starts that wait for it.
+        # By job, the starts that wait for the end of its record.
         self._ending: dict[str, list[StartTask]] = {}
         self._due = 0.0
 
@@ -77,13 +69,8 @@
         self._ending.setdefault(name, []).append(order)
         return True
 
-    def end(self, name: str) -> None:
-        """End the record of a job that a worker turns out to have run."""
-        if name in self._proposed:
-            self._ending.setdefault(name, [])
-
-    def is_ending(self) -> bool:
-        """Return whether records are to end."""
+    def has_deferred(self) -> bool:
+        """Return whether starts wait for the end of a record."""
         return bool(self._ending)
 
     def update(
@@ -129,7 +116,6 @@
             if step.job.name not in self._stored
             and step.job.name not in self._ending
             and _is_idle(step, now)
-            and self._are_workers_read(step.job)
         }
         # Those that were proposed before are counted in the limit already.
         room = MAX_IDLE_JOBS - len(self._proposed - names.keys())
@@ -148,12 +134,12 @@
 
 
 def _is_idle(step: StepWork, now: float) -> bool:
-    """Return whether a job has waited for a while, and has had no run.
+    """Return whether a job has waited for a while, and never had a run.
 
-    One that had a run may have ends that are not stored yet.
+    The end of a run may be known only to its worker, also after its lease.
     """
     job = step.job
-    if job.started or job.has_failed:
+    if job.started or job.may_have_run or job.has_failed:
         return False
     if job.next_occurrence:
         return False  # a timed job, whose occurrences come and go
--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -241,7 +241,6 @@
         if not has_task(job, task) or job is None or work is None:
             self._stop_unwanted(worker, task, row.number, job, 'job_over', now)
             return None
-        self._note_started(work)
         step = self._step_work(job, task.occurrence, task.step)
         known_runs = step.runs.get(task.index, [])
         finished = self._done[task.job].get((task.occurrence, task.step), ())
@@ -261,6 +260,7 @@
             self._former_runs.add_found(run)
         run.state = RunState.RUNNING
         step.waiting.discard(task.index)
+        work.started = True
         return run
 
     def _is_outdated(
@@ -364,7 +364,6 @@
         work = self.jobs.get(task.job)
         if work is None or job is None or not has_task(job, task):
             return
-        self._note_started(work)
         step = self._step_work(job, task.occurrence, task.step)
         step.last_run[task.index] = max(
             step.last_run.get(task.index, 0), end.number
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -131,7 +131,7 @@
         self._former_runs = FormerRuns(state, copies=policy.lookahead)
         self._unread = UnreadWorkers(state, self._former_runs)
         self._unread_workers = self._unread.records
-        self._idle_jobs = IdleJobs(self.jobs, self._are_workers_read)
+        self._idle_jobs = IdleJobs(self.jobs)
         self._tokens = WorkerTokens(epoch, log)
         # By name, the time at which a worker was retired.
         self._retired_names: dict[str, float] = {}
@@ -287,6 +287,7 @@
             now,
             from_earlier_epoch=from_earlier_epoch and not job.idle,
         )
+        work.may_have_run = work.from_earlier_epoch
         self.jobs[job.name] = work
         self._done[job.name] = {
             key: set(progress.done) for key, progress in job.progress.items()
@@ -570,11 +571,6 @@
         """Return the records of leases to be stored, or ``None``."""
         return self._silent_leases.update(self._unread_workers, now)
 
-    def _note_started(self, work: JobWork) -> None:
-        """Note that a worker has listed a run of a job."""
-        work.started = True
-        self._idle_jobs.end(work.name)
-
     def update_idle_jobs(self, now: float) -> IdleRecord | None:
         """Return what is to be stored of jobs without a run, or ``None``."""
         return self._idle_jobs.update(self.pools.values(), now)
@@ -585,7 +581,7 @@
 
     def has_deferred_starts(self) -> bool:
         """Return whether starts wait for the end of such a record."""
-        return self._idle_jobs.is_ending()
+        return self._idle_jobs.has_deferred()
 
     def find_settled_restarts(self, now: float) -> tuple[Incarnation, ...]:
         """Return the restarts whose records are not needed any more."""
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -539,6 +539,8 @@
     :param planned_path_s: ``critical_path_s`` when it was accepted.
     :param from_earlier_epoch: accepted before this epoch, so workers that
         have not been read may run its tasks.
+    :param may_have_run: an earlier leader may have started its tasks. This
+        stays, as their ends may be known only to workers that were given up.
     :param pools: pools whose workers may run its tasks.
     :param workspace: its owner, or empty.
     :param beyond_rate: its workspace had submitted too many jobs before it.
@@ -564,6 +566,7 @@
     planned_path_s: float = 0.0
     lasting: bool = False
     from_earlier_epoch: bool = False
+    may_have_run: bool = False
     started: bool = False
     pools: tuple[str, ...] = ()
     workspace: str = ''
--- a/testing/jobs/test_idle_jobs.py
+++ b/testing/jobs/test_idle_jobs.py
@@ -279,6 +279,7 @@
 def test_leader_records_a_job_that_waits_and_then_starts_it(
     running: RunningLeader,
 ) -> None:
+    eventually(lambda: running.leader.engine is not None)
     room = running.workers['w1'].resources
     whole = Step(
         count=2, cpu=room.cpu, memory_mb=64, estimate_ms=10**6, per_worker=1
--- a/testing/jobs/test_idle_records.py
+++ b/testing/jobs/test_idle_records.py
@@ -90,21 +90,23 @@
     assert len(command) <= MAX_COMMAND_BYTES
 
 
-def test_late_end_of_an_earlier_run_ends_the_record() -> None:
-    """A worker comes back after its lease with the end of a job's only run."""
+def test_end_on_a_worker_that_was_given_up_is_read_before_a_start() -> None:
+    """The worker of the only run comes back as the leader changes again."""
     harness = make_full()
     harness.submit('j', make_job(WHOLE_WORKER))
     harness.cancel('long0')
     harness.pass_time(0.5)
     (task,) = (name for name in harness.list_running() if name[0] == 'j')
     ran = harness.find_worker(task)
+    (other,) = (w for w in harness.workers.values() if w is not ran)
     ran.end(task, EndKind.DONE)
     lose(harness, ran.name)
     harness.take_over('c2')
-    # No other worker has room, so that the job is recorded as idle.
     harness.pass_time(UNREAD_S + RECORD_AFTER_S + 1.0)
-    assert harness.state.jobs['j'].idle
+    assert not harness.state.jobs['j'].idle
+    harness.take_over('c3')
+    harness.cancel('long1')
+    harness.pass_time(0.3)
     harness.cut_off.clear()
     harness.pass_time(1.0)
-    assert not harness.state.jobs['j'].idle
-    assert harness.state.jobs['j'].has_ended
+    assert task not in [name for name, _ in other.starts]
