Give room that is freed during a pass to the jobs of the highest rank

If its pool has changed, the next call first tries the others again, in their order, in half of its time.

Likewise the tasks of an overdue step that a call did not get to are tried by the next one, instead of with the next search for overdue steps.

test_room_that_is_freed_during_a_pass_goes_to_the_highest_rank fails without the change.

--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -41,6 +41,8 @@
         call. What changes meanwhile lets another pass follow.
         """
         progress = pool.interrupted
+        # Room that became free meanwhile goes to the jobs of the highest rank.
+        tries_again = progress is not None and pool.dirty
         pool.interrupted = None
         if progress is None:
             progress = PassProgress()
@@ -85,7 +87,11 @@
             progress.suspects.add(key)
             self._place_suspects(pool, step, candidates, members, now)
         for work in works:
-            if work.name in progress.jobs or not self._may_place(work):
+            if not self._may_place(work):
+                continue
+            if work.name in progress.jobs and not (
+                tries_again and budget.is_half_left()
+            ):
                 continue
             if budget.is_spent():
                 pool.interrupted = progress
@@ -141,8 +147,13 @@
                 pool.interrupted = progress
                 pool.has_new_overdue = True
                 return
+            if not self._waive_cautions(
+                pool, step, candidates, members, now, budget
+            ):
+                pool.interrupted = progress
+                pool.has_new_overdue = True
+                return
             progress.overdue.add(self._step_key(step))
-            self._waive_cautions(pool, step, candidates, members, now, budget)
 
     def _waive_cautions(
         self,
@@ -152,12 +163,13 @@
         members: list[Worker],
         now: float,
         budget: PassBudget,
-    ) -> None:
+    ) -> bool:
+        """Place the tasks of an overdue step, as :meth:`_place_step` does."""
         waiting = len(step.waiting)
         waited_s = get_longest_quiet_wait_s(step, now)
         if step.crashes:
             self._place_suspects(pool, step, candidates, members, now)
-        self._place_step(pool, step, candidates, now, budget)
+        is_over = self._place_step(pool, step, candidates, now, budget)
         started = waiting - len(step.waiting)
         if not step.waiting:
             pool.waiting.pop(self._step_key(step), None)
@@ -169,6 +181,7 @@
                 started=started,
                 waited_s=round(waited_s, 2),
             )
+        return is_over
 
     def _may_place(self, work: JobWork) -> bool:
         return not work.has_failed and self._are_workers_read(work)
--- a/src/galenareel/_scheduling/budgets.py
+++ b/src/galenareel/_scheduling/budgets.py
@@ -42,6 +42,12 @@
         if self._deadline is None and self._read_clock is not None:
             self._deadline = self._read_clock() + self._max_s
 
+    def is_half_left(self) -> bool:
+        """Return whether at least half of the time is left."""
+        if self._deadline is None or self._read_clock is None:
+            return True
+        return self._read_clock() < self._deadline - self._max_s / 2
+
     def is_spent(self) -> bool:
         """Return whether the call is to end."""
         if len(self._orders) >= self._limit:
--- a/testing/jobs/test_long_passes.py
+++ b/testing/jobs/test_long_passes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
 
 from bench.jobs import EngineBench
@@ -120,3 +122,22 @@
                 }
             )
     assert set().union(*pools[:2]) == {'p0', 'p1'}
+
+
+def test_room_that_is_freed_during_a_pass_goes_to_the_highest_rank() -> None:
+    bench = EngineBench(workers=1, pools=1)
+    for number in range(4):
+        estimate_ms = 640 + number  # less work goes first
+        bench.submit(1, Step(count=1, cpu=32000, estimate_ms=estimate_ms))
+    running = bench.place()
+    assert [order.run.task.job for order in running] == ['j1']
+    engine = bench.engine
+    # Each call tries two jobs.
+    times = itertools.count(step=0.4 * MAX_PASS_S)
+    engine.get_pool(POOL).dirty = True
+    assert engine.place(bench.now, lambda: next(times))
+    bench.finish_runs(running)
+    assert engine.place(bench.now, lambda: next(times))
+    (order,) = engine.take_orders()
+    assert isinstance(order, StartTask)
+    assert order.run.task.job == 'j2'
