Tests: tell commands of the leader from those of a refused operation

What callers saw: nothing, the programs are unchanged.

Cause: the check took any commit for one of the operation. The fixture hands over a system that is answering but whose leader still decides. Its first decisions bring index 25 to 30: two moves and the start of the wave of examples/abay.yaml. PAUSE_AFTER_S (2.0 s) after that it pauses the wave, as lots lacks instances, which is index 31 (SetWaveState). The malformed body is refused by the entry, before it reaches control. test_request_with_a_wrong_secret_is_refused had the same check.

The new check reads the log that the members store, from the first reading of the index to the claim of a request with a key, which is sent after the refusal. So all that was proposed before the refusal precedes the claim, also if nobody waited for its commit. It fails on any command that the leader doesn't propose by itself, on changes of the members, and on a registration of the instance that these tests announce. If only commands of the leader are found, the requests are sent again, until a reading has no command at all, so commands of these kinds that come with each operation are found too. Another test asks that an accepted operation is seen in this log.

--- a/testing/programs/harness.py
+++ b/testing/programs/harness.py
@@ -17,6 +17,11 @@
 from demo.topology import make_fleet_plan
 from demo.topology import make_topology
 from demo.topology import Topology
+from galenareel._consensus.blocks import read_blocks
+from galenareel._consensus.records import Entry
+from galenareel._consensus.segments import EntriesOp
+from galenareel._consensus.segments import Op
+from galenareel._consensus.segments import SEGMENT_PREFIX
 from galenareel._document.reading import read_environment
 from testing.standins.http import Answer
 from testing.standins.http import send_request
@@ -48,8 +53,30 @@
         assert result.status == 0, result.output
         return result.json()
 
-    def send_request(self, path: str, body: bytes = b'x') -> Answer:
+    def read_log(self, *, after: int) -> list[Entry]:
+        """Return the log entries with a higher index that any member stores.
+
+        Entries are included that were never committed, or replaced by those
+        of another leader.
+        """
+        entries = {
+            entry
+            for control in self.topology.controls
+            for entry in read_stored_entries(self.folder / control.name)
+            if entry.index > after
+        }
+        return sorted(entries, key=lambda entry: (entry.index, entry.term))
+
+    def send_request(
+        self, path: str, body: bytes = b'x', *, key: str = ''
+    ) -> Answer:
+        """Send a request of a caller.
+
+        :param key: idempotency key; none if empty.
+        """
         headers = {'Galenareel-Caller': 'broker-1'}
+        if key:
+            headers['Idempotency-Key'] = key
         return send_request(
             self.entry.callers, 'POST', path, headers=headers, body=body
         )
@@ -65,6 +92,19 @@
         )
 
 
+def read_stored_entries(folder: Path) -> Iterator[Entry]:
+    """Yield all entries in the log segments of a control member.
+
+    The member may be running: a block that it is writing is left out.
+    """
+    for path in sorted(folder.glob(f'{SEGMENT_PREFIX}*')):
+        blocks, _ = read_blocks(path.name, path.read_bytes())
+        for block in blocks:
+            for op in msgspec.msgpack.decode(block.body, type=list[Op]):
+                if isinstance(op, EntriesOp):
+                    yield from op.entries
+
+
 def wait_until(
     is_true: Callable[[], bool], what: str, *, limit_s: float = START_LIMIT_S
 ) -> None:
--- a/testing/programs/test_bad_input.py
+++ b/testing/programs/test_bad_input.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from pathlib import Path
 import signal
@@ -13,6 +14,7 @@
 import subprocess
 import sys
 import time
+import uuid
 
 import msgspec
 import pytest
@@ -21,10 +23,14 @@
 from demo.topology import make_topology
 from demo.topology import Topology
 from galenareel._common.frames import parse_address
+from galenareel._consensus.records import Entry
+from galenareel._consensus.records import EntryKind
 from galenareel._document.reading import read_environment
+from galenareel._state import commands as c
 from testing.programs.harness import EXAMPLE
 from testing.programs.harness import run_system
 from testing.programs.harness import RunningSystem
+from testing.programs.harness import wait_until
 from testing.programs.harness import WORK
 from testing.standins.http import send_request
 from testing.standins.records import BackendEvent
@@ -35,6 +41,33 @@
 END_LIMIT_S = 10.0
 BODY_LIMIT = 1 << 20
 
+NEW_INSTANCE = 'addis-1/new'
+# Starts the idempotency keys of the requests that end the reading of the log.
+KEY_PREFIX = 'end-of-reading-'
+
+# Commands that the leader proposes by itself, after what the entries report
+# of the fleet. They may be committed at any time.
+LEADER_COMMANDS = (
+    c.RegisterInstance,
+    c.MarkLost,
+    c.AssignHome,
+    c.BeginHandover,
+    c.BeginMove,
+    c.FinishMove,
+    c.AbortMove,
+    c.BeginMaintenance,
+    c.StartReboot,
+    c.FinishMaintenance,
+    c.AbortMaintenance,
+    c.FailMaintenance,
+    c.EjectInstance,
+    c.ReturnInstance,
+    c.BeginWave,
+    c.SetWaveState,
+    c.SetZoneCut,
+    c.ExpireClaims,
+)
+
 
 @pytest.fixture(scope='module')
 def system(
@@ -44,6 +77,66 @@
         yield system
 
 
+def read_commands(
+    system: RunningSystem, *, after: int
+) -> list[c.AnyCommand | Entry]:
+    """Return the commands in the log after an index, and changes of members.
+
+    A request with a key is sent first. Its claim follows in the log on all
+    that was proposed before, so nothing of that is missed. Such claims are
+    left out; that of an earlier reading may be settled only after its answer.
+    """
+    key = f'{KEY_PREFIX}{uuid.uuid4().hex}'
+    path = WORK.build_path('/lots')
+    wait_until(
+        lambda: system.send_request(path, key=key).status == 200, 'answer'
+    )
+    has_claim = False
+    found: list[c.AnyCommand | Entry] = []
+    for entry in system.read_log(after=after):
+        if entry.kind is EntryKind.MEMBERSHIP:
+            found.append(entry)
+        if entry.kind is not EntryKind.COMMAND:
+            continue
+        command = c.decode(entry.data)
+        if isinstance(
+            command, c.ClaimKey | c.SettleKey
+        ) and command.key.startswith(KEY_PREFIX):
+            has_claim |= command.key == key
+        else:
+            found.append(command)
+    assert has_claim, 'the log that was read lacks the claim of the key'
+    return found
+
+
+def is_of_leader(command: c.AnyCommand | Entry) -> bool:
+    """Return whether the leader may have proposed a command by itself."""
+    if isinstance(command, c.RegisterInstance):
+        return command.instance != NEW_INSTANCE
+    return isinstance(command, LEADER_COMMANDS)
+
+
+def check_commits_nothing(
+    system: RunningSystem, send: Callable[[], None]
+) -> None:
+    """Check that requests bring nothing into the log.
+
+    The leader may commit commands of its own meanwhile. The requests are then
+    sent again, until a reading is without any command.
+
+    :param send: sends the requests and checks their answers.
+    """
+
+    def is_log_unchanged() -> bool:
+        before = system.read_status()['index']
+        send()
+        commands = read_commands(system, after=before)
+        assert [each for each in commands if not is_of_leader(each)] == []
+        return not commands
+
+    wait_until(is_log_unchanged, 'reading without a command')
+
+
 @pytest.mark.parametrize(
     'body',
     [
@@ -86,20 +179,21 @@
 
 
 def test_request_with_a_wrong_secret_is_refused(system: RunningSystem) -> None:
-    before = system.read_status()['index']
-    body = b'{"instance": "addis-1/new"}'
-    assert system.announce(body, secret='not the secret').status == 401
-    for operation in ('submit', 'promote', 'members', 'events', 'status'):
-        answer = send_request(
-            system.entry.operators,
-            'POST',
-            f'/v1/operations/{operation}',
-            headers={'Authorization': 'Bearer not the secret'},
-            body=b'{"text": ""}',
-        )
-        assert answer.status == 401
-        assert system.topology.secrets['operator'] not in str(answer)
-    assert system.read_status()['index'] == before
+    def send() -> None:
+        body = b'{"instance": "addis-1/new"}'
+        assert system.announce(body, secret='not the secret').status == 401
+        for operation in ('submit', 'promote', 'members', 'events', 'status'):
+            answer = send_request(
+                system.entry.operators,
+                'POST',
+                f'/v1/operations/{operation}',
+                headers={'Authorization': 'Bearer not the secret'},
+                body=b'{"text": ""}',
+            )
+            assert answer.status == 401
+            assert system.topology.secrets['operator'] not in str(answer)
+
+    check_commits_nothing(system, send)
 
 
 def test_request_with_a_too_large_body_is_not_run(
@@ -129,18 +223,28 @@
 def test_malformed_operation_is_refused(
     system: RunningSystem, body: bytes
 ) -> None:
+    secret = system.topology.secrets['operator']
+
+    def send() -> None:
+        answer = send_request(
+            system.entry.operators,
+            'POST',
+            '/v1/operations/submit',
+            headers={'Authorization': f'Bearer {secret}'},
+            body=body,
+        )
+        assert 400 <= answer.status < 500
+
+    check_commits_nothing(system, send)
+
+
+def test_accepted_operation_is_in_the_log(system: RunningSystem) -> None:
+    """Guards against tests of refused operations that read no log."""
     before = system.read_status()['index']
-    answer = send_request(
-        system.entry.operators,
-        'POST',
-        '/v1/operations/submit',
-        headers={
-            'Authorization': f'Bearer {system.topology.secrets["operator"]}'
-        },
-        body=body,
-    )
-    assert 400 <= answer.status < 500
-    assert system.read_status()['index'] == before
+    assert system.operator.run('submit', str(EXAMPLE)).status == 0
+    commands = read_commands(system, after=before)
+    kinds = {type(each) for each in commands if not is_of_leader(each)}
+    assert kinds == {c.SubmitDocument}
 
 
 def test_invalid_document_is_refused_with_findings(
