Place the runs of workers that go while their starts are kept back again

Once the record has ended, a start is sent only if its run is still wanted and the worker may hold a lease; otherwise the run is placed again at once.

--- a/src/galenareel/_jobs/answers.py
+++ b/src/galenareel/_jobs/answers.py
@@ -4,6 +4,7 @@
 
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Outcome
+from galenareel._jobs.idle_jobs import IdleRecord
 from galenareel._jobs.leases import ANSWER_GRACE_S
 from galenareel._jobs.listings import avoid_worker
 from galenareel._jobs.listings import Listings
@@ -63,6 +64,24 @@
             self.handle_start_answer(run, answer, now)
         return False
 
+    def confirm_idle_jobs(self, record: IdleRecord, now: float) -> None:
+        """Note that a record is stored, and send the starts that waited.
+
+        A worker may have gone meanwhile, so that its runs are placed again.
+        """
+        for order in self._idle_jobs.confirm(record):
+            run = order.run
+            if (
+                run.worker.runs.get(run.key) is not run
+                or run.state is not RunState.ORDERED
+            ):
+                continue
+            if self._may_hold_lease(run.worker):
+                self._orders.append(order)
+            else:
+                answer = Answer(outcome=Outcome.NOT_SENT)
+                self.handle_start_answer(run, answer, now)
+
     def handle_start_answer(
         self, run: Run, answer: Answer, now: float
     ) -> None:
--- a/src/galenareel/_jobs/load_records.py
+++ b/src/galenareel/_jobs/load_records.py
@@ -27,6 +27,7 @@
     :param propose: commits a command and returns its result or error.
     :param fail: ends the term because of an unexpected error.
     :param wake: lets the term send the orders that a record has held back.
+    :param read_clock: returns the monotonic time in seconds.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         propose: Callable[[AnyCommand], Any],
         fail: Callable[[BaseException], None],
         wake: Callable[[], None],
+        read_clock: Callable[[], float],
         log: Log,
     ) -> None:
         self._engine = engine
@@ -44,6 +46,7 @@
         self._propose = propose
         self._fail = fail
         self._wake = wake
+        self._read_clock = read_clock
         self._log = log
         self._loads_due = 0.0
         self._silence_request: gevent.Greenlet | None = None
@@ -95,7 +98,7 @@
         )
         if self._propose(command) is not True:
             return  # what is still to be stored is proposed again
-        self._engine.confirm_idle_jobs(record)
+        self._engine.confirm_idle_jobs(record, self._read_clock())
         self._wake()
         if record.idle:
             self._log.info('idle_jobs_recorded', jobs=len(record.idle))
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -575,10 +575,6 @@
         """Return what is to be stored of jobs without a run, or ``None``."""
         return self._idle_jobs.update(self.pools.values(), now)
 
-    def confirm_idle_jobs(self, record: IdleRecord) -> None:
-        """Note that a record of such jobs is stored, and send their starts."""
-        self._orders += self._idle_jobs.confirm(record)
-
     def has_deferred_starts(self) -> bool:
         """Return whether starts wait for the end of such a record."""
         return self._idle_jobs.has_deferred()
--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -123,6 +123,7 @@
             propose=propose,
             fail=self.fail,
             wake=self.wake,
+            read_clock=clock.monotonic,
             log=log,
         )
         self._fleet_client = fleet
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -269,7 +269,7 @@
                 )
             )
         if not self.lost_records:
-            self.engine.confirm_idle_jobs(record)
+            self.engine.confirm_idle_jobs(record, self.now)
 
     def record_silence(self) -> None:
         """Commit what runs on silent workers, as the leader does."""
--- a/testing/jobs/test_idle_jobs.py
+++ b/testing/jobs/test_idle_jobs.py
@@ -137,6 +137,22 @@
     assert 'k' in list_jobs(harness)
 
 
+def test_start_that_was_kept_back_is_placed_again_if_its_worker_goes() -> None:
+    harness = make_full()
+    harness.submit('j', make_job(WHOLE_WORKER))
+    harness.pass_time(RECORD_AFTER_S + 1.0)
+    harness.lost_records = 'dropped'
+    harness.cancel('long0')
+    harness.pass_time(0.5)
+    lose(harness, 'w0')
+    harness.pass_time(1.5)
+    harness.lost_records = ''
+    harness.cancel('long1')
+    harness.pass_time(3.0)
+    assert 'j' in list_jobs(harness)
+    assert harness.workers['w1'].running
+
+
 def test_job_that_has_had_a_run_is_not_recorded() -> None:
     """Its worker may list an end that no state has yet."""
     harness = make_full()
@@ -264,7 +280,7 @@
     assert len(first.idle) == MAX_IDLE_JOBS
     again = harness.engine.update_idle_jobs(harness.now + 1.0)
     assert again == first
-    harness.engine.confirm_idle_jobs(first)
+    harness.engine.confirm_idle_jobs(first, harness.now)
     assert harness.engine.update_idle_jobs(harness.now + 2.0) is None
 
 
