--- a/bench/loop_holds.py
+++ b/bench/loop_holds.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+import gc
 import io
 import json
 import time
@@ -36,6 +37,8 @@
 from galenareel._jobs.model import CrashRecord
 from galenareel._jobs.model import EndKind
 from galenareel._jobs.model import JobRequest
+from galenareel._jobs.model import MAX_STEPS
+from galenareel._jobs.model import MAX_TASKS
 from galenareel._jobs.model import Step
 from galenareel._jobs.model import TaskId
 from galenareel._scheduling.instances import Instance
@@ -50,6 +53,10 @@
 SUSPECT_DIVISOR = 3  # one waiting step of this many has suspects
 LOST_DIVISOR = 12  # one worker of this many is lost at once
 FAR_MS = 10**13  # due time of timed jobs that don't start meanwhile
+ENDS = 200  # ends of one list
+USUAL_STEPS = 8  # of a job
+GANG = 1024  # tasks
+WIDE_DIVISOR = 100  # one job of this many has many tasks
 BURST = 20  # submissions that arrive together
 
 
@@ -327,39 +334,89 @@
 
 def measure_listing(holds: Holds, size: Size) -> None:
     """Measure the list of a worker with many ends, of jobs of many steps."""
-    bench = make_busy(size)
-    steps = tuple(Step(count=1, cpu=1, estimate_ms=640) for _ in range(64))
-    ended: list[EndedRow] = []
-    for number in range(size.steps // 30):
-        name = f'wide{number}'
-        request = JobRequest(specification='s', steps=steps)
-        bench.state.apply_command(
-            AcceptJob(name=name, queue='q0', request=request, now_ms=1)
+    for count in (USUAL_STEPS, MAX_STEPS):
+        bench = make_busy(size)
+        steps = tuple(
+            Step(count=1, cpu=1, estimate_ms=640) for _ in range(count)
         )
-        bench.engine.add_job(bench.state.jobs[name], bench.now)
-        for step in range(len(steps)):
-            ended.append(
-                EndedRow(
-                    position=len(ended) + 1,
-                    task=str(TaskId(name, 0, step, 0)),
-                    number=1,
-                    kind=EndKind.DONE,
-                    saved='',
+        ended: list[EndedRow] = []
+        while len(ended) < ENDS:
+            name = f'wide{len(ended)}'
+            add_job(bench, name, steps)
+            for step in range(len(steps)):
+                ended.append(
+                    EndedRow(
+                        position=len(ended) + 1,
+                        task=str(TaskId(name, 0, step, 0)),
+                        number=1,
+                        kind=EndKind.DONE,
+                        saved='',
+                    )
                 )
+        listing = Listing(
+            clock_ms=int(bench.now * 1000),
+            born=1,
+            running=(),
+            ended=tuple(ended),
+        )
+        worker = bench.engine.workers['w0']
+        with holds.measure(f'list of {ENDS} ends, {count} steps a job'):
+            bench.engine.apply_listing(
+                worker, listing, sent_at=bench.now, now=bench.now
             )
-    listing = Listing(
-        clock_ms=int(bench.now * 1000), born=1, running=(), ended=tuple(ended)
+
+
+def measure_large_job(holds: Holds, size: Size) -> None:
+    """Measure a job of the largest size, and what all jobs cost at once."""
+    bench = make_busy(size)
+    steps = tuple(
+        Step(count=MAX_TASKS, cpu=1, estimate_ms=640) for _ in range(MAX_STEPS)
     )
-    worker = bench.engine.workers['w0']
-    with holds.measure(f'listing of {len(ended)} ends'):
-        bench.engine.apply_listing(
-            worker, listing, sent_at=bench.now, now=bench.now
+    with holds.measure('largest job is added'):
+        add_job(bench, 'large', steps)
+    with holds.measure('sample with the largest job'):
+        bench.engine.waits.sample(
+            bench.engine.pools, bench.engine.workers.values(), bench.now + 1.0
+        )
+    with holds.measure('hold report with the largest job'):
+        bench.engine.hold_report.report(
+            bench.engine.pools, bench.engine.workers, bench.now + 9.0
         )
+    with holds.measure('largest job is ended'):
+        bench.engine.end_job('large', bench.now, 'cancelled')
+    with holds.measure('snapshot'):
+        bench.state.snapshot()
+    gc.collect()
+    with holds.measure('full garbage collection'):
+        gc.collect()
 
 
-def measure_take_over(holds: Holds, size: Size) -> None:
-    """Measure the start of a term whose workers are only read in part."""
+def measure_gang(holds: Holds, size: Size) -> None:
+    """Measure the end of a gang, and the load of jobs with many tasks."""
     bench = make_busy(size)
+    gang = Step(count=GANG, cpu=1, gang=True, estimate_ms=640)
+    last = Step(count=1, after=(0,), cpu=1, estimate_ms=640)
+    add_job(bench, 'gang', (gang, last))
+    tasks = tuple(TaskId('gang', 0, 0, index) for index in range(GANG))
+    with holds.measure(f'record of the end of a gang of {GANG}'):
+        bench.state.apply_command(RecordEnds(done=tasks, now_ms=1))
+    bench = EngineBench(workers=size.workers, pools=POOLS)
+    wide = Step(count=MAX_TASKS, cpu=1, estimate_ms=640)
+    for number in range(size.jobs // WIDE_DIVISOR):
+        add_job(bench, f'wide{number}', (wide,) * 4)
+    load(holds, bench, 'load_jobs, jobs of many tasks')
+
+
+def add_job(bench: EngineBench, name: str, steps: tuple[Step, ...]) -> None:
+    request = JobRequest(specification='s', steps=steps)
+    bench.state.apply_command(
+        AcceptJob(name=name, queue='q0', request=request, now_ms=1)
+    )
+    bench.engine.add_job(bench.state.jobs[name], bench.now)
+
+
+def load(holds: Holds, bench: EngineBench, part: str) -> Engine:
+    """Return the engine of the next leader, which has loaded all jobs."""
     with holds.measure('begin term'):
         engine = Engine(
             bench.state,
@@ -371,8 +428,15 @@
             loads_jobs=False,
         )
     while not engine.is_loaded:
-        with holds.measure('load_jobs'):
+        with holds.measure(part):
             engine.load_jobs(bench.now)
+    return engine
+
+
+def measure_take_over(holds: Holds, size: Size) -> None:
+    """Measure the start of a term whose workers are only read in part."""
+    bench = make_busy(size)
+    engine = load(holds, bench, 'load_jobs')
     bench.engine = engine
     unread = {f'w{n}' for n in range(POOLS - 1, size.workers, POOLS)}
     for name in engine.workers:
@@ -400,6 +464,8 @@
         measure_crashes,
         measure_expiry,
         measure_listing,
+        measure_large_job,
+        measure_gang,
         measure_take_over,
     ):
         measure(holds, size)
