Complete a gang once, not with the end of each of its tasks

The end of a large gang holds the loop of each member: for a second and more at the largest size that a job may have, which costs the leader its office. The first end of a gang completes all of its tasks, but each further one listed all of them again and compared them with those that are done.

A gang that is complete is left as it is.

test_end_of_a_gang_costs_in_proportion_to_its_tasks failed before, for the record and for the list (4 times the items for twice the tasks).

--- a/src/galenareel/_jobs/listings.py
+++ b/src/galenareel/_jobs/listings.py
@@ -414,7 +414,8 @@
         done = self._done[task.job].setdefault(key, set())
         was_done = task.index in done
         if step.step.gang:
-            done.update(range(step.step.count))
+            if len(done) < step.step.count:
+                done.update(range(step.step.count))
             step.exhausted.clear()
         else:
             done.add(task.index)
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -574,8 +574,11 @@
 def _record_done(job: Job, task: TaskId, now_ms: int) -> None:
     progress = job.get_step_progress(task.occurrence, task.step)
     step = job.request.steps[task.step]
-    # The tasks of a gang end together, so one end completes all of them.
-    ended = set(range(step.count)) if step.gang else {task.index}
+    ended = {task.index}
+    if step.gang:
+        # Its tasks end together, so the first end completes all of them.
+        is_complete = len(progress.done) >= step.count
+        ended = set() if is_complete else set(range(step.count))
     job.left -= len(ended - progress.done)
     progress.done |= ended
     if job.left <= 0 and not job.has_ended:
--- a/testing/jobs/test_loop_holds.py
+++ b/testing/jobs/test_loop_holds.py
@@ -15,13 +15,18 @@
 
 from bench.jobs import EngineBench
 from galenareel._common.log import Log
+from galenareel._jobs.clients import EndedRow
 from galenareel._jobs.clients import InstanceRow
 from galenareel._jobs.clients import InstanceState
+from galenareel._jobs.commands import AcceptJob
 from galenareel._jobs.commands import RecordEnds
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.leases import MAX_RELEASED_RUNS
 from galenareel._jobs.metrics import JobMetrics
 from galenareel._jobs.model import CrashRecord
+from galenareel._jobs.model import EndKind
+from galenareel._jobs.model import JobRequest
+from galenareel._jobs.model import Step
 from galenareel._jobs.model import TaskId
 from galenareel._scheduling.instances import FleetTables
 from galenareel._scheduling.instances import Instance
@@ -202,6 +207,70 @@
     assert all(worker.lease_expired for worker in workers)
 
 
+class RangeCounter:
+    """Stands in for ``range`` in a module, and adds up the lengths."""
+
+    def __init__(self) -> None:
+        self.items = 0
+
+    def __call__(self, *args: int) -> range:
+        made = range(*args)
+        self.items += len(made)
+        return made
+
+
+def add_gang(bench: EngineBench, count: int) -> list[TaskId]:
+    """Add a job whose gang is followed by another step."""
+    steps = (
+        Step(count=count, gang=True, cpu=1, estimate_ms=640),
+        Step(count=1, after=(0,), cpu=1, estimate_ms=640),
+    )
+    request = JobRequest(specification='s', steps=steps)
+    bench.state.apply_command(
+        AcceptJob(name='gang', queue='q0', request=request, now_ms=1)
+    )
+    bench.engine.add_job(bench.state.jobs['gang'], bench.now)
+    return [TaskId('gang', 0, 0, index) for index in range(count)]
+
+
+def record_gang(bench: EngineBench, tasks: list[TaskId]) -> None:
+    bench.state.apply_command(RecordEnds(done=tuple(tasks), now_ms=1))
+    assert bench.state.jobs['gang'].left == 1
+
+
+def list_gang(bench: EngineBench, tasks: list[TaskId]) -> None:
+    rows = tuple(
+        EndedRow(
+            position=task.index + 1,
+            task=str(task),
+            number=1,
+            kind=EndKind.DONE,
+            saved='',
+        )
+        for task in tasks
+    )
+    bench.apply_listing('w0', rows)
+    assert bench.engine.jobs['gang'].steps[0, 1].waiting == {0}
+
+
+@pytest.mark.parametrize('end_gang', [record_gang, list_gang])
+def test_end_of_a_gang_costs_in_proportion_to_its_tasks(
+    end_gang: Callable[[EngineBench, list[TaskId]], None],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    costs = []
+    for count in (50, 100):
+        bench = EngineBench(workers=1, pools=1)
+        tasks = add_gang(bench, count)
+        counter = RangeCounter()
+        for module in ('state', 'listings'):
+            name = f'galenareel._jobs.{module}.range'
+            monkeypatch.setattr(name, counter, raising=False)
+        end_gang(bench, tasks)
+        costs.append(counter.items)
+    assert costs[1] <= MAX_GROWTH * costs[0]
+
+
 def record_at_fault(workers: int) -> int:
     """Record a second crash of each task, in one command."""
     bench = EngineBench(workers=workers, pools=1)
