Count the tasks of a job in the slices in which a new leader loads them

A new leader loads 100 jobs in one call, however many tasks they have, and can't renew its lease meanwhile: with jobs of thousands of tasks nobody would lead for good.

A hundred waiting tasks count as an entry of a slice.

test_slice_counts_the_tasks_of_a_job failed before: all 40,960 tasks were added in one call.

--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -73,6 +73,7 @@
 # Jobs and steps with progress that are added at a time. The leader can't renew
 # its lease meanwhile.
 LOADED_ENTRIES = 100
+TASKS_PER_ENTRY = 100  # that wait; these take about as long as a job
 
 
 class EngineTables:
@@ -180,6 +181,11 @@
             self.add_job(job, now, from_earlier_epoch=True)
             self._crashes.collect_losses(job)
             entries += len(job.progress)
+            waiting = sum(
+                len(step.waiting)
+                for step in self.jobs[job.name].steps.values()
+            )
+            entries += waiting // TASKS_PER_ENTRY
         if self._unloaded or self.is_loaded:
             return
         if self._unrestored is None:
--- a/testing/jobs/test_take_over_load.py
+++ b/testing/jobs/test_take_over_load.py
@@ -10,6 +10,7 @@
 import io
 
 import gevent
+import msgspec
 from opentelemetry.metrics import NoOpMeter
 import pytest
 
@@ -26,6 +27,7 @@
 from galenareel._jobs.occurrences import MAX_OPENED_PER_PASS
 from galenareel._jobs.state import JobState
 from galenareel._jobs.tables import LOADED_ENTRIES
+from galenareel._jobs.tables import TASKS_PER_ENTRY
 from galenareel._scheduling.tables import JobWork
 from testing.jobs.harness import Harness
 from testing.jobs.harness import TASK
@@ -210,6 +212,27 @@
     assert len({job.accepted_at for job in pool.arrivals}) == 1
 
 
+@pytest.mark.parametrize(('steps', 'count'), [(1, 4096), (16, 256)])
+def test_slice_counts_the_tasks_of_a_job(steps: int, count: int) -> None:
+    harness = start_with_worker()
+    wide = msgspec.structs.replace(TASK, count=count)
+    req = JobRequest(specification='run', steps=(wide,) * steps)
+    for number in range(10):
+        harness.submit(f'j{number}', req)
+    engine = open_engine(harness.state)
+    loaded = 0
+    while not engine.is_loaded:
+        engine.load_jobs(100.0)
+        waiting = sum(
+            len(step.waiting)
+            for work in engine.jobs.values()
+            for step in work.steps.values()
+        )
+        assert waiting - loaded <= LOADED_ENTRIES * TASKS_PER_ENTRY + 4096
+        loaded = waiting
+    assert loaded == 10 * 4096
+
+
 def test_slice_counts_the_progress_of_a_job() -> None:
     harness = start_with_worker()
     for number in range(5):
