Look for the task at fault among those of its own job only

When one command gives up many jobs, as their tasks have crashed workers, the leader wrote out the tasks of all crashes anew for each of these jobs, to name the one at fault in its log.

They are kept by job, in the order of the command.

test_end_of_jobs_at_fault_costs_in_proportion_to_their_number failed before (2.7 times the lines for twice the jobs).

--- a/src/galenareel/_jobs/term.py
+++ b/src/galenareel/_jobs/term.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 
 import gevent
@@ -263,7 +264,10 @@
         names = {task.job for task in command.done}
         names.update(task.job for task, _run in command.failed)
         names.update(crash.task.job for crash in command.crashed)
-        if command.crashed:
+        crashed: dict[str, dict[str, None]] = {}  # tasks by job, in order
+        for crash in command.crashed:
+            crashed.setdefault(crash.task.job, {})[str(crash.task)] = None
+        if crashed:
             self.engine.update_crash_counts()
         for name in names:
             job = self._state.jobs.get(name)
@@ -273,7 +277,7 @@
                     self._log.warning(
                         'job_given_up',
                         job=name,
-                        task=_find_task_at_fault(command, job),
+                        task=_find_task_at_fault(crashed.get(name, ()), job),
                         why=job.failure,
                     )
                 outcome = 'failed' if job.failed else 'completed'
@@ -619,9 +623,11 @@
                 self._retire(worker, reason)
 
 
-def _find_task_at_fault(command: RecordEnds, job: Job) -> str:
-    """Return the task for which a command has given up a job."""
-    tasks = (str(crash.task) for crash in command.crashed)
+def _find_task_at_fault(tasks: Iterable[str], job: Job) -> str:
+    """Return the task for which a job was given up, or an empty string.
+
+    :param tasks: its tasks under which workers have crashed.
+    """
     return next(
         (task for task in tasks if job.failure.startswith(f'task {task} ')), ''
     )
--- a/testing/jobs/test_loop_holds.py
+++ b/testing/jobs/test_loop_holds.py
@@ -14,7 +14,9 @@
 import pytest
 
 from bench.jobs import EngineBench
+from galenareel._common.clock import SystemClock
 from galenareel._common.log import Log
+from galenareel._common.loop_monitor import PartTimes
 from galenareel._jobs.clients import EndedRow
 from galenareel._jobs.clients import InstanceRow
 from galenareel._jobs.clients import InstanceState
@@ -28,6 +30,7 @@
 from galenareel._jobs.model import JobRequest
 from galenareel._jobs.model import Step
 from galenareel._jobs.model import TaskId
+from galenareel._jobs.term import Term
 from galenareel._scheduling.instances import FleetTables
 from galenareel._scheduling.instances import Instance
 from galenareel._scheduling.instances import WAVE
@@ -293,6 +296,48 @@
     assert record_at_fault(40) <= MAX_GROWTH * record_at_fault(20)
 
 
+def close_jobs_at_fault(jobs: int) -> int:
+    """Close the jobs of many tasks at fault that one command names."""
+    bench = EngineBench(workers=1, pools=1)
+    bench.submit(jobs, Step(count=1, cpu=1, estimate_ms=640))
+    clock = SystemClock()
+    text = io.StringIO()
+    term = Term(
+        engine=bench.engine,
+        name='c1',
+        state=bench.state,
+        propose=lambda command: None,
+        leads_term=lambda: True,
+        may_act=lambda: True,
+        dialer=None,  # type: ignore[arg-type]
+        fleet=None,  # type: ignore[arg-type]
+        advisor=None,  # type: ignore[arg-type]
+        clock=clock,
+        log=Log('test', stream=text),
+        metrics=JobMetrics(NoOpMeter('test')),
+        parts=PartTimes(clock),
+    )
+    names = list(bench.engine.jobs)
+    command = RecordEnds(
+        crashed=tuple(
+            CrashRecord(TaskId(name, 0, 0, 0), worker, 1, True)
+            for worker in ('w1', 'w2')
+            for name in names
+        ),
+        now_ms=1,
+    )
+    bench.state.apply_command(command)
+    cost = count_lines(lambda: term.handle_applied(command))
+    assert not bench.engine.jobs
+    logged = text.getvalue()
+    assert all(f'job={name} task={name}.0.0.0' in logged for name in names)
+    return cost
+
+
+def test_end_of_jobs_at_fault_costs_in_proportion_to_their_number() -> None:
+    assert close_jobs_at_fault(600) <= MAX_GROWTH * close_jobs_at_fault(300)
+
+
 def test_task_at_fault_explains_what_was_recorded_before_it() -> None:
     bench = EngineBench(workers=1, pools=1)
     bench.submit(3)
