Keep the losses that are not stored by worker

Workers that answer again before their loss is stored, as while the commits of a leader take long, each had all losses of all workers looked through, on the loop of a leader that is in trouble already.

They are kept by incarnation, in the order in which they were found.

--- a/src/galenareel/_jobs/crash_records.py
+++ b/src/galenareel/_jobs/crash_records.py
@@ -62,7 +62,7 @@
         self._new: list[CrashRecord] = []
         # By task, as each waiting suspect is looked up in every pass.
         self._unstored: dict[TaskId, set[CrashRecord]] = {}
-        self._new_losses: list[CrashRecord] = []
+        self._new_losses: dict[Incarnation, list[CrashRecord]] = {}
         # Incarnations whose losses are recorded, and those to be cleared.
         self._lost: set[Incarnation] = set()
         self._regained: list[Incarnation] = []
@@ -122,9 +122,10 @@
                     CrashRecord(task, worker.name, born, on_trial)
                     for task, on_trial in find_implicated(worker, now).items()
                 ]
-                self._new_losses += losses
                 if losses:
-                    self._lost.add((worker.name, born))
+                    incarnation = (worker.name, born)
+                    self._new_losses.setdefault(incarnation, []).extend(losses)
+                    self._lost.add(incarnation)
 
     def _clear_loss(self, worker: Worker) -> None:
         incarnation = (worker.name, worker.record.born)
@@ -132,11 +133,7 @@
             return
         self._lost.discard(incarnation)
         self._regained.append(incarnation)
-        self._new_losses = [
-            loss
-            for loss in self._new_losses
-            if (loss.worker, loss.born) != incarnation
-        ]
+        self._new_losses.pop(incarnation, None)
 
     def handle_end(self, worker: Worker, now: float) -> None:
         """Record the tasks that are implicated in the end of a worker.
@@ -256,7 +253,8 @@
         :returns: also the incarnations that have answered since their loss.
         """
         crashes, self._new = self._new, []
-        losses, self._new_losses = self._new_losses, []
+        found, self._new_losses = self._new_losses, {}
+        losses = [loss for entry in found.values() for loss in entry]
         regained, self._regained = self._regained, []
         return crashes, losses, regained
 
--- a/testing/jobs/test_loop_holds.py
+++ b/testing/jobs/test_loop_holds.py
@@ -32,6 +32,7 @@
 from galenareel._jobs.model import Step
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.term import Term
+from galenareel._scheduling.crashes import UNREACHABLE_LIMIT_S
 from galenareel._scheduling.instances import FleetTables
 from galenareel._scheduling.instances import Instance
 from galenareel._scheduling.instances import WAVE
@@ -327,6 +328,40 @@
     assert regain_workers(40) <= MAX_GROWTH * regain_workers(20)
 
 
+def lose_and_regain(workers: int) -> int:
+    """Let workers answer again before their losses are taken for storing."""
+    bench = EngineBench(workers=workers, pools=1)
+    engine = bench.engine
+    bench.submit(2 * workers)
+    for work in engine.jobs.values():
+        work.proven = True
+    bench.confirm_runs(bench.place())
+    for worker in engine.workers.values():
+        worker.unreachable_since = bench.now
+        for run in worker.runs.values():
+            run.until_ms = 1
+            run.start_asked_at = bench.now
+    bench.now += 2 * UNREACHABLE_LIMIT_S
+    engine.housekeep(bench.now, 0)
+    assert engine.has_crashes()
+    for worker in list(engine.workers.values())[1:]:
+        worker.unreachable_since = None
+    bench.now += 0.1
+    cost = count_lines(lambda: engine.housekeep(bench.now, 0))
+    ends = engine.take_ends()
+    assert ends is not None
+    assert {loss.worker for loss in ends.lost} == {'w0'}
+    assert len(ends.lost) == len(engine.workers['w0'].runs)
+    assert len(ends.regained) == workers - 1
+    return cost
+
+
+def test_losses_that_are_not_stored_cost_in_proportion_to_the_workers() -> (
+    None
+):
+    assert lose_and_regain(80) <= MAX_GROWTH * lose_and_regain(40)
+
+
 def close_jobs_at_fault(jobs: int) -> int:
     """Close the jobs of many tasks at fault that one command names."""
     bench = EngineBench(workers=1, pools=1)
