Look up the queue of a job by its name

A new configuration, and a leader that loads its jobs, went through the queues for each job, on the loop of the leader.

The queues are kept by name for the configuration in force.

test_configuration_costs_in_proportion_to_its_queues_and_jobs failed before (3.4 times the lines for twice the queues and jobs).

--- a/src/galenareel/_jobs/job_entries.py
+++ b/src/galenareel/_jobs/job_entries.py
@@ -5,7 +5,6 @@
 from collections.abc import Collection
 from collections.abc import Mapping
 
-from galenareel._jobs.model import Configuration
 from galenareel._jobs.model import Queue
 from galenareel._jobs.model import Step
 from galenareel._jobs.model import TaskId
@@ -14,16 +13,17 @@
 from galenareel._scheduling.tables import StepWork
 
 
-def find_queue(config: Configuration | None, job: Job) -> Queue:
+def find_queue(queues: Mapping[str, Queue], job: Job) -> Queue:
     """Return the queue of a job.
 
     If the configuration no longer has it, build a queue from the values
     that the job keeps.
+
+    :param queues: queues of the configuration, by name.
     """
-    queues = config.queues if config is not None else ()
-    for queue in queues:
-        if queue.name == job.queue:
-            return queue
+    queue = queues.get(job.queue)
+    if queue is not None:
+        return queue
     return Queue(
         name=job.queue,
         host='',
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -19,6 +19,7 @@
 from galenareel._jobs.job_entries import find_queue
 from galenareel._jobs.lookahead import LookAhead
 from galenareel._jobs.metrics import JobMetrics
+from galenareel._jobs.model import Configuration
 from galenareel._jobs.model import JobRequest
 from galenareel._jobs.model import PoolLoad
 from galenareel._jobs.model import Queue
@@ -116,6 +117,9 @@
             else None
         )
         self._orders: list[Order] = []
+        # Queues by name, and the configuration that has them.
+        self._queues: tuple[Configuration | None, dict[str, Queue]]
+        self._queues = None, {}
         self._ends = EndBatch()
         self._crashes = CrashRecords(
             state,
@@ -271,7 +275,12 @@
         If the configuration no longer has it, build a queue from the values
         that the job keeps.
         """
-        return find_queue(self._state.config, job)
+        config = self._state.config
+        if self._queues[0] is not config:
+            queues = config.queues if config is not None else ()
+            by_name = {queue.name: queue for queue in reversed(queues)}
+            self._queues = config, by_name
+        return find_queue(self._queues[1], job)
 
     def add_job(
         self, job: Job, now: float, *, from_earlier_epoch: bool = False
--- a/testing/jobs/test_loop_holds.py
+++ b/testing/jobs/test_loop_holds.py
@@ -362,6 +362,17 @@
     assert lose_and_regain(80) <= MAX_GROWTH * lose_and_regain(40)
 
 
+def apply_config(pools: int) -> int:
+    """Apply a configuration with a queue for each pool."""
+    bench = EngineBench(workers=1, pools=pools)
+    bench.submit(4 * pools)
+    return count_lines(lambda: bench.engine.apply_config(bench.now))
+
+
+def test_configuration_costs_in_proportion_to_its_queues_and_jobs() -> None:
+    assert apply_config(100) <= MAX_GROWTH * apply_config(50)
+
+
 def close_jobs_at_fault(jobs: int) -> int:
     """Close the jobs of many tasks at fault that one command names."""
     bench = EngineBench(workers=1, pools=1)
