--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -451,11 +451,12 @@
 
     def _clear_losses(self, regained: tuple[Incarnation, ...]) -> None:
         """Clear what was recorded of workers that have answered again."""
+        cleared = set(regained)
         for job in self._tables.jobs.values():
             for progress in job.progress.values():
                 for losses in progress.losses.values():
-                    for incarnation in regained:
-                        losses.pop(incarnation, None)
+                    for incarnation in cleared.intersection(losses):
+                        del losses[incarnation]
 
     def _find_active_job(self, task: TaskId) -> Job | None:
         job = self._tables.jobs.get(task.job)
@@ -612,8 +613,11 @@
     job.idle = False
     progress = job.get_step_progress(task.occurrence, task.step)
     step = job.request.steps[task.step]
-    # The tasks of a gang end together, so one end completes all of them.
-    ended = set(range(step.count)) if step.gang else {task.index}
+    ended = {task.index}
+    if step.gang:
+        # Its tasks end together, so the first end completes all of them.
+        is_complete = len(progress.done) >= step.count
+        ended = set() if is_complete else set(range(step.count))
     job.left -= len(ended - progress.done)
     progress.done |= ended
     if job.left <= 0 and not job.has_ended:
--- a/testing/jobs/test_loop_holds.py
+++ b/testing/jobs/test_loop_holds.py
@@ -14,15 +14,25 @@
 import pytest
 
 from bench.jobs import EngineBench
+from bench.jobs import TASKS_PER_JOB
+from galenareel._common.clock import SystemClock
 from galenareel._common.log import Log
+from galenareel._common.loop_monitor import PartTimes
+from galenareel._jobs.clients import EndedRow
 from galenareel._jobs.clients import InstanceRow
 from galenareel._jobs.clients import InstanceState
+from galenareel._jobs.commands import AcceptJob
 from galenareel._jobs.commands import RecordEnds
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.leases import MAX_RELEASED_RUNS
 from galenareel._jobs.metrics import JobMetrics
 from galenareel._jobs.model import CrashRecord
+from galenareel._jobs.model import EndKind
+from galenareel._jobs.model import JobRequest
+from galenareel._jobs.model import Step
 from galenareel._jobs.model import TaskId
+from galenareel._jobs.term import Term
+from galenareel._scheduling.crashes import UNREACHABLE_LIMIT_S
 from galenareel._scheduling.instances import FleetTables
 from galenareel._scheduling.instances import Instance
 from galenareel._scheduling.instances import WAVE
@@ -202,6 +212,70 @@
     assert all(worker.lease_expired for worker in workers)
 
 
+class RangeCounter:
+    """Stands in for ``range`` in a module, and adds up the lengths."""
+
+    def __init__(self) -> None:
+        self.items = 0
+
+    def __call__(self, *args: int) -> range:
+        made = range(*args)
+        self.items += len(made)
+        return made
+
+
+def add_gang(bench: EngineBench, count: int) -> list[TaskId]:
+    """Add a job whose gang is followed by another step."""
+    steps = (
+        Step(count=count, gang=True, cpu=1, estimate_ms=640),
+        Step(count=1, after=(0,), cpu=1, estimate_ms=640),
+    )
+    request = JobRequest(specification='s', steps=steps)
+    bench.state.apply_command(
+        AcceptJob(name='gang', queue='q0', request=request, now_ms=1)
+    )
+    bench.engine.add_job(bench.state.jobs['gang'], bench.now)
+    return [TaskId('gang', 0, 0, index) for index in range(count)]
+
+
+def record_gang(bench: EngineBench, tasks: list[TaskId]) -> None:
+    bench.state.apply_command(RecordEnds(done=tuple(tasks), now_ms=1))
+    assert bench.state.jobs['gang'].left == 1
+
+
+def list_gang(bench: EngineBench, tasks: list[TaskId]) -> None:
+    rows = tuple(
+        EndedRow(
+            position=task.index + 1,
+            task=str(task),
+            number=1,
+            kind=EndKind.DONE,
+            saved='',
+        )
+        for task in tasks
+    )
+    bench.apply_listing('w0', rows)
+    assert bench.engine.jobs['gang'].steps[0, 1].waiting == {0}
+
+
+@pytest.mark.parametrize('end_gang', [record_gang, list_gang])
+def test_end_of_a_gang_costs_in_proportion_to_its_tasks(
+    end_gang: Callable[[EngineBench, list[TaskId]], None],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    costs = []
+    for count in (50, 100):
+        bench = EngineBench(workers=1, pools=1)
+        tasks = add_gang(bench, count)
+        counter = RangeCounter()
+        for module in ('state', 'listings'):
+            name = f'galenareel._jobs.{module}.range'
+            monkeypatch.setattr(name, counter, raising=False)
+        end_gang(bench, tasks)
+        costs.append(counter.items)
+    assert costs[1] <= MAX_GROWTH * costs[0]
+
+
 def record_at_fault(workers: int) -> int:
     """Record a second crash of each task, in one command."""
     bench = EngineBench(workers=workers, pools=1)
@@ -224,6 +298,123 @@
     assert record_at_fault(40) <= MAX_GROWTH * record_at_fault(20)
 
 
+def regain_workers(workers: int) -> int:
+    """Clear the losses of workers that have all answered again."""
+    bench = EngineBench(workers=1, pools=1)
+    bench.submit(workers)
+    names = [f'w{number}' for number in range(workers)]
+    state = bench.state
+    lost = tuple(
+        CrashRecord(TaskId(job, 0, 0, index), name, 1)
+        for job, name in zip(state.jobs, names, strict=True)
+        for index in range(TASKS_PER_JOB)
+    )
+    state.apply_command(RecordEnds(lost=lost, now_ms=1))
+    regained = tuple((name, 1) for name in names[1:])
+    cost = count_lines(
+        lambda: state.apply_command(RecordEnds(regained=regained, now_ms=1))
+    )
+    left = [
+        losses
+        for job in state.jobs.values()
+        for losses in job.progress[0, 0].losses.values()
+        if losses
+    ]
+    assert left == [{('w0', 1): False}] * TASKS_PER_JOB
+    return cost
+
+
+def test_return_of_many_workers_costs_in_proportion_to_their_tasks() -> None:
+    assert regain_workers(40) <= MAX_GROWTH * regain_workers(20)
+
+
+def lose_and_regain(workers: int) -> int:
+    """Let workers answer again before their losses are taken for storing."""
+    bench = EngineBench(workers=workers, pools=1)
+    engine = bench.engine
+    bench.submit(2 * workers)
+    for work in engine.jobs.values():
+        work.proven = True
+    bench.confirm_runs(bench.place())
+    for worker in engine.workers.values():
+        worker.unreachable_since = bench.now
+        for run in worker.runs.values():
+            run.until_ms = 1
+            run.start_asked_at = bench.now
+    bench.now += 2 * UNREACHABLE_LIMIT_S
+    engine.housekeep(bench.now, 0)
+    assert engine.has_crashes()
+    for worker in list(engine.workers.values())[1:]:
+        worker.unreachable_since = None
+    bench.now += 0.1
+    cost = count_lines(lambda: engine.housekeep(bench.now, 0))
+    ends = engine.take_ends()
+    assert ends is not None
+    assert {loss.worker for loss in ends.lost} == {'w0'}
+    assert len(ends.lost) == len(engine.workers['w0'].runs)
+    assert len(ends.regained) == workers - 1
+    return cost
+
+
+def test_losses_that_are_not_stored_cost_in_proportion_to_the_workers() -> (
+    None
+):
+    assert lose_and_regain(80) <= MAX_GROWTH * lose_and_regain(40)
+
+
+def apply_config(pools: int) -> int:
+    """Apply a configuration with a queue for each pool."""
+    bench = EngineBench(workers=1, pools=pools)
+    bench.submit(4 * pools)
+    return count_lines(lambda: bench.engine.apply_config(bench.now))
+
+
+def test_configuration_costs_in_proportion_to_its_queues_and_jobs() -> None:
+    assert apply_config(100) <= MAX_GROWTH * apply_config(50)
+
+
+def close_jobs_at_fault(jobs: int) -> int:
+    """Close the jobs of many tasks at fault that one command names."""
+    bench = EngineBench(workers=1, pools=1)
+    bench.submit(jobs, Step(count=1, cpu=1, estimate_ms=640))
+    clock = SystemClock()
+    text = io.StringIO()
+    term = Term(
+        engine=bench.engine,
+        name='c1',
+        state=bench.state,
+        propose=lambda command: None,
+        leads_term=lambda: True,
+        may_act=lambda: True,
+        dialer=None,  # type: ignore[arg-type]
+        fleet=None,  # type: ignore[arg-type]
+        advisor=None,  # type: ignore[arg-type]
+        clock=clock,
+        log=Log('test', stream=text),
+        metrics=JobMetrics(NoOpMeter('test')),
+        parts=PartTimes(clock),
+    )
+    names = list(bench.engine.jobs)
+    command = RecordEnds(
+        crashed=tuple(
+            CrashRecord(TaskId(name, 0, 0, 0), worker, 1, True)
+            for worker in ('w1', 'w2')
+            for name in names
+        ),
+        now_ms=1,
+    )
+    bench.state.apply_command(command)
+    cost = count_lines(lambda: term.handle_applied(command))
+    assert not bench.engine.jobs
+    logged = text.getvalue()
+    assert all(f'job={name} task={name}.0.0.0' in logged for name in names)
+    return cost
+
+
+def test_end_of_jobs_at_fault_costs_in_proportion_to_their_number() -> None:
+    assert close_jobs_at_fault(600) <= MAX_GROWTH * close_jobs_at_fault(300)
+
+
 def test_task_at_fault_explains_what_was_recorded_before_it() -> None:
     bench = EngineBench(workers=1, pools=1)
     bench.submit(3)
--- a/testing/jobs/test_take_over_load.py
+++ b/testing/jobs/test_take_over_load.py
@@ -10,6 +10,7 @@
 import io
 
 import gevent
+import msgspec
 from opentelemetry.metrics import NoOpMeter
 import pytest
 
@@ -24,8 +25,10 @@
 from galenareel._jobs.model import JobRequest
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.occurrences import MAX_OPENED_PER_PASS
+from galenareel._jobs.occurrences import MAX_OPENED_TASKS
 from galenareel._jobs.state import JobState
 from galenareel._jobs.tables import LOADED_ENTRIES
+from galenareel._jobs.tables import TASKS_PER_ENTRY
 from galenareel._scheduling.tables import JobWork
 from testing.jobs.harness import Harness
 from testing.jobs.harness import TASK
@@ -119,6 +122,30 @@
     assert opened == [MAX_OPENED_PER_PASS * n for n in (1, 2, 3)]
 
 
+def test_large_occurrences_that_are_due_open_in_slices() -> None:
+    harness = start_with_worker()
+    count = MAX_OPENED_TASKS // 2
+    wide = msgspec.structs.replace(TASK, count=count // 8)
+    req = JobRequest(
+        specification='run',
+        steps=(wide,) * 8,
+        first_run_ms=1,
+        interval_ms=HOUR_MS,
+        repetitions=1,
+    )
+    for number in range(6):
+        harness.submit(f'j{number}', req)
+    opened = []
+    for _ in range(4):
+        harness.now += 0.1
+        harness.engine.housekeep(harness.now, 10**9)
+        opened.append(
+            sum(bool(work.steps) for work in harness.engine.jobs.values())
+        )
+    assert opened == [2, 4, 6, 6]
+    assert not harness.engine.audit.find_all(10**9)
+
+
 def finish_occurrences(harness: Harness, name: str, count: int) -> None:
     done = tuple(TaskId(name, number, 0, 0) for number in range(count))
     harness.apply(RecordEnds(done=done, now_ms=WALL_MS))
@@ -210,6 +237,27 @@
     assert len({job.accepted_at for job in pool.arrivals}) == 1
 
 
+@pytest.mark.parametrize(('steps', 'count'), [(1, 4096), (16, 256)])
+def test_slice_counts_the_tasks_of_a_job(steps: int, count: int) -> None:
+    harness = start_with_worker()
+    wide = msgspec.structs.replace(TASK, count=count)
+    req = JobRequest(specification='run', steps=(wide,) * steps)
+    for number in range(10):
+        harness.submit(f'j{number}', req)
+    engine = open_engine(harness.state)
+    loaded = 0
+    while not engine.is_loaded:
+        engine.load_jobs(100.0)
+        waiting = sum(
+            len(step.waiting)
+            for work in engine.jobs.values()
+            for step in work.steps.values()
+        )
+        assert waiting - loaded <= LOADED_ENTRIES * TASKS_PER_ENTRY + 4096
+        loaded = waiting
+    assert loaded == 10 * 4096
+
+
 def test_slice_counts_the_progress_of_a_job() -> None:
     harness = start_with_worker()
     for number in range(5):
