Let every step of a quiet pool become overdue, not only the first hundred

Callers see jobs wait for 5 s and more in a pool that is little used, while hundreds of others wait there. update_quiet_waits looked at the first 100 waiting steps of a pool only, so that the next ones began their 2 s when those were gone, and not at all behind steps that fit nowhere.

The search for room was what had to be bounded. Steps with the same needs share one, so that all are looked at for at most 100 searches as before. The pass for overdue steps now remembers, until one is started, which needs the limit of unproven jobs has refused, and the search for closed instances of a wave looks at one step of each kind. So neither compares all steps with all workers.

test_jobs_behind_a_hundred_others_wait_no_longer and test_job_behind_a_hundred_without_room_waits_no_longer failed before, with waits of 3.1 s by unproven_job. The two tests of the cost fail without their part of the change (237,191 calls for twice the workers beside 139,858; 1,200 comparisons instead of at most 12).

--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -14,7 +14,9 @@
 from galenareel._scheduling.placement import Candidates
 from galenareel._scheduling.proofs import ProofLimit
 from galenareel._scheduling.quiet import get_longest_quiet_wait_s
+from galenareel._scheduling.quiet import get_needs
 from galenareel._scheduling.quiet import is_overdue
+from galenareel._scheduling.quiet import Needs
 from galenareel._scheduling.ranking import placement_key
 from galenareel._scheduling.tables import AskAdvice
 from galenareel._scheduling.tables import JobWork
@@ -28,6 +30,8 @@
 MAX_AVOIDANCE_S = 2.0
 TICKET_MARGIN_S = 0.3  # tickets aren't used this close to their expiry
 
+Search = tuple[Needs, tuple[bool, bool]]
+
 
 class Placing(SuspectPlacing):
     """Places the waiting tasks of each pool."""
@@ -132,17 +136,30 @@
             return
         open_workers = [worker for worker in members if worker.is_open()]
         candidates = Candidates(members, now, waives_cautions=True)
-        candidates.limit = ProofLimit(
+        limit = ProofLimit(
             pool, members, open_workers, now, waives_cautions=True
         )
+        candidates.limit = limit
         steps.sort(key=lambda step: -get_longest_quiet_wait_s(step, now))
+        # Most of these steps are alike. Until one is started, the limit that
+        # keeps the first off all workers does so with the others.
+        refused: set[Search] = set()
         for step in steps:
             if budget.is_spent():
                 pool.interrupted = progress
                 pool.has_new_overdue = True
                 return
             progress.overdue.add(self._step_key(step))
-            self._waive_cautions(pool, step, candidates, members, now, budget)
+            search = _get_search(step, limit)
+            if search is not None and search in refused:
+                continue
+            limit.refused = False
+            if self._waive_cautions(
+                pool, step, candidates, members, now, budget
+            ):
+                refused.clear()
+            elif search is not None and limit.refused:
+                refused.add(search)
 
     def _waive_cautions(
         self,
@@ -152,7 +169,11 @@
         members: list[Worker],
         now: float,
         budget: PassBudget,
-    ) -> None:
+    ) -> bool:
+        """Place an overdue step.
+
+        :returns: whether any of its tasks was started.
+        """
         waiting = len(step.waiting)
         waited_s = get_longest_quiet_wait_s(step, now)
         if step.crashes:
@@ -169,6 +190,7 @@
                 started=started,
                 waited_s=round(waited_s, 2),
             )
+        return bool(started)
 
     def _may_place(self, work: JobWork) -> bool:
         return not work.has_failed and self._are_workers_read(work)
@@ -387,3 +409,22 @@
             task = step.task_id(index)
             placed.append(self._new_run(worker, step, task, number, now))
         return placed
+
+
+def _get_search(step: StepWork, limit: ProofLimit) -> Search | None:
+    """Return what decides on which workers an overdue step may start.
+
+    ``None`` for a step that its own history or an advisor ties to workers.
+    """
+    job = step.job
+    if (
+        job.proven
+        or job.unproven_workers
+        or job.queue.advice is not None
+        or step.crashes
+        or step.not_before
+        or step.step.gang
+        or step.step.per_worker
+    ):
+        return None
+    return get_needs(step.step), limit.classify(job)
--- a/src/galenareel/_scheduling/proofs.py
+++ b/src/galenareel/_scheduling/proofs.py
@@ -321,6 +321,16 @@
         is_late = classify_timeliness(job, self.now) > ON_TIME
         return self.used < (self.limit if is_late else self._highest_on_time)
 
+    def classify(self, job: JobWork) -> tuple[bool, bool]:
+        """Tell unproven jobs without a run apart that it treats differently.
+
+        Two of one class are admitted on the same workers.
+        """
+        if self._waives_cautions:
+            return True, True
+        is_late = classify_timeliness(job, self.now) > ON_TIME
+        return is_late, self._may_pass(job)
+
     def note_start(self, job: JobWork, worker: Worker) -> None:
         """Count a worker that gets an unproven run or a trial now."""
         if worker.unproven:
--- a/src/galenareel/_scheduling/quiet.py
+++ b/src/galenareel/_scheduling/quiet.py
@@ -10,7 +10,6 @@
 from collections.abc import Collection
 from collections.abc import Sequence
 from dataclasses import dataclass
-import itertools
 
 from galenareel._jobs.model import Step
 from galenareel._scheduling.tables import JobWork
@@ -26,8 +25,8 @@
 # Then the cautions that hold a task back are set aside. Users count a wait of
 # 3 s as a loss, which includes the next pass and the order.
 MAX_CAUTION_S = 2.0
-# Steps of a pool that are looked at, the first ones that wait. Most pools with
-# more of them are full.
+# Steps of a pool for which room is searched, the first ones that wait. Those
+# with the same needs share a search. Most pools with more of them are full.
 MAX_STEPS = 100
 
 UNLIMITED = 10**9  # tasks without needs that fit on a worker
@@ -90,9 +89,20 @@
         return
     present = [worker for worker in members if _is_present(worker)]
     is_quiet = measure_use(members).is_quiet
-    for step in itertools.islice(pool.waiting.values(), MAX_STEPS):
+    room_by_needs: dict[tuple[Needs, int], bool] = {}
+    for step in pool.waiting.values():
         is_wanted = is_quiet or step.step.lasting
-        if not is_wanted or not _has_ample_room(step.step, present):
+        if not is_wanted:
+            step.quiet_since = None
+            continue
+        key = get_needs(step.step), _count_missing(step.step)
+        has_room = room_by_needs.get(key)
+        if has_room is None:
+            if len(room_by_needs) >= MAX_STEPS:
+                continue
+            has_room = _has_ample_room(step.step, present)
+            room_by_needs[key] = has_room
+        if not has_room:
             step.quiet_since = None
         elif step.quiet_since is None:
             step.quiet_since = now
@@ -166,15 +176,21 @@
     )
 
 
+def get_needs(step: Step) -> Needs:
+    """Return what a task of a step needs to fit on a worker."""
+    cpu = 0 if step.fills else step.cpu
+    return cpu, step.memory_mb, step.gpus, step.label
+
+
+def _count_missing(step: Step) -> int:
+    """Return how many tasks must fit for room to be ample."""
+    return ROOM_FACTOR * (step.count if step.gang else 1)
+
+
 def _has_ample_room(step: Step, workers: Sequence[Worker]) -> bool:
     """Return whether a task, or a whole gang, fits several times."""
-    needs = (
-        0 if step.fills else step.cpu,
-        step.memory_mb,
-        step.gpus,
-        step.label,
-    )
-    missing = ROOM_FACTOR * (step.count if step.gang else 1)
+    needs = get_needs(step)
+    missing = _count_missing(step)
     for worker in workers:
         missing -= _count_fits(worker, needs)
         if missing <= 0:
--- a/src/galenareel/_scheduling/waves.py
+++ b/src/galenareel/_scheduling/waves.py
@@ -16,6 +16,7 @@
 from galenareel._scheduling.instances import Instance
 from galenareel._scheduling.instances import MaintainInstance
 from galenareel._scheduling.instances import WAVE
+from galenareel._scheduling.quiet import get_needs
 from galenareel._scheduling.quiet import is_overdue
 from galenareel._scheduling.tables import PoolWork
 from galenareel._scheduling.tables import StepWork
@@ -84,15 +85,18 @@
     if not closing or not any(pool.overdue for pool in pools.values()):
         return opened
     usable = [worker for worker in workers.values() if worker.is_open()]
+    overdue = {
+        name: _list_kinds(
+            step for step in pool.overdue if is_overdue(step, now)
+        )
+        for name, pool in pools.items()
+    }
     for instance in closing:
         worker = workers.get(instance.row.worker)
         if worker is None or not worker.may_open():
             continue
-        pool = pools.get(worker.pool)
-        if pool is None or not any(
-            is_overdue(step, now) and _needs(step, worker, usable)
-            for step in pool.overdue
-        ):
+        steps = overdue.get(worker.pool, [])
+        if not any(_needs(step, worker, usable) for step in steps):
             continue
         instance.closing_for = ''
         instance.not_before = max(instance.not_before, now + REOPENED_S)
@@ -101,6 +105,17 @@
     return opened
 
 
+def _list_kinds(steps: Iterable[StepWork]) -> list[StepWork]:
+    """Return one of each steps that fit on the same workers."""
+    kinds: dict[object, StepWork] = {}
+    for step in steps:
+        per_worker = step.step.per_worker
+        runs = frozenset(step.runs_per_worker.items()) if per_worker else ()
+        key = get_needs(step.step), step.step.gang, per_worker, runs
+        kinds.setdefault(key, step)
+    return list(kinds.values())
+
+
 def _needs(step: StepWork, closed: Worker, usable: Iterable[Worker]) -> bool:
     """Return whether a task, or a gang, can't do without a closed worker.
 
