--- a/src/galenareel/_scheduling/waves.py
+++ b/src/galenareel/_scheduling/waves.py
@@ -16,6 +16,7 @@
 from galenareel._scheduling.instances import Instance
 from galenareel._scheduling.instances import MaintainInstance
 from galenareel._scheduling.instances import WAVE
+from galenareel._scheduling.quiet import get_needs
 from galenareel._scheduling.quiet import is_overdue
 from galenareel._scheduling.tables import PoolWork
 from galenareel._scheduling.tables import StepWork
@@ -106,10 +107,21 @@
     return opened
 
 
+def _list_kinds(steps: Iterable[StepWork]) -> list[StepWork]:
+    """Return one of each steps that fit on the same workers."""
+    kinds: dict[object, StepWork] = {}
+    for step in steps:
+        per_worker = step.step.per_worker
+        runs = frozenset(step.runs_per_worker.items()) if per_worker else ()
+        key = get_needs(step.step), step.step.gang, per_worker, runs
+        kinds.setdefault(key, step)
+    return list(kinds.values())
+
+
 def _list_needy(
     pool: PoolWork, workers: Mapping[str, Worker], now: float
 ) -> list[StepWork]:
-    """Return the overdue steps of which no open worker has room for a task.
+    """Return kinds of overdue steps that no open worker has room for.
 
     A gang may need more workers than one, so it is in any case among them.
     """
@@ -118,13 +130,11 @@
         for worker in workers.values()
         if worker.pool == pool.name and worker.is_open()
     ]
+    overdue = (step for step in pool.overdue if is_overdue(step, now))
     return [
         step
-        for step in pool.overdue
-        if is_overdue(step, now)
-        and (
-            step.step.gang or not any(_fits(step, worker) for worker in usable)
-        )
+        for step in _list_kinds(overdue)
+        if step.step.gang or not any(_fits(step, worker) for worker in usable)
     ]
 
 
