--- a/src/galenareel/_jobs/commands.py
+++ b/src/galenareel/_jobs/commands.py
@@ -135,7 +135,7 @@
     :param settled: restarted or retired incarnations, whose earlier leases
         are over. Members of older builds ignore this field and those after
         it.
-    :param idle: jobs that have no run, and get none before they are in
+    :param idle: jobs that never had a run, and get none before they are in
         ``active``.
     :param active: jobs that may have runs again.
     :param idle_epoch: epoch in which these were found. In a later one they
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -86,7 +86,7 @@
     :param workspace: workspace whose key submitted it, or empty.
     :param failure: why it was given up, or empty. Failed runs, which callers
         can count, leave it empty.
-    :param idle: no run of it can exist, as the leader of the last epoch has
+    :param idle: it never had a run, as the leader of the last epoch has
         recorded; see ``Tables.idle_epoch``.
     """
 
