--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -341,11 +341,13 @@
                 'pool_size',
                 pool=name,
                 instances=demand.current,
+                absent=demand.absent,
                 incoming=demand.incoming,
                 idle=idle[name],
                 required=demand.required,
                 desired=demand.desired,
                 minimum=demand.minimum,
+                spread=demand.spread,
                 waiting_steps=len(self._engine.get_pool(name).waiting),
             )
 
--- a/src/galenareel/_scheduling/demand.py
+++ b/src/galenareel/_scheduling/demand.py
@@ -53,11 +53,13 @@
     """Demand of a pool, as numbers of instances.
 
     :param current: instances whose workers may get new tasks.
+    :param absent: those among them whose workers do not answer.
     :param incoming: instances that will have a worker soon.
     :param desired: instances that it needs once a moved one is there, so that
         it clears its backlog as well.
     :param required: instances that keep up with running and arriving work.
     :param minimum: instances that it keeps between its peaks.
+    :param spread: instances that the limits of lasting steps per worker need.
     :param soon: instances that it gets directly from pools that can spare
         them, as its peak is due soon.
     :param is_ending: its peak ends before a moved instance would pay, and it
@@ -68,10 +70,12 @@
 
     pool: str
     current: int = 0
+    absent: int = 0
     incoming: int = 0
     desired: int = 0
     required: int = 0
     minimum: int = 0
+    spread: int = 0
     soon: int = 0
     is_ending: bool = False
     large_tasks: int = 0
@@ -153,6 +157,11 @@
     demand = Demand(
         pool=pool.name,
         current=sum(1 for worker in members if not worker.closing_for),
+        absent=sum(
+            1
+            for worker in members
+            if not worker.closing_for and not worker.is_answering()
+        ),
         incoming=incoming,
     )
     if not members:
@@ -176,9 +185,8 @@
         update_turn(pool, pools or (pool,), arriving, min_peak_cpu)
         reserve = Reserve(kept=count_reserve(pool, load.mean_cpu, pools))
     demand.soon = reserve.soon
-    demand.minimum = max(
-        _count_spread_workers(load.steps.values()), reserve.kept
-    )
+    demand.spread = _count_spread_workers(load.steps.values())
+    demand.minimum = max(demand.spread, reserve.kept)
     demand.minimum = max(
         demand.minimum, min(_count_held(load, held), demand.current)
     )
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -346,6 +346,14 @@
             and self.unreachable_since is None
         )
 
+    def is_answering(self) -> bool:
+        """Return whether this leader has read it, and it answers polls."""
+        return (
+            self.has_listed
+            and self.silent_since is None
+            and self.unreachable_since is None
+        )
+
     def has_left(self) -> bool:
         """Return whether a worker that departs certainly runs nothing.
 
--- a/testing/scheduling/test_demand.py
+++ b/testing/scheduling/test_demand.py
@@ -64,6 +64,15 @@
     work = harness.engine.get_pool('lots')
     demand = compute_demand(work, harness.engine.workers.values(), harness.now)
     assert demand.minimum >= 5
+    assert demand.spread == 5
+
+
+def test_workers_that_do_not_answer_are_counted(harness: Harness) -> None:
+    harness.cut_off |= {'w0', 'w1'}
+    harness.pass_time(1.5)
+    work = harness.engine.get_pool('lots')
+    demand = compute_demand(work, harness.engine.workers.values(), harness.now)
+    assert demand.absent == 2
 
 
 def test_burst_of_short_jobs_raises_the_demand_without_a_backlog(
