Ask for instances for tasks that run at the same time

Callers saw lasting tasks wait for ever: a pool lost instances for good, and the workers that were left ran as many tasks of the step as they might.

Cause: instances are ordered by processor and memory. What tasks need beside that was either a minimum that only keeps instances (limits per worker) or known to nobody: gangs wider than the pool, labels and sizes that none of its workers has, and a pool without any instance, which could not get a reserved one.

The needs of these tasks are now part of what a pool asks for. They come after backlogs, hold up no wave, as they may exceed what there is, and an instance that such a task waits for is not released.

--- a/experiment/pool_replay.py
+++ b/experiment/pool_replay.py
@@ -207,10 +207,12 @@
             self.now,
             tuple(self.pools.values()),
             policy=self.policy,
-            incoming=sum(
-                self.tables.instances[name].row.pool == pool.name
+            incoming=[
+                instance.row
                 for name in self.arrivals
-            ),
+                if (instance := self.tables.instances[name]).row.pool
+                == pool.name
+            ],
         )
         pool.has_surplus = demand.has_surplus()
         return demand
--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -348,6 +348,7 @@
                 desired=demand.desired,
                 minimum=demand.minimum,
                 spread=demand.spread,
+                lacking=sum(need.missing for need in demand.host_needs),
                 waiting_steps=len(self._engine.get_pool(name).waiting),
             )
 
@@ -392,10 +393,11 @@
                 now,
                 works,
                 policy=self._engine.policy,
-                incoming=sum(
-                    self._will_join(instance, pool.name)
+                incoming=[
+                    instance.row
                     for instance in self._tables.instances.values()
-                ),
+                    if self._will_join(instance, pool.name)
+                ],
                 held=self._engine.list_held_steps(pool),
             )
             pool.has_surplus = demand.has_surplus()
--- a/src/galenareel/_scheduling/demand.py
+++ b/src/galenareel/_scheduling/demand.py
@@ -12,8 +12,14 @@
 from dataclasses import field
 import math
 
+from galenareel._jobs.clients import InstanceRow
 from galenareel._scheduling.arrivals import ArrivalRate
 from galenareel._scheduling.arrivals import forecast_rate
+from galenareel._scheduling.hosts import find_host_demand
+from galenareel._scheduling.hosts import Host
+from galenareel._scheduling.hosts import HostNeed
+from galenareel._scheduling.instances import MOVE
+from galenareel._scheduling.instances import WAVE
 from galenareel._scheduling.policy import DEFAULT_POLICY
 from galenareel._scheduling.policy import SchedulingPolicy
 from galenareel._scheduling.ranking import classify_timeliness
@@ -55,11 +61,16 @@
     :param current: instances whose workers may get new tasks.
     :param absent: those among them whose workers do not answer.
     :param incoming: instances that will have a worker soon.
+    :param returning: instances that close for maintenance.
     :param desired: instances that it needs once a moved one is there, so that
         it clears its backlog as well.
+    :param for_work: the part of ``desired`` that its work needs by processor
+        and memory.
     :param required: instances that keep up with running and arriving work.
     :param minimum: instances that it keeps between its peaks.
-    :param spread: instances that the limits of lasting steps per worker need.
+    :param spread: instances that the tasks which run at the same time need,
+        as by the limits of their steps per worker.
+    :param host_needs: needs of tasks for certain instances.
     :param soon: instances that it gets directly from pools that can spare
         them, as its peak is due soon.
     :param is_ending: its peak ends before a moved instance would pay, and it
@@ -72,10 +83,13 @@
     current: int = 0
     absent: int = 0
     incoming: int = 0
+    returning: int = 0
     desired: int = 0
+    for_work: int = 0
     required: int = 0
     minimum: int = 0
     spread: int = 0
+    host_needs: tuple[HostNeed, ...] = ()
     soon: int = 0
     is_ending: bool = False
     large_tasks: int = 0
@@ -92,6 +106,18 @@
         """Return how many instances it lacks to keep up with its work."""
         return max(self.required - self.current - self.incoming, 0)
 
+    def count_missing_for_work(self) -> int:
+        """Return how many of those that it lacks its work needs."""
+        return max(self.for_work - self.current - self.incoming, 0)
+
+    def count_missing_spread(self) -> int:
+        """Return how many instances its tasks lack that run together.
+
+        One that closes for maintenance is back sooner than a moved one pays.
+        """
+        has = self.current + self.incoming + self.returning
+        return max(self.spread - has, 0)
+
 
 @dataclass(slots=True)
 class Load:
@@ -140,7 +166,7 @@
     pools: Collection[PoolWork] = (),
     *,
     policy: SchedulingPolicy = DEFAULT_POLICY,
-    incoming: int = 0,
+    incoming: Collection[InstanceRow] = (),
     held: Iterable[StepWork] = (),
 ) -> Demand:
     """Compute how many instances a pool needs for its present work.
@@ -162,12 +188,17 @@
             for worker in members
             if not worker.closing_for and not worker.is_answering()
         ),
-        incoming=incoming,
+        incoming=len(incoming),
+        returning=sum(1 for each in members if each.closing_for == WAVE),
     )
+    hosts = [each.record for each in members if each.closing_for != MOVE]
     if not members:
-        demand.desired = 1 if pool.waiting else 0
+        _add_hosts(demand, pool.waiting.values(), [*hosts, *incoming])
+        demand.required = demand.for_work = 1 if pool.waiting else 0
+        demand.desired = max(demand.for_work, demand.spread)
         return demand
     load = _measure_load(pool, members, now)
+    _add_hosts(demand, load.steps.values(), [*hosts, *incoming])
     if pool.slack_s is None:
         pool.first_size = max(pool.first_size, len(members))
     arriving = pool.arriving_cpu(now)
@@ -185,7 +216,6 @@
         update_turn(pool, pools or (pool,), arriving, min_peak_cpu)
         reserve = Reserve(kept=count_reserve(pool, load.mean_cpu, pools))
     demand.soon = reserve.soon
-    demand.spread = _count_spread_workers(load.steps.values())
     demand.minimum = max(demand.spread, reserve.kept)
     demand.minimum = max(
         demand.minimum, min(_count_held(load, held), demand.current)
@@ -205,9 +235,22 @@
         # Each of them may take a worker down for seconds.
         with_trials = demand.desired + suspect_jobs
         demand.desired = max(demand.desired, min(with_trials, pool.first_size))
+    demand.for_work = demand.desired
+    demand.desired = max(demand.desired, demand.spread - demand.returning)
     return demand
 
 
+def _add_hosts(
+    demand: Demand,
+    steps: Iterable[StepWork],
+    hosts: Collection[Host],
+) -> None:
+    """Add what the tasks need that run at the same time."""
+    hosts_needed = find_host_demand(steps, hosts)
+    demand.spread = hosts_needed.spread
+    demand.host_needs = hosts_needed.needs
+
+
 def _find_known_peak(pools: Iterable[PoolWork]) -> float:
     """Return the height of the highest peak that is over, or 0."""
     return max(
@@ -392,13 +435,3 @@
         max(cpu / load.mean_cpu, memory / load.mean_memory)
         / TARGET_UTILIZATION
     )
-
-
-def _count_spread_workers(steps: Iterable[StepWork]) -> int:
-    """Return how many workers the limits of lasting steps per worker need."""
-    count = 1
-    for step in steps:
-        if step.step.lasting and step.step.per_worker:
-            needed = math.ceil(step.step.count / step.step.per_worker)
-            count = max(count, needed)
-    return count
--- a/src/galenareel/_scheduling/movable.py
+++ b/src/galenareel/_scheduling/movable.py
@@ -28,7 +28,8 @@
     """Return the instances that may leave their pool, the cheapest first.
 
     Each is a pair of its group and its name. A pool keeps an empty worker
-    for each large task that waits there.
+    for each large task that waits there, and those of a kind of which its
+    waiting tasks need all.
 
     :param taken: instances that are left out, as they move already.
     """
@@ -43,6 +44,8 @@
         for demand in demands.values()
     }
     held = {demand.pool: demand.large_tasks for demand in demands.values()}
+    needs = {demand.pool: demand.host_needs for demand in demands.values()}
+    left = {(pool, need): need.spare for pool in needs for need in needs[pool]}
     for name, instance in sorted(tables.instances.items()):
         if not instance.may_close(now) or instance.pending_order:
             continue
@@ -58,12 +61,23 @@
         if held.get(pool, 0) > 0:
             held[pool] -= 1
             continue
+        met = [
+            need
+            for need in needs.get(pool, ())
+            if need.is_met_by(instance.row)
+        ]
+        if any(left[pool, need] <= 0 for need in met):
+            continue
         if spare.get(pool, 0) > 0:
             spare[pool] -= 1
             found.append((SPARE, name))
         elif reserve.get(pool, 0) > 0:
             reserve[pool] -= 1
             found.append((RESERVED, name))
+        else:
+            continue
+        for need in met:
+            left[pool, need] -= 1
     return sorted(found)
 
 
--- a/src/galenareel/_scheduling/moves.py
+++ b/src/galenareel/_scheduling/moves.py
@@ -35,21 +35,31 @@
     whose peak begins. Instances that no pool needs go to the standby pool,
     where they cost nothing.
 
+    Pools that are short only by tasks that run at the same time come last, as
+    these may ask for more instances than there are.
+
     :param standby: name of the standby pool, or empty.
     """
     moves: list[MoveInstance] = []
     taken: set[str] = set()
+    for demand in demands.values():
+        moves += _plan_for_needs(
+            tables, demands, demand, standby, workers, taken, now
+        )
     short = sorted(
-        (
-            demand
-            for demand in demands.values()
-            if demand.count_missing_desired() > 0 and not demand.is_ending
+        (demand for demand in demands.values() if _is_short(demand)),
+        key=lambda demand: (
+            not demand.count_missing_for_work(),
+            -demand.count_missing_desired(),
         ),
-        key=lambda demand: -demand.count_missing_desired(),
     )
     for demand in short:
         missing_desired = demand.count_missing_desired()
-        missing_required = demand.count_missing_required()
+        missing_required = max(
+            demand.count_missing_required(), demand.count_missing_spread()
+        )
+        if demand.is_ending:
+            missing_desired = demand.count_missing_spread()
         found = find_movable(
             tables,
             demands,
@@ -100,6 +110,59 @@
     return moves
 
 
+def _is_short(demand: Demand) -> bool:
+    """Return whether a pool is to get more instances."""
+    if demand.is_ending:
+        return demand.count_missing_spread() > 0
+    return demand.count_missing_desired() > 0
+
+
+def _plan_for_needs(
+    tables: FleetTables,
+    demands: Mapping[str, Demand],
+    demand: Demand,
+    standby: str,
+    workers: Mapping[str, Worker],
+    taken: set[str],
+    now: float,
+) -> list[MoveInstance]:
+    """Plan moves of instances with a label or a size that tasks ask for.
+
+    :param demand: demand of the pool in which the tasks wait; the instances
+        are counted as on their way.
+    :param taken: instances that move already; those found are added.
+    """
+    moves: list[MoveInstance] = []
+    if not any(need.missing for need in demand.host_needs):
+        return moves
+    found = find_movable(tables, demands, standby, workers, now, taken)
+    for need in demand.host_needs:
+        missing = need.missing
+        for _group, name in found:
+            row = tables.instances[name].row
+            if missing <= 0:
+                break
+            if name in taken or row.pool == demand.pool:
+                continue
+            if not tables.may_join(row, demand.pool):
+                continue
+            if not need.is_met_by(row):
+                continue
+            taken.add(name)
+            missing -= 1
+            demand.incoming += 1
+            if row.pool in demands:
+                demands[row.pool].current -= 1
+            moves.append(
+                MoveInstance(
+                    instance=name,
+                    pool=demand.pool,
+                    reason=f'{demand.pool} lacks workers for a step',
+                )
+            )
+    return moves
+
+
 def _plan_releases(
     tables: FleetTables,
     demands: Mapping[str, Demand],
