Count no instance as present whose worker does not answer

Nothing is started earlier: the lease still decides.

test_pool_gives_no_instance_away_for_one_that_does_not_answer and test_lost_instance_is_replaced_before_the_lease_of_its_worker_ends failed before.

--- a/src/galenareel/_scheduling/demand.py
+++ b/src/galenareel/_scheduling/demand.py
@@ -13,6 +13,7 @@
 import math
 
 from galenareel._jobs.clients import InstanceRow
+from galenareel._jobs.worker_entries import LEASE_S
 from galenareel._scheduling.arrivals import ArrivalRate
 from galenareel._scheduling.arrivals import forecast_rate
 from galenareel._scheduling.hosts import find_host_demand
@@ -52,14 +53,18 @@
 TRIAL_INSTANCES = 4
 # Share of a pool's processor and memory that should be in use.
 TARGET_UTILIZATION = 0.85
+# An instance whose worker has not answered for this long is replaced, so that
+# another one is there when the lease of the worker ends.
+LOST_AFTER_S = LEASE_S - MOVE_LATENCY_S
 
 
 @dataclass(slots=True, kw_only=True)
 class Demand:
     """Demand of a pool, as numbers of instances.
 
-    :param current: instances whose workers may get new tasks.
-    :param absent: those among them whose workers do not answer.
+    :param current: instances whose workers answer and may get new tasks.
+    :param absent: instances whose workers do not answer, but may be back soon.
+        They are neither replaced nor spared.
     :param incoming: instances that will have a worker soon.
     :param returning: instances that close for maintenance.
     :param desired: instances that it needs once a moved one is there, so that
@@ -94,9 +99,13 @@
     is_ending: bool = False
     large_tasks: int = 0
 
+    def count_expected(self) -> int:
+        """Return how many instances it will have if nothing is ordered."""
+        return self.current + self.absent + self.incoming
+
     def count_missing_desired(self) -> int:
         """Return how many instances it lacks to clear its backlog as well."""
-        return max(self.desired - self.current - self.incoming, 0)
+        return max(self.desired - self.count_expected(), 0)
 
     def has_surplus(self) -> bool:
         """Return whether it has more instances than it needs."""
@@ -104,19 +113,18 @@
 
     def count_missing_required(self) -> int:
         """Return how many instances it lacks to keep up with its work."""
-        return max(self.required - self.current - self.incoming, 0)
+        return max(self.required - self.count_expected(), 0)
 
     def count_missing_for_work(self) -> int:
         """Return how many of those that it lacks its work needs."""
-        return max(self.for_work - self.current - self.incoming, 0)
+        return max(self.for_work - self.count_expected(), 0)
 
     def count_missing_spread(self) -> int:
         """Return how many instances its tasks lack that run together.
 
         One that closes for maintenance is back sooner than a moved one pays.
         """
-        has = self.current + self.incoming + self.returning
-        return max(self.spread - has, 0)
+        return max(self.spread - self.count_expected() - self.returning, 0)
 
 
 @dataclass(slots=True)
@@ -180,25 +188,27 @@
         The pool keeps the instances that they will need together.
     """
     members = [worker for worker in workers if not worker.draining]
-    demand = Demand(
-        pool=pool.name,
-        current=sum(1 for worker in members if not worker.closing_for),
-        absent=sum(
-            1
-            for worker in members
-            if not worker.closing_for and not worker.is_answering()
-        ),
-        incoming=len(incoming),
-        returning=sum(1 for each in members if each.closing_for == WAVE),
-    )
-    hosts = [each.record for each in members if each.closing_for != MOVE]
+    demand = Demand(pool=pool.name, incoming=len(incoming))
+    hosts: list[Host] = [*incoming]
+    for worker in members:
+        is_answering = worker.is_answering()
+        if not is_answering and now - worker.heard_at > LOST_AFTER_S:
+            continue
+        if worker.closing_for != MOVE:
+            hosts.append(worker.record)
+        if worker.closing_for:
+            demand.returning += worker.closing_for == WAVE
+        elif is_answering:
+            demand.current += 1
+        else:
+            demand.absent += 1
     if not members:
-        _add_hosts(demand, pool.waiting.values(), [*hosts, *incoming])
+        _add_hosts(demand, pool.waiting.values(), hosts)
         demand.required = demand.for_work = 1 if pool.waiting else 0
         demand.desired = max(demand.for_work, demand.spread)
         return demand
     load = _measure_load(pool, members, now)
-    _add_hosts(demand, load.steps.values(), [*hosts, *incoming])
+    _add_hosts(demand, load.steps.values(), hosts)
     if pool.slack_s is None:
         pool.first_size = max(pool.first_size, len(members))
     arriving = pool.arriving_cpu(now)
@@ -417,8 +427,7 @@
     cleared in ``CLEAR_BACKLOG_S``, or in the time that its jobs take anyway.
     """
     lasting_cpu = load.held_cpu + load.lasting_cpu
-    size = demand.current + demand.incoming
-    size_cpu = size * load.mean_cpu
+    size_cpu = demand.count_expected() * load.mean_cpu
     capacity = max(size_cpu * TARGET_UTILIZATION - lasting_cpu, 0.0)
     inflow = (rate.present + rate.ahead) / 2
     left = 1000 * load.remaining_core_s + (inflow - capacity) * MOVE_LATENCY_S
--- a/src/galenareel/_scheduling/releases.py
+++ b/src/galenareel/_scheduling/releases.py
@@ -40,7 +40,7 @@
     """
     spare = _count_spare(tables, demands, now)
     missing = {
-        name: demand.soon - demand.current - demand.incoming
+        name: demand.soon - demand.count_expected()
         for name, demand in demands.items()
     }
     moves: list[MoveInstance] = []
--- a/testing/scheduling/test_demand.py
+++ b/testing/scheduling/test_demand.py
@@ -72,7 +72,7 @@
     harness.pass_time(1.5)
     work = harness.engine.get_pool('lots')
     demand = compute_demand(work, harness.engine.workers.values(), harness.now)
-    assert demand.absent == 2
+    assert (demand.current, demand.absent) == (4, 2)
 
 
 def test_burst_of_short_jobs_raises_the_demand_without_a_backlog(
--- a/testing/scheduling/test_lost_instances.py
+++ b/testing/scheduling/test_lost_instances.py
@@ -17,6 +17,7 @@
 from galenareel._jobs.model import Step
 from galenareel._scheduling.demand import compute_demand
 from galenareel._scheduling.demand import Demand
+from galenareel._scheduling.demand import LOST_AFTER_S
 from galenareel._scheduling.hosts import HostNeed
 from galenareel._scheduling.instances import FleetTables
 from galenareel._scheduling.instances import MoveInstance
@@ -113,6 +114,46 @@
     assert compute(harness).count_missing_desired() == 0
 
 
+@pytest.mark.parametrize('policy', POLICIES)
+def test_pool_gives_no_instance_away_for_one_that_does_not_answer(
+    harness: Harness, platform: FakePlatform, policy: SchedulingPolicy
+) -> None:
+    """It would be short as soon as the lease of the lost one is over."""
+    harness.submit('j', make_job(LASTING))
+    harness.pass_time(1.0)
+    # Its jobs have time for moves, so it has no reserve.
+    harness.engine.get_pool('lots').slack_s = 10.0
+    busy = {run[0] for run in harness.list_running().values()}
+    harness.cut_off.add(min(busy))
+    harness.pass_time(1.5)
+    tables = make_tables(platform)
+    demand = compute(harness, policy)
+    assert (demand.current, demand.absent) == (5, 1)
+    for later_s in (0.0, RELEASE_AFTER_S):
+        assert not plan_moves(
+            tables,
+            {'lots': demand},
+            'spare',
+            harness.engine.workers,
+            harness.now + later_s,
+            policy,
+        )
+
+
+def test_lost_instance_is_replaced_before_the_lease_of_its_worker_ends(
+    harness: Harness,
+) -> None:
+    step = Step(count=6, cpu=100, lasting=True, per_worker=1)
+    harness.submit('j', make_job(step))
+    harness.pass_time(1.0)
+    harness.cut_off.add('w0')
+    harness.pass_time(LOST_AFTER_S - 0.3)
+    assert compute(harness).count_missing_desired() == 0
+    harness.pass_time(0.6)
+    assert not harness.engine.workers['w0'].lease_expired
+    assert compute(harness).count_missing_desired() == 1
+
+
 @pytest.mark.parametrize('policy', POLICIES)
 def test_gang_that_is_wider_than_its_pool_gets_instances(
     harness: Harness, platform: FakePlatform, policy: SchedulingPolicy
