Report held tasks by what the last pass has left

The log named other or unproven_job for tasks that had waited for unread workers until then: the report came in the call in which the leases ended, before the pass that starts them. The report now comes first in the call.

--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -103,6 +103,8 @@
         :param now: monotonic time in seconds.
         :param wall_ms: wall clock in milliseconds since 1970.
         """
+        # What is released below is placed only after this call.
+        self.hold_report.report(self.pools, self.workers, now)
         self._detect_silence(now)
         self._crashes.find_losses(now)
         self._open_due_steps(now, wall_ms)
@@ -120,7 +122,6 @@
                 self.wake_pool(worker.pool)
             if worker.has_listed and worker.silent_since is None:
                 self._pace_runs(worker, now)
-        self.hold_report.report(self.pools, self.workers, now)
         self.waits.sample(self.pools, self.workers.values(), now)
         self.audit.check_slice(wall_ms)
 
--- a/testing/jobs/test_holding.py
+++ b/testing/jobs/test_holding.py
@@ -213,3 +213,23 @@
     (line,) = find_lines(harness, 'tasks_held')
     assert float(line.fields['quiet_s']) > 2.0
     assert (float(line.fields['stuck_s']) > 2.0) is not has_more
+
+
+def test_tasks_are_not_reported_as_held_before_the_pass_that_starts_them() -> (
+    None
+):
+    """They looked held for an unknown reason as the lease of a worker ended."""
+    harness = make_harness()
+    harness.submit('first', make_job(STEP))
+    harness.pass_time(1.0)
+    harness.cut_off.add(harness.find_worker('first.0.0.0').name)
+    harness.take_over('other')
+    reported = set()
+    for _ in range(100):
+        harness.pass_time(0.1)
+        # The report may be due in any round.
+        harness.engine.hold_report._due = 0.0
+        for line in find_lines(harness, 'tasks_held'):
+            reported.add(line.fields['reason'])
+    assert not harness.engine.jobs['first'].steps[0, 0].waiting
+    assert reported == {'unread_workers'}
