Count no spread for queues that have gone to another pool

Since a pool asks for the instances of its spread, and the runs of a queue that the configuration has sent elsewhere are still on its workers for a while: it would order instances for tasks that leave it.

--- a/src/galenareel/_scheduling/demand.py
+++ b/src/galenareel/_scheduling/demand.py
@@ -208,7 +208,13 @@
         demand.desired = max(demand.for_work, demand.spread)
         return demand
     load = _measure_load(pool, members, now)
-    _add_hosts(demand, load.steps.values(), hosts)
+    # Runs of a queue that has gone to another pool go on here for a while.
+    steps = [
+        step
+        for step in load.steps.values()
+        if step.job.queue.pool == pool.name
+    ]
+    _add_hosts(demand, steps, hosts)
     if pool.slack_s is None:
         pool.first_size = max(pool.first_size, len(members))
     arriving = pool.arriving_cpu(now)
--- a/testing/scheduling/test_lost_instances.py
+++ b/testing/scheduling/test_lost_instances.py
@@ -8,6 +8,7 @@
 
 from dataclasses import replace
 
+from msgspec import structs
 import pytest
 
 from galenareel._jobs.clients import InstanceRow
@@ -104,6 +105,18 @@
     assert demand.count_missing_required() == 0
 
 
+def test_spread_of_a_queue_that_has_gone_to_another_pool_does_not_count(
+    harness: Harness,
+) -> None:
+    """Its tasks still run in the former pool, which would ask for more."""
+    harness.submit('j', make_job(LASTING))
+    harness.pass_time(1.0)
+    assert compute(harness).spread == 5
+    work = harness.engine.jobs['j']
+    work.queue = structs.replace(work.queue, pool='tasting')
+    assert compute(harness).spread == 0
+
+
 def test_instance_that_closes_for_a_wave_is_not_replaced(
     harness: Harness,
 ) -> None:
