Find tasks that no worker of their pool can take by what workers have left

What a step needs of empty workers is replaced by what is left: waiting tasks are compared with what each worker offers beside its lasting tasks. Instances for them are planned after all backlogs, for gangs all or none, and not beyond the limit of a workspace.

--- a/src/galenareel/_jobs/engine.py
+++ b/src/galenareel/_jobs/engine.py
@@ -118,6 +118,10 @@
         )
         for worker in self.workers.values():
             clear_overdue(worker, now)
+            if worker.may_open():
+                worker.closed_since = None
+            elif worker.closed_since is None:
+                worker.closed_since = now
             if worker.trial_hold is not None:
                 self.wake_pool(worker.pool)
             if worker.has_listed and worker.silent_since is None:
@@ -171,6 +175,11 @@
             if not step.job.has_failed and not self._are_workers_read(step.job)
         ]
 
+    def may_start_step(self, step: StepWork, now: float) -> bool:
+        """Return whether a limit leaves room for a task or the gang."""
+        count = step.step.count if step.step.gang else 1
+        return self._has_quota(step, count, now)
+
     def _has_quota(self, step: StepWork, count: int, now: float) -> bool:
         """Return whether a limit leaves room for tasks; changes nothing."""
         workspace = step.job.workspace
--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -348,7 +348,7 @@
                 desired=demand.desired,
                 minimum=demand.minimum,
                 spread=demand.spread,
-                lacking=sum(need.missing for need in demand.host_needs),
+                lacking=demand.count_missing_for_tasks(),
                 waiting_steps=len(self._engine.get_pool(name).waiting),
             )
 
@@ -399,6 +399,7 @@
                     if self._will_join(instance, pool.name)
                 ],
                 held=self._engine.list_held_steps(pool),
+                may_start=lambda step: self._engine.may_start_step(step, now),
             )
             pool.has_surplus = demand.has_surplus()
             demands[pool.name] = demand
--- a/src/galenareel/_scheduling/demand.py
+++ b/src/galenareel/_scheduling/demand.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -16,11 +17,7 @@
 from galenareel._jobs.worker_entries import LEASE_S
 from galenareel._scheduling.arrivals import ArrivalRate
 from galenareel._scheduling.arrivals import forecast_rate
-from galenareel._scheduling.hosts import find_host_demand
-from galenareel._scheduling.hosts import Host
-from galenareel._scheduling.hosts import HostNeed
 from galenareel._scheduling.instances import MOVE
-from galenareel._scheduling.instances import WAVE
 from galenareel._scheduling.policy import DEFAULT_POLICY
 from galenareel._scheduling.policy import SchedulingPolicy
 from galenareel._scheduling.ranking import classify_timeliness
@@ -32,6 +29,10 @@
 from galenareel._scheduling.reserves import MOVE_LATENCY_S
 from galenareel._scheduling.reserves import plan_reserve
 from galenareel._scheduling.reserves import Reserve
+from galenareel._scheduling.stranded import find_instance_needs
+from galenareel._scheduling.stranded import InstanceNeed
+from galenareel._scheduling.stranded import make_worker_room
+from galenareel._scheduling.stranded import Room
 from galenareel._scheduling.tables import PoolWork
 from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import Worker
@@ -53,29 +54,27 @@
 TRIAL_INSTANCES = 4
 # Share of a pool's processor and memory that should be in use.
 TARGET_UTILIZATION = 0.85
-# An instance whose worker has not answered for this long is replaced, so that
-# another one is there when the lease of the worker ends.
-LOST_AFTER_S = LEASE_S - MOVE_LATENCY_S
+# An instance is replaced if its worker could not get tasks for this long. If
+# the worker is lost, another one is there when its lease ends.
+REPLACE_AFTER_S = LEASE_S - MOVE_LATENCY_S
 
 
 @dataclass(slots=True, kw_only=True)
 class Demand:
     """Demand of a pool, as numbers of instances.
 
-    :param current: instances whose workers answer and may get new tasks.
-    :param absent: instances whose workers do not answer, but may be back soon.
-        They are neither replaced nor spared.
+    :param current: instances whose workers may get new tasks.
+    :param absent: instances whose workers may not, as they do not answer for
+        example, but may be back soon. They are neither replaced nor spared.
     :param incoming: instances that will have a worker soon.
-    :param returning: instances that close for maintenance.
     :param desired: instances that it needs once a moved one is there, so that
         it clears its backlog as well.
-    :param for_work: the part of ``desired`` that its work needs by processor
-        and memory.
     :param required: instances that keep up with running and arriving work.
     :param minimum: instances that it keeps between its peaks.
-    :param spread: instances that the tasks which run at the same time need,
-        as by the limits of their steps per worker.
-    :param host_needs: needs of tasks for certain instances.
+    :param spread: part of ``minimum`` that the limits of lasting steps per
+        worker need.
+    :param needs: what waiting tasks need beside that, which no worker that
+        they find may offer.
     :param soon: instances that it gets directly from pools that can spare
         them, as its peak is due soon.
     :param is_ending: its peak ends before a moved instance would pay, and it
@@ -88,13 +87,11 @@
     current: int = 0
     absent: int = 0
     incoming: int = 0
-    returning: int = 0
     desired: int = 0
-    for_work: int = 0
     required: int = 0
     minimum: int = 0
     spread: int = 0
-    host_needs: tuple[HostNeed, ...] = ()
+    needs: tuple[InstanceNeed, ...] = ()
     soon: int = 0
     is_ending: bool = False
     large_tasks: int = 0
@@ -115,16 +112,9 @@
         """Return how many instances it lacks to keep up with its work."""
         return max(self.required - self.count_expected(), 0)
 
-    def count_missing_for_work(self) -> int:
-        """Return how many of those that it lacks its work needs."""
-        return max(self.for_work - self.count_expected(), 0)
-
-    def count_missing_spread(self) -> int:
-        """Return how many instances its tasks lack that run together.
-
-        One that closes for maintenance is back sooner than a moved one pays.
-        """
-        return max(self.spread - self.count_expected() - self.returning, 0)
+    def count_missing_for_tasks(self) -> int:
+        """Return how many instances certain tasks lack, at most."""
+        return sum(need.missing for need in self.needs)
 
 
 @dataclass(slots=True)
@@ -176,6 +166,7 @@
     policy: SchedulingPolicy = DEFAULT_POLICY,
     incoming: Collection[InstanceRow] = (),
     held: Iterable[StepWork] = (),
+    may_start: Callable[[StepWork], bool] = lambda _: True,
 ) -> Demand:
     """Compute how many instances a pool needs for its present work.
 
@@ -186,35 +177,29 @@
     :param incoming: instances that will have a worker soon.
     :param held: waiting steps that may not start yet, whatever room there is.
         The pool keeps the instances that they will need together.
+    :param may_start: whether the limit of its workspace lets a step start.
     """
     members = [worker for worker in workers if not worker.draining]
     demand = Demand(pool=pool.name, incoming=len(incoming))
-    hosts: list[Host] = [*incoming]
-    for worker in members:
-        is_answering = worker.is_answering()
-        if not is_answering and now - worker.heard_at > LOST_AFTER_S:
-            continue
-        if worker.closing_for != MOVE:
-            hosts.append(worker.record)
-        if worker.closing_for:
-            demand.returning += worker.closing_for == WAVE
-        elif is_answering:
-            demand.current += 1
-        else:
-            demand.absent += 1
+    usable = [worker for worker in members if not is_lost(worker, now)]
+    for worker in usable:
+        if not worker.closing_for:
+            demand.current += worker.may_open()
+            demand.absent += not worker.may_open()
+    if pool.waiting:
+        rooms = [Room(row.resources, row.labels) for row in incoming]
+        rooms += [
+            make_worker_room(worker)
+            for worker in usable
+            if worker.closing_for != MOVE
+        ]
+        demand.needs = find_instance_needs(
+            pool.waiting.values(), rooms, now, may_start=may_start
+        )
     if not members:
-        _add_hosts(demand, pool.waiting.values(), hosts)
-        demand.required = demand.for_work = 1 if pool.waiting else 0
-        demand.desired = max(demand.for_work, demand.spread)
+        demand.desired = 1 if pool.waiting else 0
         return demand
     load = _measure_load(pool, members, now)
-    # Runs of a queue that has gone to another pool go on here for a while.
-    steps = [
-        step
-        for step in load.steps.values()
-        if step.job.queue.pool == pool.name
-    ]
-    _add_hosts(demand, steps, hosts)
     if pool.slack_s is None:
         pool.first_size = max(pool.first_size, len(members))
     arriving = pool.arriving_cpu(now)
@@ -232,6 +217,7 @@
         update_turn(pool, pools or (pool,), arriving, min_peak_cpu)
         reserve = Reserve(kept=count_reserve(pool, load.mean_cpu, pools))
     demand.soon = reserve.soon
+    demand.spread = _count_spread_workers(load.steps.values())
     demand.minimum = max(demand.spread, reserve.kept)
     demand.minimum = max(
         demand.minimum, min(_count_held(load, held), demand.current)
@@ -251,20 +237,13 @@
         # Each of them may take a worker down for seconds.
         with_trials = demand.desired + suspect_jobs
         demand.desired = max(demand.desired, min(with_trials, pool.first_size))
-    demand.for_work = demand.desired
-    demand.desired = max(demand.desired, demand.spread - demand.returning)
     return demand
 
 
-def _add_hosts(
-    demand: Demand,
-    steps: Iterable[StepWork],
-    hosts: Collection[Host],
-) -> None:
-    """Add what the tasks need that run at the same time."""
-    hosts_needed = find_host_demand(steps, hosts)
-    demand.spread = hosts_needed.spread
-    demand.host_needs = hosts_needed.needs
+def is_lost(worker: Worker, now: float) -> bool:
+    """Return whether a worker is not expected to get tasks again soon."""
+    since = worker.closed_since
+    return since is not None and now - since > REPLACE_AFTER_S
 
 
 def _find_known_peak(pools: Iterable[PoolWork]) -> float:
@@ -450,3 +429,13 @@
         max(cpu / load.mean_cpu, memory / load.mean_memory)
         / TARGET_UTILIZATION
     )
+
+
+def _count_spread_workers(steps: Iterable[StepWork]) -> int:
+    """Return how many workers the limits of lasting steps per worker need."""
+    count = 1
+    for step in steps:
+        if step.step.lasting and step.step.per_worker:
+            needed = math.ceil(step.step.count / step.step.per_worker)
+            count = max(count, needed)
+    return count
--- a/src/galenareel/_scheduling/movable.py
+++ b/src/galenareel/_scheduling/movable.py
@@ -28,8 +28,8 @@
     """Return the instances that may leave their pool, the cheapest first.
 
     Each is a pair of its group and its name. A pool keeps an empty worker
-    for each large task that waits there, and those of a kind of which its
-    waiting tasks need all.
+    for each large task that waits there, and those that meet a need of
+    which it has no more than its waiting tasks take.
 
     :param taken: instances that are left out, as they move already.
     """
@@ -44,7 +44,7 @@
         for demand in demands.values()
     }
     held = {demand.pool: demand.large_tasks for demand in demands.values()}
-    needs = {demand.pool: demand.host_needs for demand in demands.values()}
+    needs = {demand.pool: demand.needs for demand in demands.values()}
     left = {(pool, need): need.spare for pool in needs for need in needs[pool]}
     for name, instance in sorted(tables.instances.items()):
         if not instance.may_close(now) or instance.pending_order:
--- a/src/galenareel/_scheduling/moves.py
+++ b/src/galenareel/_scheduling/moves.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 
+from galenareel._jobs.clients import InstanceRow
 from galenareel._scheduling.demand import Demand
 from galenareel._scheduling.instances import FleetTables
 from galenareel._scheduling.instances import MoveInstance
@@ -32,34 +34,25 @@
     """Plan moves of empty instances to the pools that need them.
 
     An instance goes directly from the pool whose peak has ended to the pool
-    whose peak begins. Instances that no pool needs go to the standby pool,
-    where they cost nothing.
-
-    Pools that are short only by tasks that run at the same time come last, as
-    these may ask for more instances than there are.
+    whose peak begins. What backlogs leave goes to pools with tasks that none
+    of their workers can take. Instances that no pool needs go to the standby
+    pool, where they cost nothing.
 
     :param standby: name of the standby pool, or empty.
     """
     moves: list[MoveInstance] = []
     taken: set[str] = set()
-    for demand in demands.values():
-        moves += _plan_for_needs(
-            tables, demands, demand, standby, workers, taken, now
-        )
     short = sorted(
-        (demand for demand in demands.values() if _is_short(demand)),
-        key=lambda demand: (
-            not demand.count_missing_for_work(),
-            -demand.count_missing_desired(),
+        (
+            demand
+            for demand in demands.values()
+            if demand.count_missing_desired() > 0 and not demand.is_ending
         ),
+        key=lambda demand: -demand.count_missing_desired(),
     )
     for demand in short:
         missing_desired = demand.count_missing_desired()
-        missing_required = max(
-            demand.count_missing_required(), demand.count_missing_spread()
-        )
-        if demand.is_ending:
-            missing_desired = demand.count_missing_spread()
+        missing_required = demand.count_missing_required()
         found = find_movable(
             tables,
             demands,
@@ -93,6 +86,9 @@
                     f' of {demand.current}',
                 )
             )
+    moves += _plan_for_tasks(
+        tables, demands, standby, workers, taken, now, moves
+    )
     if not standby:
         return moves
     if policy.lookahead:
@@ -110,56 +106,55 @@
     return moves
 
 
-def _is_short(demand: Demand) -> bool:
-    """Return whether a pool is to get more instances."""
-    if demand.is_ending:
-        return demand.count_missing_spread() > 0
-    return demand.count_missing_desired() > 0
-
-
-def _plan_for_needs(
+def _plan_for_tasks(
     tables: FleetTables,
     demands: Mapping[str, Demand],
-    demand: Demand,
     standby: str,
     workers: Mapping[str, Worker],
     taken: set[str],
     now: float,
+    planned: Iterable[MoveInstance],
 ) -> list[MoveInstance]:
-    """Plan moves of instances with a label or a size that tasks ask for.
+    """Plan moves of instances that certain tasks need.
 
-    :param demand: demand of the pool in which the tasks wait; the instances
-        are counted as on their way.
     :param taken: instances that move already; those found are added.
+    :param planned: moves of these, which may meet some of the needs.
     """
     moves: list[MoveInstance] = []
-    if not any(need.missing for need in demand.host_needs):
+    short = [each for each in demands.values() if each.needs]
+    if not any(demand.count_missing_for_tasks() for demand in short):
         return moves
     found = find_movable(tables, demands, standby, workers, now, taken)
-    for need in demand.host_needs:
-        missing = need.missing
-        for _group, name in found:
-            row = tables.instances[name].row
-            if missing <= 0:
-                break
-            if name in taken or row.pool == demand.pool:
-                continue
-            if not tables.may_join(row, demand.pool):
-                continue
-            if not need.is_met_by(row):
+    rows = {name: tables.instances[name].row for _, name in found}
+    arriving: dict[str, list[InstanceRow]] = {}
+    for move in planned:
+        row = tables.instances[move.instance].row
+        arriving.setdefault(move.pool, []).append(row)
+    for demand in short:
+        gained = arriving.setdefault(demand.pool, [])
+        for need in demand.needs:
+            missing = need.missing - sum(map(need.is_met_by, gained))
+            names = [
+                name
+                for name, row in rows.items()
+                if row.pool != demand.pool
+                and tables.may_join(row, demand.pool)
+                and need.is_met_by(row)
+            ]
+            if need.is_gang and len(names) < missing:
                 continue
-            taken.add(name)
-            missing -= 1
-            demand.incoming += 1
-            if row.pool in demands:
-                demands[row.pool].current -= 1
-            moves.append(
-                MoveInstance(
-                    instance=name,
-                    pool=demand.pool,
-                    reason=f'{demand.pool} lacks workers for a step',
+            for name in names[: max(missing, 0)]:
+                row = rows.pop(name)
+                gained.append(row)
+                taken.add(name)
+                if row.pool in demands:
+                    demands[row.pool].current -= 1
+                reason = f'{demand.pool} lacks {missing} for waiting tasks'
+                moves.append(
+                    MoveInstance(
+                        instance=name, pool=demand.pool, reason=reason
+                    )
                 )
-            )
     return moves
 
 
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -232,6 +232,8 @@
     :param leaves_at: local time before which a draining worker does not leave,
         or ``None`` if it is not known.
     :param cold_until: local time until which it is slow after its start.
+    :param closed_since: local time since which ``may_open`` was seen to be
+        false, or ``None``.
     :param closing_for: ``wave`` or ``move`` while it gets no new tasks for
         one of these, or empty.
     :param overfull: its last list took more than its room.
@@ -295,6 +297,7 @@
     draining: bool = False
     leaves_at: float | None = None
     cold_until: float = 0.0
+    closed_since: float | None = None
     admitted_at: float = 0.0
     closing_for: str = ''
     overfull: bool = False
@@ -346,14 +349,6 @@
             and self.unreachable_since is None
         )
 
-    def is_answering(self) -> bool:
-        """Return whether this leader has read it, and it answers polls."""
-        return (
-            self.has_listed
-            and self.silent_since is None
-            and self.unreachable_since is None
-        )
-
     def has_left(self) -> bool:
         """Return whether a worker that departs certainly runs nothing.
 
--- a/testing/scheduling/test_lost_instances.py
+++ b/testing/scheduling/test_lost_instances.py
@@ -1,4 +1,4 @@
-"""Tests of pools that lack workers for tasks that run at the same time.
+"""Tests of pools without a worker that could take some of their tasks.
 
 They guard against tasks that wait for ever in a pool whose workers have
 processor and memory to spare, because the pool asks for no other instance.
@@ -16,10 +16,10 @@
 from galenareel._jobs.model import Queue
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
+from galenareel._jobs.model import Workspace
 from galenareel._scheduling.demand import compute_demand
 from galenareel._scheduling.demand import Demand
-from galenareel._scheduling.demand import LOST_AFTER_S
-from galenareel._scheduling.hosts import HostNeed
+from galenareel._scheduling.demand import REPLACE_AFTER_S
 from galenareel._scheduling.instances import FleetTables
 from galenareel._scheduling.instances import MoveInstance
 from galenareel._scheduling.instances import WAVE
@@ -27,6 +27,9 @@
 from galenareel._scheduling.moves import RELEASE_AFTER_S
 from galenareel._scheduling.policy import DEFAULT_POLICY
 from galenareel._scheduling.policy import SchedulingPolicy
+from galenareel._scheduling.stranded import find_instance_needs
+from galenareel._scheduling.stranded import InstanceNeed
+from galenareel._scheduling.stranded import make_worker_room
 from galenareel._scheduling.tables import JobWork
 from galenareel._scheduling.tables import PoolWork
 from galenareel._scheduling.tables import StepWork
@@ -35,6 +38,7 @@
 from testing.jobs.harness import TASK
 from testing.scheduling.builders import make_tables
 from testing.standins.instances import FakePlatform
+from testing.standins.worker import FakeWorker
 
 LARGE = Resources(32_000, 131_072, 0)
 LASTING = Step(count=5, cpu=100, lasting=True, per_worker=1)
@@ -52,6 +56,9 @@
         harness.now,
         policy=policy,
         incoming=incoming,
+        may_start=lambda step: harness.engine.may_start_step(
+            step, harness.now
+        ),
     )
 
 
@@ -90,7 +97,7 @@
     assert [move.pool for move in moves] == ['lots', 'lots']
     arriving = tuple(platform.rows[move.instance] for move in moves)
     demand = compute(harness, policy, arriving)
-    assert demand.count_missing_desired() == 0
+    assert demand.count_missing_for_tasks() == 0
 
 
 def test_spread_that_lacks_instances_does_not_hold_up_waves(
@@ -101,30 +108,22 @@
     harness.submit('j', make_job(step))
     harness.pass_time(1.0)
     demand = compute(harness)
-    assert demand.count_missing_desired() == 34
+    assert demand.count_missing_for_tasks() == 34
     assert demand.count_missing_required() == 0
 
 
-def test_spread_of_a_queue_that_has_gone_to_another_pool_does_not_count(
-    harness: Harness,
-) -> None:
-    """Its tasks still run in the former pool, which would ask for more."""
-    harness.submit('j', make_job(LASTING))
-    harness.pass_time(1.0)
-    assert compute(harness).spread == 5
-    work = harness.engine.jobs['j']
-    work.queue = structs.replace(work.queue, pool='tasting')
-    assert compute(harness).spread == 0
-
-
 def test_instance_that_closes_for_a_wave_is_not_replaced(
     harness: Harness,
 ) -> None:
     step = Step(count=6, cpu=100, lasting=True, per_worker=1)
     harness.submit('j', make_job(step))
     harness.pass_time(1.0)
-    harness.engine.workers['w0'].closing_for = WAVE
-    assert compute(harness).count_missing_desired() == 0
+    worker = harness.engine.workers['w0']
+    worker.closing_for = WAVE
+    harness.engine.stop_lasting_tasks(worker, harness.now)
+    harness.pass_time(1.0)
+    assert harness.engine.jobs['j'].steps[0, 0].waiting
+    assert compute(harness).count_missing_for_tasks() == 0
 
 
 @pytest.mark.parametrize('policy', POLICIES)
@@ -160,11 +159,11 @@
     harness.submit('j', make_job(step))
     harness.pass_time(1.0)
     harness.cut_off.add('w0')
-    harness.pass_time(LOST_AFTER_S - 0.3)
-    assert compute(harness).count_missing_desired() == 0
-    harness.pass_time(0.6)
+    harness.pass_time(REPLACE_AFTER_S - 0.3)
+    assert compute(harness).count_expected() == 6
+    harness.pass_time(1.2)
     assert not harness.engine.workers['w0'].lease_expired
-    assert compute(harness).count_missing_desired() == 1
+    assert compute(harness).count_expected() == 5
 
 
 @pytest.mark.parametrize('policy', POLICIES)
@@ -190,8 +189,8 @@
     (move,) = plan(harness, make_tables(platform), policy)
     assert (move.instance, move.pool) == ('s1', 'lots')
     arriving = (platform.rows['s1'],)
-    (need,) = compute(harness, policy, arriving).host_needs
-    assert need.missing == 0
+    demand = compute(harness, policy, arriving)
+    assert demand.count_missing_for_tasks() == 0
 
 
 @pytest.mark.parametrize('policy', POLICIES)
@@ -212,8 +211,8 @@
     """It would be asked for again in the next round."""
     platform.rows['m0'] = replace(platform.rows['m0'], labels=('b', 'r1'))
     tables = make_tables(platform)
-    need = HostNeed((100, 0, 0, 'b'), missing=0, spare=0)
-    demand = Demand(pool='lots', current=6, desired=1, host_needs=(need,))
+    need = InstanceNeed((100, 0, 0, 'b'), missing=0, spare=0)
+    demand = Demand(pool='lots', current=6, desired=1, needs=(need,))
     moved = set()
     for later_s in (0.0, RELEASE_AFTER_S):
         moves = plan_moves(
@@ -261,13 +260,13 @@
     step = Step(count=40, cpu=100, lasting=True, per_worker=1)
     harness.submit('j', make_job(step))
     harness.pass_time(1.0)
-    peak = Demand(pool='tasting', current=1, desired=3, for_work=3)
+    peak = Demand(pool='tasting', current=1, desired=3)
     moves = plan(harness, make_tables(platform), tasting=peak)
     pools = [move.pool for move in moves]
     assert pools == ['tasting', 'tasting', 'lots']
 
 
-def test_spread_step_gets_instances_while_the_peak_of_its_pool_ends(
+def test_stranded_tasks_get_instances_while_the_peak_of_their_pool_ends(
     harness: Harness, platform: FakePlatform
 ) -> None:
     """A pool whose peak ends asks for no others."""
@@ -276,7 +275,7 @@
     harness.pass_time(1.0)
     demand = compute(harness, POLICIES[1])
     demand.is_ending = True
-    demand.desired = demand.for_work = 9
+    demand.desired = 9
     moves = plan_moves(
         make_tables(platform),
         {'lots': demand},
@@ -286,3 +285,121 @@
         POLICIES[1],
     )
     assert len(moves) == 1
+
+
+def test_gang_that_can_not_start_takes_and_holds_no_instances(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    """It would keep them from tasks that can, for as long as it waits."""
+    gang = Step(count=40, cpu=8000, estimate_ms=100, gang=True)
+    harness.submit('j', make_job(gang))
+    harness.pass_time(1.0)
+    for name in ('s0', 's1', 's2'):
+        del platform.rows[name]
+    demand = compute(harness)
+    demand.minimum = demand.desired = 1
+    peak = Demand(pool='tasting', current=1, desired=4)
+    moves = plan_moves(
+        make_tables(platform),
+        {'lots': demand, 'tasting': peak},
+        'spare',
+        harness.engine.workers,
+        harness.now,
+    )
+    assert [move.pool for move in moves] == ['tasting'] * 3
+
+
+LARGER_STEPS = {
+    'beside a lasting task': (
+        [Step(count=1, cpu=6000, lasting=True)] * 6,
+        Step(count=1, cpu=2500, lasting=True, per_worker=1),
+    ),
+    'of several jobs': (
+        [Step(count=1, cpu=4100, lasting=True)] * 6,
+        Step(count=1, cpu=4100, lasting=True),
+    ),
+    'that does not last': (
+        [Step(count=6, cpu=100, lasting=True, per_worker=1)],
+        Step(count=1, cpu=8000, estimate_ms=100),
+    ),
+}
+
+
+@pytest.mark.parametrize('policy', POLICIES)
+@pytest.mark.parametrize('case', LARGER_STEPS)
+def test_lasting_tasks_leave_no_room_for_a_task(
+    policy: SchedulingPolicy, case: str
+) -> None:
+    """Their pool counted what each step needs of workers without tasks."""
+    harness = Harness(*(FakeWorker(name=f'w{n}') for n in range(6)))
+    harness.proves_jobs = True
+    harness.pass_time(0.3)
+    steps, step = LARGER_STEPS[case]
+    for number, lasting in enumerate(steps):
+        harness.submit(f'l{number}', make_job(lasting))
+        harness.pass_time(1.0)
+    workers = {run[0] for run in harness.list_running().values()}
+    assert len(workers) == 6
+    harness.submit('j', make_job(step))
+    harness.pass_time(1.0)
+    assert compute(harness, policy).count_missing_for_tasks() == 1
+
+
+def test_worker_whose_lists_stay_incomplete_is_replaced(
+    harness: Harness,
+) -> None:
+    """It answers, so that its lease never ends, but it gets no tasks."""
+    harness.proves_jobs = True
+    step = Step(count=6, cpu=1000, estimate_ms=600_000, per_worker=1)
+    harness.submit('o', make_job(step))
+    harness.pass_time(1.0)
+    (task,) = harness.workers['w5'].running
+    harness.workers['w5'].odd_runs.add(task)
+    harness.pass_time(1.0)
+    harness.submit('j', make_job(Step(count=6, lasting=True, per_worker=1)))
+    harness.pass_time(30.0)
+    assert compute(harness).count_missing_for_tasks() == 1
+
+
+def test_last_instance_with_a_label_is_not_released_for_an_absent_one(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    """The one that does not answer counted as there."""
+    step = Step(count=1, cpu=100, lasting=True, label='b')
+    harness.submit('j', make_job(step))
+    for number in (0, 1):
+        worker = harness.engine.workers[f'w{number}']
+        worker.record = structs.replace(worker.record, labels=('b',))
+    harness.engine.workers['w0'].silent_since = harness.now
+    work = harness.engine.jobs['j'].steps[0, 0]
+    rooms = [
+        make_worker_room(each) for each in harness.engine.workers.values()
+    ]
+    (need,) = find_instance_needs([work], rooms, harness.now)
+    assert (need.missing, need.spare) == (0, 0)
+
+
+def test_tasks_beyond_the_limit_of_their_workspace_ask_for_no_instances(
+    harness: Harness,
+) -> None:
+    """No instance would let them start."""
+    harness.configure(Workspace(name='a', limit=Resources(200, 0)))
+    step = Step(count=9, cpu=100, lasting=True, per_worker=1)
+    harness.submit('j', make_job(step), workspace='a')
+    harness.pass_time(1.0)
+    assert len(harness.list_running()) == 2
+    assert compute(harness).count_missing_for_tasks() == 0
+
+
+def test_tasks_of_many_sizes_share_an_instance_with_their_label(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    """Each size got one of its own."""
+    for name in ('s0', 's1', 's2'):
+        row = platform.rows[name]
+        platform.rows[name] = replace(row, labels=('b', 'r1'))
+    for number in range(9):
+        step = Step(count=1, cpu=100 + number, estimate_ms=100, label='b')
+        harness.submit(f'j{number}', make_job(step))
+    harness.pass_time(1.0)
+    assert len(plan(harness, make_tables(platform))) == 1
