Take a kind of instance for refused only while the instance is there

A pool that lost instances could get no others for the rest of a term: a move that is refused (400) as the machine is gone was taken for a pool that takes no machines of its kind, and all of them have one kind in a pool.

A refused move now holds for its instance until a later list tells whether that is still there. test_move_of_an_instance_that_is_gone_stops_no_others failed before; that a picky pool is not asked again has a test, too.

--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -201,6 +201,7 @@
             wanted=self._find_wanted(),
             asked_at=self._list_requested_at,
         )
+        self._tables.settle_refused_moves(self._list_requested_at)
         if not listing.gap:
             self._record_gone_instances(set(self._tables.instances))
         self._retire_lost_workers(self._list_requested_at)
@@ -263,7 +264,8 @@
         has_open_wave = any(
             not wave.is_complete() for wave in self._state.waves.values()
         )
-        return has_open_wave or any(
+        has_open_order = has_open_wave or self._tables.refused_moves
+        return bool(has_open_order) or any(
             instance.pending_order
             or instance.row.state is not InstanceState.UP
             for instance in instances.values()
@@ -617,8 +619,8 @@
                 )
             )
         else:
-            kind = instance.row.labels[0] if instance.row.labels else ''
-            self._tables.refused_kinds.add((kind, order.pool))
+            refused = self._tables.refused_moves
+            refused[order.instance, order.pool] = self._clock.monotonic()
 
 
 def _make_moved_row(row: InstanceRow, pool: str) -> InstanceRow:
--- a/src/galenareel/_scheduling/instances.py
+++ b/src/galenareel/_scheduling/instances.py
@@ -121,6 +121,8 @@
         the oldest first; used with look-ahead.
     :param refused_kinds: pairs of a kind of instance, given by its first
         label, and a pool that does not take it.
+    :param refused_moves: names of instances and the pools to which their moves
+        were refused, with the local time of that. The instance may be gone.
     """
 
     instances: dict[str, Instance] = field(default_factory=dict)
@@ -129,11 +131,29 @@
         default_factory=dict
     )
     refused_kinds: set[tuple[str, str]] = field(default_factory=set)
+    refused_moves: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def may_join(self, row: InstanceRow, pool: str) -> bool:
         """Return whether a pool takes an instance of this kind."""
-        kind = row.labels[0] if row.labels else ''
-        return (kind, pool) not in self.refused_kinds
+        is_refused = (_get_kind(row), pool) in self.refused_kinds
+        return not is_refused and (row.name, pool) not in self.refused_moves
+
+    def settle_refused_moves(self, asked_at: float) -> None:
+        """Find out by a list why moves were refused.
+
+        The pool takes no instance of that kind if this one is still there.
+
+        :param asked_at: when the list was requested.
+        """
+        for (name, pool), refused_at in list(self.refused_moves.items()):
+            instance = self.instances.get(name)
+            if asked_at <= refused_at or (
+                instance is not None and instance.listed_at < asked_at
+            ):
+                continue
+            del self.refused_moves[name, pool]
+            if instance is not None and instance.row.state is InstanceState.UP:
+                self.refused_kinds.add((_get_kind(instance.row), pool))
 
     def record_need(
         self, pool: str, need: int, now: float, *, window_s: float
@@ -150,3 +170,7 @@
         if needs[0][0] > now - window_s:
             return None
         return max(count for _, count in needs)
+
+
+def _get_kind(row: InstanceRow) -> str:
+    return row.labels[0] if row.labels else ''
--- a/testing/jobs/test_fleet_lookahead.py
+++ b/testing/jobs/test_fleet_lookahead.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import Outcome
 from galenareel._jobs.commands import AcceptJob
 from galenareel._jobs.commands import Configure
 from galenareel._jobs.model import Pool
@@ -57,3 +58,72 @@
         assert len(platform.orders) == 3
     finally:
         running.leader.close()
+
+
+class VanishingPlatform(FakePlatform):
+    """The first instance that is to move is gone by then.
+
+    Another one comes after that.
+    """
+
+    def move(
+        self, instance: str, pool: str, *, holder: str, token: int
+    ) -> Answer:
+        if instance == 's0':
+            del self.rows[instance]
+            self.add('s1', 'spare')
+        return super().move(instance, pool, holder=holder, token=token)
+
+
+class PickyPlatform(FakePlatform):
+    """Takes no instance into another pool."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.refused: list[str] = []
+
+    def move(
+        self, instance: str, pool: str, *, holder: str, token: int
+    ) -> Answer:
+        self.refused.append(instance)
+        return Answer(outcome=Outcome.REFUSED)
+
+
+def submit_wide_job(running: RunningLeader) -> None:
+    lasting = Step(count=3, cpu=8000, lasting=True)
+    command = AcceptJob(
+        name='j', queue='view', request=make_job(lasting), now_ms=1
+    )
+    running.propose(command)
+
+
+def test_move_of_an_instance_that_is_gone_stops_no_others() -> None:
+    """All instances of its kind were taken for refused by the pool."""
+    platform = VanishingPlatform()
+    platform.add('s0', 'spare')
+    running = make_running(platform)
+    submit_wide_job(running)
+    running.start()
+    try:
+        eventually(lambda: bool(platform.orders))
+        assert platform.orders[0].instance == 's1'
+    finally:
+        running.leader.close()
+
+
+def test_pool_that_refuses_an_instance_is_not_asked_for_its_kind() -> None:
+    platform = PickyPlatform()
+    for number in range(6):
+        platform.add(f's{number}', 'spare')
+    running = make_running(platform)
+    submit_wide_job(running)
+    running.start()
+    try:
+        eventually(lambda: bool(platform.refused))
+        gevent.sleep(2.5)
+        tried = len(platform.refused)
+        gevent.sleep(1.5)
+        assert len(platform.refused) == tried
+        assert len(set(platform.refused)) == tried
+    finally:
+        running.leader.close()
