End the order for an instance that has gone down

Callers saw lasting tasks wait for ever: an instance moved to their pool, and went down before the leader had listed it as up there. It counted as due to arrive from then on, so that the pool ordered no other one.

Cause: an order ended only when its instance was listed as up. It ends now with any list that is later than the order and shows the instance neither as moving nor as in maintenance.

--- a/src/galenareel/_jobs/instance_lists.py
+++ b/src/galenareel/_jobs/instance_lists.py
@@ -20,6 +20,8 @@
 # An order for an instance whose row can't be read counts as under way, and
 # its maintenance as not over, for this time. It may be carried out late.
 UNREAD_ORDER_S = 15.0
+# States of an instance while an order is carried out.
+_UNDER_ORDER = (InstanceState.MOVING, InstanceState.MAINTENANCE)
 
 
 class InstanceLists:
@@ -96,12 +98,9 @@
                 (MOVE, InstanceState.MOVING),
             ):
                 instance.is_order_seen = True
+            # One that fails meanwhile is down, and has no worker afterwards.
             is_over = asked_at >= instance.down_until
-            if (
-                instance.pending_order
-                and is_over
-                and row.state is InstanceState.UP
-            ):
+            if is_over and row.state not in _UNDER_ORDER:
                 instance.pending_order = ''
         worker = self._engine.workers.get(row.worker)
         if worker is not None:
--- a/testing/jobs/test_odd_instances.py
+++ b/testing/jobs/test_odd_instances.py
@@ -16,6 +16,8 @@
 from galenareel._jobs.instance_lists import UNREAD_ORDER_S
 from galenareel._jobs.model import WaveRecord
 from galenareel._scheduling.instances import FleetTables
+from galenareel._scheduling.instances import MOVE
+from galenareel._scheduling.instances import ORDER_TIMEOUT_S
 from galenareel._scheduling.instances import WAVE
 from galenareel._scheduling.waves import plan_maintenance
 from testing.jobs.harness import Harness
@@ -134,6 +136,36 @@
     assert fleet.plan(101.0 + UNREAD_ORDER_S) == ['m2']
 
 
+@pytest.mark.parametrize('order', [MOVE, WAVE])
+@pytest.mark.parametrize('state', [InstanceState.DOWN, InstanceState.OTHER])
+def test_order_for_an_instance_that_fails_afterwards_ends(
+    fleet: ListedFleet, state: InstanceState, order: str
+) -> None:
+    """Guards against an instance that counts as due to arrive for good."""
+    fleet.read(100.0)
+    instance = fleet.tables.instances['m1']
+    instance.mark_ordered(order, 100.0)
+    fleet.platform.set_state('m1', state)
+    fleet.read(100.1)
+    assert instance.pending_order == order
+    fleet.read(100.0 + ORDER_TIMEOUT_S)
+    assert instance.pending_order == ''
+
+
+@pytest.mark.parametrize(
+    'state', [InstanceState.MOVING, InstanceState.MAINTENANCE]
+)
+def test_order_that_is_carried_out_slowly_does_not_end(
+    fleet: ListedFleet, state: InstanceState
+) -> None:
+    fleet.read(100.0)
+    instance = fleet.tables.instances['m1']
+    instance.mark_ordered(WAVE, 100.0)
+    fleet.platform.set_state('m1', state)
+    fleet.read(100.0 + 2 * ORDER_TIMEOUT_S)
+    assert instance.pending_order == WAVE
+
+
 def test_instance_that_can_be_read_again_gets_orders(
     fleet: ListedFleet,
 ) -> None:
