Forget a restart when a new leader would wait as long anyway

Cause: the state kept a restart until the longest lease that a late call may have given to the new incarnation was over, 10.2 s after its first list. A next leader that knows of the restart counts the whole longest lease anew, although part of it has passed.

A worker that has answered under its token refuses whatever was sent before. From then on, by its own clock, at most 10 s are left of a lease by an earlier clock, and 4.1 s later at most 6 s. A new leader without the record waits for 6 s by the slowest clock, and a second for the former leader's last calls. If it reaches the worker, its first extension ends 6 s after the worker's answer, so that it covers what is left in the worker's own time. So the record is dropped after 4.1 s. The wait of a new leader and the records of retired names stay as they are. Older builds that lead next wait as this one.

test_worker_that_restarted_five_seconds_ago_is_not_waited_for_longer failed before; it replaces the test of the same record with the former bound, and checks that the record stays until a second before the new one. test_lease_of_an_earlier_life_is_over_before_a_task_is_restarted changes the leader at the moment of the drop, with exact and slow clocks; it fails if the record is dropped 0.6 s earlier.

--- a/src/galenareel/_jobs/commands.py
+++ b/src/galenareel/_jobs/commands.py
@@ -133,8 +133,8 @@
         changed.
     :param leases: leases of workers that do not answer, likewise.
     :param settled: restarted or retired incarnations, whose earlier leases
-        are over. Members of older builds ignore this field and those after
-        it.
+        end before a new leader stops to wait for them. Members of older
+        builds ignore this field and those after it.
     :param idle: jobs that never had a run, and get none before they are in
         ``active``.
     :param active: jobs that may have runs again.
--- a/src/galenareel/_jobs/restarts.py
+++ b/src/galenareel/_jobs/restarts.py
@@ -4,7 +4,7 @@
 incarnation reaches the next one. The lease in it ends by another clock, so
 that the worker takes it for the longest one, ``MAX_LEASE_MS``. The leader
 knows this from the restart; the next leader knows it from the state, until
-this one has recorded that all such leases are over.
+this one has recorded that no such lease outlasts the wait of a new leader.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 
 from galenareel._jobs.state import JobState
+from galenareel._jobs.worker_entries import LEASE_S
 from galenareel._jobs.worker_entries import MAX_LEASE_MS
 from galenareel._jobs.worker_entries import MIN_CLOCK_RATE
 from galenareel._jobs.worker_entries import TAKE_OVER_MARGIN_S
@@ -20,6 +21,10 @@
 
 # Longest time for which a lease can run that a worker has just accepted.
 LONGEST_LEASE_S = MAX_LEASE_MS / 1000 / MIN_CLOCK_RATE
+# A worker that has answered under its token refuses what was sent before. So
+# much later, by its own clock, at most ``LEASE_S`` is left of such a lease. A
+# new leader waits for that anyway, or extends the lease by as much.
+SETTLED_AFTER_S = LONGEST_LEASE_S - LEASE_S / MIN_CLOCK_RATE
 # A retired name is known for longer than any call to it may be delayed.
 KEEP_RETIRED_NAME_S = 60.0
 
@@ -55,9 +60,9 @@
     def find_settled(self, now: float) -> tuple[Incarnation, ...]:
         """Return the incarnations whose records are not needed any more.
 
-        They are returned again until the state lacks them. A worker that has
-        answered under its token refuses what was sent before, so its leases
-        are over ``LONGEST_LEASE_S`` later, or were extended by its own clock.
+        They are returned again until the state lacks them. A leader that
+        follows takes office after this call, as it reads the state without
+        them.
         """
         settled_at = {}
         for name, born in self._state.restarts.items():
@@ -79,4 +84,4 @@
             return KEEP_RETIRED_NAME_S
         if worker.record.born != born or not worker.has_listed:
             return None
-        return LONGEST_LEASE_S
+        return SETTLED_AFTER_S
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -132,8 +132,8 @@
     :param silent_leases: by name, leases of workers that do not answer.
     :param leases_holder: member that has recorded these leases.
     :param restarts: by name, the incarnation of a worker that may hold a lease
-        which a leader gave to an earlier one; of a retired worker, the last
-        incarnation.
+        which a leader gave to an earlier one, and which may outlast the wait
+        of the next leader; of a retired worker, the last incarnation.
     :param idle_epoch: last epoch in which idle jobs were recorded. Leaders of
         older builds start such jobs without a record, so the records hold
         for the next epoch only.
