Let the next leader know how much is left of a restarted worker's lease

Callers saw tasks wait for more than 3 s in quiet pools when a worker had restarted and been read less than 4.1 s before it went for good with the leader: the next leader counted the whole longest lease from its own start (11.2 s).

Once a worker has answered under its token, no call can give it a longer lease by an earlier clock, so the end of such a lease is fixed: 10.2 s later at the latest. The leader now stores what may be left of it, in the command that it commits for silent workers, and renews that each second until the restart is forgotten. The next leader counts that from its own start, and never less than for any other worker.

test_next_leader_waits_only_for_what_is_left_of_an_earlier_lease fails if the next leader does not read the records; test_record_never_says_less_than_is_left_of_an_earlier_lease fails if they say 0.3 s less.

--- a/src/galenareel/_jobs/commands.py
+++ b/src/galenareel/_jobs/commands.py
@@ -140,6 +140,8 @@
     :param active: jobs that may have runs again.
     :param idle_epoch: epoch in which these were found. In a later one they
         change nothing, and the result is false.
+    :param restart_leases: for how long restarted workers may still hold a
+        lease which a leader gave to an earlier incarnation.
     """
 
     pools: dict[str, PoolLoad]
@@ -150,6 +152,7 @@
     idle: tuple[str, ...] = ()
     active: tuple[str, ...] = ()
     idle_epoch: int = 0
+    restart_leases: tuple[SilentLease, ...] = ()
 
 
 class ForgetJobs(Command, frozen=True):
--- a/src/galenareel/_jobs/load_records.py
+++ b/src/galenareel/_jobs/load_records.py
@@ -61,7 +61,8 @@
     def record_silence(self, now: float) -> None:
         """Commit what runs on silent workers, if that is to be recorded.
 
-        The same command removes the records of restarts that are settled.
+        The same command removes the records of restarts that are settled,
+        and stores what may be left of the leases of the others.
         """
         request = self._silence_request
         if request is not None and not request.dead:
@@ -69,9 +70,15 @@
         rows = self._engine.update_silent_workers()
         leases = self._engine.update_silent_leases(now)
         settled = self._engine.find_settled_restarts(now)
-        if rows is not None or leases is not None or settled:
+        restarts = self._engine.find_restart_leases(now)
+        if rows is not None or leases is not None or settled or restarts:
             self._silence_request = spawn_part(
-                self._fail, self._store_silence, rows, leases, settled
+                self._fail,
+                self._store_silence,
+                rows,
+                leases,
+                settled,
+                restarts,
             )
 
     def record_idle(self, now: float) -> None:
@@ -120,6 +127,7 @@
         rows: tuple[SilentWorker, ...] | None,
         leases: tuple[SilentLease, ...] | None,
         settled: tuple[Incarnation, ...],
+        restarts: tuple[SilentLease, ...],
     ) -> None:
         command = RecordLoads(
             pools={**self._state.loads, **self._engine.collect_loads()},
@@ -127,6 +135,7 @@
             silent=rows,
             leases=leases,
             settled=settled,
+            restart_leases=restarts,
         )
         # Without a result the housekeeping proposes them again.
         if self._propose(command) is not True:
--- a/src/galenareel/_jobs/restarts.py
+++ b/src/galenareel/_jobs/restarts.py
@@ -10,7 +10,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import math
 
+from galenareel._jobs.model import SilentLease
 from galenareel._jobs.state import JobState
 from galenareel._jobs.worker_entries import LEASE_S
 from galenareel._jobs.worker_entries import MAX_LEASE_MS
@@ -25,6 +27,7 @@
 # much later, by its own clock, at most ``LEASE_S`` is left of such a lease. A
 # new leader waits for that anyway, or extends the lease by as much.
 SETTLED_AFTER_S = LONGEST_LEASE_S - LEASE_S / MIN_CLOCK_RATE
+RENEW_MS = 1000  # records are renewed when a lease has run on for this long
 # A retired name is known for longer than any call to it may be delayed.
 KEEP_RETIRED_NAME_S = 60.0
 
@@ -46,11 +49,16 @@
         self._settled_at: dict[tuple[str, int, bool], float] = {}
         for name in state.restarts:
             worker = workers.get(name)
-            if worker is not None:
-                worker.has_former_life = True
-                worker.lease_expires_at = (
-                    now + TAKE_OVER_MARGIN_S + LONGEST_LEASE_S
-                )
+            if worker is None:
+                continue
+            worker.has_former_life = True
+            left_s = TAKE_OVER_MARGIN_S + LONGEST_LEASE_S
+            row = state.restart_leases.get(name)
+            if row is not None and row.born == worker.record.born:
+                left_s = row.left_ms / 1000
+            worker.lease_expires_at = max(
+                worker.lease_expires_at, now + left_s
+            )
 
     def mark_admitted(self, worker: Worker) -> None:
         """Note a new entry of a worker; its name may have been retired."""
@@ -77,6 +85,27 @@
             if now >= due_at
         )
 
+    def find_leases(self, now: float) -> tuple[SilentLease, ...]:
+        """Return what may be left of earlier leases, if that is to be stored.
+
+        No leader extends such a lease once the worker has answered under its
+        token, so that a record stays true. Call :meth:`find_settled` before.
+        """
+        rows = []
+        for (name, born, is_used), due_at in self._settled_at.items():
+            if not is_used:
+                continue
+            left_s = due_at - now + LONGEST_LEASE_S - SETTLED_AFTER_S
+            left_ms = math.ceil(left_s * 1000)
+            stored = self._state.restart_leases.get(name)
+            if (
+                stored is None
+                or stored.born != born
+                or stored.left_ms - left_ms >= RENEW_MS
+            ):
+                rows.append(SilentLease(name, born, left_ms))
+        return tuple(rows)
+
     def _get_wait_s(self, name: str, born: int) -> float | None:
         """Return for how long a record is needed yet, if that is known."""
         worker = self._workers.get(name)
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -137,6 +137,8 @@
     :param idle_epoch: last epoch in which idle jobs were recorded. Leaders of
         older builds start such jobs without a record, so the records hold
         for the next epoch only.
+    :param restart_leases: by name, for how long such an earlier lease of a
+        worker in ``restarts`` may still run, once a leader has read it.
     """
 
     epoch: int = 0
@@ -157,6 +159,7 @@
     leases_holder: str = ''
     restarts: dict[str, int] = {}
     idle_epoch: int = 0
+    restart_leases: dict[str, SilentLease] = {}
 
 
 class _OpenCrashes:
@@ -325,6 +328,11 @@
         """By name, incarnations that may hold a lease of an earlier one."""
         return MappingProxyType(self._tables.restarts)
 
+    @property
+    def restart_leases(self) -> Mapping[str, SilentLease]:
+        """By name, what may be left of leases of earlier incarnations."""
+        return MappingProxyType(self._tables.restart_leases)
+
     @property
     def previous_leader_ms(self) -> int:
         """Last wall time that was recorded before this epoch, in ms.
@@ -496,6 +504,7 @@
         del self._tables.workers[cmd.name]
         self._tables.former_rooms.pop(cmd.name, None)
         self._tables.restarts[cmd.name] = known.born
+        self._tables.restart_leases.pop(cmd.name, None)
         return True
 
     def _open_wave(self, cmd: OpenWave) -> bool:
@@ -541,6 +550,10 @@
         for name, born in cmd.settled:
             if self._tables.restarts.get(name) == born:
                 del self._tables.restarts[name]
+                self._tables.restart_leases.pop(name, None)
+        for row in cmd.restart_leases:
+            if self._tables.restarts.get(row.name) == row.born:
+                self._tables.restart_leases[row.name] = row
         if cmd.idle or cmd.active:
             return self._record_idle(cmd)
         return True
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -598,6 +598,10 @@
         """Return the restarts whose records are not needed any more."""
         return self._restarts.find_settled(now)
 
+    def find_restart_leases(self, now: float) -> tuple[SilentLease, ...]:
+        """Return records of leases of restarted workers to be stored."""
+        return self._restarts.find_leases(now)
+
     def confirm_silent_leases(self, rows: tuple[SilentLease, ...]) -> None:
         """Note that records of leases are stored."""
         for worker in self._silent_leases.confirm(rows):
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -282,8 +282,9 @@
         rows = self.engine.update_silent_workers()
         leases = self.engine.update_silent_leases(self.now)
         settled = self.engine.find_settled_restarts(self.now)
+        restarts = self.engine.find_restart_leases(self.now)
         self.record_idle_jobs()
-        if rows is None and leases is None and not settled:
+        if rows is None and leases is None and not settled and not restarts:
             return
         if self.lost_records != 'dropped':
             self.apply(
@@ -293,6 +294,7 @@
                     silent=rows,
                     leases=leases,
                     settled=settled,
+                    restart_leases=restarts,
                 )
             )
         if self.lost_records:
--- a/testing/jobs/test_restarts.py
+++ b/testing/jobs/test_restarts.py
@@ -211,6 +211,85 @@
     assert harness.list_running()[held] == ['w1']
 
 
+@pytest.mark.parametrize('read_for_s', [0.3, 1.3, 2.3, 3.3])
+@pytest.mark.parametrize('clock_rate', [1.0, MIN_CLOCK_RATE])
+def test_next_leader_waits_only_for_what_is_left_of_an_earlier_lease(
+    read_for_s: float, clock_rate: float
+) -> None:
+    harness = start_fleet(2)
+    worker = harness.workers['w0']
+    worker.clock_rate = clock_rate
+    restart(harness, 'w0')
+    submit(harness, 2)
+    (held,) = worker.running
+    harness.cancel('j0' if held.startswith('j1') else 'j1')
+    harness.pass_time(read_for_s)
+    harness.cut_off.add('w0')
+    harness.take_over('c2')
+    known = harness.engine.workers['w0']
+    left_s = (worker.lease_end_ms - worker.clock_ms) / 1000 / clock_rate
+    over_at = harness.now + left_s
+    assert over_at <= known.lease_expires_at
+    # The record is up to a second old, and the clock may be a slow one.
+    latest_at = max(over_at + 1.5, harness.now + ORDINARY_WAIT_S)
+    assert known.lease_expires_at <= latest_at
+    first_s = known.lease_expires_at - harness.now
+    lose_with_leader(harness, 'w0')
+    assert harness.list_running()[held] == ['w1']
+    assert first_s < TAKE_OVER_MARGIN_S + LONGEST_LEASE_S - 0.5
+
+
+@pytest.mark.parametrize('clock_rate', [1.0, MIN_CLOCK_RATE])
+def test_record_never_says_less_than_is_left_of_an_earlier_lease(
+    clock_rate: float,
+) -> None:
+    harness = start_fleet(1)
+    worker = harness.workers['w0']
+    worker.clock_rate = clock_rate
+    worker.crash()
+    harness.announce('w0')
+    harness.take_token()
+    give_late_lease(harness, 'w0')
+    harness.poll('w0')
+    over_ms = worker.lease_end_ms
+    harness.pass_time(0.1)
+    records = set()
+    while harness.state.restarts:
+        left_s = (over_ms - worker.clock_ms) / 1000 / clock_rate
+        left_ms = harness.state.restart_leases['w0'].left_ms
+        assert left_ms / 1000 >= left_s
+        records.add(left_ms)
+        harness.pass_time(0.1)
+    assert 3 <= len(records) <= 5
+
+
+def test_lease_of_a_worker_that_restarts_again_is_not_known() -> None:
+    harness = start_fleet(2)
+    restart(harness, 'w0')
+    harness.pass_time(1.0)
+    assert harness.state.restart_leases['w0'].born == 2
+    harness.workers['w0'].crash()
+    harness.announce('w0')
+    row = harness.state.restart_leases['w0']
+    harness.apply(RecordLoads(pools={}, factors={}, restart_leases=(row,)))
+    harness.cut_off.add('w0')
+    harness.take_over('c2')
+    left_s = harness.engine.workers['w0'].lease_expires_at - harness.now
+    assert left_s == pytest.approx(TAKE_OVER_MARGIN_S + LONGEST_LEASE_S)
+
+
+def test_lease_record_ends_with_the_record_of_the_restart() -> None:
+    harness = start_fleet(2)
+    restart(harness, 'w0')
+    assert 'w0' in harness.state.restart_leases
+    harness.pass_time(SETTLED_AFTER_S + 0.5)
+    assert not harness.state.restart_leases
+    restart(harness, 'w1')
+    assert 'w1' in harness.state.restart_leases
+    harness.retire('w1')
+    assert not harness.state.restart_leases
+
+
 def test_restart_of_a_worker_that_is_cut_off_is_not_settled() -> None:
     harness = start_fleet(2)
     harness.cut_off.add('w0')
@@ -269,6 +348,7 @@
     state.apply_command(RetireWorker(name='w0', born=worker.born))
     fields = msgspec.msgpack.decode(state.snapshot())
     assert fields.pop('restarts') == {'w0': worker.born}
+    assert fields.pop('restart_leases') == {}
     other = JobState()
     other.restore(1, msgspec.msgpack.encode(fields))
     assert not other.restarts
