Keep jobs of the state out of the garbage collector

What was seen: full collections hold the loop of a core for longer with each job. Cause: each job in the state adds five tracked objects, though requests, steps and progress are plain data without cycles. They are now structs with gc=False, and the pools of a job a tuple, encoded as before, so that its dictionaries and tuples are not tracked either.

--- a/src/galenareel/_jobs/model.py
+++ b/src/galenareel/_jobs/model.py
@@ -24,7 +24,9 @@
 MAX_STEP_TEXT_CHARS = 1024  # of a label, a rack or an image
 
 
-class Step(msgspec.Struct, frozen=True, omit_defaults=True, kw_only=True):
+class Step(
+    msgspec.Struct, frozen=True, omit_defaults=True, kw_only=True, gc=False
+):
     """A group of identical tasks of a job.
 
     :param cpu: requested processor time of a task in thousandths of a core.
@@ -67,7 +69,7 @@
     may_miss: int = 0
 
 
-class JobRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+class JobRequest(msgspec.Struct, frozen=True, omit_defaults=True, gc=False):
     """A job as its caller submits it.
 
     :param specification: text that is passed to the workers unchanged.
@@ -170,7 +172,9 @@
             )
 
 
-class TaskId(msgspec.Struct, frozen=True, array_like=True, order=True):
+class TaskId(
+    msgspec.Struct, frozen=True, array_like=True, order=True, gc=False
+):
     """Identifies a task by job, occurrence, step and index in the step."""
 
     job: str
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -49,7 +49,7 @@
 TaskCrashes = dict[Incarnation, bool]
 
 
-class Progress(msgspec.Struct):
+class Progress(msgspec.Struct, gc=False):
     """Recorded progress of one step of one occurrence.
 
     :param done: indices of the completed tasks.
@@ -73,7 +73,7 @@
         return len(self.failures.get(index, ()))
 
 
-class Job(msgspec.Struct, kw_only=True):
+class Job(msgspec.Struct, kw_only=True, gc=False):
     """An accepted job.
 
     :param epoch: epoch of the leader that accepted it.
@@ -95,7 +95,7 @@
     request: JobRequest
     epoch: int
     accepted_ms: int
-    pools: list[str]
+    pools: tuple[str, ...]
     max_attempts: int
     progress: dict[tuple[int, int], Progress] = {}
     cancelled: bool = False
@@ -406,7 +406,7 @@
             request=cmd.request,
             epoch=self._tables.epoch,
             accepted_ms=cmd.now_ms,
-            pools=[queue.pool],
+            pools=(queue.pool,),
             max_attempts=queue.max_attempts,
             left=tasks * cmd.request.count_occurrences(),
             workspace=cmd.workspace,
@@ -605,8 +605,8 @@
 def _apply_queue_settings(job: Job, queue: Queue) -> None:
     job.max_attempts = queue.max_attempts
     if job.pools[-1] != queue.pool:
-        job.pools = [pool for pool in job.pools if pool != queue.pool]
-        job.pools.append(queue.pool)
+        others = (pool for pool in job.pools if pool != queue.pool)
+        job.pools = (*others, queue.pool)
 
 
 def _record_done(job: Job, task: TaskId, now_ms: int) -> None:
--- a/testing/jobs/test_state.py
+++ b/testing/jobs/test_state.py
@@ -127,7 +127,7 @@
     accept(state, 'j')
     state.apply_command(Configure(config=make_config(2, 'b')))
     state.apply_command(Configure(config=make_config(3, 'lots')))
-    assert state.jobs['j'].pools == ['b', 'lots']
+    assert state.jobs['j'].pools == ('b', 'lots')
 
 
 def test_job_ends_when_all_tasks_are_done(state: JobState) -> None:
