--- a/testing/jobs/test_holding.py
+++ b/testing/jobs/test_holding.py
@@ -215,9 +215,7 @@
     assert (float(line.fields['stuck_s']) > 2.0) is not has_more
 
 
-def test_tasks_are_not_reported_as_held_before_the_pass_that_starts_them() -> (
-    None
-):
+def test_tasks_are_not_reported_before_the_pass_that_starts_them() -> None:
     """They looked held for an unknown reason as the lease of a worker ended."""
     harness = make_harness()
     harness.submit('first', make_job(STEP))
