--- a/testing/jobs/test_holding.py
+++ b/testing/jobs/test_holding.py
@@ -216,7 +216,7 @@
 
 
 def test_tasks_are_not_reported_before_the_pass_that_starts_them() -> None:
-    """They looked held for an unknown reason as the lease of a worker ended."""
+    """They looked held for another reason as the lease of a worker ended."""
     harness = make_harness()
     harness.submit('first', make_job(STEP))
     harness.pass_time(1.0)
