--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -179,11 +179,15 @@
         self.engine.apply_config(self.now)
 
     def submit(
-        self, name: str, req: JobRequest | None = None, workspace: str = ''
+        self,
+        name: str,
+        req: JobRequest | None = None,
+        workspace: str = '',
+        queue: str = 'view',
     ) -> None:
         command = AcceptJob(
             name=name,
-            queue='view',
+            queue=queue,
             request=req or make_job(),
             now_ms=WALL_MS,
             workspace=workspace,
--- a/testing/jobs/quiet_harness.py
+++ b/testing/jobs/quiet_harness.py
@@ -21,6 +21,7 @@
 from galenareel._jobs.model import Workspace
 from galenareel._jobs.term import RETIRE_AFTER_S
 from galenareel._scheduling.tables import StartTask
+from galenareel._scheduling.tables import StepWork
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
 from testing.jobs.harness import Violation
@@ -100,6 +101,8 @@
     :ivar beats_at: time of the last heartbeat of each worker.
     """
 
+    unread_limit_s = UNREAD_LIMIT_S
+
     def __init__(
         self,
         size: int = 3,
@@ -231,13 +234,13 @@
             if worker.draining and worker.name not in self.gone:
                 self.crash(worker.name, 0.5)
 
-    def submit_kind(self, name: str, kind: Kind) -> None:
+    def submit_kind(self, name: str, kind: Kind, queue: str = 'view') -> None:
         if kind.outcome == 'hopeless':
             self.hopeless.add(name)
         elif kind.outcome == 'deadly':
             self.deadly[name] = 0
         self.work_by_job[name] = 1e9 if kind.step.lasting else kind.work_s
-        self.submit(name, make_job(kind.step))
+        self.submit(name, make_job(kind.step), queue=queue)
 
     def list_timed_workers(self) -> list[TimedWorker]:
         workers = self.workers.values()
@@ -311,7 +314,7 @@
                         task in running
                         or work.has_failed
                         or self.engine._list_unread(work)
-                        or not self._fits_twice(step.step)
+                        or not self._fits_twice(step)
                     ):
                         self._idle_since.pop(task, None)
                     else:
@@ -331,39 +334,48 @@
         if work.has_failed or name in self._at_work:
             return False
         if self.engine._list_unread(work):
-            return self.now - self.led_at > UNREAD_LIMIT_S
-        workers = self._list_present()
+            return self.now - self.led_at > self.unread_limit_s
+        workers = self._list_present(work.queue.pool)
         capacity = sum(worker.resources.cpu for worker in workers)
-        if 2 * sum(self._used.values()) >= capacity:
+        used = sum(self._used[worker.name] for worker in workers)
+        if 2 * used >= capacity:
             return False
         return any(
-            self._fits_twice(step.step)
+            self._fits_twice(step)
             for step in work.steps.values()
             if step.waiting or step.runs
         )
 
-    def _fits_twice(self, step: Step) -> bool:
+    def _fits_twice(self, work: StepWork) -> bool:
+        step = work.step
         fits = sum(
             (worker.resources.cpu - self._used[worker.name])
             // max(step.cpu, 1)
-            for worker in self._list_present()
+            for worker in self._list_present(work.job.queue.pool)
         )
         return fits >= 2 * (step.count if step.gang else 1)
 
-    def _list_present(self) -> list[FakeWorker]:
+    def _list_present(self, pool: str = '') -> list[FakeWorker]:
+        """Return the workers of a pool, or all, that are not gone."""
         return [
             worker
             for name, worker in self.workers.items()
-            if name not in self.gone
+            if name not in self.gone and pool in ('', worker.pool)
         ]
 
-    def _get_used(self, worker: FakeWorker) -> int:
-        """Return the processor that its tasks use, in thousandths."""
+    def _get_used(
+        self, worker: FakeWorker, *, is_lasting: bool = False
+    ) -> int:
+        """Return the processor that its tasks use, in thousandths.
+
+        :param is_lasting: only tasks that do not end are counted.
+        """
         used = 0
         for name in worker.running:
             task = TaskId.parse(name)
             assert task is not None, 'the engine sends names of tasks'
-            used += self.state.jobs[task.job].request.steps[task.step].cpu
+            step = self.state.jobs[task.job].request.steps[task.step]
+            used += step.cpu if step.lasting or not is_lasting else 0
         return used
 
     def explain(self, name: str) -> str:
