--- a/testing/jobs/quiet_harness.py
+++ b/testing/jobs/quiet_harness.py
@@ -381,13 +381,18 @@
     def explain(self, name: str) -> str:
         """Return why the leader holds the tasks of a job back."""
         engine = self.engine
+        pool = engine.jobs[name].queue.pool
         found = []
         for step in engine.jobs[name].steps.values():
             for index in sorted(step.waiting)[:1]:
                 hold = explain_hold(
                     step,
                     index,
-                    engine.workers.values(),
+                    [
+                        worker
+                        for worker in engine.workers.values()
+                        if worker.pool == pool
+                    ],
                     unread=engine._list_unread(step.job),
                     has_quota=engine._has_quota(step, 1, self.now),
                     now=self.now,
