Count unanswered moves for stranded tasks, also without look-ahead

Each round of planning (0.1 s) ordered another instance for the same tasks until the platform had answered the first move: without look-ahead an instance counts as on its way only then. The needs of stranded tasks, new since, now count moves that are not answered. The test failed before without look-ahead.

--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -400,6 +400,12 @@
                     for instance in self._tables.instances.values()
                     if self._will_join(instance, pool.name)
                 ],
+                ordered=[
+                    instance.row
+                    for instance in self._tables.instances.values()
+                    if instance.target == pool.name
+                    and not self._will_join(instance, pool.name)
+                ],
                 held=self._engine.list_held_steps(pool),
                 may_start=lambda step: self._engine.may_start_step(step, now),
             )
--- a/src/galenareel/_scheduling/demand.py
+++ b/src/galenareel/_scheduling/demand.py
@@ -165,6 +165,7 @@
     *,
     policy: SchedulingPolicy = DEFAULT_POLICY,
     incoming: Collection[InstanceRow] = (),
+    ordered: Collection[InstanceRow] = (),
     held: Iterable[StepWork] = (),
     may_start: Callable[[StepWork], bool] = lambda _: True,
 ) -> Demand:
@@ -175,6 +176,7 @@
     :param workers: workers of the pool.
     :param pools: all pools that peak in turn.
     :param incoming: instances that will have a worker soon.
+    :param ordered: instances whose moves to the pool are not answered yet.
     :param held: waiting steps that may not start yet, whatever room there is.
         The pool keeps the instances that they will need together.
     :param may_start: whether the limit of its workspace lets a step start.
@@ -187,7 +189,9 @@
             demand.current += worker.may_open()
             demand.absent += not worker.may_open()
     if pool.waiting:
-        rooms = [Room(row.resources, row.labels) for row in incoming]
+        rooms = [
+            Room(row.resources, row.labels) for row in (*incoming, *ordered)
+        ]
         rooms += [
             make_worker_room(worker)
             for worker in usable
--- a/testing/jobs/test_fleet_lookahead.py
+++ b/testing/jobs/test_fleet_lookahead.py
@@ -4,6 +4,7 @@
 
 import gevent
 import msgspec
+import pytest
 
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Outcome
@@ -29,11 +30,14 @@
         return super().move(instance, pool, holder=holder, token=token)
 
 
-def make_running(platform: FakePlatform) -> RunningLeader:
+def make_running(
+    platform: FakePlatform, *, lookahead: bool = True
+) -> RunningLeader:
     """Return a leader with two instances in a pool beside a standby pool."""
     for number in (1, 2):
         platform.add(f'm{number}', 'lots', worker=f'w{number}')
-    running = RunningLeader(lambda: platform, SchedulingPolicy(lookahead=True))
+    policy = SchedulingPolicy(lookahead=lookahead)
+    running = RunningLeader(lambda: platform, policy)
     pools = (Pool(name='lots'), Pool(name='spare', standby=True))
     config = msgspec.structs.replace(make_config(2), pools=pools)
     running.propose(Configure(config=config))
@@ -60,6 +64,29 @@
         running.leader.close()
 
 
+@pytest.mark.parametrize('lookahead', [False, True])
+def test_unanswered_moves_for_stranded_tasks_are_not_ordered_again(
+    lookahead: bool,
+) -> None:
+    """Each round of planning ordered another instance for the same task."""
+    platform = SlowPlatform()
+    for number in range(8):
+        platform.add(f's{number}', 'spare')
+    running = make_running(platform, lookahead=lookahead)
+    step = Step(count=3, cpu=100, lasting=True, per_worker=1)
+    command = AcceptJob(
+        name='j', queue='view', request=make_job(step), now_ms=1
+    )
+    running.propose(command)
+    running.start()
+    try:
+        eventually(lambda: len(platform.orders) == 1)
+        gevent.sleep(1.0)
+        assert len(platform.orders) == 1
+    finally:
+        running.leader.close()
+
+
 class VanishingPlatform(FakePlatform):
     """The first instance that is to move is gone by then.
 
