--- a/src/galenareel/_scheduling/demand.py
+++ b/src/galenareel/_scheduling/demand.py
@@ -73,8 +73,8 @@
     :param minimum: instances that it keeps between its peaks.
     :param spread: part of ``minimum`` that the limits of lasting steps per
         worker need.
-    :param needs: what waiting tasks need beside that, which no worker that
-        they find may offer.
+    :param needs: needs of waiting tasks for certain instances. Those that
+        the pool lacks for them are ordered beside the desired ones.
     :param soon: instances that it gets directly from pools that can spare
         them, as its peak is due soon.
     :param is_ending: its peak ends before a moved instance would pay, and it
@@ -113,7 +113,7 @@
         return max(self.required - self.count_expected(), 0)
 
     def count_missing_for_tasks(self) -> int:
-        """Return how many instances certain tasks lack, at most."""
+        """Return how many instances it lacks for ``needs``, at most."""
         return sum(need.missing for need in self.needs)
 
 
--- a/src/galenareel/_scheduling/stranded.py
+++ b/src/galenareel/_scheduling/stranded.py
@@ -24,10 +24,11 @@
 from galenareel._scheduling.tables import StepWork
 from galenareel._scheduling.tables import Worker
 
-# Steps that one round of planning compares with each worker. Others are not:
-# a task of them fits on the worker that lasting tasks leave the most room.
+# Steps that a round of planning compares with each worker. It bounds the time
+# of a round in which many steps wait.
 MAX_COMPARED_STEPS = 16
-# Later rounds begin with other steps, as some may stay stranded for ever.
+# After this time other steps are compared, as the first may be stranded for
+# ever.
 ROTATE_EVERY_S = 1.0
 UNKNOWN = Resources(0, 0, 0)  # the platform does not list the size
 
@@ -91,7 +92,8 @@
     """Return the needs of waiting tasks for certain instances of their pool.
 
     All tasks of a lasting step need room at the same time, and so do those of
-    a gang. Of another step it is enough if one task fits.
+    a gang. Of another step it is enough if one task fits; most of these fit on
+    the worker with the most room, and are not compared with the others.
 
     :param steps: steps that wait in the pool.
     :param rooms: rooms of its workers, and of instances on their way to it.
