Compare only steps that have waited for a second with the workers

It also keeps a lasting job that was just handed in from asking for instances before its tasks were tried.

--- a/src/galenareel/_scheduling/demand.py
+++ b/src/galenareel/_scheduling/demand.py
@@ -188,18 +188,13 @@
         if not worker.closing_for:
             demand.current += worker.may_open()
             demand.absent += not worker.may_open()
-    if pool.waiting:
-        rooms = [
-            Room(row.resources, row.labels) for row in (*incoming, *ordered)
-        ]
-        rooms += [
-            make_worker_room(worker)
-            for worker in usable
-            if worker.closing_for != MOVE
-        ]
-        demand.needs = find_instance_needs(
-            pool.waiting.values(), rooms, now, may_start=may_start
-        )
+    joining = [*incoming, *ordered]
+    demand.needs = find_instance_needs(
+        pool.waiting.values(),
+        lambda: _list_rooms(usable, joining),
+        now,
+        may_start=may_start,
+    )
     if not members:
         demand.desired = 1 if pool.waiting else 0
         return demand
@@ -244,6 +239,18 @@
     return demand
 
 
+def _list_rooms(
+    workers: Iterable[Worker], joining: Iterable[InstanceRow]
+) -> list[Room]:
+    """Return the rooms of workers that stay, and of instances that come."""
+    rooms = [Room(row.resources, row.labels) for row in joining]
+    return rooms + [
+        make_worker_room(worker)
+        for worker in workers
+        if worker.closing_for != MOVE
+    ]
+
+
 def is_lost(worker: Worker, now: float) -> bool:
     """Return whether a worker is not expected to get tasks again soon."""
     since = worker.closed_since
--- a/src/galenareel/_scheduling/stranded.py
+++ b/src/galenareel/_scheduling/stranded.py
@@ -30,6 +30,8 @@
 # After this time other steps are compared, as the first may be stranded for
 # ever.
 ROTATE_EVERY_S = 1.0
+# Most steps have been started by then, and cost a round of planning nothing.
+MIN_WAIT_S = 1.0
 UNKNOWN = Resources(0, 0, 0)  # the platform does not list the size
 
 
@@ -84,28 +86,36 @@
 
 def find_instance_needs(
     steps: Iterable[StepWork],
-    rooms: Sequence[Room],
+    list_rooms: Callable[[], Sequence[Room]],
     now: float,
     *,
     may_start: Callable[[StepWork], bool] = lambda _: True,
 ) -> tuple[InstanceNeed, ...]:
     """Return the needs of waiting tasks for certain instances of their pool.
 
-    All tasks of a lasting step need room at the same time, and so do those of
+    Tasks that have just become ready are left out. All tasks of a lasting step
+    need room at the same time, and so do those of
     a gang. Of another step it is enough if one task fits; most of these fit on
     the worker with the most room, and are not compared with the others.
 
     :param steps: steps that wait in the pool.
-    :param rooms: rooms of its workers, and of instances on their way to it.
+    :param list_rooms: returns the rooms of its workers, and of instances on
+        their way to it.
     :param may_start: whether the limit of its workspace lets a step start.
     """
-    most = _find_most_room(rooms)
-    compared = [
+    waiting = [
         work
         for work in steps
         if work.waiting
+        and now - work.ready_at >= MIN_WAIT_S
         and not work.job.has_failed
-        and (_is_together(work) or not _fits(work, most))
+    ]
+    if not waiting:
+        return ()
+    rooms = list_rooms()
+    most = _find_most_room(rooms)
+    compared = [
+        work for work in waiting if _is_together(work) or not _fits(work, most)
     ]
     if not compared:
         return ()
