--- a/src/galenareel/_scheduling/stranded.py
+++ b/src/galenareel/_scheduling/stranded.py
@@ -94,9 +94,9 @@
     """Return the needs of waiting tasks for certain instances of their pool.
 
     Tasks that have just become ready are left out. All tasks of a lasting step
-    need room at the same time, and so do those of
-    a gang. Of another step it is enough if one task fits; most of these fit on
-    the worker with the most room, and are not compared with the others.
+    need room at the same time, and so do those of a gang. Of another step it
+    is enough if one task fits; most of these fit on the worker with the most
+    room, and are not compared with the others.
 
     :param steps: steps that wait in the pool.
     :param list_rooms: returns the rooms of its workers, and of instances on
