Let cautions end with the lease of a lost worker

Cause: the 2 s after which cautions are set aside began when the lease was over, as the task counted as running until then. A job whose only other runs were on lost workers counted as one that has tasks at work.

A task of a lost worker is away since the worker's last answer, now: worked_at begins there, steps with such tasks count as waiting in a quiet pool, and runs on workers that have not answered for 2 s put no task at work. The lease itself, trials one at a time and the limits of unproven jobs hold as before.

--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -59,6 +59,7 @@
 from galenareel._scheduling.policy import DEFAULT_POLICY
 from galenareel._scheduling.policy import SchedulingPolicy
 from galenareel._scheduling.proofs import Proofs
+from galenareel._scheduling.quiet import get_lost_since
 from galenareel._scheduling.stops import STOP_RESEND_S
 from galenareel._scheduling.stops import VOLUNTARY_REASONS
 from galenareel._scheduling.tables import ARRIVALS_S
@@ -638,7 +639,11 @@
         """
         index = run.task.index
         if run.confirmed_at is not None:
-            step.worked_at[index] = now
+            lost_since = get_lost_since(run)
+            worked_at = now if lost_since is None else lost_since
+            step.worked_at[index] = max(
+                step.worked_at.get(index, worked_at), worked_at
+            )
         if step.runs.get(index) or step.job.name not in self.jobs:
             return
         finished = self._done[step.job.name].get(
--- a/src/galenareel/_scheduling/quiet.py
+++ b/src/galenareel/_scheduling/quiet.py
@@ -84,16 +84,24 @@
     A lasting task is wanted at all times, so that it is enough for it if there
     is room. Those that have waited for too long are put in ``pool.overdue``.
     Room of closed workers counts: one that closes for a wave can be opened.
+    Steps with tasks on lost workers wait as well, so that the cautions are
+    over when the leases of these workers are.
 
     :param members: workers of the pool.
     """
     pool.overdue.clear()
-    if not pool.waiting:
+    steps = list(pool.waiting.values())
+    known = {id(step) for step in steps}
+    for step, *_ in find_lost_tasks(members):
+        if step.job.queue.pool == pool.name and id(step) not in known:
+            known.add(id(step))
+            steps.append(step)
+    if not steps:
         return
     present = [worker for worker in members if _is_present(worker)]
     is_quiet = measure_use(members).is_quiet
     room_by_needs: dict[tuple[Needs, int], bool] = {}
-    for step in pool.waiting.values():
+    for step in steps:
         is_wanted = is_quiet or step.step.lasting
         if not is_wanted:
             step.quiet_since = None
@@ -109,7 +117,7 @@
             step.quiet_since = None
         elif step.quiet_since is None:
             step.quiet_since = now
-        elif is_overdue(step, now):
+        elif step.waiting and is_overdue(step, now):
             pool.overdue.append(step)
     pool.has_new_overdue = bool(pool.overdue)
 
@@ -176,7 +184,7 @@
 
     A task of a job that has others at work is not counted, unless it lasts.
     """
-    if not step.step.lasting and _is_at_work(step.job):
+    if not step.step.lasting and _is_at_work(step.job, now):
         return 0.0
     return get_quiet_wait_s(step, index, now)
 
@@ -199,15 +207,16 @@
     """
     if step.quiet_since is None or now - step.quiet_since < MAX_CAUTION_S:
         return False
-    if not step.step.lasting and _is_at_work(step.job):
+    if not step.step.lasting and _is_at_work(step.job, now):
         return False
     return get_longest_quiet_wait_s(step, now) >= MAX_CAUTION_S
 
 
-def _is_at_work(job: JobWork) -> bool:
-    """Return whether any task of a job is known to run."""
+def _is_at_work(job: JobWork, now: float) -> bool:
+    """Return whether any task of a job is known to run, or was just now."""
     return any(
         run.confirmed_at is not None
+        and now - (get_lost_since(run) or now) < MAX_CAUTION_S
         for step in job.steps.values()
         for runs in step.runs.values()
         for run in runs
--- a/testing/jobs/test_holding.py
+++ b/testing/jobs/test_holding.py
@@ -246,3 +246,21 @@
     assert line.fields['reason'] == HoldReason.LOST_WORKERS.value
     assert line.fields['workers'] == name
     assert float(line.fields['away_s']) == pytest.approx(3.0, abs=1.1)
+
+
+def test_placed_task_tells_how_long_it_was_away() -> None:
+    harness = make_harness()
+    harness.submit('j', make_job(STEP))
+    harness.pass_time(1.0)
+    (name,) = harness.list_running()['j.0.0.0']
+    harness.cut_off.add(name)
+    lost_at = harness.now
+    harness.pass_time(10.0)
+
+    first, again = find_lines(harness, 'task_placed')
+    assert 'away_s' not in first.fields
+    (other,) = {'w1', 'w2'} - {name}
+    started_ms = harness.workers[other].running['j.0.0.0'].started_ms
+    away_s = harness.now - lost_at
+    away_s -= (harness.workers[other].clock_ms - started_ms) / 1000
+    assert float(again.fields['away_s']) == pytest.approx(away_s, abs=0.3)
--- a/testing/jobs/test_quiet_pools.py
+++ b/testing/jobs/test_quiet_pools.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+import math
+
 from hypothesis import HealthCheck
 from hypothesis import settings
 from hypothesis.stateful import initialize
@@ -25,9 +27,12 @@
 import pytest
 
 from galenareel._jobs.clients import Outcome
+from galenareel._jobs.leases import CLOCK_READ_MARGIN_S
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
 from galenareel._jobs.model import Workspace
+from galenareel._jobs.worker_entries import LEASE_S
+from galenareel._jobs.worker_entries import MIN_CLOCK_RATE
 from galenareel._scheduling.quiet import MAX_STEPS
 from galenareel._scheduling.quiet import update_quiet_waits
 from testing.jobs.harness import Harness
@@ -357,3 +362,27 @@
     members = list(harness.engine.workers.values())
     update_quiet_waits(pool, members, harness.now)
     assert len(looked_at) == MAX_STEPS
+
+
+@pytest.mark.parametrize('lasting', [False, True])
+def test_cautions_end_with_the_lease_of_a_lost_worker(
+    *, lasting: bool
+) -> None:
+    """They began with the end of the lease, another 2 s."""
+    harness = Harness(
+        FakeWorker(name='w0', work_s=1000.0),
+        FakeWorker(name='w1', work_s=1000.0),
+        FakeWorker(name='small', resources=Resources(500, 8000)),
+    )
+    harness.pass_time(0.3)
+    step = Step(count=1, cpu=1000, estimate_ms=60_000, lasting=lasting)
+    harness.submit('j', make_job(step))
+    harness.pass_time(1.0)
+    (lost,) = harness.list_running()['j.0.0.0']
+    (other,) = {'w0', 'w1'} - {lost}
+    health = harness.engine.workers[other].health
+    health.suspect_until = harness.now + 60.0
+    harness.crash(lost, math.inf)
+    longest_s = LEASE_S / MIN_CLOCK_RATE + CLOCK_READ_MARGIN_S + 0.5
+    harness.pass_time(longest_s)
+    assert harness.list_running() == {'j.0.0.0': [other]}
