Try suspects of overdue lasting tasks before those of other jobs

Cause: trials take turns in the order of the steps, and jobs of lasting tasks are unproven after each change of the leader, so that suspects of any proven job went first. Overdue steps got their turn only after the others had taken the workers.

Suspects of lasting steps that are overdue and of proven jobs are tried first, the longest wait before the others. Which workers may hold trials, and one trial at a time for an unproven job, is as before.

--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -77,12 +77,8 @@
         works = self.workspaces.order_jobs(works, by_job, members, now)
         works = candidates.limit.order(works)
         budget.begin()
-        # A suspect of a proven job has mostly run beside the task at fault, so
-        # it isn't kept waiting for the trials of the others.
-        for step in list(pool.waiting.values()):
+        for step in self._order_suspects(pool, now):
             key = self._step_key(step)
-            if not step.crashes or not step.job.proven:
-                continue
             if key in progress.suspects or not self._may_place(step.job):
                 continue
             if budget.is_spent():
@@ -113,6 +109,33 @@
                     return
         self._place_overdue(pool, progress, members, now, budget)
 
+    def _order_suspects(self, pool: PoolWork, now: float) -> list[StepWork]:
+        """Return the steps with suspects that are tried before the jobs.
+
+        A suspect of a proven job has mostly run beside the task at fault, so
+        it isn't kept waiting for the trials of the others. Trials take turns,
+        so overdue steps go first, the longest wait before the others. That
+        holds for all lasting tasks: they are wanted at all times, and their
+        jobs are unproven after each change of the leader.
+        """
+        overdue = {id(step) for step in pool.overdue if is_overdue(step, now)}
+        steps = [
+            step
+            for step in pool.waiting.values()
+            if step.crashes
+            and (
+                step.job.proven or (step.step.lasting and id(step) in overdue)
+            )
+        ]
+        steps.sort(
+            key=lambda step: (
+                -get_longest_quiet_wait_s(step, now)
+                if id(step) in overdue
+                else 0.0
+            )
+        )
+        return steps
+
     def _place_overdue(
         self,
         pool: PoolWork,
