Place tasks on workers that have just restarted last

Cause: a call to the former life of a worker may have reached the next one with a time of another clock, so that its lease lasts for up to 10 s from its first list. The protocol lets nothing refuse such a call, and each task that is started there within the next 4 s waits for that lease if the worker goes.

Such a worker comes last in the choice, for as long as its lease may outlast an ordinary one; in a full pool it is used as before.

--- a/src/galenareel/_scheduling/placement.py
+++ b/src/galenareel/_scheduling/placement.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable
 
 from galenareel._jobs.model import Step
+from galenareel._jobs.worker_entries import LEASE_S
+from galenareel._jobs.worker_entries import MIN_CLOCK_RATE
 from galenareel._scheduling.health import is_suspect
 from galenareel._scheduling.health import needs_trial
 from galenareel._scheduling.proofs import ProofLimit
@@ -37,6 +39,9 @@
 # A lasting task that runs this long has passed the trial of its worker.
 LASTING_TRIAL_S = 4.0
 COLD_PENALTY = 0.5  # the worker is still slow after its start
+# If a worker goes that has just restarted, its tasks wait for a longer lease.
+LONG_LEASE_PENALTY = 1.0
+LONG_LEASE_S = LEASE_S / MIN_CLOCK_RATE + 0.5
 
 
 class Candidates:
@@ -279,6 +284,8 @@
             score += OTHER_RACK_PENALTY
         if worker.cold_until > self.now:
             score += COLD_PENALTY
+        if worker.lease_expires_at - self.now > LONG_LEASE_S:
+            score += LONG_LEASE_PENALTY
         if step.fills or step.target_ms:
             score += self._score_interference(work, worker)
         if step.lasting:
--- a/testing/scheduling/test_placement.py
+++ b/testing/scheduling/test_placement.py
@@ -208,3 +208,48 @@
     harness.pass_time(0.3)
     used = [worker.cpu_used for worker in harness.engine.workers.values()]
     assert sorted(used) == [0, 0, 0, 0, 0, 8000]
+
+
+@pytest.mark.parametrize('lasting', [False, True])
+def test_worker_that_has_just_restarted_is_the_last_choice(
+    *, lasting: bool
+) -> None:
+    """If it went again, its tasks would wait for a lease of up to 10 s."""
+    harness = Harness(
+        FakeWorker(name='w0', resources=ROOM),
+        FakeWorker(name='w1', resources=ROOM),
+    )
+    harness.proves_jobs = True
+    harness.submit('j', make_job(Step(count=1, cpu=4000, estimate_ms=9000)))
+    harness.pass_time(0.3)
+    (busy,) = workers_in_use(harness)
+    (idle,) = (each for each in harness.workers.values() if each is not busy)
+    harness.crash(idle.name, 0.5)
+    harness.pass_time(1.0)
+    step = Step(count=1, cpu=1000, estimate_ms=9000, lasting=lasting)
+    harness.submit('k', make_job(step))
+    harness.pass_time(0.3)
+    assert not idle.running
+
+    harness.pass_time(5.0)
+    step = Step(count=1, cpu=1000, estimate_ms=9000)
+    harness.submit('m', make_job(step))
+    harness.pass_time(0.3)
+    assert idle.running
+
+
+def test_worker_that_has_just_restarted_is_used_if_others_are_full() -> None:
+    harness = Harness(
+        FakeWorker(name='w0', resources=ROOM),
+        FakeWorker(name='w1', resources=ROOM),
+    )
+    harness.proves_jobs = True
+    harness.submit('j', make_job(Step(count=1, cpu=32000, estimate_ms=9000)))
+    harness.pass_time(0.3)
+    (busy,) = workers_in_use(harness)
+    (idle,) = (each for each in harness.workers.values() if each is not busy)
+    harness.crash(idle.name, 0.5)
+    harness.pass_time(1.0)
+    harness.submit('k', make_job(Step(count=1, cpu=1000, estimate_ms=9000)))
+    harness.pass_time(0.3)
+    assert idle.running
