--- a/src/galenareel/_scheduling/quiet.py
+++ b/src/galenareel/_scheduling/quiet.py
@@ -157,6 +157,10 @@
         the local time since which none of them is known to go on.
     """
     for worker in workers:
+        is_silent = worker.silent_since is not None
+        is_unreachable = worker.unreachable_since is not None
+        if worker.has_listed and not is_silent and not is_unreachable:
+            continue
         for run in worker.runs.values():
             step = run.step
             if step is None or run.confirmed_at is None:
