Bind the record of the longest lease to the term that has found it

A term that is over, and not closed yet, could record for the epoch of the older build that followed it that no longer leases run: the record carried the epoch of the state. It carries the last epoch that the term itself has taken now.

A worker that restarts after a leader of an older build keeps no more than the end of that leader's leases, not the longest end that was ever known.

test_term_that_is_over_does_not_record_for_its_successor fails with the epoch of the state.

--- a/src/galenareel/_jobs/leases.py
+++ b/src/galenareel/_jobs/leases.py
@@ -102,12 +102,11 @@
         over_at = (
             worker.clock_at + left_s / MIN_CLOCK_RATE + CLOCK_READ_MARGIN_S
         )
-        worker.lease_expires_at = (
-            max(worker.lease_expires_at, over_at)
-            if worker.name in self._unread_workers
-            or self._state.longest_lease_ms > LEASE_MS
-            else over_at
-        )
+        if worker.name in self._unread_workers:
+            over_at = max(over_at, worker.lease_expires_at)
+        elif self._state.longest_lease_ms > LEASE_MS:
+            over_at = max(over_at, self._former_leases_over_at)
+        worker.lease_expires_at = over_at
 
     def note_poll_sent(
         self, worker: Worker, now: float, wait_s: float
--- a/src/galenareel/_jobs/load_records.py
+++ b/src/galenareel/_jobs/load_records.py
@@ -88,7 +88,7 @@
                 settled,
                 restarts,
                 longest_ms,
-                self._state.epoch,
+                self._engine.latest_epoch,
             )
 
     def record_idle(self, now: float) -> None:
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -604,6 +604,11 @@
         """Return the restarts whose records are not needed any more."""
         return self._restarts.find_settled(now)
 
+    @property
+    def latest_epoch(self) -> int:
+        """Last epoch that this leader has taken."""
+        return self._tokens.latest
+
     def find_longest_lease(self, now: float) -> int:
         """Return the longest lease to be stored in ms, or 0.
 
--- a/testing/jobs/harness.py
+++ b/testing/jobs/harness.py
@@ -309,7 +309,7 @@
                     settled=settled,
                     restart_leases=restarts,
                     longest_lease_ms=longest_ms,
-                    lease_epoch=self.state.epoch,
+                    lease_epoch=self.engine.latest_epoch,
                 )
             )
         if self.lost_records:
--- a/testing/jobs/test_former_leases.py
+++ b/testing/jobs/test_former_leases.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import msgspec
 import pytest
 
@@ -9,11 +11,15 @@
 from galenareel._jobs.commands import TakeOver
 from galenareel._jobs.engine import Engine
 from galenareel._jobs.model import FORMER_LEASE_MS
+from galenareel._jobs.model import Step
+from galenareel._jobs.restarts import LONGEST_LEASE_S
 from galenareel._jobs.state import JobState
 from galenareel._jobs.worker_entries import LEASE_MS
+from galenareel._jobs.worker_entries import LEASE_S
 from galenareel._jobs.worker_entries import MIN_CLOCK_RATE
 from galenareel._jobs.worker_entries import TAKE_OVER_MARGIN_S
 from testing.jobs.harness import Harness
+from testing.jobs.harness import make_job
 from testing.standins.worker import FakeWorker
 
 FORMER_WAIT_S = TAKE_OVER_MARGIN_S + FORMER_LEASE_MS / 1000 / MIN_CLOCK_RATE
@@ -94,6 +100,15 @@
     assert harness.state.longest_lease_ms == FORMER_LEASE_MS
 
 
+def test_term_that_is_over_does_not_record_for_its_successor() -> None:
+    """It is closed only a moment after the other leader's epoch begins."""
+    harness = make_harness()
+    harness.pass_time(10.0)
+    harness.apply(TakeOver(node='older'))
+    harness.record_silence()
+    assert harness.state.longest_lease_ms == FORMER_LEASE_MS
+
+
 def test_snapshot_of_a_build_that_does_not_tell_its_leases_is_read() -> None:
     harness = make_harness()
     fields = msgspec.msgpack.decode(harness.state.snapshot())
@@ -119,3 +134,71 @@
     until_ms = engine.extend_lease(worker, harness.now)
     assert until_ms is not None
     assert until_ms - harness.workers['w0'].clock_ms <= LEASE_MS + 1
+
+
+class MixedBuilds(Harness):
+    """Leaders of this build and of an older one with longer leases."""
+
+    def change_leader(self, patch: pytest.MonkeyPatch, *, older: bool) -> None:
+        lease_s = FORMER_LEASE_MS / 1000 if older else LEASE_S
+        wait_s = LONGEST_LEASE_S - lease_s / MIN_CLOCK_RATE
+        patch.setattr('galenareel._jobs.leases.LEASE_S', lease_s)
+        patch.setattr('galenareel._jobs.restarts.SETTLED_AFTER_S', wait_s)
+        told_ms = 0 if older else LEASE_MS
+        patch.setattr('testing.jobs.harness.LEASE_MS', told_ms)
+        engine = self.take_over('older' if older else 'c2')
+        if older:
+            patch.setattr(engine, 'find_longest_lease', lambda _now: 0)
+            for worker in engine.workers.values():
+                over_at = self.now + FORMER_WAIT_S
+                if worker.lease_expires_at < over_at:
+                    worker.lease_expires_at = over_at
+
+
+def disturb(
+    harness: MixedBuilds, patch: pytest.MonkeyPatch, rng: random.Random
+) -> None:
+    name = rng.choice(sorted(harness.workers))
+    fault = rng.random()
+    if fault < 0.06:
+        harness.change_leader(patch, older=rng.random() < 0.5)
+    elif fault < 0.14:
+        harness.cut_off.add(name)
+    elif fault < 0.20:
+        harness.cut_off.discard(name)
+    elif fault < 0.23 and name not in harness.down:
+        harness.crash(name, rng.choice([0.5, 2.0, 3.5]))
+    elif fault < 0.25:
+        harness.lost_records = rng.choice(['', '', 'applied', 'dropped'])
+    elif fault < 0.27:
+        harness.delaying_orders ^= {name}
+    elif fault < 0.30:
+        harness.deliver_late()
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_no_task_runs_twice_under_leaders_of_both_builds(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    rng = random.Random(seed)  # noqa: S311
+    harness = MixedBuilds(
+        *(
+            FakeWorker(
+                name=f'w{number}',
+                rack=f'r{number}',
+                work_s=1e6,
+                clock_rate=rng.choice([1.0, MIN_CLOCK_RATE]),
+            )
+            for number in range(4)
+        )
+    )
+    for number in range(6):
+        step = Step(
+            count=2, cpu=500, estimate_ms=600_000, lasting=number % 2 == 0
+        )
+        harness.submit(f'j{number}', make_job(step))
+    for _ in range(400):
+        harness.pass_time(rng.choice([0.1, 0.1, 0.3, 0.5]))
+        for task, names in harness.list_running().items():
+            assert len(names) == 1, f'{task} runs on {names}'
+        disturb(harness, monkeypatch, rng)
