Let cautions end with the lease for starts on their way, too

What callers saw: a task whose start was on its way when its worker was lost waits for the lease and then 2 s for cautions: 8.6 s instead of 6.6 s.

Cause: only confirmed runs were looked for on lost workers. Such tasks had no line in tasks_held, either. Found by a review; both cases of test_cautions_end_with_the_lease_of_a_lost_worker with an unconfirmed run failed before.

--- a/src/galenareel/_scheduling/quiet.py
+++ b/src/galenareel/_scheduling/quiet.py
@@ -163,7 +163,7 @@
             continue
         for run in worker.runs.values():
             step = run.step
-            if step is None or run.confirmed_at is None:
+            if step is None:
                 continue
             others = step.runs.get(run.task.index, ())
             if not others or others[0] is not run:
