Find once for each job whether it has tasks at work

The result is kept for the call, and only steps that may be tried first are asked. No change of what is found.

--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -118,14 +118,20 @@
         holds for all lasting tasks: they are wanted at all times, and their
         jobs are unproven after each change of the leader.
         """
-        overdue = {id(step) for step in pool.overdue if is_overdue(step, now)}
         steps = [
             step
             for step in pool.waiting.values()
-            if step.crashes
-            and (
-                step.job.proven or (step.step.lasting and id(step) in overdue)
-            )
+            if step.crashes and (step.job.proven or step.step.lasting)
+        ]
+        at_work: dict[str, bool] = {}
+        found = {id(step) for step in pool.overdue} if steps else set()
+        overdue = {
+            id(step)
+            for step in steps
+            if id(step) in found and is_overdue(step, now, at_work)
+        }
+        steps = [
+            step for step in steps if step.job.proven or id(step) in overdue
         ]
         steps.sort(
             key=lambda step: (
@@ -152,12 +158,13 @@
         if not pool.has_new_overdue:
             return
         pool.has_new_overdue = False
+        at_work: dict[str, bool] = {}
         steps = [
             step
             for step in pool.overdue
             if pool.waiting.get(self._step_key(step)) is step
             and self._step_key(step) not in progress.overdue
-            and is_overdue(step, now)
+            and is_overdue(step, now, at_work)
             and self._may_place(step.job)
             and self.quotas.has_room(step)
         ]
--- a/src/galenareel/_scheduling/quiet.py
+++ b/src/galenareel/_scheduling/quiet.py
@@ -101,6 +101,7 @@
     present = [worker for worker in members if _is_present(worker)]
     is_quiet = measure_use(members).is_quiet
     room_by_needs: dict[tuple[Needs, int], bool] = {}
+    at_work: dict[str, bool] = {}
     for step in steps:
         is_wanted = is_quiet or step.step.lasting
         if not is_wanted:
@@ -117,7 +118,7 @@
             step.quiet_since = None
         elif step.quiet_since is None:
             step.quiet_since = now
-        elif step.waiting and is_overdue(step, now):
+        elif step.waiting and is_overdue(step, now, at_work):
             pool.overdue.append(step)
     pool.has_new_overdue = bool(pool.overdue)
 
@@ -203,16 +204,25 @@
     )
 
 
-def is_overdue(step: StepWork, now: float) -> bool:
+def is_overdue(
+    step: StepWork, now: float, at_work: dict[str, bool] | None = None
+) -> bool:
     """Return whether cautions have held tasks of a step back for too long.
 
     Only a job that has nothing at work waits for these alone. A lasting task
     counts by itself.
+
+    :param at_work: by job, whether it has tasks at work, as found by earlier
+        calls of the same moment. A job may have many steps with lost runs.
     """
     if step.quiet_since is None or now - step.quiet_since < MAX_CAUTION_S:
         return False
-    if not step.step.lasting and _is_at_work(step.job, now):
-        return False
+    if not step.step.lasting:
+        found = at_work if at_work is not None else {}
+        if step.job.name not in found:
+            found[step.job.name] = _is_at_work(step.job, now)
+        if found[step.job.name]:
+            return False
     return get_longest_quiet_wait_s(step, now) >= MAX_CAUTION_S
 
 
