Find an instance for each need among all that a pool can lend

Cause: which instances may leave was decided once for a round, before it was known what for. A pool that can spare or lend one instance offered the first empty one by name. If that one was too small or had not the label, it stayed where it was, and the one that would do was never looked at. An instance of a kind that a pool refuses was in the way of others likewise.

Instances are looked for by target and need now: those that are of no use there don't count towards the number that their pool can do without. What moves already in the round counts against the instances that the lender's own tasks need, which two needs in a round could take beyond that. A gang still gets all that it lacks or none, and what it can't use is free for others.

--- a/src/galenareel/_scheduling/moves.py
+++ b/src/galenareel/_scheduling/moves.py
@@ -13,7 +13,7 @@
 from galenareel._scheduling.demand import Demand
 from galenareel._scheduling.instances import FleetTables
 from galenareel._scheduling.instances import MoveInstance
-from galenareel._scheduling.movable import find_movable
+from galenareel._scheduling.movable import MovableInstances
 from galenareel._scheduling.movable import prefer_missing_racks
 from galenareel._scheduling.movable import RESERVED
 from galenareel._scheduling.policy import DEFAULT_POLICY
@@ -44,17 +44,11 @@
 
     :param standby: name of the standby pool, or empty.
     """
+    movable = MovableInstances(tables, demands, standby, workers, now)
     moves: list[MoveInstance] = []
     taken: set[str] = set()
     moves += _plan_for_tasks(
-        tables,
-        demands,
-        standby,
-        workers,
-        taken,
-        now,
-        moves,
-        limit=FIRST_FOR_TASKS,
+        tables, demands, movable, taken, moves, limit=FIRST_FOR_TASKS
     )
     short = sorted(
         (
@@ -67,13 +61,8 @@
     for demand in short:
         missing_desired = demand.count_missing_desired()
         missing_required = demand.count_missing_required()
-        found = find_movable(
-            tables,
-            demands,
-            standby,
-            workers,
-            now,
-            taken if policy.lookahead else (),
+        found = movable.find(
+            taken if policy.lookahead else (), target=demand.pool
         )
         if policy.lookahead:
             found = prefer_missing_racks(tables, found, demand.pool)
@@ -81,9 +70,7 @@
             if missing_desired <= 0:
                 break
             row = tables.instances[name].row
-            if name in taken or row.pool == demand.pool:
-                continue
-            if not tables.may_join(row, demand.pool):
+            if name in taken:
                 continue
             if group == RESERVED and missing_required <= 0:
                 continue
@@ -100,14 +87,12 @@
                     f' of {demand.current}',
                 )
             )
-    moves += _plan_for_tasks(
-        tables, demands, standby, workers, taken, now, moves
-    )
+    moves += _plan_for_tasks(tables, demands, movable, taken, moves)
     if not standby:
         return moves
     if policy.lookahead:
         return moves + plan_all_releases(
-            tables, demands, standby, workers, taken, now
+            tables, demands, movable, standby, taken, now
         )
     satisfied = {
         demand.pool: demand
@@ -123,10 +108,8 @@
 def _plan_for_tasks(
     tables: FleetTables,
     demands: Mapping[str, Demand],
-    standby: str,
-    workers: Mapping[str, Worker],
+    movable: MovableInstances,
     taken: set[str],
-    now: float,
     planned: Iterable[MoveInstance],
     *,
     limit: int | None = None,
@@ -142,32 +125,27 @@
     short = [each for each in demands.values() if each.needs]
     if not any(demand.count_missing_for_tasks() for demand in short):
         return moves
-    found = find_movable(tables, demands, standby, workers, now, taken)
-    rows = {
-        name: tables.instances[name].row
-        for group, name in found
-        if limit is None or group != RESERVED
-    }
     arriving: dict[str, list[InstanceRow]] = {}
     for move in planned:
         row = tables.instances[move.instance].row
         arriving.setdefault(move.pool, []).append(row)
     for demand in short:
         gained = arriving.setdefault(demand.pool, [])
-        left = len(rows) if limit is None else limit
+        left = len(tables.instances) if limit is None else limit
         for need in demand.needs:
             missing = need.missing - sum(map(need.is_met_by, gained))
+            if missing <= 0 or left <= 0:
+                continue
+            found = movable.find(taken, target=demand.pool, need=need)
             names = [
                 name
-                for name, row in rows.items()
-                if row.pool != demand.pool
-                and tables.may_join(row, demand.pool)
-                and need.is_met_by(row)
+                for group, name in found
+                if limit is None or group != RESERVED
             ]
             if need.is_gang and min(len(names), left) < missing:
                 continue
-            for name in names[: max(min(missing, left), 0)]:
-                row = rows.pop(name)
+            for name in names[: min(missing, left)]:
+                row = tables.instances[name].row
                 gained.append(row)
                 taken.add(name)
                 left -= 1
@@ -192,6 +170,7 @@
 ) -> list[MoveInstance]:
     """Plan moves to the standby pool of instances that pools can spare."""
     moves: list[MoveInstance] = []
+    movable = MovableInstances(tables, demands, standby, workers, now)
     for demand in demands.values():
         if demand.current + demand.incoming <= max(
             demand.desired, demand.minimum
@@ -201,9 +180,7 @@
         since = tables.idle_since.setdefault(demand.pool, now)
         if now - since < RELEASE_AFTER_S:
             continue
-        for group, name in find_movable(
-            tables, demands, standby, workers, now
-        ):
+        for group, name in movable.find():
             pool = tables.instances[name].row.pool
             if pool == demand.pool and group != RESERVED:
                 reason = (
--- a/src/galenareel/_scheduling/releases.py
+++ b/src/galenareel/_scheduling/releases.py
@@ -6,15 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
+from collections.abc import Collection
 from collections.abc import Mapping
 
 from galenareel._scheduling.demand import Demand
 from galenareel._scheduling.instances import FleetTables
 from galenareel._scheduling.instances import MoveInstance
-from galenareel._scheduling.movable import find_movable
+from galenareel._scheduling.movable import MovableInstances
 from galenareel._scheduling.movable import RESERVED
-from galenareel._scheduling.tables import Worker
 
 # A pool releases an instance that it could spare for this time, because
 # keeping it longer costs more than moving it back.
@@ -24,9 +23,9 @@
 def plan_all_releases(
     tables: FleetTables,
     demands: Mapping[str, Demand],
+    movable: MovableInstances,
     standby: str,
-    workers: Mapping[str, Worker],
-    taken: Container[str],
+    taken: Collection[str],
     now: float,
 ) -> list[MoveInstance]:
     """Plan moves of all instances that pools can spare.
@@ -44,9 +43,7 @@
         for name, demand in demands.items()
     }
     moves: list[MoveInstance] = []
-    for group, name in find_movable(
-        tables, demands, standby, workers, now, taken
-    ):
+    for group, name in movable.find(taken):
         row = tables.instances[name].row
         if group == RESERVED or spare.get(row.pool, 0) <= 0:
             continue
--- a/testing/jobs/test_fleet_days.py
+++ b/testing/jobs/test_fleet_days.py
@@ -52,6 +52,13 @@
     FleetDay(seed).play()
 
 
+# A pool lent the first of its instances by name or none, whichever one the
+# waiting task needed.
+@pytest.mark.parametrize('seed', [64, 250])
+def test_tasks_get_the_instances_that_they_need(seed: int) -> None:
+    FleetDay(seed).play()
+
+
 # The waits for a lease, for cautions and for a trial followed one another.
 @pytest.mark.parametrize('seed', [3, 16, 31, 53, 55, 73, 203, 322])
 def test_runs_of_lost_workers_start_elsewhere_in_time(seed: int) -> None:
--- a/testing/scheduling/test_lost_instances.py
+++ b/testing/scheduling/test_lost_instances.py
@@ -416,3 +416,88 @@
         harness.submit(f'j{number}', make_job(step))
     harness.pass_time(1.5)
     assert len(plan(harness, make_tables(platform))) == 1
+
+
+# The pool of the harness can do without one instance, or lends one.
+LENDERS = {
+    'spare': Demand(pool='lots', current=6, desired=5, minimum=5),
+    'reserved': Demand(pool='lots', current=3, desired=1, minimum=6),
+}
+
+
+@pytest.mark.parametrize('policy', POLICIES)
+@pytest.mark.parametrize('case', LENDERS)
+def test_pool_lends_the_instance_that_a_task_needs(
+    harness: Harness,
+    platform: FakePlatform,
+    policy: SchedulingPolicy,
+    case: str,
+) -> None:
+    """Only the first one by name was looked at."""
+    platform.rows['m5'] = replace(platform.rows['m5'], labels=('b', 'r1'))
+    need = InstanceNeed((100, 0, 0, 'b'), missing=1, spare=0)
+    demands = {
+        'tasting': Demand(pool='tasting', needs=(need,)),
+        'lots': replace(LENDERS[case]),
+    }
+    moves = plan_moves(
+        make_tables(platform),
+        demands,
+        'spare',
+        harness.engine.workers,
+        harness.now,
+        policy,
+    )
+    assert ('m5', 'tasting') in [(each.instance, each.pool) for each in moves]
+
+
+@pytest.mark.parametrize('policy', POLICIES)
+def test_gang_that_lacks_instances_hides_none_from_other_tasks(
+    harness: Harness, platform: FakePlatform, policy: SchedulingPolicy
+) -> None:
+    """It got none itself, as they were too few for it."""
+    for name in ('s0', 's1', 's2'):
+        del platform.rows[name]
+    platform.rows['m5'] = replace(platform.rows['m5'], labels=('b', 'r1'))
+    gang = InstanceNeed((8000, 0, 0, ''), missing=2, spare=0, is_gang=True)
+    need = InstanceNeed((100, 0, 0, 'b'), missing=1, spare=0)
+    demands = {
+        'tasting': Demand(pool='tasting', needs=(gang, need)),
+        'lots': replace(LENDERS['spare']),
+    }
+    (move,) = plan_moves(
+        make_tables(platform),
+        demands,
+        '',
+        harness.engine.workers,
+        harness.now,
+        policy,
+    )
+    assert (move.instance, move.pool) == ('m5', 'tasting')
+
+
+@pytest.mark.parametrize('policy', POLICIES)
+def test_pool_keeps_the_last_instance_that_its_tasks_need(
+    harness: Harness, platform: FakePlatform, policy: SchedulingPolicy
+) -> None:
+    """Tasks of several kinds ask for its instances in the same round."""
+    for name in ('m3', 'm4'):
+        platform.rows[name] = replace(platform.rows[name], labels=('b', 'r1'))
+    own = InstanceNeed((200, 0, 0, 'b'), missing=0, spare=1)
+    needs = tuple(
+        InstanceNeed((cpu, 0, 0, 'b'), missing=missing, spare=0)
+        for cpu, missing in ((100, 1), (150, 2))
+    )
+    demands = {
+        'tasting': Demand(pool='tasting', needs=needs),
+        'lots': Demand(pool='lots', current=6, desired=1, needs=(own,)),
+    }
+    moves = plan_moves(
+        make_tables(platform),
+        demands,
+        '',
+        harness.engine.workers,
+        harness.now,
+        policy,
+    )
+    assert [move.instance for move in moves] == ['m3']
--- a/testing/scheduling/test_moves.py
+++ b/testing/scheduling/test_moves.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from galenareel._jobs.model import Step
 from galenareel._scheduling.demand import compute_demand
 from galenareel._scheduling.demand import Demand
@@ -95,6 +97,30 @@
     assert moves == []
 
 
+def test_pool_gets_an_instance_of_a_kind_that_it_takes(
+    harness: Harness, platform: FakePlatform
+) -> None:
+    """The others of their pool were not looked at."""
+    for name in ('s0', 's1', 's2'):
+        del platform.rows[name]
+    platform.rows['m5'] = replace(platform.rows['m5'], labels=('b', 'r1'))
+    tables = make_tables(platform)
+    tables.refused_kinds.add(('a', 'tasting'))
+    moves = plan_moves(
+        tables,
+        {
+            'lots': make_demand('lots', 6, 5),
+            'tasting': make_demand('tasting', 1, 9),
+        },
+        'spare',
+        harness.engine.workers,
+        harness.now,
+    )
+    assert [(each.instance, each.pool) for each in moves] == [
+        ('m5', 'tasting')
+    ]
+
+
 def test_idle_instance_moves_to_the_standby_pool_after_a_delay(
     harness: Harness, platform: FakePlatform
 ) -> None:
