Order instances for tasks of lost workers while the leases run

What callers saw: after the loss of a worker without a word from the platform, a lasting task with a limit per worker waits for 2 s more than the lease, 7.2 to 8.2 s, while an instance is idle in standby.

Cause: a lost worker's instance was not counted any more 3.6 s after its worker had been seen to be closed, but its tasks count as running until the lease is over. So the pool didn't lack anything for them until then: the order was given in the round after the lease, and the move of 1.5 s followed it. The lease and the move were waited for in series (harness, worker lost at 0: lease over at 6.1 s, ordered at 6.1 s, at work at 7.8 s; for a silent loss 6.6, 6.6 and 8.3 s).

The tasks whose only runs are on workers that are not expected back count as waiting for the needs of their pool, now. Nothing is started before the lease ends. Tasks of gangs are left out, as the rest of the gang holds its workers.

REPLACE_AFTER_S is as before: no instance moves for a worker that is back after a cut or restart of 3.5 s. One is moved for a lasting task whose worker restarts for 4 s; before, none was.

--- a/src/galenareel/_scheduling/demand.py
+++ b/src/galenareel/_scheduling/demand.py
@@ -20,6 +20,7 @@
 from galenareel._scheduling.instances import MOVE
 from galenareel._scheduling.policy import DEFAULT_POLICY
 from galenareel._scheduling.policy import SchedulingPolicy
+from galenareel._scheduling.quiet import find_lost_tasks
 from galenareel._scheduling.ranking import classify_timeliness
 from galenareel._scheduling.ranking import ON_TIME
 from galenareel._scheduling.reserves import count_reserve
@@ -193,6 +194,7 @@
         pool.waiting.values(),
         lambda: _list_rooms(usable, joining),
         now,
+        lost=_list_lost_steps(pool, members, now),
         may_start=may_start,
     )
     if not members:
@@ -251,6 +253,18 @@
     ]
 
 
+def _list_lost_steps(
+    pool: PoolWork, members: Iterable[Worker], now: float
+) -> list[StepWork]:
+    """Return the step of each task whose only runs are on lost workers."""
+    lost = [worker for worker in members if is_lost(worker, now)]
+    return [
+        step
+        for step, *_ in find_lost_tasks(lost)
+        if step.job.queue.pool == pool.name
+    ]
+
+
 def is_lost(worker: Worker, now: float) -> bool:
     """Return whether a worker is not expected to get tasks again soon."""
     since = worker.closed_since
--- a/src/galenareel/_scheduling/stranded.py
+++ b/src/galenareel/_scheduling/stranded.py
@@ -89,11 +89,14 @@
     list_rooms: Callable[[], Sequence[Room]],
     now: float,
     *,
+    lost: Iterable[StepWork] = (),
     may_start: Callable[[StepWork], bool] = lambda _: True,
 ) -> tuple[InstanceNeed, ...]:
     """Return the needs of waiting tasks for certain instances of their pool.
 
-    Tasks that have just become ready are left out. All tasks of a lasting step
+    Tasks that run on lost workers count as waiting, as they will be when the
+    leases of these workers end; those of a gang do so only then. Tasks that
+    have just become ready are left out. All tasks of a lasting step
     need room at the same time, and so do those of a gang. Of another step it
     is enough if one task fits; most of these fit on the worker with the most
     room, and are not compared with the others.
@@ -101,21 +104,30 @@
     :param steps: steps that wait in the pool.
     :param list_rooms: returns the rooms of its workers, and of instances on
         their way to it.
+    :param lost: steps of tasks whose only runs are on workers that are not
+        expected back, one entry for each task.
     :param may_start: whether the limit of its workspace lets a step start.
     """
-    waiting = [
-        work
-        for work in steps
-        if work.waiting
+    waiting = {id(work): (work, len(work.waiting)) for work in steps}
+    for work in lost:
+        if not work.step.gang:
+            _, count = waiting.get(id(work), (work, 0))
+            waiting[id(work)] = work, count + 1
+    settled = [
+        (work, count)
+        for work, count in waiting.values()
+        if count
         and now - work.ready_at >= MIN_WAIT_S
         and not work.job.has_failed
     ]
-    if not waiting:
+    if not settled:
         return ()
     rooms = list_rooms()
     most = _find_most_room(rooms)
     compared = [
-        work for work in waiting if _is_together(work) or not _fits(work, most)
+        (work, count)
+        for work, count in settled
+        if _is_together(work) or not _fits(work, most)
     ]
     if not compared:
         return ()
@@ -123,10 +135,10 @@
     compared = (compared[first:] + compared[:first])[:MAX_COMPARED_STEPS]
     usual = _compute_mean(rooms)
     found: dict[tuple[Needs, bool], InstanceNeed] = {}
-    for work in compared:
+    for work, count in compared:
         if not may_start(work):
             continue
-        need = _compare(work, rooms, usual)
+        need = _compare(work, count, rooms, usual)
         key = need.needs, need.is_gang
         known = found.get(key, need)
         found[key] = InstanceNeed(
@@ -198,10 +210,11 @@
 
 
 def _compare(
-    work: StepWork, rooms: Sequence[Room], usual: Resources
+    work: StepWork, waiting: int, rooms: Sequence[Room], usual: Resources
 ) -> InstanceNeed:
     """Compare the waiting tasks of a step with all rooms of its pool.
 
+    :param waiting: number of these tasks.
     :param usual: size of an instance that would be added.
     """
     step = work.step
@@ -210,7 +223,7 @@
     if step.gang:
         left = step.count
     elif step.lasting:
-        left = len(work.waiting)
+        left = waiting
     slots = [_count_slots(work, room) for room in rooms]
     used = 0
     for count in sorted(filter(None, slots), reverse=True):
--- a/testing/jobs/test_fleet_days.py
+++ b/testing/jobs/test_fleet_days.py
@@ -27,6 +27,8 @@
 SIZE = Size(resources=Resources(8000, 32768, 0))
 SPREAD = Step(count=3, cpu=500, lasting=True, per_worker=1)
 REPLACED_S = 15.0  # a lease, and the move of another instance
+STARTED_S = 0.5  # a pass, and the order
+SHORT_CUT_S = 3.5
 
 
 def make_spread_step(*, lookahead: bool = False) -> FleetHarness:
@@ -80,6 +82,38 @@
     assert len(harness.list_running()) == SPREAD.count
 
 
+@pytest.mark.parametrize('is_silent', [False, True])
+@pytest.mark.parametrize('lookahead', [False, True])
+def test_task_of_a_lost_worker_starts_when_its_lease_ends(
+    *, lookahead: bool, is_silent: bool
+) -> None:
+    """The instance for it was ordered only then."""
+    harness = make_spread_step(lookahead=lookahead)
+    (worker,) = harness.list_running()['j.0.0.0']
+    harness.lose_instance(worker, is_silent=is_silent, is_listed=False)
+    while not harness.engine.workers[worker].lease_expired:
+        harness.pass_time(0.1)
+    harness.pass_time(STARTED_S)
+    assert len(harness.list_running()) == SPREAD.count
+
+
+@pytest.mark.parametrize('is_restart', [False, True])
+def test_no_instance_moves_for_a_worker_that_is_soon_back(
+    *, is_restart: bool
+) -> None:
+    harness = make_spread_step()
+    (worker,) = harness.list_running()['j.0.0.0']
+    if is_restart:
+        harness.crash(worker, SHORT_CUT_S)
+    else:
+        harness.cut_off.add(worker)
+    harness.pass_time(SHORT_CUT_S)
+    harness.end_faults()
+    harness.pass_time(REPLACED_S)
+    assert len(harness.list_running()) == SPREAD.count
+    assert not harness.platform.orders
+
+
 def test_harness_finds_a_pool_that_asks_for_no_instance(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/testing/scheduling/test_lost_instances.py
+++ b/testing/scheduling/test_lost_instances.py
@@ -501,3 +501,45 @@
         policy,
     )
     assert [move.instance for move in moves] == ['m3']
+
+
+@pytest.mark.parametrize(
+    'step',
+    [
+        Step(count=6, cpu=100, lasting=True, per_worker=1),
+        Step(count=1, cpu=100, estimate_ms=60_000, label='b'),
+    ],
+    ids=['limit per worker', 'label'],
+)
+def test_task_of_a_lost_worker_asks_for_an_instance_before_its_lease_ends(
+    harness: Harness, step: Step
+) -> None:
+    """It asked for one only when it was waiting again."""
+    harness.proves_jobs = True
+    worker = harness.engine.workers['w0']
+    worker.record = structs.replace(worker.record, labels=('b',))
+    harness.submit('j', make_job(step))
+    harness.pass_time(1.5)
+    assert 'w0' in {run[0] for run in harness.list_running().values()}
+    harness.cut_off.add('w0')
+    harness.pass_time(REPLACE_AFTER_S - 0.3)
+    assert compute(harness).count_missing_for_tasks() == 0
+    harness.pass_time(1.2)
+    assert not worker.lease_expired
+    assert not harness.engine.jobs['j'].steps[0, 0].waiting
+    assert compute(harness).count_missing_for_tasks() == 1
+
+
+def test_gang_on_a_lost_worker_asks_for_no_instances_before_its_lease_ends(
+    harness: Harness,
+) -> None:
+    """It may still run, and its other tasks hold their workers."""
+    gang = Step(count=6, cpu=8000, estimate_ms=60_000, gang=True)
+    harness.proves_jobs = True
+    harness.submit('j', make_job(gang))
+    harness.pass_time(1.5)
+    assert len(harness.list_running()) == 6
+    harness.cut_off.add('w0')
+    harness.pass_time(REPLACE_AFTER_S + 0.9)
+    assert not harness.engine.workers['w0'].lease_expired
+    assert compute(harness).count_missing_for_tasks() == 0
