--- a/testing/scheduling/test_lost_instances.py
+++ b/testing/scheduling/test_lost_instances.py
@@ -416,3 +416,130 @@
         harness.submit(f'j{number}', make_job(step))
     harness.pass_time(1.5)
     assert len(plan(harness, make_tables(platform))) == 1
+
+
+# The pool of the harness can do without one instance, or lends one.
+LENDERS = {
+    'spare': Demand(pool='lots', current=6, desired=5, minimum=5),
+    'reserved': Demand(pool='lots', current=3, desired=1, minimum=6),
+}
+
+
+@pytest.mark.parametrize('policy', POLICIES)
+@pytest.mark.parametrize('case', LENDERS)
+def test_pool_lends_the_instance_that_a_task_needs(
+    harness: Harness,
+    platform: FakePlatform,
+    policy: SchedulingPolicy,
+    case: str,
+) -> None:
+    """Only the first one by name was looked at."""
+    platform.rows['m5'] = replace(platform.rows['m5'], labels=('b', 'r1'))
+    need = InstanceNeed((100, 0, 0, 'b'), missing=1, spare=0)
+    demands = {
+        'tasting': Demand(pool='tasting', needs=(need,)),
+        'lots': replace(LENDERS[case]),
+    }
+    moves = plan_moves(
+        make_tables(platform),
+        demands,
+        'spare',
+        harness.engine.workers,
+        harness.now,
+        policy,
+    )
+    assert ('m5', 'tasting') in [(each.instance, each.pool) for each in moves]
+
+
+@pytest.mark.parametrize('policy', POLICIES)
+def test_gang_that_lacks_instances_hides_none_from_other_tasks(
+    harness: Harness, platform: FakePlatform, policy: SchedulingPolicy
+) -> None:
+    """It got none itself, as they were too few for it."""
+    for name in ('s0', 's1', 's2'):
+        del platform.rows[name]
+    platform.rows['m5'] = replace(platform.rows['m5'], labels=('b', 'r1'))
+    gang = InstanceNeed((8000, 0, 0, ''), missing=2, spare=0, is_gang=True)
+    need = InstanceNeed((100, 0, 0, 'b'), missing=1, spare=0)
+    demands = {
+        'tasting': Demand(pool='tasting', needs=(gang, need)),
+        'lots': replace(LENDERS['spare']),
+    }
+    (move,) = plan_moves(
+        make_tables(platform),
+        demands,
+        '',
+        harness.engine.workers,
+        harness.now,
+        policy,
+    )
+    assert (move.instance, move.pool) == ('m5', 'tasting')
+
+
+@pytest.mark.parametrize('policy', POLICIES)
+def test_pool_keeps_the_last_instance_that_its_tasks_need(
+    harness: Harness, platform: FakePlatform, policy: SchedulingPolicy
+) -> None:
+    """Tasks of several kinds ask for its instances in the same round."""
+    for name in ('m3', 'm4'):
+        platform.rows[name] = replace(platform.rows[name], labels=('b', 'r1'))
+    own = InstanceNeed((200, 0, 0, 'b'), missing=0, spare=1)
+    needs = tuple(
+        InstanceNeed((cpu, 0, 0, 'b'), missing=missing, spare=0)
+        for cpu, missing in ((100, 1), (150, 2))
+    )
+    demands = {
+        'tasting': Demand(pool='tasting', needs=needs),
+        'lots': Demand(pool='lots', current=6, desired=1, needs=(own,)),
+    }
+    moves = plan_moves(
+        make_tables(platform),
+        demands,
+        '',
+        harness.engine.workers,
+        harness.now,
+        policy,
+    )
+    assert [move.instance for move in moves] == ['m3']
+
+
+@pytest.mark.parametrize(
+    'step',
+    [
+        Step(count=6, cpu=100, lasting=True, per_worker=1),
+        Step(count=1, cpu=100, estimate_ms=60_000, label='b'),
+    ],
+    ids=['limit per worker', 'label'],
+)
+def test_task_of_a_lost_worker_asks_for_an_instance_before_its_lease_ends(
+    harness: Harness, step: Step
+) -> None:
+    """It asked for one only when it was waiting again."""
+    harness.proves_jobs = True
+    worker = harness.engine.workers['w0']
+    worker.record = structs.replace(worker.record, labels=('b',))
+    harness.submit('j', make_job(step))
+    harness.pass_time(1.5)
+    assert 'w0' in {run[0] for run in harness.list_running().values()}
+    harness.cut_off.add('w0')
+    harness.pass_time(REPLACE_AFTER_S - 0.3)
+    assert compute(harness).count_missing_for_tasks() == 0
+    harness.pass_time(1.2)
+    assert not worker.lease_expired
+    assert not harness.engine.jobs['j'].steps[0, 0].waiting
+    assert compute(harness).count_missing_for_tasks() == 1
+
+
+def test_gang_on_a_lost_worker_asks_for_no_instances_before_its_lease_ends(
+    harness: Harness,
+) -> None:
+    """It may still run, and its other tasks hold their workers."""
+    gang = Step(count=6, cpu=8000, estimate_ms=60_000, gang=True)
+    harness.proves_jobs = True
+    harness.submit('j', make_job(gang))
+    harness.pass_time(1.5)
+    assert len(harness.list_running()) == 6
+    harness.cut_off.add('w0')
+    harness.pass_time(REPLACE_AFTER_S + 0.9)
+    assert not harness.engine.workers['w0'].lease_expired
+    assert compute(harness).count_missing_for_tasks() == 0
