Replace a lost worker before its lease ends after a change of leader, too

What callers saw: after the loss of a worker and a change of the leader 4 s later, a lasting task with a limit per worker waits for 8.6 s, while an instance is idle in standby and the lease of the lost worker ends at 6.9 s.

Cause: a leader counts the 3.6 s after which an instance is replaced from the moment at which it sees the worker closed, a new one from its own start. The lease of a worker that was recorded as silent goes on meanwhile, and ends first.

A silent worker is not expected back any more once its lease ends within the time of a move (1.5 s): then another instance can't be there too early. In the harness the task is at work 7.1 s after the loss instead of 8.6 s (change after 4 s) and of 7.5 s (after 2 s). With the leader that has seen the loss the 3.6 s are over earlier, so nothing changes there. Counting from the last answer, so that a move and the joining of the worker end with the lease, was tried and left out: in the harness it moves an instance for a cut of 4 s (none now), where an answer is never old. A poll holds its answer for up to 0.5 s, so by reading the same holds for cuts of 3.5 s in a running system. The tests check that none moves for these, also with a change of the leader.

--- a/src/galenareel/_jobs/fleet.py
+++ b/src/galenareel/_jobs/fleet.py
@@ -40,6 +40,7 @@
 from galenareel._scheduling.instances import FleetTables
 from galenareel._scheduling.instances import Instance
 from galenareel._scheduling.instances import MaintainInstance
+from galenareel._scheduling.instances import MIN_MOVE_S
 from galenareel._scheduling.instances import MOVE
 from galenareel._scheduling.instances import MoveInstance
 from galenareel._scheduling.instances import WAVE
@@ -53,9 +54,7 @@
 LIST_EVERY_S = 20.0  # instances are listed this often while nothing changes
 LIST_EVERY_SILENT_S = 0.5  # while a worker is silent: its instance may be down
 LIST_EVERY_UNSETTLED_S = 1.0  # while orders run or workers lack an instance
-# The platform takes at least this long.
-MIN_MAINTENANCE_S = 2.0
-MIN_MOVE_S = 1.5
+MIN_MAINTENANCE_S = 2.0  # the platform takes at least this long
 # An order explains the end of a worker for this long. It may be carried out
 # late, and the end may show only when the worker's lease has expired.
 ORDERED_END_S = 15.0
--- a/src/galenareel/_scheduling/demand.py
+++ b/src/galenareel/_scheduling/demand.py
@@ -17,6 +17,7 @@
 from galenareel._jobs.worker_entries import LEASE_S
 from galenareel._scheduling.arrivals import ArrivalRate
 from galenareel._scheduling.arrivals import forecast_rate
+from galenareel._scheduling.instances import MIN_MOVE_S
 from galenareel._scheduling.instances import MOVE
 from galenareel._scheduling.policy import DEFAULT_POLICY
 from galenareel._scheduling.policy import SchedulingPolicy
@@ -268,7 +269,13 @@
 def is_lost(worker: Worker, now: float) -> bool:
     """Return whether a worker is not expected to get tasks again soon."""
     since = worker.closed_since
-    return since is not None and now - since > REPLACE_AFTER_S
+    if since is None:
+        return False
+    if now - since > REPLACE_AFTER_S:
+        return True
+    # A leader that is new has not seen for how long it does not answer.
+    is_silent = worker.silent_since is not None
+    return is_silent and now > worker.lease_expires_at - MIN_MOVE_S
 
 
 def _find_known_peak(pools: Iterable[PoolWork]) -> float:
--- a/src/galenareel/_scheduling/instances.py
+++ b/src/galenareel/_scheduling/instances.py
@@ -18,6 +18,7 @@
 # An instance counts as down for this time after an order was decided. After
 # that, the state that the platform lists counts again.
 ORDER_TIMEOUT_S = 4.0
+MIN_MOVE_S = 1.5  # the platform takes at least this long
 BUSY_RETRY_S = 0.5  # delay after the platform refused an order for now
 
 
--- a/testing/jobs/test_fleet_days.py
+++ b/testing/jobs/test_fleet_days.py
@@ -97,9 +97,27 @@
     assert len(harness.list_running()) == SPREAD.count
 
 
+@pytest.mark.parametrize('change_after_s', [2.0, 4.0])
+@pytest.mark.parametrize('lookahead', [False, True])
+def test_new_leader_replaces_a_lost_worker_while_its_lease_runs(
+    *, lookahead: bool, change_after_s: float
+) -> None:
+    """It counted the time from its own start on, beyond the lease."""
+    harness = make_spread_step(lookahead=lookahead)
+    (worker,) = harness.list_running()['j.0.0.0']
+    harness.lose_instance(worker, is_silent=True, is_listed=False)
+    harness.pass_time(change_after_s)
+    harness.change_leader()
+    while not harness.engine.workers[worker].lease_expired:
+        harness.pass_time(0.1)
+    harness.pass_time(STARTED_S)
+    assert len(harness.list_running()) == SPREAD.count
+
+
 @pytest.mark.parametrize('is_restart', [False, True])
+@pytest.mark.parametrize('has_change', [False, True])
 def test_no_instance_moves_for_a_worker_that_is_soon_back(
-    *, is_restart: bool
+    *, has_change: bool, is_restart: bool
 ) -> None:
     harness = make_spread_step()
     (worker,) = harness.list_running()['j.0.0.0']
@@ -107,7 +125,10 @@
         harness.crash(worker, SHORT_CUT_S)
     else:
         harness.cut_off.add(worker)
-    harness.pass_time(SHORT_CUT_S)
+    harness.pass_time(SHORT_CUT_S / 2)
+    if has_change:
+        harness.change_leader()
+    harness.pass_time(SHORT_CUT_S / 2)
     harness.end_faults()
     harness.pass_time(REPLACED_S)
     assert len(harness.list_running()) == SPREAD.count
