--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -894,13 +894,12 @@
     raise CannotRun(f'it was ended by signal {number}')
 
 
-def run_case(folder, case) -> None:
+def run_case(folder, case, *, trouble) -> None:
     """Run a case; exit with 1 if a rule was broken, 0 if not, 2 if it can't.
 
     :param case: called with the deployment and whether the disruption is to
         happen; returns the breaks as text.
     """
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     world = None
     status = 2
     for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
