A job belongs to the place of its queue, not to its name

Cause: a job kept only the name of its queue. Callers know host, prefix and id; JobService._find_job compared the name with that of the route that serves the path now, and the engine looked settings up by the name.

Change: a job keeps the place of its queue (host and prefix). Calls, `waiting`, settings, pools and admission go by the place; the name follows the configuration. AcceptJob carries the place, so that a version that exchanges names before the job is committed doesn't move it. Learned run times follow the name of their place. A job of another place is hidden, and its id is taken there.

Why it works: two versions can't share a place within one configuration, and a place is all that a caller can name.

--- a/src/galenareel/_jobs/commands.py
+++ b/src/galenareel/_jobs/commands.py
@@ -11,6 +11,7 @@
 from galenareel._jobs.model import Configuration
 from galenareel._jobs.model import CrashRecord
 from galenareel._jobs.model import JobRequest
+from galenareel._jobs.model import Place
 from galenareel._jobs.model import PoolLoad
 from galenareel._jobs.model import SilentLease
 from galenareel._jobs.model import SilentWorker
@@ -50,7 +51,11 @@
 class AcceptJob(Command, frozen=True):
     """Accept a job, unless one with the same name exists.
 
+    :param queue: name of its queue when it was submitted.
     :param workspace: owner of the job, or empty.
+    :param place: place of the queue, whose name may change before the command
+        takes effect; ``None`` from leaders of older builds, whose members
+        ignore this field.
     """
 
     name: str
@@ -58,6 +63,7 @@
     request: JobRequest
     now_ms: int
     workspace: str = ''
+    place: Place | None = None
 
 
 class CancelJob(Command, frozen=True):
--- a/src/galenareel/_jobs/estimates.py
+++ b/src/galenareel/_jobs/estimates.py
@@ -13,6 +13,7 @@
 from galenareel._jobs.model import JobRequest
 from galenareel._jobs.model import Queue
 from galenareel._jobs.model import Step
+from galenareel._jobs.routes import rename_keys
 from galenareel._scheduling.tables import JobWork
 from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import StepWork
@@ -66,6 +67,10 @@
             for queue, factor in self._factors.items()
         }
 
+    def rename(self, renames: Mapping[str, str]) -> None:
+        """Keep the factors of queues that have new names."""
+        self._factors = rename_keys(self._factors, renames)
+
     def estimate_task_s(self, queue: str, step: Step) -> float:
         """Return the expected run time of a task of a step."""
         factor = self._factors.get(queue)
--- a/src/galenareel/_jobs/job_entries.py
+++ b/src/galenareel/_jobs/job_entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from galenareel._jobs.model import Queue
@@ -13,24 +14,37 @@
 from galenareel._scheduling.tables import StepWork
 
 
-def find_queue(queues: Mapping[str, Queue], job: Job) -> Queue:
-    """Return the queue of a job.
+class QueueIndex:
+    """Finds the queues of jobs.
 
-    If the configuration no longer has it, build a queue from the values
-    that the job keeps.
-
-    :param queues: queues of the configuration, by name.
+    :param queues: queues of the configuration in force.
     """
-    queue = queues.get(job.queue)
-    if queue is not None:
-        return queue
-    return Queue(
-        name=job.queue,
-        host='',
-        prefix='',
-        pool=job.pools[-1],
-        max_attempts=job.max_attempts,
-    )
+
+    def __init__(self, queues: Iterable[Queue]) -> None:
+        self.queues = tuple(queues)
+        self._by_name = {queue.name: queue for queue in reversed(self.queues)}
+        self._by_place = {queue.place: queue for queue in self.queues}
+
+    def find(self, job: Job) -> Queue:
+        """Return the queue of a job.
+
+        If the configuration no longer has it, build one from the values that
+        the job keeps.
+        """
+        if job.place is not None:
+            queue = self._by_place.get(job.place)
+        else:
+            queue = self._by_name.get(job.queue)
+        if queue is not None:
+            return queue
+        host, prefix = job.place or ('', '')
+        return Queue(
+            name=job.queue,
+            host=host,
+            prefix=prefix,
+            pool=job.pools[-1],
+            max_attempts=job.max_attempts,
+        )
 
 
 def create_job_work(
--- a/src/galenareel/_jobs/model.py
+++ b/src/galenareel/_jobs/model.py
@@ -235,6 +235,11 @@
     valid_ms: float
 
 
+# Host and path prefix of a queue, by which callers know it. Versions of the
+# configuration may change its name.
+Place = tuple[str, str]
+
+
 class Queue(msgspec.Struct, frozen=True, kw_only=True):
     """A route to which callers submit jobs.
 
@@ -259,6 +264,10 @@
     advice: Advice | None = None
     public: bool = False
 
+    @property
+    def place(self) -> Place:
+        return self.host, self.prefix
+
 
 class Pool(msgspec.Struct, frozen=True, kw_only=True):
     """A service and the workers that run the tasks of its queues.
--- a/src/galenareel/_jobs/service.py
+++ b/src/galenareel/_jobs/service.py
@@ -151,7 +151,7 @@
         caller: Caller,
     ) -> AnyMessage:
         if name in self._state.jobs:
-            return self._confirm_job(name, caller)
+            return self._confirm_job(queue, name, caller)
         try:
             req = _decode_request(msg.request)
         except msgspec.MsgspecError as exc:
@@ -209,14 +209,15 @@
                 request=req,
                 now_ms=self._leader.wall_ms(),
                 workspace=caller.workspace,
+                place=queue.place,
             ),
             engine,
         )
         if isinstance(result, NoResult):
             return self._answer_failure(result)
-        answer = self._confirm_job(name, caller)
+        answer = self._confirm_job(queue, name, caller)
         if answer.outcome != 'accepted':
-            # Another workspace has taken the name during the proposal.
+            # Another workspace or queue has taken the name meanwhile.
             return answer
         self._log.info(
             'job_accepted',
@@ -230,10 +231,14 @@
         )
         return answer
 
-    def _confirm_job(self, name: str, caller: Caller) -> JobAnswer:
+    def _confirm_job(
+        self, queue: Queue, name: str, caller: Caller
+    ) -> JobAnswer:
         """Answer the submission of a job that exists."""
         job = self._state.jobs.get(name)
-        if job is not None and not caller.may_use(job.workspace):
+        if job is not None and not (
+            caller.may_use(job.workspace) and job.place in (None, queue.place)
+        ):
             detail = 'the name of the job is in use; choose another one'
             return JobAnswer(outcome='invalid', detail=detail)
         return JobAnswer(outcome='accepted')
@@ -258,7 +263,7 @@
             self._undecided.discard(name)
         elif self._undecided.has(name, engine.epoch):
             return JobAnswer(outcome='unknown', detail='it is being accepted')
-        if job is None or job.queue != queue.name:
+        if job is None or not job.is_of_queue(queue):
             return JobAnswer(outcome='no_job')
         if not caller.may_use(job.workspace):
             return JobAnswer(outcome='no_job')
@@ -296,7 +301,7 @@
         count = sum(
             1
             for work in engine.jobs.values()
-            if work.queue.name == queue.name and not work.started
+            if work.queue.place == queue.place and not work.started
         )
         return JobAnswer(outcome='counted', count=count)
 
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -33,6 +33,7 @@
 from galenareel._jobs.model import FORMER_LEASE_MS
 from galenareel._jobs.model import InstanceOrder
 from galenareel._jobs.model import JobRequest
+from galenareel._jobs.model import Place
 from galenareel._jobs.model import PoolLoad
 from galenareel._jobs.model import Queue
 from galenareel._jobs.model import Resources
@@ -41,6 +42,8 @@
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.model import WaveRecord
 from galenareel._jobs.model import WorkerRecord
+from galenareel._jobs.routes import find_renames
+from galenareel._jobs.routes import rename_keys
 from galenareel._scheduling.crashes import Incarnation
 from galenareel._scheduling.crashes import is_at_fault
 
@@ -77,6 +80,10 @@
 class Job(msgspec.Struct, kw_only=True, gc=False):
     """An accepted job.
 
+    :param queue: name of its queue, which versions of the configuration may
+        change.
+    :param place: place of its queue, by which it is found; ``None`` if it was
+        accepted by an older build and its queue is not known any more.
     :param epoch: epoch of the leader that accepted it.
     :param pools: all pools that have served its queue since it was accepted,
         the current one last.
@@ -106,6 +113,13 @@
     workspace: str = ''
     failure: str = ''
     idle: bool = False
+    place: Place | None = None
+
+    def is_of_queue(self, queue: Queue) -> bool:
+        """Return whether callers of a queue may ask for the job."""
+        if self.place is None:
+            return self.queue == queue.name
+        return self.place == queue.place
 
     def get_step_progress(self, occurrence: int, step: int) -> Progress:
         key = (occurrence, step)
@@ -272,6 +286,8 @@
 
     def restore(self, index: int, data: bytes) -> None:
         self._tables = _decoder.decode(data)
+        if self._tables.config is not None:
+            self._place_jobs(self._tables.config)
 
     @property
     def epoch(self) -> int:
@@ -384,13 +400,35 @@
             return False
         self._record_limits(current, cmd.config)
         self._tables.config = cmd.config
-        queues = {queue.name: queue for queue in cmd.config.queues}
+        self._place_jobs(cmd.config)
+        queues = {queue.place: queue for queue in cmd.config.queues}
         for job in self._tables.jobs.values():
-            queue = queues.get(job.queue)
-            if queue is not None and not job.has_ended:
+            queue = queues.get(job.place) if job.place is not None else None
+            if queue is None:
+                continue
+            job.queue = queue.name
+            if not job.has_ended:
                 _apply_queue_settings(job, queue)
+        if current is not None:
+            self._tables.factors = rename_keys(
+                self._tables.factors,
+                find_renames(current.queues, cmd.config.queues),
+            )
         return True
 
+    def _place_jobs(self, config: Configuration) -> None:
+        """Record the places of jobs that older builds have accepted."""
+        unplaced = [
+            job for job in self._tables.jobs.values() if job.place is None
+        ]
+        if not unplaced:
+            return
+        queues = {queue.name: queue for queue in reversed(config.queues)}
+        for job in unplaced:
+            queue = queues.get(job.queue)
+            if queue is not None:
+                job.place = queue.place
+
     def _record_limits(
         self, former: Configuration | None, config: Configuration
     ) -> None:
@@ -415,7 +453,7 @@
     def _accept_job(self, cmd: AcceptJob) -> bool | Refused:
         if cmd.name in self._tables.jobs:
             return False
-        queue = self._find_queue(cmd.queue)
+        queue = self._find_queue(cmd)
         if queue is None:
             return Refused(
                 reason='no_such_queue', detail=f'{cmd.queue} was removed'
@@ -423,7 +461,7 @@
         tasks = sum(step.count for step in cmd.request.steps)
         self._tables.jobs[cmd.name] = Job(
             name=cmd.name,
-            queue=cmd.queue,
+            queue=queue.name,
             request=cmd.request,
             epoch=self._tables.epoch,
             accepted_ms=cmd.now_ms,
@@ -431,6 +469,7 @@
             max_attempts=queue.max_attempts,
             left=tasks * cmd.request.count_occurrences(),
             workspace=cmd.workspace,
+            place=queue.place,
         )
         return True
 
@@ -602,13 +641,15 @@
             self._tables.jobs.pop(name, None)
         return True
 
-    def _find_queue(self, name: str) -> Queue | None:
+    def _find_queue(self, cmd: AcceptJob) -> Queue | None:
+        """Return the queue of a new job, if the configuration has it."""
         config = self._tables.config
-        if config is None:
-            return None
-        return next(
-            (queue for queue in config.queues if queue.name == name), None
-        )
+        for queue in config.queues if config is not None else ():
+            if cmd.place is None and queue.name == cmd.queue:
+                return queue
+            if cmd.place is not None and queue.place == cmd.place:
+                return queue
+        return None
 
 
 def _max_room(first: Resources, second: Resources) -> Resources:
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -19,7 +19,7 @@
 from galenareel._jobs.job_entries import are_earlier_done
 from galenareel._jobs.job_entries import create_job_work
 from galenareel._jobs.job_entries import create_step_work
-from galenareel._jobs.job_entries import find_queue
+from galenareel._jobs.job_entries import QueueIndex
 from galenareel._jobs.lookahead import LookAhead
 from galenareel._jobs.metrics import JobMetrics
 from galenareel._jobs.model import Configuration
@@ -37,6 +37,7 @@
 from galenareel._jobs.pools import StepKey
 from galenareel._jobs.restarts import KEEP_RETIRED_NAME_S
 from galenareel._jobs.restarts import Restarts
+from galenareel._jobs.routes import find_renames
 from galenareel._jobs.run_entries import count_run
 from galenareel._jobs.run_entries import create_run
 from galenareel._jobs.run_entries import uncount_run
@@ -121,9 +122,10 @@
             else None
         )
         self._orders: list[Order] = []
-        # Queues by name, and the configuration that has them.
-        self._queues: tuple[Configuration | None, dict[str, Queue]]
-        self._queues = None, {}
+        # Queues of a configuration, which is their key.
+        self._queues: tuple[Configuration | None, QueueIndex]
+        self._queues = None, QueueIndex(())
+        self._index_queues()
         self._ends = EndBatch()
         self._crashes = CrashRecords(
             state,
@@ -288,17 +290,15 @@
         return work is None or work.started
 
     def find_queue(self, job: Job) -> Queue:
-        """Return the queue of a job.
+        """Return the queue of a job, also after it was removed."""
+        return self._index_queues().find(job)
 
-        If the configuration no longer has it, build a queue from the values
-        that the job keeps.
-        """
+    def _index_queues(self) -> QueueIndex:
         config = self._state.config
         if self._queues[0] is not config:
             queues = config.queues if config is not None else ()
-            by_name = {queue.name: queue for queue in reversed(queues)}
-            self._queues = config, by_name
-        return find_queue(self._queues[1], job)
+            self._queues = config, QueueIndex(queues)
+        return self._queues[1]
 
     def add_job(
         self, job: Job, now: float, *, from_earlier_epoch: bool = False
@@ -375,6 +375,10 @@
 
     def apply_config(self, now: float) -> None:
         """Update the jobs' queues and pools from the new configuration."""
+        former = self._queues[1].queues
+        self.estimates.rename(
+            find_renames(former, self._index_queues().queues)
+        )
         for work in self.jobs.values():
             job = self._state.jobs.get(work.name)
             if job is None:
--- a/src/galenareel/_scheduling/advice_line.py
+++ b/src/galenareel/_scheduling/advice_line.py
@@ -15,6 +15,7 @@
 import enum
 
 from galenareel._jobs.model import Advice
+from galenareel._jobs.model import Place
 from galenareel._scheduling.ranking import placement_key
 from galenareel._scheduling.tables import AskAdvice
 from galenareel._scheduling.tables import JobWork
@@ -140,8 +141,8 @@
     def __init__(self) -> None:
         self._waiting: dict[tuple[str, int, int], StepWork] = {}
         # Queue of each step when it joined, and number of steps by queue.
-        self._joined_queues: dict[tuple[str, int, int], str] = {}
-        self._queue_sizes: collections.Counter[str] = collections.Counter()
+        self._joined_queues: dict[tuple[str, int, int], Place] = {}
+        self._queue_sizes: collections.Counter[Place] = collections.Counter()
         self._calls: list[Call] = []
         # Until then the advisor may work on calls that were given up.
         self._busy_until = 0.0
@@ -153,11 +154,11 @@
         self._answered_at = 0.0
         # Calls by job, and the time they cost by queue, while others wait.
         self._job_calls: dict[str, int] = {}
-        self._queue_cost_s: dict[str, float] = {}
+        self._queue_cost_s: dict[Place, float] = {}
         # Cost of all calls, and of those for the longest wait.
         self._cost_s = 0.0
         self._oldest_cost_s = 0.0
-        self._shares: dict[str, AllowedShare] = {}
+        self._shares: dict[Place, AllowedShare] = {}
 
     def join(self, step: StepWork, now: float) -> bool:
         """Let a step wait for its turn.
@@ -174,7 +175,7 @@
         if former is not step:
             if former is not None:
                 self._remove(former)
-            queue = step.job.queue.name
+            queue = step.job.queue.place
             self._begin_cost(queue)
             self._waiting[key] = step
             self._joined_queues[key] = queue
@@ -278,7 +279,7 @@
     def _charge(self, call: Call, sign: int) -> None:
         """Count the cost of a call, or with a ``sign`` of -1 take it back."""
         job = call.order.work.job
-        queue, cost_s = job.queue.name, sign * call.expected_s
+        queue, cost_s = job.queue.place, sign * call.expected_s
         self._queue_cost_s[queue] = self._queue_cost_s.get(queue, 0.0) + cost_s
         self._job_calls[job.name] = self._job_calls.get(job.name, 0) + sign
         self._cost_s += cost_s
@@ -342,11 +343,11 @@
             call.order.work.advice_since = call.waited_since
         return [call.order.work for call in lost]
 
-    def record_share(self, queue: str, asked: int, allowed: int) -> None:
+    def record_share(self, queue: Place, asked: int, allowed: int) -> None:
         """Learn how many of the workers of a call were allowed."""
         self._shares.setdefault(queue, AllowedShare()).add(asked, allowed)
 
-    def estimate_share(self, queue: str) -> float:
+    def estimate_share(self, queue: Place) -> float:
         """Return the share of workers that the policy of a queue allows."""
         return self._shares.get(queue, AllowedShare()).estimate()
 
@@ -399,7 +400,7 @@
         return (
             timeliness,
             priority,
-            self._queue_cost_s.get(job.queue.name, 0.0),
+            self._queue_cost_s.get(job.queue.place, 0.0),
             self._estimate_call_s(job.queue.advice),
             self._job_calls.get(job.name, 0),
             remaining,
@@ -407,7 +408,7 @@
             _get_key(step),
         )
 
-    def _begin_cost(self, queue: str) -> None:
+    def _begin_cost(self, queue: Place) -> None:
         """Let a queue that was idle begin with the lowest cost of the others.
 
         Otherwise it would go first until its calls have cost as much.
--- a/testing/jobs/test_advice_peak.py
+++ b/testing/jobs/test_advice_peak.py
@@ -26,6 +26,7 @@
 from galenareel._jobs.model import Step
 from galenareel._scheduling.advice_line import MAX_OVERDUE_CALLS
 from galenareel._scheduling.tables import AskAdvice
+from galenareel._scheduling.tables import StartTask
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
 from testing.jobs.harness import WALL_MS
@@ -56,6 +57,7 @@
     ) -> None:
         self.advisor = FakeAdvisor()
         self.failing: set[str] = set()  # workers on which tasks fail
+        self.tickets: list[str] = []  # of the starts, in their order
         super().__init__(
             *(
                 FakeWorker(
@@ -99,6 +101,11 @@
                 refusal = self.advisor.call(engine, each, self.now)
                 if isinstance(refusal, Answer):
                     engine.handle_advice(each, refusal, self.now)
+        self.tickets.extend(
+            each.ticket
+            for each in engine._orders
+            if isinstance(each, StartTask)
+        )
         super().carry_out()
 
     def submit_each(
