Jobs of a removed queue keep its last settings

Cause: for a job whose route is gone, the engine built a queue with the defaults: no advice, and priority 0, which is the highest, so that such a job also preempted others.

Change: the state keeps the last settings of removed queues while they have jobs that are not over. If they aren't known, as an older build has removed the queue, the job has the lowest priority of the configuration.

Why it works: tickets are asked for as before the removal, under the advice that the queue had.

Tests: four more cases in testing/jobs/test_places.py. They failed on: a start had no ticket, and the priority was 0.

--- a/src/galenareel/_jobs/job_entries.py
+++ b/src/galenareel/_jobs/job_entries.py
@@ -18,18 +18,25 @@
     """Finds the queues of jobs.
 
     :param queues: queues of the configuration in force.
+    :param former: queues that earlier ones had, with their last settings.
     """
 
-    def __init__(self, queues: Iterable[Queue]) -> None:
+    def __init__(
+        self, queues: Iterable[Queue], former: Iterable[Queue] = ()
+    ) -> None:
         self.queues = tuple(queues)
         self._by_name = {queue.name: queue for queue in reversed(self.queues)}
-        self._by_place = {queue.place: queue for queue in self.queues}
+        self._by_place = {queue.place: queue for queue in former}
+        self._by_place.update((queue.place, queue) for queue in self.queues)
+        self._lowest_priority = max(
+            (queue.priority for queue in self.queues), default=0
+        )
 
     def find(self, job: Job) -> Queue:
         """Return the queue of a job.
 
-        If the configuration no longer has it, build one from the values that
-        the job keeps.
+        If its settings are not known any more, build one from the values that
+        the job keeps. It does not preempt the others.
         """
         if job.place is not None:
             queue = self._by_place.get(job.place)
@@ -43,6 +50,7 @@
             host=host,
             prefix=prefix,
             pool=job.pools[-1],
+            priority=self._lowest_priority,
             max_attempts=job.max_attempts,
         )
 
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -154,6 +154,8 @@
         for the next epoch only.
     :param restart_leases: by name, for how long such an earlier lease of a
         worker in ``restarts`` may still run, once a leader has read it.
+    :param former_queues: last settings of the queues that were removed while
+        they had jobs that are not over.
     :param longest_lease_ms: longest lease that a leader may have given to a
         worker and that may still run.
     """
@@ -178,6 +180,7 @@
     idle_epoch: int = 0
     restart_leases: dict[str, SilentLease] = {}
     longest_lease_ms: int = FORMER_LEASE_MS
+    former_queues: tuple[Queue, ...] = ()
 
 
 class _OpenCrashes:
@@ -302,6 +305,11 @@
     def config(self) -> Configuration | None:
         return self._tables.config
 
+    @property
+    def former_queues(self) -> tuple[Queue, ...]:
+        """Removed queues with jobs that are not over."""
+        return self._tables.former_queues
+
     @property
     def jobs(self) -> Mapping[str, Job]:
         return MappingProxyType(self._tables.jobs)
@@ -410,6 +418,7 @@
             if not job.has_ended:
                 _apply_queue_settings(job, queue)
         if current is not None:
+            self._record_former_queues(current, cmd.config)
             self._tables.factors = rename_keys(
                 self._tables.factors,
                 find_renames(current.queues, cmd.config.queues),
@@ -429,6 +438,27 @@
             if queue is not None:
                 job.place = queue.place
 
+    def _record_former_queues(
+        self, former: Configuration, config: Configuration
+    ) -> None:
+        """Record the queues that a new configuration removes.
+
+        Their jobs go on with their last settings.
+        """
+        kept = {queue.place: queue for queue in self._tables.former_queues}
+        kept.update((queue.place, queue) for queue in former.queues)
+        present = {queue.place for queue in config.queues}
+        used = {
+            job.place
+            for job in self._tables.jobs.values()
+            if not job.has_ended
+        }
+        self._tables.former_queues = tuple(
+            queue
+            for place, queue in kept.items()
+            if place in used and place not in present
+        )
+
     def _record_limits(
         self, former: Configuration | None, config: Configuration
     ) -> None:
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -297,7 +297,8 @@
         config = self._state.config
         if self._queues[0] is not config:
             queues = config.queues if config is not None else ()
-            self._queues = config, QueueIndex(queues)
+            index = QueueIndex(queues, self._state.former_queues)
+            self._queues = config, index
         return self._queues[1]
 
     def add_job(
--- a/testing/jobs/test_places.py
+++ b/testing/jobs/test_places.py
@@ -21,10 +21,12 @@
 from galenareel._common.messages import JobCall
 from galenareel._common.sentinels import Refused
 from galenareel._jobs.commands import AcceptJob
+from galenareel._jobs.commands import CancelJob
 from galenareel._jobs.commands import Configure
 from galenareel._jobs.commands import decode
 from galenareel._jobs.commands import encode
 from galenareel._jobs.commands import TakeOver
+from galenareel._jobs.model import Advice
 from galenareel._jobs.model import Configuration
 from galenareel._jobs.model import Pool
 from galenareel._jobs.model import Queue
@@ -34,6 +36,7 @@
 from galenareel._jobs.state import JobState
 from testing.jobs.harness import Harness
 from testing.jobs.harness import make_job
+from testing.jobs.test_advice_peak import PeakHarness
 from testing.jobs.test_leader import eventually
 from testing.jobs.test_leader import RunningLeader
 from testing.standins.worker import FakeWorker
@@ -260,6 +263,7 @@
     tables = msgspec.msgpack.decode(state.snapshot())
     for job in tables['jobs'].values():
         del job['place']
+    del tables['former_queues']
     older = JobState()
     older.restore(1, msgspec.msgpack.encode(tables))
     return older
@@ -379,6 +383,66 @@
     assert not harness.workers['w1'].running
 
 
+def test_job_of_a_removed_queue_keeps_its_settings() -> None:
+    """Guards against one that preempts all others, with priority 0."""
+    advice = Advice(100.0, 10.0, 3000.0)
+    queue = make_queue(
+        'a', pool='lots', priority=3, stretch=2.2, advice=advice
+    )
+    harness = make_harness(queue)
+    configure(harness, 3, make_queue('o', '/o/'))
+    assert harness.engine.jobs['j'].queue == queue
+    harness.take_over('c2')
+    assert harness.engine.jobs['j'].queue == queue
+    harness.state.restore(1, harness.state.snapshot())
+    configure(harness, 4, make_queue('o', '/o/', priority=1))
+    assert harness.engine.jobs['j'].queue == queue
+
+
+def test_removed_queue_is_forgotten_after_its_jobs() -> None:
+    state = make_state(make_queue('a'))
+    apply_config(state, 2, make_queue('o', '/o/'))
+    assert [queue.name for queue in state.former_queues] == ['a']
+    state.apply_command(CancelJob(name='j', now_ms=2))
+    apply_config(state, 3, make_queue('o', '/o/'))
+    assert state.former_queues == ()
+
+
+def test_job_of_a_removed_queue_with_advice_restarts_with_tickets() -> None:
+    """Guards against restarts that are rejected for ever (review/5)."""
+    harness = PeakHarness()
+    (name,) = harness.submit_each(1, 1.0, make_job(LASTING))
+    assert len(harness.tickets) == 2
+    configure(harness, 3, make_queue('o', '/o/', pool='lots'))
+    for worker in list(harness.workers):
+        if harness.workers[worker].running:
+            harness.crash(worker)
+            harness.retire(worker)
+    harness.take_over('c2')
+    harness.pass_time(15.0)
+    running = [
+        task for each in harness.workers.values() for task in each.running
+    ]
+    assert len(running) == 2
+    assert len(harness.tickets) >= 4
+    assert all(ticket.startswith(name) for ticket in harness.tickets)
+
+
+def test_job_with_unknown_settings_has_the_lowest_priority() -> None:
+    """An older build has removed its queue."""
+    state = make_state(make_queue('a', priority=2))
+    tables = msgspec.msgpack.decode(state.snapshot())
+    tables['config']['queues'] = []
+    state.restore(1, msgspec.msgpack.encode(tables))
+    apply_config(
+        state, 4, make_queue('o', '/o/'), make_queue('p', '/p/', priority=4)
+    )
+    harness = Harness(FakeWorker(name='w1'))
+    harness.state.restore(1, state.snapshot())
+    harness.take_over('c2')
+    assert harness.engine.jobs['j'].queue.priority == 4
+
+
 @pytest.mark.parametrize('seed', range(20))
 def test_random_versions_lose_no_job(seed: int) -> None:
     """Places keep their jobs through names, removals and restarts."""
