Soak: a queue with advice, and queues that change their names

An advisor that takes one call at a time, allows two workers of three and is silent, slow, refuses or can't be read at times; a caller with bursts of short jobs; workers that reject starts without a valid ticket. Each configuration draws the names of the queues with jobs again, so that they are renamed and exchanged. Draws of the other series stay as they are.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -31,6 +31,8 @@
 BAD_KEY_SHARE = 0.1
 PUBLIC_QUEUE = 'q'
 KEYED_QUEUE = 'p'
+ADVISED_QUEUE = 'a'
+QUEUE_NAMES = ('q', 'p', 'a', 'other')
 
 
 class Caller:
@@ -148,6 +150,7 @@
         :param key: the key to send, if not one of the job's workspace.
         """
         queue = KEYED_QUEUE if job.workspace else PUBLIC_QUEUE
+        queue = job.queue or queue
         if key is None and job.workspace:
             key = self._keys.draw_key(self._rng, job.workspace)
         front = self._rng.choice(self._fronts)
@@ -255,9 +258,14 @@
         front_addresses: list[str],
         checker: PromiseChecker,
         keys: KeyRing,
+        advice: dict[str, int],
     ) -> None:
         self._rng = rng
         self._keys = keys
+        self._advice = advice
+        # The names of queues have a series of their own, so that the other
+        # draws of a seed stay as they are.
+        self._name_rng = Random('names')
         self._control_addresses = control_addresses
         self._fronts = [Connection(address) for address in front_addresses]
         self._checker = checker
@@ -310,10 +318,17 @@
             route for route in ('x', 'y') if self._rng.random() < 0.5
         ]
         fields = make_configuration(
-            self._version, PUBLIC_QUEUE, KEYED_QUEUE, *extra_routes
+            self._version,
+            PUBLIC_QUEUE,
+            KEYED_QUEUE,
+            ADVISED_QUEUE,
+            *extra_routes,
         )
         for row in fields['routes']:
             row['public'] = row['name'] != KEYED_QUEUE
+            if row['name'] == ADVISED_QUEUE:
+                row['advice'] = self._advice
+        self._draw_names(fields['routes'])
         fields['tenants'] = [
             _make_tenant(workspace) for workspace in self._keys.workspaces
         ]
@@ -321,6 +336,12 @@
         self._checker.configurations[self._version] = fields
         return fields
 
+    def _draw_names(self, rows: list[dict[str, Any]]) -> None:
+        """Give queues with jobs other names, or exchange theirs."""
+        names = self._name_rng.sample(QUEUE_NAMES, len(QUEUE_NAMES))
+        for row, name in zip(rows[:3], names, strict=False):
+            row['name'] = name
+
 
 def _make_tenant(workspace: SoakWorkspace) -> dict[str, Any]:
     return {
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from functools import partial
 from io import BytesIO
 import json
 from random import Random
@@ -201,6 +202,7 @@
     """Serves a worker of an instance, from its start to its end.
 
     :param crash: ends the worker under a task.
+    :param may_start: returns whether the ticket of a start is valid.
     """
 
     worker: WatchedWorker
@@ -211,6 +213,7 @@
         endpoint: Endpoint,
         checker: PromiseChecker,
         crash: Callable[[SoakWorker, str], None],
+        may_start: Callable[[TaskId, dict[str, Any]], bool],
     ) -> None:
         super().__init__(
             worker,
@@ -221,6 +224,7 @@
         self._endpoint = endpoint
         self._checker = checker
         self._crash = crash
+        self._may_start = may_start
         self.drained_at = 0.0
 
     @property
@@ -334,6 +338,10 @@
                 gevent.spawn_later(CRASH_DELAY_S, self._crash, self, name)
 
         self.worker.on_start = check_run
+        known = self.worker.running.get(str(task))
+        is_repeat = known is not None and known.number == fields['run']
+        if not is_repeat and not self._may_start(task, fields):
+            return self.worker._answer(Outcome.BAD_TICKET)
         return super().start_run(task, fields)
 
 
@@ -345,6 +353,8 @@
     :param worker_number: makes the names of its workers differ.
     :param worker_lock: lets only one start or stop of a worker go on.
     :param on_crash: called when the worker is to end under a task.
+    :param check_ticket: returns whether a ticket lets a task start now on a
+        worker, for jobs of a queue with advice.
     """
 
     name: str
@@ -358,6 +368,7 @@
     server: SoakWorker | None = None
     worker_lock: BoundedSemaphore = field(default_factory=BoundedSemaphore)
     on_crash: Callable[[Instance], None] | None = None
+    check_ticket: Callable[[str, TaskId, str], bool] | None = None
 
     def start_worker(self, *, keep_name: bool = False) -> None:
         """Start a worker, unless there is one or the instance is off."""
@@ -394,12 +405,24 @@
             f'{worker.name} born {worker.born} at {self.endpoint.address}'
         )
         self.server = SoakWorker(
-            worker, self.endpoint, self.checker, self._crash
+            worker,
+            self.endpoint,
+            self.checker,
+            self._crash,
+            partial(self._has_ticket, worker.name),
         )
         self.endpoint.server = self.server
         self.checker.workers.append(worker)
         self.server.start(self.control_addresses)
 
+    def _has_ticket(
+        self, worker: str, task: TaskId, fields: dict[str, Any]
+    ) -> bool:
+        job = self.checker.jobs.get(task.job)
+        if job is None or not job.queue or self.check_ticket is None:
+            return True
+        return self.check_ticket(fields.get('ticket', ''), task, worker)
+
     def _crash(self, server: SoakWorker, task: str) -> None:
         if self.server is server and self.on_crash is not None:
             self.checker.record_crash(server.worker, task)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -90,7 +90,8 @@
     :param durations_s: how long a task of each step works.
     :param failing_step: step whose tasks always fail, or -1.
     :param crashing_step: step whose tasks end their workers, or -1.
-    :param workspace: its owner; empty if it is sent to the public queue.
+    :param workspace: its owner; empty if it is sent to a public queue.
+    :param queue: prefix of a queue of its own, or empty.
     :param attempts: the result of each attempt to submit the job: ``open``,
         ``unclear``, ``refused`` or ``accepted``.
     :param last_state: the state in the last answer, or an empty text.
@@ -102,6 +103,7 @@
     failing_step: int = -1
     crashing_step: int = -1
     workspace: str = ''
+    queue: str = ''
     attempts: list[str] = field(default_factory=list)
     accepted_at: float = 0.0
     cancel_sent: bool = False
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,10 @@
 
 import gevent
 
+from soak.advisor import ADVICE
+from soak.advisor import AdvisedCaller
+from soak.advisor import AdvisorFaults
+from soak.advisor import SoakAdvisor
 from soak.callers import Caller
 from soak.callers import CrashingCaller
 from soak.callers import LongTaskCaller
@@ -48,6 +52,7 @@
 FINISH_TIMEOUT_S = 14.0
 STOP_TIMEOUT_S = 5.0
 CALLER_COUNT = 3
+ADVISOR_PORT = 7004
 FIRST_PROXY_PORT = 8000  # of the proxies of the cloud, callers and workers
 
 
@@ -83,7 +88,9 @@
             cores=cores,
             fronts=fronts,
             cloud=f'{block}.1:{FIRST_PROXY_PORT}',
+            advice=f'{block}.1:{ADVISOR_PORT}',
         )
+        self._advisor = SoakAdvisor(f'{block}.1:{ADVISOR_PORT}')
         self._links = self._make_links(
             f'{block}.1:{FIRST_PROXY_PORT}', cloud_address
         )
@@ -118,6 +125,13 @@
             fault_free_timer,
             beside=self._faults,
         )
+        self._advisor_faults = AdvisorFaults(
+            target,
+            Random(f'{seed} advisor'),
+            fault_free_timer,
+            beside=self._faults,
+            advisor=self._advisor,
+        )
         front_addresses = [
             self._links['callers', front.name].address
             for front in self._system.fronts
@@ -152,14 +166,25 @@
                     self._keys,
                 )
             )
+        self._callers.append(
+            AdvisedCaller(
+                CALLER_COUNT + 2,
+                Random(f'{seed} advised'),
+                front_addresses,
+                self.checker,
+                self._keys,
+            )
+        )
         for instance in self._instances:
             instance.on_crash = self._worker_faults.crash_worker
+            instance.check_ticket = self._advisor.is_valid
         self._operator = Operator(
             Random(rng.random()),
             self._system.controls,
             front_addresses,
             self.checker,
             self._keys,
+            ADVICE,
         )
         self._greenlets: list[gevent.Greenlet] = []
 
@@ -200,6 +225,7 @@
         for link in self._links.values():
             link.start()
         self._cloud.start()
+        self._advisor.start()
         for machine in self._system.iterate_machines():
             self._target.start_machine(machine, bootstrap=True)
         first = self._operator.draw_first_configuration()
@@ -212,10 +238,16 @@
 
     def close(self) -> None:
         gevent.killall(self._greenlets)
-        for faults in (self._faults, self._worker_faults, self._core_losses):
+        for faults in (
+            self._faults,
+            self._worker_faults,
+            self._core_losses,
+            self._advisor_faults,
+        ):
             faults.close()
         self._system.close()
         self._cloud.close()
+        self._advisor.close()
         for instance in self._instances:
             instance.stop_worker()
         for link in self._links.values():
@@ -231,7 +263,10 @@
         ]
         clients = [gevent.spawn(loop) for loop in client_loops]
         watch = gevent.spawn(self._watch_processes)
-        faults = [gevent.spawn(self._worker_faults.run)]
+        faults = [
+            gevent.spawn(self._worker_faults.run),
+            gevent.spawn(self._advisor_faults.run),
+        ]
         if self._has_machine_faults:
             faults.append(gevent.spawn(self._faults.run))
             faults.append(gevent.spawn(self._core_losses.run))
@@ -244,6 +279,7 @@
         self._faults.wait()
         self._worker_faults.wait()
         self._core_losses.wait()
+        self._advisor_faults.wait()
         gevent.killall(clients)
         self._check_recovery()
         self._check_cancelled()
--- a/testing/standins/platform_http.py
+++ b/testing/standins/platform_http.py
@@ -24,6 +24,7 @@
     Outcome.FENCED: 'fence',
     Outcome.SUPERSEDED: 'old',
     Outcome.EXPIRED: 'late',
+    Outcome.BAD_TICKET: 'ticket',
 }
 
 Start = Callable[..., Any]
--- a/testing/standins/system.py
+++ b/testing/standins/system.py
@@ -153,6 +153,7 @@
     """Core and front machines, without workers and the platform.
 
     :param cloud: address of the platform's list of machines.
+    :param advice: address of the advisor, or empty.
     :param more_settings: tables at the end of each settings file.
     """
 
@@ -163,9 +164,11 @@
         cores: int = 3,
         fronts: int = 1,
         cloud: str = '',
+        advice: str = '',
         more_settings: str = '',
     ) -> None:
         self.folder = folder
+        self._advice = advice
         self._more_settings = more_settings
         prefix = get_loopback_prefix()
         self.cloud = cloud or f'{prefix}.1:{CLOUD_PORT}'
@@ -230,6 +233,7 @@
 internalPortRange = [{FRAMES_PORT}, {FRAMES_PORT}]
 seeds = {json.dumps(self.seeds)}
 bootstrap = {str(bootstrap).lower()}
+advice = "{self._advice}"
 dataDirectory = "{self.get_data_folder(machine)}"
 [listenAddresses]
 {listen}
