Comparison of configurations shows new names of queues

What operators saw: `--current` told of a renamed queue that it is removed and its calls get 404, though they are served and its jobs stay.

Change: queues are compared by host and path prefix.

Test: test_places.py::test_comparison_shows_a_new_name_of_a_queue, which failed on (a changed prefix in place of the removal and the new name).

--- a/src/galenareel/_jobs/config_changes.py
+++ b/src/galenareel/_jobs/config_changes.py
@@ -73,29 +73,38 @@
 def _compare_entries(
     section: Section, current: Sequence[Entry], entries: Sequence[Entry]
 ) -> Iterator[ConfigFinding]:
-    former = {entry.name: entry for entry in current}
-    names = {entry.name for entry in entries}
-    for name in former:
-        if name not in names:
+    former = {_get_key(entry): entry for entry in current}
+    keys = {_get_key(entry) for entry in entries}
+    for key, removed in former.items():
+        if key not in keys:
             yield ConfigFinding(
                 severity=Severity.WARNING,
                 section=section,
-                entry=name,
+                entry=removed.name,
                 problem=f'it is removed: {_REMOVALS[section]}',
                 remedy=_LOOK,
             )
     for entry in entries:
-        if entry.name not in former:
+        known = former.get(_get_key(entry))
+        if known is None:
             yield _make_change(section, entry, '', 'it is added')
             continue
         for field in entry.__struct_fields__:
-            before = getattr(former[entry.name], field)
+            before = getattr(known, field)
             after = getattr(entry, field)
             if before != after:
                 text = _describe_change(field, before, after)
                 yield _make_change(section, entry, field, text)
 
 
+def _get_key(entry: Entry) -> object:
+    """Return what an entry keeps while its other fields change.
+
+    A queue keeps its jobs under a new name.
+    """
+    return entry.place if isinstance(entry, Queue) else entry.name
+
+
 def _describe_change(field: str, before: object, after: object) -> str:
     if field != 'keys':
         return f'it changes from {before!r} to {after!r}'
--- a/testing/jobs/test_places.py
+++ b/testing/jobs/test_places.py
@@ -26,6 +26,7 @@
 from galenareel._jobs.commands import decode
 from galenareel._jobs.commands import encode
 from galenareel._jobs.commands import TakeOver
+from galenareel._jobs.config_changes import compare_configurations
 from galenareel._jobs.model import Advice
 from galenareel._jobs.model import Configuration
 from galenareel._jobs.model import Pool
@@ -482,3 +483,18 @@
             assert found == [prefix] * (prefix in present)
             if prefix in present:
                 assert state.jobs[name].pools[-1] == present[prefix].pool
+
+
+def test_comparison_shows_a_new_name_of_a_queue() -> None:
+    """Guards against "removed: its calls get 404" for a queue that stays."""
+    current = make_config(1, make_queue('a'), make_queue('b', '/w/'))
+    config = make_config(2, make_queue('b'), make_queue('a', '/x/'))
+    found = [
+        (each.entry, each.field, each.problem)
+        for each in compare_configurations(current, config)
+    ]
+    assert found == [
+        ('b', '', 'it is removed: its calls get 404'),
+        ('b', 'name', "it changes from 'a' to 'b'"),
+        ('a', '', 'it is added'),
+    ]
