--- a/src/galenareel/_jobs/advising.py
+++ b/src/galenareel/_jobs/advising.py
@@ -69,7 +69,8 @@
         :param candidates: workers of the pass over its pool.
         """
         drop_expired(step, now)
-        if self.line.join(step, now):
+        is_overdue = candidates.waives_cautions
+        if self.line.join(step, now, is_overdue=is_overdue):
             self._candidates[get_step_key(step)] = candidates
 
     def make_calls(self, now: float) -> list[AskAdvice]:
--- a/src/galenareel/_scheduling/advice_line.py
+++ b/src/galenareel/_scheduling/advice_line.py
@@ -31,7 +31,7 @@
 OLDEST_SHARE = 0.25
 # Most steps of the line that are looked at for one call.
 MAX_LOOKS = 50
-LOOK_AGAIN_S = 0.25  # delay for a step with no worker to ask about
+LOOK_AGAIN_S = 0.25
 
 # A call is overdue after this multiple of the time that it and those before it
 # are expected to take, and a margin for the network. Others may be sent then.
@@ -160,14 +160,19 @@
         self._oldest_cost_s = 0.0
         self._shares: dict[Place, AllowedShare] = {}
 
-    def join(self, step: StepWork, now: float) -> bool:
+    def join(
+        self, step: StepWork, now: float, *, is_overdue: bool = False
+    ) -> bool:
         """Let a step wait for its turn.
 
+        :param is_overdue: cautions that have kept workers from it are waived.
         :returns: whether it waits now. It does not while it has a call
             without an answer, or shortly after one that failed.
         """
         if step.advice_pending or now < step.advice_after:
             return False
+        if now < step.advice_look_after and not is_overdue:
+            return False
         key = _get_key(step)
         if step.advice_since is None:
             step.advice_since = now
@@ -188,8 +193,12 @@
         self._remove(step)
 
     def postpone(self, step: StepWork, now: float) -> None:
-        """Let a step with no worker to ask about come back in a moment."""
-        step.advice_after = now + LOOK_AGAIN_S
+        """Let a step with no worker to ask about come back with a pass.
+
+        In a long line it comes back later, so that the others have a turn.
+        """
+        if len(self._waiting) > MAX_LOOKS:
+            step.advice_look_after = now + LOOK_AGAIN_S
         self._remove(step)
 
     def _remove(self, step: StepWork) -> None:
--- a/src/galenareel/_scheduling/placement.py
+++ b/src/galenareel/_scheduling/placement.py
@@ -70,7 +70,7 @@
         waives_cautions: bool = False,
     ) -> None:
         self.now = now
-        self._waives_cautions = waives_cautions
+        self.waives_cautions = waives_cautions
         self.limit: ProofLimit | None = None
         self.reserved: ReservedRoom | None = None
         self._has_changed = True
@@ -191,7 +191,7 @@
                 return False
         return (
             step.gang
-            or self._waives_cautions
+            or self.waives_cautions
             or any(
                 worker.name not in work.avoided_workers.get(index, ())
                 for index in work.waiting
@@ -244,7 +244,7 @@
             if worker.name in closed:
                 continue
             is_avoided = worker.name in avoided
-            if is_avoided and not self._waives_cautions:
+            if is_avoided and not self.waives_cautions:
                 continue
             if work.job.queue.advice and worker.name not in work.tickets:
                 continue
@@ -259,7 +259,7 @@
             score = self._score(work, worker)
             if needs_trial(worker, self.now):
                 score += TRIAL_PENALTY
-            if self._waives_cautions and (
+            if self.waives_cautions and (
                 is_avoided or is_suspect(worker, self.now)
             ):
                 score += SUSPECT_PENALTY
@@ -270,7 +270,7 @@
 
     def _is_free(self, worker: Worker, step: Step) -> bool:
         """Return whether no trial of a worker keeps a task off it."""
-        if self._waives_cautions or not needs_trial(worker, self.now):
+        if self.waives_cautions or not needs_trial(worker, self.now):
             return True
         return _is_free_for_trial(worker, step, self.now)
 
--- a/testing/jobs/quiet_days.py
+++ b/testing/jobs/quiet_days.py
@@ -1,6 +1,7 @@
 """Play seeded days of faults and jobs on the leader's tables.
 
     python -m testing.jobs.quiet_days FIRST COUNT [--has-closing]
+        [--has-advice]
     python -m testing.jobs.quiet_days FIRST COUNT --has-series
         [--workers 60] [--jobs 2000]
 
@@ -16,7 +17,10 @@
 
 import fire
 
+from galenareel._jobs.model import Advice
 from galenareel._jobs.model import Step
+from testing.jobs.advised import add_advice
+from testing.jobs.advised import AdvisedRounds
 from testing.jobs.harness import Violation
 from testing.jobs.quiet_harness import FOREIGN
 from testing.jobs.quiet_harness import Kind
@@ -24,6 +28,7 @@
 from testing.jobs.quiet_harness import QuietHarness
 from testing.jobs.quiet_harness import REFUSALS
 from testing.jobs.quiet_harness import TimedHarness
+from testing.standins.advisor import FakeAdvisor
 
 EVENING_S = 25.0  # in which every job gets its turn
 DISTURBANCE_SHARE = 0.5  # of the moments at which something happens
@@ -52,6 +57,12 @@
     for work_s in (1.0, 4.0)
 )
 
+# At a burst, more jobs come than this advisor answers in seconds.
+DAY_ADVICE = Advice(60.0, 10.0, 3000.0)
+BURST_JOBS = 40
+BURST_SHARE = 0.15
+ADVISOR_MODES = ('silent', 'refusing', 'unreadable')
+
 Fault = Callable[[QuietHarness, list[str], random.Random], None]
 
 
@@ -162,13 +173,47 @@
 OUTCOMES = ('hopeless', 'deadly')
 
 
+class AdvisedQuietHarness(AdvisedRounds, QuietHarness):
+    """Watches a queue whose advisor allows all workers, if it answers."""
+
+    def __init__(self, size: int, *, heartbeat_s: float) -> None:
+        self.advisor = FakeAdvisor()
+        self.tickets = []
+        super().__init__(size, heartbeat_s=heartbeat_s)
+        self.begin_advice(add_advice(self.queue, DAY_ADVICE))
+
+    def end_faults(self) -> None:
+        super().end_faults()
+        self.advisor.mode = ''
+        self.advisor.slowness = 1.0
+
+    def _is_disturbed(self) -> bool:
+        is_harmed = self.advisor.mode or self.advisor.slowness != 1.0
+        return bool(is_harmed) or super()._is_disturbed()
+
+
+def _harm_advisor(
+    harness: QuietHarness, _names: list[str], rng: random.Random
+) -> None:
+    assert isinstance(harness, AdvisedQuietHarness)
+    harness.advisor.mode = rng.choice(['', *ADVISOR_MODES])
+    harness.advisor.slowness = rng.choice([1.0, 4.0])
+
+
 class QuietDay:
     """A day of jobs and faults that a seed draws, and a quiet evening.
 
     :param has_closing: whether the faults of ``CLOSING_FAULTS`` come, too.
+    :param has_advice: whether the queue has advice, whose service fails, too.
     """
 
-    def __init__(self, seed: int, *, has_closing: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        *,
+        has_closing: bool = False,
+        has_advice: bool = False,
+    ) -> None:
         self._rng = random.Random(seed)  # noqa: S311
         self._jobs = 0
         count = self._rng.randint(2, 5)
@@ -177,8 +222,15 @@
         self._faults = [faults[name] for name in drawn if name in faults]
         self._sound = [kind for kind in KINDS if not kind.outcome]
         self._others = [kind for kind in KINDS if kind.outcome in drawn]
+        self._has_advice = has_advice
+        size = self._rng.randint(1, 5)
+        self.harness: QuietHarness
+        if has_advice:
+            self._faults.append(_harm_advisor)
+            self.harness = AdvisedQuietHarness(size, heartbeat_s=HEARTBEAT_S)
+            return
         self.harness = QuietHarness(
-            self._rng.randint(1, 5),
+            size,
             lookahead=seed % 4 == 0,
             has_limits=has_closing and seed % 3 == 0,
             heartbeat_s=HEARTBEAT_S if has_closing else 0.0,
@@ -194,6 +246,9 @@
         while harness.now < evening_at:
             for _ in range(rng.randint(0, 3)):
                 self._submit()
+            if self._has_advice and rng.random() < BURST_SHARE:
+                for _ in range(BURST_JOBS):
+                    self._submit()
             self._disturb()
             harness.pass_time(rng.choice([0.1, 0.3, 1.0, 2.0, 4.0]))
         harness.end_faults()
@@ -310,6 +365,7 @@
     count: int,
     *,
     has_closing: bool = False,
+    has_advice: bool = False,
     has_series: bool = False,
     workers: int = SERIES_WORKERS,
     jobs: int = SERIES_JOBS,
@@ -325,7 +381,7 @@
     broken = 0
     crashed: list[int] = []
     for seed in range(first, first + count):
-        day = QuietDay(seed, has_closing=has_closing)
+        day = QuietDay(seed, has_closing=has_closing, has_advice=has_advice)
         try:
             day.play()
         except Violation as exc:
--- a/testing/jobs/test_advice_peak.py
+++ b/testing/jobs/test_advice_peak.py
@@ -13,7 +13,6 @@
 import msgspec
 import pytest
 
-from galenareel._jobs.clients import Answer
 from galenareel._jobs.commands import CancelJob
 from galenareel._jobs.commands import Configure
 from galenareel._jobs.engine import MAX_PASS_S
@@ -25,9 +24,7 @@
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
 from galenareel._scheduling.advice_line import MAX_OVERDUE_CALLS
-from galenareel._scheduling.tables import AskAdvice
-from galenareel._scheduling.tables import StartTask
-from testing.jobs.harness import Harness
+from testing.jobs.advised import AdvisedRounds
 from testing.jobs.harness import make_job
 from testing.jobs.harness import WALL_MS
 from testing.standins.advisor import FakeAdvisor
@@ -39,7 +36,7 @@
 ROUND_S = 0.05
 
 
-class PeakHarness(Harness):
+class PeakHarness(AdvisedRounds):
     """Workers with room for all, and an advisor that takes calls in turn.
 
     :param advice: timing of the queue ``view``.
@@ -57,7 +54,7 @@
     ) -> None:
         self.advisor = FakeAdvisor()
         self.failing: set[str] = set()  # workers on which tasks fail
-        self.tickets: list[str] = []  # of the starts, in their order
+        self.tickets = []
         super().__init__(
             *(
                 FakeWorker(
@@ -72,9 +69,7 @@
         queue = msgspec.structs.replace(
             self.queue, advice=advice, stretch=2.2, target_ms=target_ms
         )
-        config = Configuration(2, (queue, *others), self._config.pools)
-        self.apply(Configure(config=config))
-        self.engine.apply_config(self.now)
+        self.begin_advice(queue, *others)
         self.pass_time(0.3, ROUND_S)
 
     def run_round(self) -> None:
@@ -86,28 +81,6 @@
         super().run_round()
         self.store_ends()
 
-    def carry_out(self) -> None:
-        engine = self.engine
-        for caller, order, reply in self.advisor.collect(self.now):
-            if caller is engine:
-                engine.handle_advice(order, reply, self.now)
-        self.place()
-        orders = engine.take_orders()
-        engine._orders = [
-            each for each in orders if not isinstance(each, AskAdvice)
-        ]
-        for each in orders:
-            if isinstance(each, AskAdvice):
-                refusal = self.advisor.call(engine, each, self.now)
-                if isinstance(refusal, Answer):
-                    engine.handle_advice(each, refusal, self.now)
-        self.tickets.extend(
-            each.ticket
-            for each in engine._orders
-            if isinstance(each, StartTask)
-        )
-        super().carry_out()
-
     def submit_each(
         self,
         count: int,
--- a/testing/jobs/test_quiet_pools.py
+++ b/testing/jobs/test_quiet_pools.py
@@ -206,6 +206,15 @@
     QuietDay(seed, has_closing=True).play()
 
 
+@pytest.mark.parametrize('seed', [12, 41, 43, 44, 46, 47, 52, 54])
+def test_no_task_waits_for_advice_in_a_quiet_pool(seed: int) -> None:
+    """Guards against steps that crowd each other out before the advisor.
+
+    On day 12 cautions keep the workers from unproven jobs, and are waived.
+    """
+    QuietDay(seed, has_advice=True).play()
+
+
 @pytest.mark.parametrize('seed', [5, 7])
 def test_no_task_waits_after_changes_of_leader_in_series(seed: int) -> None:
     """Passes over hundreds of steps held the loop beyond a third of a lease.
