--- a/soak/run.py
+++ b/soak/run.py
@@ -10,10 +10,8 @@
 
 import gevent
 
-from soak.advisor import ADVICE
 from soak.advisor import AdvisedCaller
 from soak.advisor import AdvisorFaults
-from soak.advisor import SoakAdvisor
 from soak.callers import Caller
 from soak.callers import CrashingCaller
 from soak.callers import LongTaskCaller
@@ -37,6 +35,8 @@
 from soak.proxy import Proxy
 from soak.worker_faults import WorkerFaults
 from soak.workspaces import KeyRing
+from testing.standins.advisor_http import ADVICE
+from testing.standins.advisor_http import AdvisorServer
 from testing.standins.platform_http import call
 from testing.standins.system import CLOUD_PORT
 from testing.standins.system import FRONT_PORT
@@ -90,7 +90,7 @@
             cloud=f'{block}.1:{FIRST_PROXY_PORT}',
             advice=f'{block}.1:{ADVISOR_PORT}',
         )
-        self._advisor = SoakAdvisor(f'{block}.1:{ADVISOR_PORT}')
+        self._advisor = AdvisorServer(f'{block}.1:{ADVISOR_PORT}')
         self._links = self._make_links(
             f'{block}.1:{FIRST_PROXY_PORT}', cloud_address
         )
