Steps that are placed leave the line before the advisor

What callers saw: a new job could be refused for a line that is shorter than it seems; `advice_line` showed placed steps as waiting.

Cause: a step joins the line before its tasks are placed, and one whose answer had just come joined again. It left only when its turn came. The same holds for jobs that are cancelled. Evidence: of 60 jobs, of which 57 had begun, 58 were in line.

Change: a step leaves the line once all its tasks have a run, or its job ends.

--- a/src/galenareel/_jobs/advising.py
+++ b/src/galenareel/_jobs/advising.py
@@ -73,6 +73,11 @@
         if self.line.join(step, now, is_overdue=is_overdue):
             self._candidates[get_step_key(step)] = candidates
 
+    def leave(self, step: StepWork) -> None:
+        """Let a step wait no longer, as it is placed or its job is over."""
+        self._candidates.pop(get_step_key(step), None)
+        self.line.leave(step)
+
     def make_calls(self, now: float) -> list[AskAdvice]:
         """Return the orders for the calls that may be sent now."""
         for step in self.line.drop_overtaken(now):
--- a/src/galenareel/_jobs/placing.py
+++ b/src/galenareel/_jobs/placing.py
@@ -94,8 +94,7 @@
                 if step.crashes and not work.proven:
                     self._place_suspects(pool, step, candidates, members, now)
                 is_over = self._place_step(pool, step, candidates, now, budget)
-                if not step.waiting:
-                    pool.waiting.pop(self._step_key(step), None)
+                self._drop_placed(pool, step)
                 if not is_over:
                     progress.jobs.discard(work.name)
                     pool.interrupted = progress
@@ -212,8 +211,7 @@
             self._place_suspects(pool, step, candidates, members, now)
         is_over = self._place_step(pool, step, candidates, now, budget)
         started = waiting - len(step.waiting)
-        if not step.waiting:
-            pool.waiting.pop(self._step_key(step), None)
+        self._drop_placed(pool, step)
         if started:
             self._metrics.waived_cautions.add(1)
             self._log.info(
@@ -224,6 +222,12 @@
             )
         return is_over
 
+    def _drop_placed(self, pool: PoolWork, step: StepWork) -> None:
+        """Let a step wait no longer if all its tasks have a run."""
+        if not step.waiting:
+            pool.waiting.pop(self._step_key(step), None)
+            self.advice.leave(step)
+
     def _may_place(self, work: JobWork) -> bool:
         return not work.has_failed and self._are_workers_read(work)
 
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -368,6 +368,7 @@
             return
         for step in work.steps.values():
             self._pool_tables.dequeue_step(step)
+            self.advice.leave(step)
             for runs in list(step.runs.values()):
                 for run in list(runs):
                     run.step = None
--- a/testing/jobs/test_advice_peak.py
+++ b/testing/jobs/test_advice_peak.py
@@ -489,3 +489,17 @@
     began = time.process_time()
     harness.engine.advice.make_calls(harness.now + 5.0)
     assert time.process_time() - began <= MAX_PASS_S
+
+
+def test_placed_steps_and_ended_jobs_are_not_in_line() -> None:
+    """Guards against refusals for a line that is shorter than it seems."""
+    harness = PeakHarness()
+    names = harness.submit_each(20, 0.0)
+    line = harness.engine.advice.line
+    for _ in range(40):
+        harness.pass_time(0.1, ROUND_S)
+        begun = len(names) - len(harness.list_unstarted(names))
+        assert line.describe(harness.now).waiting <= len(names) - begun
+    for name in harness.list_unstarted(names):
+        harness.cancel(name)
+    assert line.describe(harness.now).waiting == 0
--- a/testing/standins/advisor.py
+++ b/testing/standins/advisor.py
@@ -14,9 +14,6 @@
 from galenareel._scheduling.tables import AskAdvice
 
 MAX_WAITING = 32  # calls in line; further ones are refused
-# Time-outs of the leader for orders that don't name one.
-DEFAULT_MARGIN_S = 1.0
-DEFAULT_FACTOR = 2.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -73,14 +70,11 @@
         advice = order.work.job.queue.advice
         assert advice is not None, 'a queue without advice asks nobody'
         declared_s = get_call_s(advice, len(order.workers))
-        timeout_s = getattr(
-            order, 'timeout_s', DEFAULT_MARGIN_S + DEFAULT_FACTOR * declared_s
-        )
         call = AdviceCall(
             caller=caller,
             order=order,
             cost_s=declared_s * self.slowness,
-            given_up_at=now + timeout_s,
+            given_up_at=now + order.timeout_s,
         )
         self.sent.append((now, step, self.mode or 'taken'))
         if self.mode == 'silent':
