Bound the counts of calls to the advisor

In a line that never ends, the number of calls of each job was kept for good, so that the memory of a leader grew with each job of a queue with advice. They are dropped for jobs that don't wait once there are 1,000 more of them than steps in line. Refusals for the advisor count in the metrics of a workspace as the others do.

Test: test_advice_peak.py::test_counts_of_calls_are_bounded_while_the_line_ never_ends, which failed without the change (37 counts, 23 in line, where 6 more are allowed).

--- a/src/galenareel/_jobs/admission.py
+++ b/src/galenareel/_jobs/admission.py
@@ -71,6 +71,8 @@
             wait_s = self._advice_line.estimate_wait_s(job, now)
             refusal = check_advice(job, wait_s)
             if refusal is not None:
+                if workspace:
+                    self._report.count_refusal(workspace, refusal.reason)
                 return refusal
         members = [
             worker
--- a/src/galenareel/_scheduling/advice_line.py
+++ b/src/galenareel/_scheduling/advice_line.py
@@ -59,6 +59,8 @@
 EXPECTED_WORKERS = 6
 # Answers beyond this many workers count less, so that a changed policy shows.
 MAX_SAMPLES = 60
+# Jobs whose calls are counted beside those in line, in a line that never ends.
+MAX_COUNTED_JOBS = 1000
 
 
 class CallResult(enum.Enum):
@@ -120,6 +122,7 @@
     :param oldest_wait_s: longest time for which a step has waited for a call.
     :param backlog_s: time that the advisor needs for all calls.
     :param retry_s: time until the next call after a failure.
+    :param slowness: time of a call divided by the declared one.
     """
 
     waiting: int
@@ -294,6 +297,13 @@
         self._cost_s += cost_s
         if call.is_oldest:
             self._oldest_cost_s += cost_s
+        if len(self._job_calls) > len(self._waiting) + MAX_COUNTED_JOBS:
+            names = {step.job.name for step in self._waiting.values()}
+            self._job_calls = {
+                name: count
+                for name, count in self._job_calls.items()
+                if name in names
+            }
 
     def record(
         self, order: AskAdvice, result: CallResult, now: float
--- a/testing/jobs/test_advice_peak.py
+++ b/testing/jobs/test_advice_peak.py
@@ -23,6 +23,7 @@
 from galenareel._jobs.model import Queue
 from galenareel._jobs.model import Resources
 from galenareel._jobs.model import Step
+from galenareel._scheduling import advice_line
 from galenareel._scheduling.advice_line import MAX_OVERDUE_CALLS
 from testing.jobs.advised import AdvisedRounds
 from testing.jobs.harness import make_job
@@ -491,6 +492,20 @@
     assert time.process_time() - began <= MAX_PASS_S
 
 
+def test_counts_of_calls_are_bounded_while_the_line_never_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a leader whose memory grows with each job."""
+    monkeypatch.setattr(advice_line, 'MAX_COUNTED_JOBS', 5)
+    harness = PeakHarness(advice=Advice(50.0, 0.0, 3000.0))
+    names = harness.submit_each(60, 0.0)
+    for _ in range(20):
+        harness.pass_time(0.2, ROUND_S)
+        line = harness.engine.advice.line
+        assert len(line._job_calls) <= len(line._waiting) + 6
+    harness.wait_for_starts(names, within_s=60 * 0.1)
+
+
 def test_placed_steps_and_ended_jobs_are_not_in_line() -> None:
     """Guards against refusals for a line that is shorter than it seems."""
     harness = PeakHarness()
