A step whose calls to the advisor all fail does not stop its queue

What callers saw: by a read of the diff and a test, one step for which the advisor always failed (500, a broken connection, bytes that can't be read, no answer) let all later jobs be refused after half a minute, though the advisor answered for them. With a 500 or a broken connection it also asked first, again and again, while its job was on time.

Cause: each status but 200 counted as a call that was not taken, so that the step kept its turn; and every series of failures counted as an outage.

Change: only 429, 503 and a refused connection are calls that were not taken. An outage counts in the expected wait if calls are not taken, or if those of more than one step have failed.

--- a/src/galenareel/_jobs/advising.py
+++ b/src/galenareel/_jobs/advising.py
@@ -29,7 +29,8 @@
 
 _RESULTS = {
     Outcome.BUSY: CallResult.REFUSED,
-    Outcome.UNREADABLE: CallResult.UNREADABLE,
+    Outcome.UNREADABLE: CallResult.FAILED,
+    Outcome.REFUSED: CallResult.FAILED,
     Outcome.NOT_SENT: CallResult.UNREACHABLE,
 }
 
@@ -229,5 +230,5 @@
     if isinstance(reply, PlacementTickets):
         return CallResult.ANSWERED
     if reply.outcome is Outcome.NO_ANSWER and reply.is_broken:
-        return CallResult.UNREACHABLE
+        return CallResult.FAILED
     return _RESULTS.get(reply.outcome, CallResult.SILENT)
--- a/src/galenareel/_scheduling/advice_line.py
+++ b/src/galenareel/_scheduling/advice_line.py
@@ -67,10 +67,10 @@
     """What a call to the advisor shows of it."""
 
     ANSWERED = 'answered'
-    UNREADABLE = 'unreadable'  # it has handled the call
+    FAILED = 'failed'  # it has taken the call, which may be at fault
     REFUSED = 'refused'  # it has not taken the call
     SILENT = 'silent'  # it may still be at work on the call
-    UNREACHABLE = 'unreachable'  # nothing was sent, or the connection broke
+    UNREACHABLE = 'unreachable'  # nothing was sent
 
 
 @dataclass(slots=True, kw_only=True)
@@ -151,6 +151,9 @@
         self._busy_until = 0.0
         self._failures = 0
         self._failing_since = 0.0
+        # Steps whose calls have failed since the last answer.
+        self._failed_steps: set[tuple[str, int, int]] = set()
+        self._takes_no_calls = False
         self._retry_at = 0.0
         self._slowness = 1.0
         self._patience = MIN_PATIENCE
@@ -320,6 +323,7 @@
         order.work.advice_pending = False
         if result is CallResult.ANSWERED:
             self._failures = 0
+            self._failed_steps.clear()
             self._patience = MIN_PATIENCE
             self._learn_slowness(call, now)
             self._answered_at = now
@@ -335,9 +339,14 @@
             if result is not CallResult.SILENT:  # its time-out was the delay
                 delay_s = RETRY_S * 2 ** min(self._failures - 1, 8)
                 self._retry_at = now + min(delay_s, MAX_RETRY_S)
-        if result in (CallResult.REFUSED, CallResult.UNREACHABLE):
+            self._failed_steps.add(_get_key(order.work))
+        self._takes_no_calls = result in (
+            CallResult.REFUSED,
+            CallResult.UNREACHABLE,
+        )
+        if self._takes_no_calls:
             self._charge(call, -1)
-        if result in (CallResult.SILENT, CallResult.UNREADABLE):
+        if result in (CallResult.SILENT, CallResult.FAILED):
             order.work.advice_after = now + STEP_RETRY_S
         if result is CallResult.SILENT:
             self._busy_until = now + call.expected_s
@@ -377,8 +386,10 @@
         as long again as it has lasted. If nothing else waits, the call for
         the job shows whether it is over.
         """
+        # A single step may be at fault itself.
+        is_outage = self._takes_no_calls or len(self._failed_steps) > 1
         outage_s = 0.0
-        if self._failures and (self._waiting or self._calls):
+        if is_outage and (self._waiting or self._calls):
             outage_s = now - self._failing_since
         priority = job.queue.priority
         steps_s = sum(
--- a/testing/jobs/test_advice_peak.py
+++ b/testing/jobs/test_advice_peak.py
@@ -13,6 +13,8 @@
 import msgspec
 import pytest
 
+from galenareel._jobs.clients import Answer
+from galenareel._jobs.clients import Outcome
 from galenareel._jobs.commands import CancelJob
 from galenareel._jobs.commands import Configure
 from galenareel._jobs.engine import MAX_PASS_S
@@ -518,3 +520,23 @@
     for name in harness.list_unstarted(names):
         harness.cancel(name)
     assert line.describe(harness.now).waiting == 0
+
+
+@pytest.mark.parametrize('reason', ['broken', 'refused', 'unreadable', 'lost'])
+def test_step_whose_calls_all_fail_does_not_block_the_others(
+    reason: str,
+) -> None:
+    """Guards against jobs that wait for ever behind one that always fails."""
+    harness = PeakHarness()
+    harness.advisor.failing['bad.0.0'] = {
+        'broken': Answer(outcome=Outcome.NO_ANSWER, is_broken=True),
+        'refused': Answer(outcome=Outcome.REFUSED, detail='500'),
+        'unreadable': Answer(outcome=Outcome.UNREADABLE),
+        'lost': Answer(outcome=Outcome.NO_ANSWER),
+    }[reason]
+    harness.submit('bad', make_advised_job())
+    harness.pass_time(1.0, ROUND_S)
+    names = harness.submit_each(10, 0.0)
+    harness.wait_for_starts(names, within_s=10 * 0.42 + 6.0)
+    harness.pass_time(120.0, ROUND_S)
+    assert check_admission(harness) is None
--- a/testing/standins/advisor.py
+++ b/testing/standins/advisor.py
@@ -40,12 +40,14 @@
     :ivar slowness: factor on the time of each call.
     :ivar mode: ``''``; ``silent``: calls are never answered; ``refusing``:
         each call is refused; ``unreadable``: no answer can be read.
+    :ivar failing: what calls for a step end with, by its name.
     :ivar sent: times at which calls came, with their steps and outcomes.
     """
 
     is_allowed: Callable[[str, str], bool] = lambda _step, _worker: True
     slowness: float = 1.0
     mode: str = ''
+    failing: dict[str, Answer] = field(default_factory=dict)
     sent: list[tuple[float, str, str]] = field(default_factory=list)
     handled: list[tuple[float, str]] = field(default_factory=list)
     names: list[int] = field(default_factory=list)
@@ -111,9 +113,11 @@
         return found
 
     def _answer(self, call: AdviceCall) -> PlacementTickets | Answer:
+        step = call.order.work.task_id(0).get_step_name()
+        if step in self.failing:
+            return self.failing[step]
         if self.mode == 'unreadable':
             return Answer(outcome=Outcome.UNREADABLE, detail='odd bytes')
-        step = call.order.work.task_id(0).get_step_name()
         advice = call.order.work.job.queue.advice
         assert advice is not None
         return PlacementTickets(
