--- a/soak/callers.py
+++ b/soak/callers.py
@@ -259,13 +259,12 @@
         checker: PromiseChecker,
         keys: KeyRing,
         advice: dict[str, int],
+        name_rng: Random,
     ) -> None:
         self._rng = rng
         self._keys = keys
         self._advice = advice
-        # The names of queues have a series of their own, so that the other
-        # draws of a seed stay as they are.
-        self._name_rng = Random('names')
+        self._name_rng = name_rng
         self._control_addresses = control_addresses
         self._fronts = [Connection(address) for address in front_addresses]
         self._checker = checker
--- a/soak/run.py
+++ b/soak/run.py
@@ -185,6 +185,7 @@
             self.checker,
             self._keys,
             ADVICE,
+            Random(f'{seed} names'),
         )
         self._greenlets: list[gevent.Greenlet] = []
 
--- a/testing/adapter/test_advisor.py
+++ b/testing/adapter/test_advisor.py
@@ -4,9 +4,9 @@
 
 from typing import Any
 
+from adapter.workers import HttpAdvisor
 import pytest
 
-from adapter.workers import HttpAdvisor
 from galenareel._jobs.clients import Answer
 from galenareel._jobs.clients import Outcome
 from testing.ports import allocate_address
