--- a/src/galenareel/_jobs/advising.py
+++ b/src/galenareel/_jobs/advising.py
@@ -130,7 +130,7 @@
             and worker.pool == step.job.queue.pool
             and self._workers.get(worker.name) is worker
         ]
-        share = self.line.estimate_share(step.job.queue.place)
+        share = self.line.estimate_share(step.job.queue.endpoint)
         return choose_workers(step, eligible, now, allowed_share=share)
 
     def handle_answer(
@@ -144,7 +144,7 @@
             record_advice(step, order.workers, reply.tickets, valid_until, now)
             asked = {worker.name for worker in order.workers}
             self.line.record_share(
-                step.job.queue.place,
+                step.job.queue.endpoint,
                 len(asked),
                 len(asked.intersection(reply.tickets)),
             )
--- a/src/galenareel/_jobs/commands.py
+++ b/src/galenareel/_jobs/commands.py
@@ -10,8 +10,8 @@
 
 from galenareel._jobs.model import Configuration
 from galenareel._jobs.model import CrashRecord
+from galenareel._jobs.model import Endpoint
 from galenareel._jobs.model import JobRequest
-from galenareel._jobs.model import Place
 from galenareel._jobs.model import PoolLoad
 from galenareel._jobs.model import SilentLease
 from galenareel._jobs.model import SilentWorker
@@ -53,9 +53,9 @@
 
     :param queue: name of its queue when it was submitted.
     :param workspace: owner of the job, or empty.
-    :param place: place of the queue, whose name may change before the command
-        takes effect; ``None`` from leaders of older builds, whose members
-        ignore this field.
+    :param endpoint: endpoint of the queue, whose name may change before the
+        command takes effect; ``None`` from leaders of older builds, whose
+        members ignore this field.
     """
 
     name: str
@@ -63,7 +63,7 @@
     request: JobRequest
     now_ms: int
     workspace: str = ''
-    place: Place | None = None
+    endpoint: Endpoint | None = None
 
 
 class CancelJob(Command, frozen=True):
--- a/src/galenareel/_jobs/config_changes.py
+++ b/src/galenareel/_jobs/config_changes.py
@@ -102,7 +102,7 @@
 
     A queue keeps its jobs under a new name.
     """
-    return entry.place if isinstance(entry, Queue) else entry.name
+    return entry.endpoint if isinstance(entry, Queue) else entry.name
 
 
 def _describe_change(field: str, before: object, after: object) -> str:
--- a/src/galenareel/_jobs/estimates.py
+++ b/src/galenareel/_jobs/estimates.py
@@ -13,7 +13,7 @@
 from galenareel._jobs.model import JobRequest
 from galenareel._jobs.model import Queue
 from galenareel._jobs.model import Step
-from galenareel._jobs.routes import rename_keys
+from galenareel._jobs.queue_changes import rename_keys
 from galenareel._scheduling.tables import JobWork
 from galenareel._scheduling.tables import Run
 from galenareel._scheduling.tables import StepWork
--- a/src/galenareel/_jobs/job_entries.py
+++ b/src/galenareel/_jobs/job_entries.py
@@ -26,8 +26,10 @@
     ) -> None:
         self.queues = tuple(queues)
         self._by_name = {queue.name: queue for queue in reversed(self.queues)}
-        self._by_place = {queue.place: queue for queue in former}
-        self._by_place.update((queue.place, queue) for queue in self.queues)
+        self._by_endpoint = {queue.endpoint: queue for queue in former}
+        self._by_endpoint.update(
+            (queue.endpoint, queue) for queue in self.queues
+        )
         self._lowest_priority = max(
             (queue.priority for queue in self.queues), default=0
         )
@@ -38,13 +40,13 @@
         If its settings are not known any more, build one from the values that
         the job keeps. It does not preempt the others.
         """
-        if job.place is not None:
-            queue = self._by_place.get(job.place)
+        if job.endpoint is not None:
+            queue = self._by_endpoint.get(job.endpoint)
         else:
             queue = self._by_name.get(job.queue)
         if queue is not None:
             return queue
-        host, prefix = job.place or ('', '')
+        host, prefix = job.endpoint or ('', '')
         return Queue(
             name=job.queue,
             host=host,
--- a/src/galenareel/_jobs/model.py
+++ b/src/galenareel/_jobs/model.py
@@ -235,9 +235,9 @@
     valid_ms: float
 
 
-# Host and path prefix of a queue, by which callers know it. Versions of the
-# configuration may change its name.
-Place = tuple[str, str]
+# Host and path prefix under which callers reach a queue. It identifies the
+# queue, whose name may change from one configuration to the next.
+Endpoint = tuple[str, str]
 
 
 class Queue(msgspec.Struct, frozen=True, kw_only=True):
@@ -265,7 +265,7 @@
     public: bool = False
 
     @property
-    def place(self) -> Place:
+    def endpoint(self) -> Endpoint:
         return self.host, self.prefix
 
 
--- a/src/galenareel/_jobs/service.py
+++ b/src/galenareel/_jobs/service.py
@@ -209,7 +209,7 @@
                 request=req,
                 now_ms=self._leader.wall_ms(),
                 workspace=caller.workspace,
-                place=queue.place,
+                endpoint=queue.endpoint,
             ),
             engine,
         )
@@ -237,7 +237,8 @@
         """Answer the submission of a job that exists."""
         job = self._state.jobs.get(name)
         if job is not None and not (
-            caller.may_use(job.workspace) and job.place in (None, queue.place)
+            caller.may_use(job.workspace)
+            and job.endpoint in (None, queue.endpoint)
         ):
             detail = 'the name of the job is in use; choose another one'
             return JobAnswer(outcome='invalid', detail=detail)
@@ -301,7 +302,7 @@
         count = sum(
             1
             for work in engine.jobs.values()
-            if work.queue.place == queue.place and not work.started
+            if work.queue.endpoint == queue.endpoint and not work.started
         )
         return JobAnswer(outcome='counted', count=count)
 
--- a/src/galenareel/_jobs/state.py
+++ b/src/galenareel/_jobs/state.py
@@ -30,10 +30,10 @@
 from galenareel._jobs.commands import TakeOver
 from galenareel._jobs.model import Configuration
 from galenareel._jobs.model import CrashRecord
+from galenareel._jobs.model import Endpoint
 from galenareel._jobs.model import FORMER_LEASE_MS
 from galenareel._jobs.model import InstanceOrder
 from galenareel._jobs.model import JobRequest
-from galenareel._jobs.model import Place
 from galenareel._jobs.model import PoolLoad
 from galenareel._jobs.model import Queue
 from galenareel._jobs.model import Resources
@@ -42,8 +42,10 @@
 from galenareel._jobs.model import TaskId
 from galenareel._jobs.model import WaveRecord
 from galenareel._jobs.model import WorkerRecord
-from galenareel._jobs.routes import find_renames
-from galenareel._jobs.routes import rename_keys
+from galenareel._jobs.queue_changes import find_former_queues
+from galenareel._jobs.queue_changes import find_renames
+from galenareel._jobs.queue_changes import record_endpoints
+from galenareel._jobs.queue_changes import rename_keys
 from galenareel._scheduling.crashes import Incarnation
 from galenareel._scheduling.crashes import is_at_fault
 
@@ -82,8 +84,8 @@
 
     :param queue: name of its queue, which versions of the configuration may
         change.
-    :param place: place of its queue, by which it is found; ``None`` if it was
-        accepted by an older build and its queue is not known any more.
+    :param endpoint: endpoint of its queue, by which it is found; ``None`` if
+        it was accepted by an older build and its queue is not known any more.
     :param epoch: epoch of the leader that accepted it.
     :param pools: all pools that have served its queue since it was accepted,
         the current one last.
@@ -113,13 +115,13 @@
     workspace: str = ''
     failure: str = ''
     idle: bool = False
-    place: Place | None = None
+    endpoint: Endpoint | None = None
 
     def is_of_queue(self, queue: Queue) -> bool:
         """Return whether callers of a queue may ask for the job."""
-        if self.place is None:
+        if self.endpoint is None:
             return self.queue == queue.name
-        return self.place == queue.place
+        return self.endpoint == queue.endpoint
 
     def get_step_progress(self, occurrence: int, step: int) -> Progress:
         key = (occurrence, step)
@@ -289,8 +291,9 @@
 
     def restore(self, index: int, data: bytes) -> None:
         self._tables = _decoder.decode(data)
-        if self._tables.config is not None:
-            self._place_jobs(self._tables.config)
+        config = self._tables.config
+        if config is not None:
+            record_endpoints(self._tables.jobs.values(), config.queues)
 
     @property
     def epoch(self) -> int:
@@ -408,57 +411,31 @@
             return False
         self._record_limits(current, cmd.config)
         self._tables.config = cmd.config
-        self._place_jobs(cmd.config)
-        queues = {queue.place: queue for queue in cmd.config.queues}
-        for job in self._tables.jobs.values():
-            queue = queues.get(job.place) if job.place is not None else None
+        jobs = self._tables.jobs.values()
+        record_endpoints(jobs, cmd.config.queues)
+        queues = {queue.endpoint: queue for queue in cmd.config.queues}
+        for job in jobs:
+            queue = (
+                queues.get(job.endpoint) if job.endpoint is not None else None
+            )
             if queue is None:
                 continue
             job.queue = queue.name
             if not job.has_ended:
                 _apply_queue_settings(job, queue)
         if current is not None:
-            self._record_former_queues(current, cmd.config)
+            self._tables.former_queues = find_former_queues(
+                self._tables.former_queues,
+                current.queues,
+                cmd.config.queues,
+                jobs,
+            )
             self._tables.factors = rename_keys(
                 self._tables.factors,
                 find_renames(current.queues, cmd.config.queues),
             )
         return True
 
-    def _place_jobs(self, config: Configuration) -> None:
-        """Record the places of jobs that older builds have accepted."""
-        unplaced = [
-            job for job in self._tables.jobs.values() if job.place is None
-        ]
-        if not unplaced:
-            return
-        queues = {queue.name: queue for queue in reversed(config.queues)}
-        for job in unplaced:
-            queue = queues.get(job.queue)
-            if queue is not None:
-                job.place = queue.place
-
-    def _record_former_queues(
-        self, former: Configuration, config: Configuration
-    ) -> None:
-        """Record the queues that a new configuration removes.
-
-        Their jobs go on with their last settings.
-        """
-        kept = {queue.place: queue for queue in self._tables.former_queues}
-        kept.update((queue.place, queue) for queue in former.queues)
-        present = {queue.place for queue in config.queues}
-        used = {
-            job.place
-            for job in self._tables.jobs.values()
-            if not job.has_ended
-        }
-        self._tables.former_queues = tuple(
-            queue
-            for place, queue in kept.items()
-            if place in used and place not in present
-        )
-
     def _record_limits(
         self, former: Configuration | None, config: Configuration
     ) -> None:
@@ -499,7 +476,7 @@
             max_attempts=queue.max_attempts,
             left=tasks * cmd.request.count_occurrences(),
             workspace=cmd.workspace,
-            place=queue.place,
+            endpoint=queue.endpoint,
         )
         return True
 
@@ -675,9 +652,9 @@
         """Return the queue of a new job, if the configuration has it."""
         config = self._tables.config
         for queue in config.queues if config is not None else ():
-            if cmd.place is None and queue.name == cmd.queue:
+            if cmd.endpoint is None and queue.name == cmd.queue:
                 return queue
-            if cmd.place is not None and queue.place == cmd.place:
+            if cmd.endpoint is not None and queue.endpoint == cmd.endpoint:
                 return queue
         return None
 
--- a/src/galenareel/_jobs/tables.py
+++ b/src/galenareel/_jobs/tables.py
@@ -35,9 +35,9 @@
 from galenareel._jobs.pools import get_step_key
 from galenareel._jobs.pools import PoolTables
 from galenareel._jobs.pools import StepKey
+from galenareel._jobs.queue_changes import find_renames
 from galenareel._jobs.restarts import KEEP_RETIRED_NAME_S
 from galenareel._jobs.restarts import Restarts
-from galenareel._jobs.routes import find_renames
 from galenareel._jobs.run_entries import count_run
 from galenareel._jobs.run_entries import create_run
 from galenareel._jobs.run_entries import uncount_run
--- a/src/galenareel/_scheduling/advice_line.py
+++ b/src/galenareel/_scheduling/advice_line.py
@@ -10,12 +10,12 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Iterator
 from dataclasses import dataclass
 import enum
 
 from galenareel._jobs.model import Advice
-from galenareel._jobs.model import Place
+from galenareel._jobs.model import Endpoint
+from galenareel._scheduling.advice import MAX_ADVICE_WORKERS
 from galenareel._scheduling.ranking import placement_key
 from galenareel._scheduling.tables import AskAdvice
 from galenareel._scheduling.tables import JobWork
@@ -29,9 +29,9 @@
 # Share of the advisor's time for the step that has waited longest, so that
 # none waits for ever behind those that are placed before it.
 OLDEST_SHARE = 0.25
-# Most steps of the line that are looked at for one call.
-MAX_LOOKS = 50
-LOOK_AGAIN_S = 0.25
+# Most steps of the line that are checked for one call.
+MAX_CHECKED_STEPS = 50
+RECHECK_S = 0.25
 
 # A call is overdue after this multiple of the time that it and those before it
 # are expected to take, and a margin for the network. Others may be sent then.
@@ -40,8 +40,8 @@
 MAX_OVERDUE_CALLS = 3
 # It is given up only after this multiple of that time, as a slow advisor works
 # on it all the same. Each call without an answer doubles the multiple.
-MIN_PATIENCE = 2.0
-MAX_PATIENCE = 4.0
+MIN_TIMEOUT_FACTOR = 2.0
+MAX_TIMEOUT_FACTOR = 4.0
 # Calls are answered in turn, so that one whose successor has an answer gets
 # none, except for answers that overtake each other on their way.
 OVERTAKEN_GRACE_S = 0.5
@@ -55,8 +55,6 @@
 # can't be read doesn't hold up the others.
 STEP_RETRY_S = 1.0
 
-# Names of a call while nothing is known of the policy.
-EXPECTED_WORKERS = 6
 # Answers beyond this many workers count less, so that a changed policy shows.
 MAX_SAMPLES = 60
 # Jobs whose calls are counted beside those in line, in a line that never ends.
@@ -89,7 +87,7 @@
 
     def estimate(self) -> float:
         """Return a cautious estimate of the share, above 0 and below 1."""
-        return (self.allowed + 1) / (self.asked + EXPECTED_WORKERS)
+        return (self.allowed + 1) / (self.asked + MAX_ADVICE_WORKERS)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -144,8 +142,10 @@
     def __init__(self) -> None:
         self._waiting: dict[tuple[str, int, int], StepWork] = {}
         # Queue of each step when it joined, and number of steps by queue.
-        self._joined_queues: dict[tuple[str, int, int], Place] = {}
-        self._queue_sizes: collections.Counter[Place] = collections.Counter()
+        self._joined_queues: dict[tuple[str, int, int], Endpoint] = {}
+        self._queue_sizes: collections.Counter[Endpoint] = (
+            collections.Counter()
+        )
         self._calls: list[Call] = []
         # Until then the advisor may work on calls that were given up.
         self._busy_until = 0.0
@@ -156,15 +156,15 @@
         self._takes_no_calls = False
         self._retry_at = 0.0
         self._slowness = 1.0
-        self._patience = MIN_PATIENCE
+        self._timeout_factor = MIN_TIMEOUT_FACTOR
         self._answered_at = 0.0
         # Calls by job, and the time they cost by queue, while others wait.
         self._job_calls: dict[str, int] = {}
-        self._queue_cost_s: dict[Place, float] = {}
+        self._queue_cost_s: dict[Endpoint, float] = {}
         # Cost of all calls, and of those for the longest wait.
         self._cost_s = 0.0
         self._oldest_cost_s = 0.0
-        self._shares: dict[Place, AllowedShare] = {}
+        self._shares: dict[Endpoint, AllowedShare] = {}
 
     def join(
         self, step: StepWork, now: float, *, is_overdue: bool = False
@@ -177,7 +177,7 @@
         """
         if step.advice_pending or now < step.advice_after:
             return False
-        if now < step.advice_look_after and not is_overdue:
+        if now < step.advice_check_after and not is_overdue:
             return False
         key = _get_key(step)
         if step.advice_since is None:
@@ -186,7 +186,7 @@
         if former is not step:
             if former is not None:
                 self._remove(former)
-            queue = step.job.queue.place
+            queue = step.job.queue.endpoint
             self._begin_cost(queue)
             self._waiting[key] = step
             self._joined_queues[key] = queue
@@ -203,8 +203,8 @@
 
         In a long line it comes back later, so that the others have a turn.
         """
-        if len(self._waiting) > MAX_LOOKS:
-            step.advice_look_after = now + LOOK_AGAIN_S
+        if len(self._waiting) > MAX_CHECKED_STEPS:
+            step.advice_check_after = now + RECHECK_S
         self._remove(step)
 
     def _remove(self, step: StepWork) -> None:
@@ -233,7 +233,7 @@
             and self._estimate_ahead_s(now) <= LEAD_S
         )
 
-    def list_next(self, now: float) -> Iterator[StepWork]:
+    def list_next(self, now: float) -> list[StepWork]:
         """Return the steps that may ask next, the first one first.
 
         They go in the order in which they are placed. Among those of one
@@ -251,7 +251,7 @@
         if oldest is not None and self._is_due(oldest):
             steps.remove(oldest)
             steps.insert(0, oldest)
-        return iter(steps[:MAX_LOOKS])
+        return steps[:MAX_CHECKED_STEPS]
 
     def _is_due(self, oldest: StepWork) -> bool:
         """Return whether the step that has waited longest goes first."""
@@ -270,7 +270,9 @@
         due_s = self._estimate_ahead_s(now) + expected_s
         overdue_s = OVERDUE_MARGIN_S + OVERDUE_FACTOR * due_s
         order = AskAdvice(
-            work=step, workers=workers, timeout_s=self._patience * overdue_s
+            work=step,
+            workers=workers,
+            timeout_s=self._timeout_factor * overdue_s,
         )
         self._calls.append(
             Call(
@@ -294,7 +296,7 @@
     def _charge(self, call: Call, sign: int) -> None:
         """Count the cost of a call, or with a ``sign`` of -1 take it back."""
         job = call.order.work.job
-        queue, cost_s = job.queue.place, sign * call.expected_s
+        queue, cost_s = job.queue.endpoint, sign * call.expected_s
         self._queue_cost_s[queue] = self._queue_cost_s.get(queue, 0.0) + cost_s
         self._job_calls[job.name] = self._job_calls.get(job.name, 0) + sign
         self._cost_s += cost_s
@@ -324,7 +326,7 @@
         if result is CallResult.ANSWERED:
             self._failures = 0
             self._failed_steps.clear()
-            self._patience = MIN_PATIENCE
+            self._timeout_factor = MIN_TIMEOUT_FACTOR
             self._learn_slowness(call, now)
             self._answered_at = now
             for earlier in self._calls[: self._calls.index(call)]:
@@ -350,7 +352,9 @@
             order.work.advice_after = now + STEP_RETRY_S
         if result is CallResult.SILENT:
             self._busy_until = now + call.expected_s
-            self._patience = min(self._patience * 2, MAX_PATIENCE)
+            self._timeout_factor = min(
+                self._timeout_factor * 2, MAX_TIMEOUT_FACTOR
+            )
         self._forget_idle()
         return call
 
@@ -369,13 +373,14 @@
             self._calls.remove(call)
             call.order.work.advice_pending = False
             call.order.work.advice_since = call.waited_since
+        self._forget_idle()
         return [call.order.work for call in lost]
 
-    def record_share(self, queue: Place, asked: int, allowed: int) -> None:
+    def record_share(self, queue: Endpoint, asked: int, allowed: int) -> None:
         """Learn how many of the workers of a call were allowed."""
         self._shares.setdefault(queue, AllowedShare()).add(asked, allowed)
 
-    def estimate_share(self, queue: Place) -> float:
+    def estimate_share(self, queue: Endpoint) -> float:
         """Return the share of workers that the policy of a queue allows."""
         return self._shares.get(queue, AllowedShare()).estimate()
 
@@ -430,7 +435,7 @@
         return (
             timeliness,
             priority,
-            self._queue_cost_s.get(job.queue.place, 0.0),
+            self._queue_cost_s.get(job.queue.endpoint, 0.0),
             self._estimate_call_s(job.queue.advice),
             self._job_calls.get(job.name, 0),
             remaining,
@@ -438,7 +443,7 @@
             _get_key(step),
         )
 
-    def _begin_cost(self, queue: Place) -> None:
+    def _begin_cost(self, queue: Endpoint) -> None:
         """Let a queue that was idle begin with the lowest cost of the others.
 
         Otherwise it would go first until its calls have cost as much.
@@ -481,7 +486,7 @@
         return max(idle_at - now, 0.0)
 
     def _estimate_call_s(
-        self, advice: Advice | None, workers: int = EXPECTED_WORKERS
+        self, advice: Advice | None, workers: int = MAX_ADVICE_WORKERS
     ) -> float:
         """Return the time that the advisor needs for a call, in seconds."""
         if advice is None:
--- a/src/galenareel/_scheduling/tables.py
+++ b/src/galenareel/_scheduling/tables.py
@@ -436,8 +436,8 @@
     :param advice_since: local time since which it waits for a call to the
         advisor, or ``None``.
     :param advice_after: local time before which the advisor isn't asked.
-    :param advice_look_after: local time before which it isn't looked at
-        whether there are workers to ask about.
+    :param advice_check_after: local time before which it isn't checked whether
+        there are workers to ask about.
     :param advice_allowed: workers that the advisor has allowed, also those
         whose tickets have expired.
     :param advice_refused: by worker that the advisor did not allow, the local
@@ -479,7 +479,7 @@
     advice_pending: bool = False
     advice_since: float | None = None
     advice_after: float = 0.0
-    advice_look_after: float = 0.0
+    advice_check_after: float = 0.0
     advice_allowed: set[str] = field(default_factory=set)
     advice_refused: dict[str, float] = field(default_factory=dict)
     runs_per_rack: dict[str, int] = field(default_factory=dict)
--- a/testing/jobs/test_places.py
+++ b/testing/jobs/test_endpoints.py
@@ -1,4 +1,4 @@
-"""Jobs belong to the place of their queue, not to its name.
+"""Jobs belong to the endpoint of their queue, not to its name.
 
 Guards against accepted jobs that can't be read or cancelled any more after a
 version of the configuration has given their queue another name.
@@ -42,7 +42,7 @@
 from testing.jobs.test_leader import RunningLeader
 from testing.standins.worker import FakeWorker
 
-PLACES = ('/v/', '/w/', '/x/')
+PREFIXES = ('/v/', '/w/', '/x/')
 POOLS = (Pool(name='lots'), Pool(name='other'), Pool(name='empty'))
 LASTING = Step(count=2, cpu=1000, memory_mb=64, lasting=True)
 
@@ -172,7 +172,7 @@
 
 
 @pytest.mark.parametrize('path, host', [('/w/j', 'h'), ('/v/j', 'other')])
-def test_job_is_hidden_from_callers_of_other_places(
+def test_job_is_hidden_from_callers_of_other_endpoints(
     service: Service, path: str, host: str
 ) -> None:
     """The name of the job's queue moves there."""
@@ -222,7 +222,7 @@
     assert service.ask('cancel', '/v/j') == 'cancelled'
 
 
-def test_job_that_is_accepted_during_the_change_goes_to_its_place() -> None:
+def test_job_that_is_accepted_during_the_change_keeps_its_endpoint() -> None:
     """The version exchanges the names before the job is committed."""
     service = Service()
     service.configure(2, make_queue('a', '/v/'), make_queue('b', '/w/'))
@@ -253,41 +253,41 @@
             queue=queues[0].name,
             request=make_job(LASTING),
             now_ms=1,
-            place=queues[0].place,
+            endpoint=queues[0].endpoint,
         )
     )
     return state
 
 
-def strip_places(state: JobState) -> JobState:
+def strip_endpoints(state: JobState) -> JobState:
     """Return the state as an older build stores it."""
     tables = msgspec.msgpack.decode(state.snapshot())
     for job in tables['jobs'].values():
-        del job['place']
+        del job['endpoint']
     del tables['former_queues']
     older = JobState()
     older.restore(1, msgspec.msgpack.encode(tables))
     return older
 
 
-def test_state_of_an_older_build_gets_places() -> None:
-    state = strip_places(make_state(make_queue('a')))
+def test_state_of_an_older_build_gets_endpoints() -> None:
+    state = strip_endpoints(make_state(make_queue('a')))
     apply_config(state, 2, make_queue('b'))
     job = state.jobs['j']
-    assert (job.place, job.queue) == (('h', '/v/'), 'b')
+    assert (job.endpoint, job.queue) == (('h', '/v/'), 'b')
     assert job.is_of_queue(make_queue('b'))
 
 
-def test_command_of_an_older_build_is_placed_by_the_name() -> None:
+def test_command_of_an_older_build_is_resolved_by_the_name() -> None:
     state = JobState()
     apply_config(state, 1, make_queue('a'))
     command = AcceptJob(
         name='j', queue='a', request=make_job(LASTING), now_ms=1
     )
     fields = msgspec.msgpack.decode(encode(command))
-    older = msgspec.msgpack.encode(fields[:6])  # without the place
+    older = msgspec.msgpack.encode(fields[:6])  # without the endpoint
     assert state.apply_command(decode(older)) is True
-    assert state.jobs['j'].place == ('h', '/v/')
+    assert state.jobs['j'].endpoint == ('h', '/v/')
 
 
 def test_older_build_reads_the_command() -> None:
@@ -307,7 +307,7 @@
         queue='a',
         request=make_job(),
         now_ms=1,
-        place=('h', '/v/'),
+        endpoint=('h', '/v/'),
     )
     former = msgspec.msgpack.decode(encode(command), type=Former)
     assert (former.name, former.queue) == ('j', 'a')
@@ -317,10 +317,10 @@
     """An older build has removed the queue."""
     state = make_state(make_queue('a'))
     tables = msgspec.msgpack.decode(state.snapshot())
-    del tables['jobs']['j']['place']
+    del tables['jobs']['j']['endpoint']
     tables['config']['queues'][0]['name'] = 'b'
     state.restore(1, msgspec.msgpack.encode(tables))
-    assert state.jobs['j'].place is None
+    assert state.jobs['j'].endpoint is None
     assert not state.jobs['j'].is_of_queue(make_queue('b'))
     apply_config(state, 5, make_queue('a', '/w/'))
     assert state.jobs['j'].is_of_queue(make_queue('a', '/w/'))
@@ -328,7 +328,7 @@
     assert state.jobs['j'].is_of_queue(make_queue('c', '/w/'))
 
 
-def test_job_for_a_place_that_was_removed_is_refused() -> None:
+def test_job_for_an_endpoint_that_was_removed_is_refused() -> None:
     state = JobState()
     apply_config(state, 2, make_queue('a', '/w/'))
     command = AcceptJob(
@@ -336,13 +336,13 @@
         queue='a',
         request=make_job(),
         now_ms=1,
-        place=('h', '/v/'),
+        endpoint=('h', '/v/'),
     )
     assert isinstance(state.apply_command(command), Refused)
 
 
 def test_factors_follow_the_names() -> None:
-    """Run times that were learned hold for the same place."""
+    """Run times that were learned hold for the same endpoint."""
     state = make_state(make_queue('a', '/v/'), make_queue('b', '/w/'))
     tables = msgspec.msgpack.decode(state.snapshot())
     tables['factors'] = {'a': 2.0, 'b': 3.0, 'c': 4.0}
@@ -456,7 +456,7 @@
         names = rng.sample(['a', 'b', 'c', 'd'], 3)
         present = {
             prefix: make_queue(name, prefix, rng.choice(['lots', 'other']))
-            for prefix, name in zip(PLACES, names, strict=True)
+            for prefix, name in zip(PREFIXES, names, strict=True)
             if rng.random() < 0.8
         }
         apply_config(state, version, *present.values())
@@ -468,7 +468,7 @@
                     queue=queue.name,
                     request=make_job(),
                     now_ms=1,
-                    place=rng.choice([queue.place, None]),
+                    endpoint=rng.choice([queue.endpoint, None]),
                 )
                 assert state.apply_command(command) is True
                 jobs[name] = prefix
@@ -476,8 +476,8 @@
             state.restore(1, state.snapshot())
         for name, prefix in jobs.items():
             found = [
-                place
-                for place, queue in present.items()
+                prefix
+                for prefix, queue in present.items()
                 if state.jobs[name].is_of_queue(queue)
             ]
             assert found == [prefix] * (prefix in present)
